Lay out the workspace, the schema file and the log fold

The platform's log is the only durable thing, so everything that must be agreed is folded from it in offset order: StreamReplica reads and checkpoints a stream, GroupAppender writes it with writer sequences, so that an append whose answer was lost folds once. Interfaces towards outside systems and between entry and owner routers are fixed before the parts that use them.

--- /dev/null
+++ b/packages/coordination/src/checkpoint-assembler.ts
@@ -0,0 +1,38 @@
+import type { Checkpoint } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { AssembledCheckpoint } from './assembled-checkpoint.js'
+
+/** Checkpoints under assembly at once; more than a few means that their writers died half way. */
+const MAXIMUM_PENDING = 8
+
+/** Puts the parts of checkpoints together. */
+export class CheckpointAssembler {
+  private readonly _pending = new Map<string, Map<number, Checkpoint>>()
+
+  /**
+   * Takes a part.
+   * @param checkpoint the part
+   * @returns the whole checkpoint, if this part completes one
+   */
+  add (checkpoint: Checkpoint): AssembledCheckpoint | undefined {
+    if (checkpoint.parts < 1 || checkpoint.part >= checkpoint.parts) return undefined
+    const parts = this._pending.get(checkpoint.checkpointId) ?? new Map<number, Checkpoint>()
+    parts.set(checkpoint.part, checkpoint)
+    this._pending.set(checkpoint.checkpointId, parts)
+    if (parts.size < checkpoint.parts) {
+      this._dropOldest()
+      return undefined
+    }
+    this._pending.delete(checkpoint.checkpointId)
+    const ordered = [...parts.values()].sort((left, right) => left.part - right.part)
+    return {
+      coversOffset: Number(checkpoint.coversOffset),
+      state: Buffer.concat(ordered.map((part) => part.state))
+    }
+  }
+
+  private _dropOldest (): void {
+    if (this._pending.size <= MAXIMUM_PENDING) return
+    const oldest = this._pending.keys().next()
+    if (!oldest.done) this._pending.delete(oldest.value)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/stream-replica.ts
@@ -0,0 +1,309 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import type { LogRecord } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { LogRecordSchema, StreamStateSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { AssembledCheckpoint } from './assembled-checkpoint.js'
+import type { ChainedRecord } from './chained-record.js'
+import { CheckpointAssembler } from './checkpoint-assembler.js'
+import type { ReadResult } from './read-result.js'
+import { RecentRecords } from './recent-records.js'
+import type { RecordPosition } from './record-position.js'
+import type { StoredRecord } from './stored-record.js'
+import type { StreamReplicaOptions } from './stream-replica-options.js'
+import { WriterPositions } from './writer-positions.js'
+
+/** Records asked for in one read. */
+const READ_LIMIT = 500
+/** Pause after a failed read; grows to the maximum while reads fail. */
+const MINIMUM_RETRY_MS = 50
+const MAXIMUM_RETRY_MS = 2_000
+/** Record bytes kept in memory for peers. */
+const RECENT_RECORDS_BYTES = 4 * 1024 * 1024
+
+/**
+ * Follows one stream of the log service and keeps the state of its fold. One task, `run`, reads; records that
+ * peers have read may be offered as well. A record is applied once, in offset order, whatever its source.
+ *
+ * A stream whose head has expired is entered through a checkpoint: records are held back until a whole
+ * checkpoint has been read that covers everything before the oldest kept record.
+ */
+export class StreamReplica {
+  private readonly _options: StreamReplicaOptions
+  private readonly _writers = new WriterPositions()
+  private readonly _recent = new RecentRecords(RECENT_RECORDS_BYTES)
+  private readonly _appliedListeners = new Set<(position: RecordPosition) => void>()
+  private readonly _provenListeners = new Set<() => void>()
+  private _assembler = new CheckpointAssembler()
+  /** Records read while the replica looks for a checkpoint to start from; undefined once it has started. */
+  private _heldBack: StoredRecord[] | undefined = []
+  private _appliedOffset = 0
+  private _provenAt: number | undefined
+  private _truncated = false
+  private _wake = new AbortController()
+
+  /**
+   * @param options what the replica works with
+   */
+  constructor (options: StreamReplicaOptions) {
+    this._options = options
+  }
+
+  /** Name of the stream. */
+  get stream (): string {
+    return this._options.stream
+  }
+
+  /** Offset of the last applied record; 0 before the first. */
+  get appliedOffset (): number {
+    return this._appliedOffset
+  }
+
+  /** Whether the state is that of the whole stream up to the applied offset. */
+  get started (): boolean {
+    return this._heldBack === undefined
+  }
+
+  /** Whether records are missing that neither the log nor a checkpoint holds; only a peer's state helps. */
+  get truncated (): boolean {
+    return this._truncated
+  }
+
+  /**
+   * Time since the replica last knew that it had applied everything, in milliseconds; Infinity if it never did.
+   */
+  get stalenessMs (): number {
+    if (this._provenAt === undefined) return Infinity
+    return this._options.clock.now() - this._provenAt
+  }
+
+  /**
+   * Calls back after each applied record; a repeat of an append is not applied.
+   * @param listener gets the record's position
+   * @returns a function that ends the calls
+   */
+  onApplied (listener: (position: RecordPosition) => void): () => void {
+    this._appliedListeners.add(listener)
+    return () => this._appliedListeners.delete(listener)
+  }
+
+  /**
+   * Calls back each time the replica proves that it is at the end of the stream.
+   * @param listener called without arguments
+   * @returns a function that ends the calls
+   */
+  onProven (listener: () => void): () => void {
+    this._provenListeners.add(listener)
+    return () => this._provenListeners.delete(listener)
+  }
+
+  /** Makes a replica that is between two slow polls read at once. */
+  readNow (): void {
+    this._wake.abort()
+  }
+
+  /**
+   * Reads the stream until the signal aborts. Failed reads are retried for ever, with a growing pause.
+   * @param signal ends the task
+   */
+  async run (signal: AbortSignal): Promise<void> {
+    let retryMs = MINIMUM_RETRY_MS
+    while (!signal.aborted) {
+      try {
+        const atEnd = await this._readOnce(signal)
+        retryMs = MINIMUM_RETRY_MS
+        if (atEnd) await this._pauseBetweenReads(signal)
+      } catch (error) {
+        if (signal.aborted) return
+        this._options.eventLog.warn('log-read-failed', { stream: this.stream, error: String(error), retry_ms: retryMs })
+        await this._options.clock.sleep(retryMs, signal)
+        retryMs = Math.min(retryMs * 2, MAXIMUM_RETRY_MS)
+      }
+    }
+  }
+
+  /**
+   * Takes records that a peer has read. Those that do not follow the applied offset are ignored.
+   * @param records in the order of their offsets
+   * @returns how many were applied
+   */
+  offer (records: readonly ChainedRecord[]): number {
+    if (!this.started) return 0
+    let applied = 0
+    for (const record of records) {
+      if (record.previousOffset !== this._appliedOffset) continue
+      this._apply(record)
+      applied += 1
+    }
+    return applied
+  }
+
+  /**
+   * Records that follow an offset, for a peer.
+   * @param offset last offset that the peer has applied
+   * @param maximumBytes bound on the record bytes
+   * @returns undefined if they are not all in memory; the peer then needs the state
+   */
+  recordsAfter (offset: number, maximumBytes: number): readonly ChainedRecord[] | undefined {
+    if (!this.started || offset > this._appliedOffset) return undefined
+    if (offset === this._appliedOffset) return []
+    return this._recent.after(offset, maximumBytes)
+  }
+
+  /**
+   * The state at the applied offset, as checkpoints and peers get it.
+   */
+  checkpoint (): AssembledCheckpoint {
+    const state = create(StreamStateSchema, {
+      writers: this._writers.list(),
+      foldState: this._options.fold.encodeState()
+    })
+    return { coversOffset: this._appliedOffset, state: toBinary(StreamStateSchema, state) }
+  }
+
+  /**
+   * Takes a peer's state if it is newer than what this replica has.
+   * @param checkpoint the peer's state
+   * @returns whether it was taken
+   */
+  adopt (checkpoint: AssembledCheckpoint): boolean {
+    if (this.started && checkpoint.coversOffset <= this._appliedOffset) return false
+    this._load(checkpoint)
+    this._options.eventLog.info('state-adopted', { stream: this.stream, offset: checkpoint.coversOffset })
+    return true
+  }
+
+  private async _readOnce (signal: AbortSignal): Promise<boolean> {
+    const from = this._nextReadOffset()
+    const askedAt = this._options.clock.now()
+    const waitMs = this._isReader() && this.started ? this._options.longPollMs : 0
+    const timeout = AbortSignal.timeout(waitMs + this._options.readTimeoutMs)
+    const result = await this._options.logService.read(this.stream, from, {
+      limit: READ_LIMIT,
+      waitMs,
+      signal: AbortSignal.any([signal, timeout])
+    })
+    this._noticeTruncation(from, result)
+    for (const record of result.records) this._take(record)
+    const atEnd = this._nextReadOffset() >= result.nextOffset || result.records.length === 0
+    if (atEnd) this._reachEnd(result, askedAt)
+    // A reader's next long poll is its pause; a read that found records may have more behind it.
+    return atEnd && (!this._isReader() || !this.started)
+  }
+
+  private _isReader (): boolean {
+    return this._options.isReader?.() ?? true
+  }
+
+  private _nextReadOffset (): number {
+    const last = this._heldBack?.at(-1)
+    return (last?.offset ?? this._appliedOffset) + 1
+  }
+
+  /** A read that starts past the wanted offset means that unread records have expired. */
+  private _noticeTruncation (from: number, result: ReadResult): void {
+    if (this._heldBack !== undefined) {
+      const readUpTo = from - 1
+      const expired = result.oldestOffset > from && readUpTo > 0
+      if (expired) this._startOver()
+      return
+    }
+    if (result.oldestOffset <= from) return
+    this._options.eventLog.warn('log-records-expired', { stream: this.stream, from, oldest: result.oldestOffset })
+    this._startOver()
+  }
+
+  private _startOver (): void {
+    this._heldBack = []
+    this._assembler = new CheckpointAssembler()
+  }
+
+  private _take (record: StoredRecord): void {
+    if (this._heldBack === undefined) {
+      if (record.offset <= this._appliedOffset) return
+      this._apply({ ...record, previousOffset: this._appliedOffset })
+      return
+    }
+    this._heldBack.push(record)
+    const oldest = this._heldBack[0]?.offset ?? 0
+    if (oldest === 1) {
+      this._startFrom(undefined)
+      return
+    }
+    for (const entry of this._decode(record).entries) {
+      if (entry.kind.case !== 'checkpoint') continue
+      const whole = this._assembler.add(entry.kind.value)
+      if (whole !== undefined && whole.coversOffset >= oldest - 1 && whole.coversOffset >= this._appliedOffset) {
+        this._startFrom(whole)
+        return
+      }
+    }
+  }
+
+  /** Leaves the search for a checkpoint: loads it, if one is needed, and applies what was held back. */
+  private _startFrom (checkpoint: AssembledCheckpoint | undefined): void {
+    const held = this._heldBack ?? []
+    if (checkpoint !== undefined) this._load(checkpoint)
+    this._heldBack = undefined
+    this._truncated = false
+    for (const record of held) {
+      if (record.offset > this._appliedOffset) this._apply({ ...record, previousOffset: this._appliedOffset })
+    }
+  }
+
+  private _load (checkpoint: AssembledCheckpoint): void {
+    const state = fromBinary(StreamStateSchema, checkpoint.state)
+    this._options.fold.decodeState(state.foldState)
+    this._writers.replace(state.writers)
+    this._recent.clear()
+    this._appliedOffset = checkpoint.coversOffset
+    this._heldBack = undefined
+    this._truncated = false
+  }
+
+  private _reachEnd (result: ReadResult, askedAt: number): void {
+    if (this._heldBack !== undefined) {
+      const empty = this._heldBack.length === 0 && result.nextOffset <= 1
+      if (!empty) {
+        if (!this._truncated) {
+          this._options.eventLog.warn('log-state-lost', { stream: this.stream, oldest: result.oldestOffset })
+        }
+        this._truncated = true
+        this._startOver()
+        return
+      }
+      this._heldBack = undefined
+    }
+    // The answer may be as old as the call, so the proof counts from the call's start.
+    this._provenAt = Math.max(askedAt, this._provenAt ?? askedAt)
+    for (const listener of this._provenListeners) listener()
+  }
+
+  private _apply (chained: ChainedRecord): void {
+    const record = this._decode(chained)
+    const position: RecordPosition = {
+      offset: chained.offset,
+      writerId: record.writerId,
+      sequence: Number(record.sequence),
+      writtenAtMs: Number(record.writtenAtMs)
+    }
+    this._appliedOffset = chained.offset
+    this._recent.add(chained)
+    if (!this._writers.advance(position)) return
+    for (const entry of record.entries) this._options.fold.apply(entry, position)
+    for (const listener of this._appliedListeners) listener(position)
+  }
+
+  /** A record that can't be decoded is folded as empty, the same on every router. */
+  private _decode (record: StoredRecord): LogRecord {
+    try {
+      return fromBinary(LogRecordSchema, record.data)
+    } catch {
+      this._options.eventLog.warn('log-record-invalid', { stream: this.stream, offset: record.offset })
+      return create(LogRecordSchema, {})
+    }
+  }
+
+  private async _pauseBetweenReads (signal: AbortSignal): Promise<void> {
+    this._wake = new AbortController()
+    await this._options.clock.sleep(this._options.slowPollMs, AbortSignal.any([signal, this._wake.signal]))
+  }
+}
--- /dev/null
+++ b/packages/placement/src/endpoint-availability.ts
@@ -0,0 +1,11 @@
+/** Whether an endpoint may get new work. */
+export const EndpointAvailability = {
+  LIVE: 'live',
+  /** Retired by an operator or marked by the VM list: no new work, streams run on. */
+  LEAVING: 'leaving',
+  /** Probes fail or its circuit is open. */
+  FAILED: 'failed'
+} as const
+
+/** One of the availabilities. */
+export type EndpointAvailability = typeof EndpointAvailability[keyof typeof EndpointAvailability]
--- /dev/null
+++ b/packages/router/src/settings/router-settings.ts
@@ -0,0 +1,61 @@
+import { z } from 'zod'
+
+const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'an IP number and port, such as 127.0.0.1:8080')
+const url = z.url()
+const milliseconds = (minimum: number, maximum: number, value: number): z.ZodDefault<z.ZodCoercedNumber> =>
+  z.coerce.number().int().min(minimum).max(maximum).default(value)
+const bytes = (minimum: number, maximum: number, value: number): z.ZodDefault<z.ZodCoercedNumber> =>
+  z.coerce.number().int().min(minimum).max(maximum).default(value)
+
+/**
+ * Settings of one router process, one object a section of the INI file. Each key carries its unit in its name;
+ * its description is what docs/SETTINGS.md prints.
+ */
+export const RouterSettings = z.strictObject({
+  router: z.strictObject({
+    availability_zone: z.string().min(1).describe('Availability zone of this VM.')
+  }),
+  callers: z.strictObject({
+    address: address.describe('Where callers and the balancer connect; port 0 lets the system pick.'),
+    maximum_header_bytes: bytes(1_024, 262_144, 16_384).describe('Largest header section of a request.'),
+    maximum_body_bytes: bytes(1_024, 1_073_741_824, 16_777_216).describe('Largest body of a chat or a plain call.'),
+    maximum_kept_body_bytes: bytes(1_024, 16_777_216, 1_048_576).describe('Largest body that is held whole: chats, and calls with an Idempotency-Key.'),
+    header_timeout_ms: milliseconds(100, 600_000, 10_000).describe('Longest time in which a caller sends its header section.'),
+    body_timeout_ms: milliseconds(100, 3_600_000, 60_000).describe('Longest time in which a caller sends its whole request.')
+  }),
+  forwards: z.strictObject({
+    address: address.describe('Where other routers send forwarded calls.')
+  }),
+  peers: z.strictObject({
+    address: address.describe('Where other routers reach the json-rpc-2.0 server.'),
+    seeds: z.string().default('').describe('Peer addresses to start from beside the VM list, separated by commas.')
+  }),
+  operators: z.strictObject({
+    address: address.describe('Where operators reach the command and query services.')
+  }),
+  platform: z.strictObject({
+    log_service_url: url.describe('Base URL of the log service.'),
+    vm_list_url: url.describe('Base URL of the VM list.')
+  }),
+  membership: z.strictObject({
+    heartbeat_ms: milliseconds(50, 60_000, 1_000).describe('Pause between heartbeats to one peer.'),
+    suspicion_ms: milliseconds(100, 600_000, 3_000).describe('How long a silent router stays a suspect before it is removed.')
+  }).prefault({}),
+  endpoints: z.strictObject({
+    connect_timeout_ms: milliseconds(10, 60_000, 500).describe('Bound on opening a connection to an endpoint or a router.'),
+    first_byte_timeout_ms: milliseconds(50, 3_600_000, 30_000).describe('Bound on the wait for the first byte of an answer.'),
+    silence_timeout_ms: milliseconds(50, 600_000, 2_000).describe('Bound on silence within an answer; a pool may set its own.'),
+    load_poll_ms: milliseconds(50, 60_000, 1_000).describe('Pause between load reports read from an owned endpoint.')
+  }).prefault({}),
+  operations: z.strictObject({
+    intent_timeout_ms: milliseconds(50, 60_000, 1_000).describe('Longest wait for an intent to be read back before the call is refused as not run.'),
+    key_window_ms: milliseconds(60_000, 604_800_000, 86_400_000).describe('Age up to which an Idempotency-Key is taken; well below the retention of the log service.'),
+    group_interval_ms: milliseconds(1, 5_000, 40).describe('Shortest pause between two appends of intents and outcomes.')
+  }).prefault({}),
+  stopping: z.strictObject({
+    grace_ms: milliseconds(0, 3_600_000, 30_000).describe('Longest time given to requests in flight when the router stops.')
+  }).prefault({})
+})
+
+/** Settings of one router process. */
+export type RouterSettings = z.infer<typeof RouterSettings>
