--- /dev/null
+++ b/packages/coordination/src/membership/read-lines.ts
@@ -0,0 +1,29 @@
+import type { Socket } from 'node:net'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+
+const NEWLINE = 10
+
+/**
+ * Reads a socket line by line until the other end closes it.
+ * @param socket where to read
+ * @param maximumBytes longest line taken
+ * @throws {MimosarockError} PEER_PROTOCOL if a line is longer
+ */
+export async function * readLines (socket: Socket, maximumBytes: number): AsyncGenerator<string> {
+  let parts: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of socket as AsyncIterable<Buffer>) {
+    let start = 0
+    for (let end = chunk.indexOf(NEWLINE); end >= 0; end = chunk.indexOf(NEWLINE, start)) {
+      parts.push(chunk.subarray(start, end))
+      yield Buffer.concat(parts).toString('utf8')
+      parts = []
+      bytes = 0
+      start = end + 1
+    }
+    parts.push(chunk.subarray(start))
+    bytes += chunk.length - start
+    if (bytes > maximumBytes) throw new MimosarockError(ResultCode.PEER_PROTOCOL, `a line is longer than ${maximumBytes} bytes`)
+  }
+}
