--- a/packages/coordination/src/configuration/apply-edits.ts
+++ b/packages/coordination/src/configuration/apply-edits.ts
@@ -11,7 +11,6 @@
   return typeof edit.value === 'string' ? edit.value : ''
 }
 
-/** A field's name as the schema file writes it. */
 function fieldName (camelCase: string): string {
   return camelCase.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)
 }
