--- /dev/null
+++ b/packages/schema/src/test/error-page_test.ts
@@ -0,0 +1,15 @@
+import { readFileSync } from 'node:fs'
+import { expect, test } from 'vitest'
+import { errorPage } from '@mimosarock/schema/error-page.js'
+import { httpStatusOf } from '@mimosarock/schema/http-status-of.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+
+test('docs/ERRORS.md is what the binary prints', () => {
+  const page = readFileSync(new URL('../../../../docs/ERRORS.md', import.meta.url), 'utf8')
+  expect(page).toBe(errorPage())
+})
+
+test('codes give their HTTP status', () => {
+  expect(httpStatusOf(ResultCode.RATE_LIMITED)).toBe(429)
+  expect(httpStatusOf(9_999 as ResultCode)).toBe(500)
+})
