Add the placement classes

Cause: the entry router and the owners need keys, orders, bounds and admission before calls can be placed. Tests: node scripts/run-tests.mjs packages/placement

--- /dev/null
+++ b/packages/placement/src/circuit-state.ts
@@ -0,0 +1,12 @@
+/** What a circuit lets through. */
+export const CircuitState = {
+  /** Every call. */
+  CLOSED: 'closed',
+  /** None. */
+  OPEN: 'open',
+  /** One probe at a time. */
+  HALF_OPEN: 'half-open'
+} as const
+
+/** One of the circuit states. */
+export type CircuitState = typeof CircuitState[keyof typeof CircuitState]
