--- a/packages/coordination/src/configuration/configuration-replica.ts
+++ b/packages/coordination/src/configuration/configuration-replica.ts
@@ -22,6 +22,7 @@
     this._replica = replica
     this._fold = fold
     replica.onApplied(() => this._refresh())
+    replica.onReplaced(() => this._refresh())
     replica.onProven(() => this.noteProof())
   }
 
--- a/packages/coordination/src/stream-replica.ts
+++ b/packages/coordination/src/stream-replica.ts
@@ -1,5 +1,5 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import type { LogRecord } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { LogEntry, LogRecord } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { LogRecordSchema, StreamStateSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import type { AssembledCheckpoint } from './assembled-checkpoint.js'
 import type { ChainedRecord } from './chained-record.js'
@@ -32,12 +32,17 @@
   private readonly _recent = new RecentRecords(RECENT_RECORDS_BYTES)
   private readonly _appliedListeners = new Set<(position: RecordPosition) => void>()
   private readonly _provenListeners = new Set<() => void>()
+  private readonly _replacedListeners = new Set<() => void>()
+  private readonly _checkpointListeners = new Set<(coversOffset: number) => void>()
   private _assembler = new CheckpointAssembler()
+  /** Assembles the checkpoints that pass by, to tell when the stream last got a whole one. */
+  private readonly _passing = new CheckpointAssembler()
   /** Records read while the replica looks for a checkpoint to start from; undefined once it has started. */
   private _heldBack: StoredRecord[] | undefined = []
   private _appliedOffset = 0
   private _provenAt: number | undefined
   private _truncated = false
+  private _oldestOffset = 1
   private _wake = new AbortController()
 
   /**
@@ -67,6 +72,11 @@
     return this._truncated
   }
 
+  /** Offset of the oldest record that the log service kept at the last read. */
+  get oldestOffset (): number {
+    return this._oldestOffset
+  }
+
   /**
    * Time since the replica last knew that it had applied everything, in milliseconds; Infinity if it never did.
    */
@@ -95,6 +105,26 @@
     return () => this._provenListeners.delete(listener)
   }
 
+  /**
+   * Calls back after the state was replaced by a checkpoint, from the log or from a peer.
+   * @param listener called without arguments
+   * @returns a function that ends the calls
+   */
+  onReplaced (listener: () => void): () => void {
+    this._replacedListeners.add(listener)
+    return () => this._replacedListeners.delete(listener)
+  }
+
+  /**
+   * Calls back when a whole checkpoint was read in the stream.
+   * @param listener gets the last offset that the checkpoint covers
+   * @returns a function that ends the calls
+   */
+  onCheckpoint (listener: (coversOffset: number) => void): () => void {
+    this._checkpointListeners.add(listener)
+    return () => this._checkpointListeners.delete(listener)
+  }
+
   /** Makes a replica that is between two slow polls read at once. */
   readNow (): void {
     this._wake.abort()
@@ -165,7 +195,8 @@
    * @returns whether it was taken
    */
   adopt (checkpoint: AssembledCheckpoint): boolean {
-    if (this.started && checkpoint.coversOffset <= this._appliedOffset) return false
+    const newer = checkpoint.coversOffset > this._appliedOffset
+    if (!newer && (this.started || checkpoint.coversOffset < this._appliedOffset)) return false
     this._load(checkpoint)
     this._options.eventLog.info('state-adopted', { stream: this.stream, offset: checkpoint.coversOffset })
     return true
@@ -181,6 +212,7 @@
       waitMs,
       signal: AbortSignal.any([signal, timeout])
     })
+    this._oldestOffset = result.oldestOffset
     this._noticeTruncation(from, result)
     for (const record of result.records) this._take(record)
     const atEnd = this._nextReadOffset() >= result.nextOffset || result.records.length === 0
@@ -257,6 +289,7 @@
     this._appliedOffset = checkpoint.coversOffset
     this._heldBack = undefined
     this._truncated = false
+    for (const listener of this._replacedListeners) listener()
   }
 
   private _reachEnd (result: ReadResult, askedAt: number): void {
@@ -288,10 +321,18 @@
     this._appliedOffset = chained.offset
     this._recent.add(chained)
     if (!this._writers.advance(position)) return
-    for (const entry of record.entries) this._options.fold.apply(entry, position)
+    for (const entry of record.entries) this._applyEntry(entry, position)
     for (const listener of this._appliedListeners) listener(position)
   }
 
+  private _applyEntry (entry: LogEntry, position: RecordPosition): void {
+    this._options.fold.apply(entry, position)
+    if (entry.kind.case !== 'checkpoint') return
+    const whole = this._passing.add(entry.kind.value)
+    if (whole === undefined) return
+    for (const listener of this._checkpointListeners) listener(whole.coversOffset)
+  }
+
   /** A record that can't be decoded is folded as empty, the same on every router. */
   private _decode (record: StoredRecord): LogRecord {
     try {
--- /dev/null
+++ b/packages/router/src/operators/command-service-options.ts
@@ -0,0 +1,10 @@
+import type { AuditTrail } from '@mimosarock/coordination/configuration/audit-trail.js'
+import type { ConfigurationCommands } from '@mimosarock/coordination/configuration/configuration-commands.js'
+import type { OperationAdministration } from './operation-administration.js'
+
+/** What the command service works with. */
+export interface CommandServiceOptions {
+  readonly configurationCommands: ConfigurationCommands
+  readonly operations: OperationAdministration
+  readonly auditTrail: AuditTrail
+}
