--- a/packages/coordination/src/ledger/ledger-fold.ts
+++ b/packages/coordination/src/ledger/ledger-fold.ts
@@ -200,7 +200,6 @@
 function mayWin (known: OperationRecord, intent: OperationIntent): boolean {
   if (known.state !== OperationState.NOT_RUN) return false
   if (known.attemptId === intent.attemptId) return false
-  if (known.attemptId === intent.attemptId) return false
   return Buffer.compare(known.requestDigest, intent.requestDigest) === 0
 }
 
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -315,6 +315,12 @@
     ran: 'unknown',
     action: 'Ask again with the same key; never send a new one.'
   },
+  KEY_IN_FUTURE: {
+    meaning: 'The time that the key carries is ahead of the router\'s clock.',
+    httpStatus: 422,
+    ran: 'no',
+    action: 'Set the caller\'s clock right and send a new key.'
+  },
   REVISION_CONFLICT: {
     meaning: 'Another change won; the configuration is no longer at the revision that the command was based on.',
     httpStatus: 409,
