Add stand-ins of the log service, the VM list, plain services and model engines

Each speaks docs/design/outside-interfaces.md on a port that the system picks and has an object of faults that a test switches on.

--- /dev/null
+++ b/packages/stand-ins/src/log-service-handler.ts
@@ -0,0 +1,56 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { LogService } from '@mimosarock/coordination/log-service.js'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import type { LogServiceFaults } from './log-service-faults.js'
+import { readBody } from './read-body.js'
+import { sendJson } from './send-json.js'
+import type { StandInHandler } from './stand-in-handler.js'
+
+const RECORDS_PATH = /^\/v1\/streams\/([^/]+)\/records$/
+
+/**
+ * Serves a log service over HTTP. An outage is answered with 503; a lost answer breaks the connection.
+ * @param service the log service with its faults
+ * @param isSilenced whether nothing of a request counts as received
+ */
+export function logServiceHandler (service: LogService & { faults: LogServiceFaults }, isSilenced: (request: IncomingMessage) => boolean): StandInHandler {
+  return async (request, response) => {
+    const url = new URL(request.url ?? '/', 'http://log')
+    const stream = RECORDS_PATH.exec(url.pathname)?.[1]
+    if (stream === undefined) {
+      sendJson(response, 404, { error: 'unknown path' })
+      return
+    }
+    const gone = new AbortController()
+    response.on('close', () => gone.abort())
+    try {
+      if (request.method === 'POST') await append(service, decodeURIComponent(stream), request, response, gone.signal, isSilenced)
+      else await read(service, decodeURIComponent(stream), url.searchParams, response, gone.signal)
+    } catch (error) {
+      if (!(error instanceof MimosarockError)) throw error
+      const outage = service.faults.appendOutage || service.faults.readOutage
+      if (outage) sendJson(response, 503, { error: error.message })
+      else response.destroy()
+    }
+  }
+}
+
+async function append (service: LogService, stream: string, request: IncomingMessage, response: ServerResponse, signal: AbortSignal, isSilenced: (request: IncomingMessage) => boolean): Promise<void> {
+  const data = await readBody(request)
+  if (isSilenced(request)) return
+  const offset = await service.append(stream, data, signal)
+  sendJson(response, 201, { offset })
+}
+
+async function read (service: LogService, stream: string, query: URLSearchParams, response: ServerResponse, signal: AbortSignal): Promise<void> {
+  const result = await service.read(stream, Number(query.get('from') ?? 1), {
+    limit: Number(query.get('limit') ?? 500),
+    waitMs: Number(query.get('wait_ms') ?? 0),
+    signal
+  })
+  sendJson(response, 200, {
+    oldest_offset: result.oldestOffset,
+    next_offset: result.nextOffset,
+    records: result.records.map((record) => ({ offset: record.offset, data: Buffer.from(record.data).toString('base64') }))
+  })
+}
--- /dev/null
+++ b/packages/stand-ins/src/model-engine-stand-in.ts
@@ -0,0 +1,203 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Clock } from '@mimosarock/coordination/clock.js'
+import { SystemClock } from '@mimosarock/coordination/system-clock.js'
+import { CacheEventFeed } from './engine/cache-event-feed.js'
+import { CacheTransfer } from './engine/cache-transfer.js'
+import type { ChatRequest } from './engine/chat-request.js'
+import { ContinuousBatch } from './engine/continuous-batch.js'
+import { EngineOrders } from './engine/engine-orders.js'
+import { EngineStream } from './engine/engine-stream.js'
+import { LoadReports } from './engine/load-reports.js'
+import { PrefixCache } from './engine/prefix-cache.js'
+import { StreamAnswers } from './engine/stream-answers.js'
+import { StreamRegistry } from './engine/stream-registry.js'
+import { ModelEngineFaults } from './model-engine-faults.js'
+import type { ModelEngineOptions } from './model-engine-options.js'
+import { readBody } from './read-body.js'
+import { SeededRandom } from './seeded-random.js'
+import { sendJson } from './send-json.js'
+import { StandInServer } from './stand-in-server.js'
+
+const DEFAULT_CAPACITY = 16
+const DEFAULT_TOKEN_MS = 10
+const DEFAULT_TOKEN_MS_PER_REQUEST = 0.5
+const DEFAULT_PREFILL_MS_PER_TOKEN = 0.1
+const DEFAULT_CACHE_LIMIT_TOKENS = 65_536
+const DEFAULT_CACHE_BYTES_PER_TOKEN = 128
+const DEFAULT_RESUME_WINDOW_MS = 5_000
+
+/**
+ * A model engine: continuous batching, a limited prefix cache, streams that can be resumed and cancelled, orders,
+ * load reports and cache events. The answer to a request is `new AnswerText(messages).text(max_tokens)`.
+ */
+export class ModelEngineStandIn {
+  /** Faults that a test or a bench switches on. */
+  readonly faults = new ModelEngineFaults()
+  /** Completions taken, and their prompt tokens: all, and those found in the cache. */
+  readonly counts = { completions: 0, promptTokens: 0, cachedTokens: 0 }
+  /** Its HTTP server. */
+  readonly server = new StandInServer((request, response) => this._serve(request, response))
+  /** Models, adapters and role. */
+  readonly orders: EngineOrders
+  /** Prompt prefixes held. */
+  readonly cache: PrefixCache
+  private readonly _clock: Clock
+  private readonly _capacity: number
+  private readonly _feed: CacheEventFeed
+  private readonly _loads: LoadReports
+  private readonly _batch: ContinuousBatch
+  private readonly _streams: StreamRegistry
+  private readonly _answers: StreamAnswers
+  private readonly _transfer: CacheTransfer
+
+  /**
+   * @param options models, speed, cache and orders
+   */
+  constructor (options: ModelEngineOptions = {}) {
+    this._clock = options.clock ?? new SystemClock()
+    this._capacity = options.capacity ?? DEFAULT_CAPACITY
+    this._feed = new CacheEventFeed(this._clock, this.faults, new SeededRandom(options.seed ?? 1))
+    this.cache = new PrefixCache(options.cacheLimitTokens ?? DEFAULT_CACHE_LIMIT_TOKENS, this._feed)
+    this.orders = new EngineOrders(options.models ?? ['m'], options.checksFencing ?? true, options.weightStore)
+    this._loads = new LoadReports(this._clock, this.faults)
+    this._batch = new ContinuousBatch({
+      capacity: this._capacity,
+      tokenMs: options.tokenMs ?? DEFAULT_TOKEN_MS,
+      tokenMsPerRequest: options.tokenMsPerRequest ?? DEFAULT_TOKEN_MS_PER_REQUEST,
+      prefillMsPerToken: options.prefillMsPerToken ?? DEFAULT_PREFILL_MS_PER_TOKEN
+    }, this._clock, this.cache, this.faults, () => this._noteLoad())
+    this._streams = new StreamRegistry(this._batch, this._clock, options.resumeWindowMs ?? DEFAULT_RESUME_WINDOW_MS)
+    this._answers = new StreamAnswers(this._streams, this.faults, this.server)
+    this._transfer = new CacheTransfer(this.cache, options.cacheBytesPerToken ?? DEFAULT_CACHE_BYTES_PER_TOKEN)
+    this._noteLoad()
+  }
+
+  /** IP number and port once started. */
+  get address (): string {
+    return this.server.address
+  }
+
+  /** Streams in the batch, without lag. */
+  get runningCount (): number {
+    return this._batch.runningCount
+  }
+
+  /** Streams that wait for a place in the batch, without lag. */
+  get waitingCount (): number {
+    return this._batch.waitingCount
+  }
+
+  /** Listens. */
+  async start (): Promise<void> {
+    await this.server.start()
+  }
+
+  /** Cancels every stream and closes the port and every connection. */
+  async stop (): Promise<void> {
+    this._streams.clear()
+    await this.server.stop()
+  }
+
+  /** Loses streams, connections and the cache at once, as a process that starts anew; the port stays. */
+  restart (): void {
+    this._streams.clear()
+    this.cache.clear()
+    this._feed.restart()
+    this.orders.restart()
+    this.server.breakConnections()
+    this._noteLoad()
+  }
+
+  /** Drops the cache events kept, so that every reader finds a gap. */
+  dropCacheEvents (): void {
+    this._feed.dropKept()
+  }
+
+  private _noteLoad (): void {
+    this._loads.note({
+      running: this._batch.runningCount,
+      waiting: this._batch.waitingCount,
+      capacity: this._capacity,
+      cached_tokens: this.cache.totalTokens,
+      cache_limit_tokens: this.cache.limitTokens
+    })
+  }
+
+  private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://engine')
+    const [, , collection = '', item = '', last = ''] = url.pathname.split('/')
+    if (this.faults.failing) sendJson(response, 500, { error: { message: 'failing' } })
+    else if (url.pathname === '/healthz') sendJson(response, 200, {})
+    else if (url.pathname === '/v1/chat/completions') await this._complete(request, response)
+    else if (collection === 'streams') this._serveStream(request, response, decodeURIComponent(item), url.searchParams)
+    else if (collection === 'models') sendJson(response, 200, this._models())
+    else if (collection === 'load') sendJson(response, 200, this._loads.current())
+    else if (collection === 'cache-events') await this._serveCacheEvents(response, url.searchParams)
+    else if (collection === 'kv' && item === 'export') this._transfer.export(decodeURIComponent(last), response)
+    else if (collection === 'kv' && item === 'import') await this._transfer.import(await readBody(request), response)
+    else if (collection === 'orders') await this._serveOrders(request, response)
+    else sendJson(response, 404, { error: { message: 'unknown path' } })
+  }
+
+  private async _complete (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request)
+    if (this.faults.headDelayMs > 0) await this._clock.sleep(this.faults.headDelayMs)
+    if (this.server.isSilenced(request)) return
+    if (this.faults.refusing) {
+      sendJson(response, 503, { error: { message: 'refusing' } })
+      return
+    }
+    const chat = JSON.parse(body.toString()) as ChatRequest
+    if (!this.orders.loadedModels.includes(chat.model)) {
+      sendJson(response, 404, { error: { message: `model ${chat.model} is not loaded` } })
+      return
+    }
+    const requestId = header(request, 'x-request-id') ?? `${this.counts.completions}`
+    const priority = Number(header(request, 'x-priority') ?? 0)
+    const stream = new EngineStream(requestId, header(request, 'x-cache-key') ?? '', priority, chat)
+    this._streams.start(stream)
+    this.counts.completions += 1
+    this.counts.promptTokens += stream.promptTokens
+    if (chat.stream === true) this._answers.sendEvents(stream, 0, request, response)
+    else this._answers.sendWhole(stream, request, response)
+  }
+
+  private _serveStream (request: IncomingMessage, response: ServerResponse, requestId: string, query: URLSearchParams): void {
+    if (request.method === 'DELETE') {
+      this._streams.cancel(requestId)
+      response.writeHead(204).end()
+      return
+    }
+    const stream = this._streams.find(requestId)
+    if (stream === undefined) sendJson(response, 404, { error: { message: 'unknown stream' } })
+    else this._answers.sendEvents(stream, Number(query.get('from') ?? 0), request, response)
+  }
+
+  private _models (): unknown {
+    const data = this.orders.loadedModels.map((id) => ({ id, object: 'model', created: 0, owned_by: 'stand-in' }))
+    return { object: 'list', data }
+  }
+
+  private async _serveCacheEvents (response: ServerResponse, query: URLSearchParams): Promise<void> {
+    const gone = new AbortController()
+    response.on('close', () => gone.abort())
+    const page = await this._feed.read(Number(query.get('after') ?? 0), Number(query.get('wait_ms') ?? 0), gone.signal)
+    if (!gone.signal.aborted) sendJson(response, 200, page)
+  }
+
+  private async _serveOrders (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.method === 'GET') {
+      sendJson(response, 200, this.orders.state())
+      return
+    }
+    const taken = this.orders.take(JSON.parse((await readBody(request)).toString()))
+    if (this.faults.lostOrderAnswers) response.destroy()
+    else if (taken) sendJson(response, 200, this.orders.state())
+    else sendJson(response, 409, { highest_fencing_number: this.orders.highestFencingNumber })
+  }
+}
+
+function header (request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name]
+  return typeof value === 'string' ? value : undefined
+}
--- /dev/null
+++ b/packages/stand-ins/src/plain-service-stand-in.ts
@@ -0,0 +1,125 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Clock } from '@mimosarock/coordination/clock.js'
+import { SystemClock } from '@mimosarock/coordination/system-clock.js'
+import { PlainServiceFaults } from './plain-service-faults.js'
+import type { PlainServiceOptions } from './plain-service-options.js'
+import { readBody } from './read-body.js'
+import { sendJson } from './send-json.js'
+import { StandInServer } from './stand-in-server.js'
+
+const RUNS_PATH = /^\/v1\/runs\/([^/]+)$/
+
+/**
+ * A plain service that counts the runs of every Idempotency-Key. An answer to a call is JSON with the service's
+ * name, the method, the path, the key, the bytes of the body and the number of the run.
+ */
+export class PlainServiceStandIn {
+  /** Faults that a test or a bench switches on. */
+  readonly faults = new PlainServiceFaults()
+  /** Its HTTP server. */
+  readonly server = new StandInServer((request, response) => this._serve(request, response))
+  private readonly _clock: Clock
+  private readonly _capacity: number
+  private readonly _name: string
+  private readonly _runs = new Map<string, number>()
+  private _running = 0
+  private _totalRuns = 0
+
+  /**
+   * @param options clock, capacity and name
+   */
+  constructor (options: PlainServiceOptions = {}) {
+    this._clock = options.clock ?? new SystemClock()
+    this._capacity = options.capacity ?? 16
+    this._name = options.name ?? 'plain'
+  }
+
+  /** IP number and port once started. */
+  get address (): string {
+    return this.server.address
+  }
+
+  /** Runs of all calls, with or without a key. */
+  get totalRuns (): number {
+    return this._totalRuns
+  }
+
+  /** Keys that ran more than once. */
+  get repeatedKeys (): readonly string[] {
+    return [...this._runs].filter(([, runs]) => runs > 1).map(([key]) => key)
+  }
+
+  /**
+   * How often a key ran.
+   * @param key the Idempotency-Key
+   */
+  runsOf (key: string): number {
+    return this._runs.get(key) ?? 0
+  }
+
+  /** Listens. */
+  async start (): Promise<void> {
+    await this.server.start()
+  }
+
+  /** Closes the port and every connection. */
+  async stop (): Promise<void> {
+    await this.server.stop()
+  }
+
+  private async _serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://service')
+    const statusKey = RUNS_PATH.exec(url.pathname)?.[1]
+    if (this.faults.failing) sendJson(response, 500, { error: 'failing' })
+    else if (url.pathname === '/healthz') sendJson(response, 200, {})
+    else if (url.pathname === '/v1/load') sendJson(response, 200, this._load())
+    else if (statusKey !== undefined) sendJson(response, 200, { runs: this.runsOf(decodeURIComponent(statusKey)) })
+    else await this._serveCall(request, response)
+  }
+
+  private async _serveCall (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request)
+    if (this.server.isSilenced(request) || this._take('silentCalls')) return
+    if (this.faults.refusing) {
+      sendJson(response, 503, { error: 'refusing' })
+      return
+    }
+    const header = request.headers['idempotency-key']
+    const key = typeof header === 'string' ? header : undefined
+    if (key !== undefined && this.faults.refusesRepeats && this.runsOf(key) > 0) {
+      sendJson(response, 409, { error: 'this key ran before', runs: this.runsOf(key) })
+      return
+    }
+    const run = await this._run(key)
+    if (this._take('lostAnswers')) response.destroy()
+    else if (this._take('silentAnswers')) request.socket.cork()
+    else sendJson(response, 200, { service: this._name, method: request.method, path: request.url, key, bytes: body.length, run })
+  }
+
+  /** The run counts before its delay: a caller that gives up meanwhile does not undo it. */
+  private async _run (key: string | undefined): Promise<number> {
+    this._totalRuns += 1
+    const runs = key === undefined ? 1 : this.runsOf(key) + 1
+    if (key !== undefined) this._runs.set(key, runs)
+    this._running += 1
+    if (this.faults.delayMs > 0) await this._clock.sleep(this.faults.delayMs)
+    this._running -= 1
+    return runs
+  }
+
+  private _load (): unknown {
+    return {
+      running: Math.min(this._running, this._capacity),
+      waiting: Math.max(this._running - this._capacity, 0),
+      capacity: this._capacity,
+      cached_tokens: 0,
+      cache_limit_tokens: 0
+    }
+  }
+
+  private _take (fault: 'lostAnswers' | 'silentAnswers' | 'silentCalls'): boolean {
+    if (this.faults[fault] <= 0) return false
+    this.faults[fault] -= 1
+    return true
+  }
+}
