Watch endpoints by their owners

The owner of an endpoint probes it, reads its load and its cache events; it tells the others through heartbeats which endpoints fail. A gap in the cache events makes what was known doubtful until an event names it again. Ruled out: probes by every router (cost grows with routers x endpoints) and reading the feed with an overlap of one event to notice restarts, which makes every long poll return at once.

--- a/packages/coordination/src/membership/endpoint-owners.ts
+++ b/packages/coordination/src/membership/endpoint-owners.ts
@@ -58,7 +58,7 @@
    * @param endpoint name of the endpoint
    * @returns undefined for an unknown endpoint, or if every router leaves
    */
-  owner (pool: string, endpoint: string): RouterIdentity | undefined {
+  ownerOf (pool: string, endpoint: string): RouterIdentity | undefined {
     return this._ownerships.get(keyOf(pool, endpoint))?.owner?.identity
   }
 
@@ -68,7 +68,7 @@
    * @param endpoint name of the endpoint
    */
   isOwnedHere (pool: string, endpoint: string): boolean {
-    return this.owner(pool, endpoint)?.id === this._membership.self.id
+    return this.ownerOf(pool, endpoint)?.id === this._membership.self.id
   }
 
   /** The endpoints that this router owns. */
--- a/packages/coordination/src/test/endpoint-owners_test.ts
+++ b/packages/coordination/src/test/endpoint-owners_test.ts
@@ -46,7 +46,7 @@
 }
 
 const ownersOf = (owners: EndpointOwners, references: readonly EndpointReference[]): Array<string | undefined> =>
-  references.map((reference) => owners.owner(reference.pool, reference.endpoint)?.id)
+  references.map((reference) => owners.ownerOf(reference.pool, reference.endpoint)?.id)
 
 const anyRouter = fc.record({ id: fc.integer({ min: 0, max: 15 }), zone: fc.constantFrom('a', 'b', 'c', 'd'), leaving: fc.boolean() })
 const anyFleet = fc.uniqueArray(anyRouter, { selector: (item) => item.id, maxLength: 16 })
@@ -65,7 +65,7 @@
     expect(ownersOf(followed, references)).toEqual(ownersOf(fresh, references))
     const candidates = last.filter((item) => !item.leaving)
     for (const reference of references) {
-      const owner = followed.owner(reference.pool, reference.endpoint)
+      const owner = followed.ownerOf(reference.pool, reference.endpoint)
       const sameZone = candidates.some((item) => item.availabilityZone === reference.availabilityZone)
       expect(owner === undefined).toBe(candidates.length === 0)
       if (sameZone) expect(owner?.availabilityZone).toBe(reference.availabilityZone)
--- /dev/null
+++ b/packages/router/src/owner/endpoint-watch.ts
@@ -0,0 +1,126 @@
+import { CacheEventPage } from './cache-event-page.js'
+import { CacheKnowledge } from './cache-knowledge.js'
+import { EndpointProbeClient } from './endpoint-probe-client.js'
+import type { EndpointWatchOptions } from './endpoint-watch-options.js'
+import type { LoadReport } from './load-report.js'
+import { readLoadReport } from './read-load-report.js'
+
+const PROBE_TIMEOUT_MS = 500
+/** Pause before a failed probe is repeated on a new connection. */
+const REPEAT_MS = 100
+/** Failed probes in a row after which the endpoint counts as failed. */
+const FAILED_PROBES = 2
+/** How long the engine may hold a read of cache events open. */
+const EVENT_WAIT_MS = 5_000
+/** Pause after a read that found events; more gather meanwhile, so a busy engine costs no more reads. */
+const EVENT_PAUSE_MS = 1_000
+const EVENT_RETRY_MS = 2_000
+/** Contexts remembered for one engine. */
+const MAXIMUM_CONTEXTS = 20_000
+
+/** Watches one endpoint for its owner: probes, load reports and, at engines, cache events. */
+export class EndpointWatch {
+  /** Which contexts the engine holds. */
+  readonly cache: CacheKnowledge
+  private readonly _options: EndpointWatchOptions
+  private _failedProbes = 0
+  private _report: LoadReport | undefined
+
+  /**
+   * @param options what the watch works with
+   */
+  constructor (options: EndpointWatchOptions) {
+    this._options = options
+    this.cache = new CacheKnowledge(options.clock, MAXIMUM_CONTEXTS)
+  }
+
+  /** Whether the last probes failed. */
+  get failed (): boolean {
+    return this._failedProbes >= FAILED_PROBES
+  }
+
+  /** The last load report; undefined before the first. */
+  get reportedLoad (): LoadReport | undefined {
+    return this._report
+  }
+
+  /**
+   * Watches until the signal aborts.
+   * @param signal ends all tasks
+   */
+  async run (signal: AbortSignal): Promise<void> {
+    const tasks = [this._probe(signal)]
+    if (this._options.publishesCacheEvents) tasks.push(this._followCache(signal))
+    await Promise.all(tasks)
+  }
+
+  private async _probe (signal: AbortSignal): Promise<void> {
+    const { clock, pollMs } = this._options
+    const client = this._openClient()
+    while (!signal.aborted) {
+      const healthy = await this._isHealthy(client, signal)
+      if (signal.aborted) break
+      this._failedProbes = healthy ? 0 : this._failedProbes + 1
+      this._options.onProbe(healthy)
+      if (healthy) await this._readLoad(client, signal)
+      await clock.sleep(this._failedProbes === 1 ? REPEAT_MS : pollMs, signal)
+    }
+    await client.close()
+  }
+
+  private async _isHealthy (client: EndpointProbeClient, signal: AbortSignal): Promise<boolean> {
+    try {
+      await client.getJson('/healthz', PROBE_TIMEOUT_MS, signal)
+      return true
+    } catch (error) {
+      if (!signal.aborted) this._options.eventLog.info('probe-failed', { endpoint: this._options.address, error: String(error) })
+      return false
+    }
+  }
+
+  private async _readLoad (client: EndpointProbeClient, signal: AbortSignal): Promise<void> {
+    try {
+      const body = await client.getJson('/v1/load', PROBE_TIMEOUT_MS, signal)
+      const report = readLoadReport(body, this._options.clock.now())
+      if (report === undefined) return
+      this._report = report
+      this._options.onLoadReport(report)
+    } catch (error) {
+      if (!signal.aborted) this._options.eventLog.info('load-report-failed', { endpoint: this._options.address, error: String(error) })
+    }
+  }
+
+  private async _followCache (signal: AbortSignal): Promise<void> {
+    const clock = this._options.clock
+    const client = this._openClient()
+    let connections = 0
+    while (!signal.aborted) {
+      try {
+        const page = await this._readEvents(client, signal)
+        // A new connection may mean a restarted engine whose sequences started over.
+        const reconnected = client.connections !== connections && connections > 0
+        connections = client.connections
+        if (reconnected) {
+          this.cache.resync()
+          continue
+        }
+        this.cache.apply(page)
+        await clock.sleep(page.events.length > 0 ? EVENT_PAUSE_MS : 0, signal)
+      } catch (error) {
+        if (signal.aborted) break
+        this._options.eventLog.info('cache-events-failed', { endpoint: this._options.address, error: String(error) })
+        await clock.sleep(EVENT_RETRY_MS, signal)
+      }
+    }
+    await client.close()
+  }
+
+  private async _readEvents (client: EndpointProbeClient, signal: AbortSignal): Promise<CacheEventPage> {
+    const path = `/v1/cache-events?after=${this.cache.position}&wait_ms=${EVENT_WAIT_MS}`
+    return CacheEventPage.parse(await client.getJson(path, EVENT_WAIT_MS + PROBE_TIMEOUT_MS, signal))
+  }
+
+  private _openClient (): EndpointProbeClient {
+    return new EndpointProbeClient(this._options.address, this._options.connectTimeoutMs, this._options.traffic)
+  }
+}
--- /dev/null
+++ b/packages/router/src/owner/watched-endpoints-options.ts
@@ -0,0 +1,22 @@
+import type { Clock } from '@mimosarock/coordination/clock.js'
+import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
+import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
+import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
+import type { VmList } from '@mimosarock/coordination/vm-list.js'
+import type { EndpointOwnership } from './endpoint-ownership.js'
+
+/** What the watch of all endpoints works with. */
+export interface WatchedEndpointsOptions {
+  readonly configuration: ConfigurationSource
+  readonly membership: HeartbeatMembership
+  readonly owners: EndpointOwnership
+  readonly vmList: VmList
+  readonly clock: Clock
+  readonly eventLog: EventLog
+  /** Counts probes, load reports and reads of cache events. */
+  readonly traffic: TrafficCounter
+  readonly connectTimeoutMs: number
+  /** Pause between probes of an owned endpoint, in milliseconds. */
+  readonly pollMs: number
+}
