Test membership under faults, and time each removal at each router

A relay between routers loses, delays and silences lines. It showed that two words of a removal from the other side of a healed partition removed routers on their own side before they could refute (fewest live: 2 of 4). Each router now times a suspicion itself, and a removal told by others only starts it.

--- a/packages/coordination/src/membership/member-table.ts
+++ b/packages/coordination/src/membership/member-table.ts
@@ -46,8 +46,8 @@
   }
 
   /**
-   * Takes a peer's record of a router other than this one. A removal of a router that counts as live here only
-   * makes it a suspect, so that a router which the other side of a partition removed can refute first.
+   * Takes a peer's record of a router other than this one. A removal that the router did not announce makes it
+   * a suspect only, so that a router which the other side of a partition removed can refute first.
    * @param record what the peer says
    * @param source id of the peer
    * @returns whether the peer's record is older than the one here
@@ -60,9 +60,9 @@
     }
     const revision = Math.max(known.revision, record.revision)
     if (isNewer(record, known)) {
-      const hearsay = record.condition === MemberCondition.REMOVED && known.condition === MemberCondition.LIVE && !record.identity.leaving
-      const condition = hearsay ? MemberCondition.SUSPECT : record.condition
-      this.put({ ...record, condition, revision }, source)
+      const condition = this._believed(record, known)
+      const same = condition === known.condition && record.incarnation === known.incarnation
+      if (!same || revision > known.revision) this.put({ ...record, condition, revision }, source)
       return false
     }
     if (revision > known.revision) this.put({ ...known, revision }, source)
@@ -91,6 +91,13 @@
     this._listener(record, previous, source)
   }
 
+  /** Each router times a suspicion itself: word that others have removed the router only starts it. */
+  private _believed (record: MemberRecord, known: MemberRecord): MemberCondition {
+    const removed = record.condition === MemberCondition.REMOVED
+    if (!removed || record.identity.leaving || known.condition === MemberCondition.REMOVED) return record.condition
+    return MemberCondition.SUSPECT
+  }
+
   private _forgetOldestRemoved (): void {
     if (this._removedCount <= MAXIMUM_REMOVED) return
     for (const record of this._records.values()) {
--- a/packages/coordination/src/membership/peer-discovery.ts
+++ b/packages/coordination/src/membership/peer-discovery.ts
@@ -6,9 +6,11 @@
 
 /** Pause between two addresses that are tried; grows with the fleet's size, since every router tries. */
 const TRY_INTERVAL_MS = 2_000
-/** Pause between tries while this router knows no other. */
-const ALONE_INTERVAL_MS = 250
 const VM_LIST_INTERVAL_MS = 10_000
+/** Pauses for a router that knows no other or has just started: a fleet replaced at once begins as islands. */
+const EAGER_TRY_INTERVAL_MS = 250
+const EAGER_VM_LIST_INTERVAL_MS = 1_000
+const EAGER_MS = 15_000
 const VM_LIST_TIMEOUT_MS = 2_000
 /** Every router tries; so many a second in the whole fleet are enough to find a healed partition. */
 const FLEET_TRIES_PER_SECOND = 20
@@ -23,6 +25,7 @@
   private readonly _options: HeartbeatMembershipOptions
   private _listed: string[] = []
   private _listedAt = -Infinity
+  private readonly _startedAt: number
   private _turn: number
 
   /**
@@ -34,6 +37,7 @@
     this._view = view
     this._comparison = comparison
     this._options = options
+    this._startedAt = options.clock.now()
     this._turn = hash32(options.self.id)
   }
 
@@ -50,14 +54,19 @@
   }
 
   private _intervalMs (): number {
-    const size = this._view.present.length
-    if (size <= 1) return ALONE_INTERVAL_MS
-    return Math.max(TRY_INTERVAL_MS, size * 1_000 / FLEET_TRIES_PER_SECOND)
+    if (this._isEager()) return EAGER_TRY_INTERVAL_MS
+    return Math.max(TRY_INTERVAL_MS, this._view.present.length * 1_000 / FLEET_TRIES_PER_SECOND)
+  }
+
+  private _isEager (): boolean {
+    const young = this._options.clock.now() - this._startedAt < EAGER_MS
+    return young || this._view.present.length <= 1
   }
 
   private async _readList (signal: AbortSignal): Promise<void> {
     const now = this._options.clock.now()
-    if (now - this._listedAt < VM_LIST_INTERVAL_MS) return
+    const intervalMs = this._isEager() ? EAGER_VM_LIST_INTERVAL_MS : VM_LIST_INTERVAL_MS
+    if (now - this._listedAt < intervalMs) return
     this._listedAt = now
     try {
       const bound = AbortSignal.any([signal, AbortSignal.timeout(VM_LIST_TIMEOUT_MS)])
--- a/packages/coordination/src/test/start-router.ts
+++ b/packages/coordination/src/test/start-router.ts
@@ -12,7 +12,7 @@
 export async function startRouter (options: TestRouterOptions): Promise<TestRouter> {
   const methods = new PeerMethods()
   const traffic = new TrafficCounter()
-  const common = { access: {}, clock: new SystemClock(), eventLog: new SilentEventLog(), traffic, methods }
+  const common = { access: {}, clock: options.clock ?? new SystemClock(), eventLog: new SilentEventLog(), traffic, methods }
   const server = new PeerServer({ ...common, address: '127.0.0.1:0' })
   const listening = await server.listen()
   const address = await (options.toldAddress?.(listening) ?? listening)
--- a/packages/coordination/src/test/test-router-options.ts
+++ b/packages/coordination/src/test/test-router-options.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '../clock.js'
 import type { VmEntry } from '../vm-entry.js'
 
 /** Settings of one test router. */
@@ -8,6 +9,7 @@
   readonly listed?: () => readonly VmEntry[]
   readonly heartbeatMs?: number
   readonly suspicionMs?: number
+  readonly clock?: Clock
   /** Address that the others are told; a relay's, for example. */
   readonly toldAddress?: (address: string) => string | Promise<string>
 }
