Add the operators' command line

Operators need human tables and JSON for scripts over the same calls. Every change asks for the revision that it is based on, waits until the routers report it and prints revision and offset; refusals list field, value, bound and code, or what changed since.

--- /dev/null
+++ b/packages/operator/src/commands/list-operations-command.ts
@@ -0,0 +1,46 @@
+import { toJson } from '@bufbuild/protobuf'
+import { Command, Option } from 'clipanion'
+import { OperationRecordSchema, OperationState } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { formatTable } from '../format-table.js'
+import type { OperatorClient } from '../operator-client.js'
+import { OperatorCommand } from '../operator-command.js'
+import { parseChoice } from '../parse-choice.js'
+import { parseNumber } from '../parse-number.js'
+
+const STATES = {
+  'in-progress': OperationState.IN_PROGRESS,
+  answered: OperationState.ANSWERED,
+  'not-run': OperationState.NOT_RUN,
+  'in-doubt': OperationState.IN_DOUBT
+}
+
+/** Lists calls that may not be repeated. */
+export class ListOperationsCommand extends OperatorCommand {
+  static override paths = [['operation', 'list']]
+  static override usage = Command.Usage({
+    category: 'Operations',
+    description: 'Lists calls that may not be repeated; by default those in progress or in doubt.',
+    examples: [['What needs a decision', 'mimosarock operation list --state in-doubt']]
+  })
+
+  workspace = Option.String('--workspace', '')
+  state = Option.String('--state', { description: Object.keys(STATES).join(', ') })
+  limit = Option.String('--limit', { description: 'Most operations; default 50.' })
+
+  /**
+   * Reads the operations and prints them.
+   * @param client clients of the router's services
+   */
+  protected override async run (client: OperatorClient): Promise<number> {
+    const { operations } = await client.queries.listOperations({
+      workspace: this.workspace,
+      state: parseChoice('--state', this.state, STATES, OperationState.UNSPECIFIED),
+      limit: parseNumber('--limit', this.limit, 50)
+    })
+    const rows = operations.map((operation) => [operation.workspace, operation.key, operation.route,
+      OperationState[operation.state].toLowerCase().replace('_', '-'), new Date(Number(operation.intentAtMs)).toISOString(), operation.routerId])
+    this.print(formatTable(['WORKSPACE', 'KEY', 'ROUTE', 'STATE', 'SINCE', 'ROUTER'], rows),
+      operations.map((operation) => toJson(OperationRecordSchema, operation)))
+    return 0
+  }
+}
--- /dev/null
+++ b/packages/operator/src/commands/set-endpoint-command.ts
@@ -0,0 +1,44 @@
+import { clone, create } from '@bufbuild/protobuf'
+import { Command, Option } from 'clipanion'
+import type { Configuration, ConfigurationEdit } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { ConfigurationEditSchema, EndpointSchema, PoolSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { ChangeCommand } from '../change-command.js'
+import { findPool } from '../find-pool.js'
+import { parseNumber } from '../parse-number.js'
+
+/** Adds or changes an endpoint of a pool. */
+export class SetEndpointCommand extends ChangeCommand {
+  static override paths = [['pool', 'set-endpoint']]
+  static override usage = Command.Usage({
+    category: 'Configuration parts',
+    description: 'Adds an endpoint to a pool or changes the fields that are given.',
+    examples: [['Add an engine', 'mimosarock pool set-endpoint chat engine-1 --address 10.0.0.7:8000 --availability-zone a --capacity 16 --based-on 12']]
+  })
+
+  pool = Option.String({ name: 'POOL' })
+  name = Option.String({ name: 'ENDPOINT' })
+  address = Option.String('--address', { description: 'IP number and port.' })
+  availabilityZone = Option.String('--availability-zone')
+  capacity = Option.String('--capacity', { description: 'Requests that it runs at once without queueing.' })
+  checksFencing = Option.Boolean('--checks-fencing', { description: 'Whether it refuses an order that carries an old fencing number.' })
+
+  /**
+   * Sets the pool with the endpoint in it.
+   * @param current the newest configuration
+   */
+  protected override edits (current: Configuration): ConfigurationEdit[] {
+    const value = clone(PoolSchema, findPool(current, this.pool))
+    const index = value.endpoints.findIndex((endpoint) => endpoint.name === this.name)
+    const old = value.endpoints[index]
+    const endpoint = create(EndpointSchema, {
+      name: this.name,
+      address: this.address ?? old?.address ?? '',
+      availabilityZone: this.availabilityZone ?? old?.availabilityZone ?? '',
+      capacity: parseNumber('--capacity', this.capacity, old?.capacity ?? 1),
+      checksFencing: this.checksFencing ?? old?.checksFencing ?? false
+    })
+    if (index < 0) value.endpoints.push(endpoint)
+    else value.endpoints[index] = endpoint
+    return [create(ConfigurationEditSchema, { kind: { case: 'setPool', value } })]
+  }
+}
--- /dev/null
+++ b/packages/operator/src/commands/show-operation-command.ts
@@ -0,0 +1,29 @@
+import { toJson } from '@bufbuild/protobuf'
+import { Command, Option } from 'clipanion'
+import { OperationRecordSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { OperatorClient } from '../operator-client.js'
+import { OperatorCommand } from '../operator-command.js'
+
+/** Shows one call that may not be repeated. */
+export class ShowOperationCommand extends OperatorCommand {
+  static override paths = [['operation', 'show']]
+  static override usage = Command.Usage({
+    category: 'Operations',
+    description: 'Shows what is recorded of one call that may not be repeated.',
+    examples: [['By workspace and key', 'mimosarock operation show alpha 0198c5d0-0000-7000-8000-000000000001']]
+  })
+
+  workspace = Option.String({ name: 'WORKSPACE' })
+  key = Option.String({ name: 'KEY' })
+
+  /**
+   * Reads the operation and prints it.
+   * @param client clients of the router's services
+   */
+  protected override async run (client: OperatorClient): Promise<number> {
+    const { operation } = await client.queries.getOperation({ workspace: this.workspace, key: this.key })
+    const json = operation === undefined ? {} : toJson(OperationRecordSchema, operation)
+    this.print(`${JSON.stringify(json, undefined, 2)}\n`, json)
+    return 0
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,6 +10,8 @@
   },
   test: {
     include: ['packages/*/src/test/**/*_test.ts'],
+    // Its ES modules import directories, which only a bundler resolves.
+    server: { deps: { inline: ['clipanion'] } },
     testTimeout: 30_000,
     hookTimeout: 30_000
   }
