--- /dev/null
+++ b/packages/router/src/commands/settings-command.ts
@@ -0,0 +1,41 @@
+import { Command, Option } from 'clipanion'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { readOperatorAccess } from '../access/read-operator-access.js'
+import { readPeerAccess } from '../access/read-peer-access.js'
+import { readSettings } from '../settings/read-settings.js'
+import type { RouterSettings } from '../settings/router-settings.js'
+import type { RouterContext } from './router-context.js'
+
+const REFUSED_EXIT_CODE = 2
+
+/** What the commands share that read a settings file. */
+export abstract class SettingsCommand extends Command<RouterContext> {
+  settings = Option.String('--settings', { description: 'Needed: the INI file; docs/SETTINGS.md lists its keys.' })
+
+  /**
+   * Does the command's work.
+   * @param settings the validated settings
+   * @returns exit code
+   */
+  protected abstract run (settings: RouterSettings): Promise<number>
+
+  /** Reads the settings and runs the command; an error is printed as one numbered line. */
+  override async execute (): Promise<number> {
+    try {
+      if (this.settings === undefined) {
+        throw new MimosarockError(ResultCode.COMMAND_LINE_INVALID, '--settings FILE is needed', { field: '--settings' })
+      }
+      const settings = readSettings(this.settings)
+      // Files that the settings name are read before anything is started.
+      readOperatorAccess(settings)
+      readPeerAccess(settings)
+      return await this.run(settings)
+    } catch (error) {
+      if (!(error instanceof MimosarockError)) throw error
+      const name = Object.entries(ResultCode).find(([, code]) => code === error.code)?.[0] ?? ''
+      this.context.stderr.write(`error ${error.code} ${name}: ${error.message}\n`)
+      return REFUSED_EXIT_CODE
+    }
+  }
+}
--- /dev/null
+++ b/packages/router/src/settings/read-settings.ts
@@ -0,0 +1,54 @@
+import { readFileSync } from 'node:fs'
+import type { z } from 'zod'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { checkPlainText } from './check-plain-text.js'
+import { RouterSettings } from './router-settings.js'
+import { SettingsText } from './settings-text.js'
+
+function readText (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (cause) {
+    throw new MimosarockError(ResultCode.SETTINGS_FILE_UNREADABLE, `settings file ${file} can't be read`, { field: file, cause })
+  }
+}
+
+function errorOf (issue: z.core.$ZodIssue, text: SettingsText, file: string): MimosarockError {
+  const [section = '', last = ''] = issue.path.map(String)
+  const key = issue.code === 'unrecognized_keys' ? issue.keys[0] ?? '' : last
+  // An unrecognized key at the top is a section.
+  const name = section === '' ? `[${key}]` : `[${section}]${key === '' ? '' : ` ${key}`}`
+  const line = section === '' ? text.lineOf(key) : text.lineOf(section, key)
+  const place = line === undefined ? file : `${file} line ${line}`
+  const options = { field: name }
+  if (issue.code === 'unrecognized_keys') {
+    const kind = section === '' ? 'section' : 'key'
+    return new MimosarockError(ResultCode.SETTINGS_UNKNOWN_KEY, `${place}: there is no ${kind} ${name}`, options)
+  }
+  if (issue.code === 'invalid_type' && issue.input === undefined) {
+    return new MimosarockError(ResultCode.SETTINGS_MISSING_KEY, `${place}: ${name} is needed`, options)
+  }
+  const problem = issue.message.replace(/^Invalid (input|string): /, '')
+  return new MimosarockError(ResultCode.SETTINGS_INVALID_VALUE, `${place}: ${name} is ${text.valueOf(section, key)}: ${problem}`, options)
+}
+
+/**
+ * Reads and validates a settings file.
+ * @param file path of the INI file
+ * @returns the settings with their defaults filled in
+ * @throws {MimosarockError} SETTINGS_FILE_UNREADABLE, SETTINGS_SYNTAX, SETTINGS_UNKNOWN_KEY,
+ * SETTINGS_INVALID_VALUE, SETTINGS_MISSING_KEY or PLAIN_TEXT_REFUSED; the message names key and line or section
+ */
+export function readSettings (file: string): RouterSettings {
+  const text = new SettingsText(readText(file), file)
+  const result = RouterSettings.safeParse(text.values, { reportInput: true })
+  if (result.success) {
+    checkPlainText(result.data)
+    return result.data
+  }
+  const errors = result.error.issues.map((issue) => errorOf(issue, text, file))
+  // An unknown key is often the misspelt form of one that is missing, so it is named first.
+  const first = errors.find((error) => error.code === ResultCode.SETTINGS_UNKNOWN_KEY) ?? errors[0]
+  throw first ?? new MimosarockError(ResultCode.SETTINGS_INVALID_VALUE, `${file} is not valid`)
+}
--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -7,6 +7,10 @@
 const bytes = (minimum: number, maximum: number, value: number): z.ZodDefault<z.ZodCoercedNumber> =>
   z.coerce.number().int().min(minimum).max(maximum).default(value)
 
+const yesOrNo = (value: 'yes' | 'no'): z.ZodDefault<z.ZodEnum<{ yes: 'yes', no: 'no' }>> => z.enum(['yes', 'no']).default(value)
+const path = z.string().default('')
+const environmentVariable = z.string().regex(/^[A-Za-z_][A-Za-z0-9_]*$|^$/, 'the name of an environment variable').default('')
+
 /**
  * Settings of one router process, one object a section of the INI file. Each key carries its unit in its name;
  * its description is what docs/SETTINGS.md prints.
@@ -24,18 +28,32 @@
     body_timeout_ms: milliseconds(100, 3_600_000, 60_000).describe('Longest time in which a caller sends its whole request.')
   }),
   forwards: z.strictObject({
-    address: address.describe('Where other routers send forwarded calls.')
+    address: address.describe('Where other routers send forwarded calls.'),
+    allow_plain_text: yesOrNo('no').describe('Allows an address that is not loopback; forwarded calls are plain text.')
   }),
   peers: z.strictObject({
     address: address.describe('Where other routers reach the json-rpc-2.0 server.'),
-    seeds: z.string().default('').describe('Peer addresses to start from beside the VM list, separated by commas.')
+    seeds: z.string().default('').describe('Peer addresses to start from beside the VM list, separated by commas.'),
+    token_file: path.describe('File with the token that all routers share.'),
+    token_environment: environmentVariable.describe('Environment variable with that token, in place of a file.'),
+    tls_certificate_file: path.describe('PEM file with this router\'s certificate; routers then use TLS.'),
+    tls_key_file: path.describe('PEM file with the certificate\'s private key.'),
+    tls_authority_file: path.describe('PEM file with the authority that signs all routers\' certificates.'),
+    allow_plain_text: yesOrNo('no').describe('Allows an address that is not loopback without TLS.')
   }),
   operators: z.strictObject({
-    address: address.describe('Where operators reach the command and query services.')
+    address: address.describe('Where operators reach the command and query services.'),
+    tokens_file: path.describe('File with a name and a token of at least 16 characters on each line.'),
+    tokens_environment: environmentVariable.describe('Environment variable with those lines, in place of a file.'),
+    tls_certificate_file: path.describe('PEM file with the certificate shown to operators; without it, plain text.'),
+    tls_key_file: path.describe('PEM file with the certificate\'s private key.'),
+    tls_client_authority_file: path.describe('PEM file with the authority that signs operators\' certificates, if they must show one.'),
+    allow_plain_text: yesOrNo('no').describe('Allows an address that is not loopback without TLS or tokens.')
   }),
   platform: z.strictObject({
     log_service_url: url.describe('Base URL of the log service.'),
-    vm_list_url: url.describe('Base URL of the VM list.')
+    vm_list_url: url.describe('Base URL of the VM list.'),
+    log_retention_ms: milliseconds(60_000, 31_536_000_000, 86_400_000).describe('How long the log service keeps records, at least; checkpoints are written eight times in it.')
   }),
   membership: z.strictObject({
     heartbeat_ms: milliseconds(50, 60_000, 1_000).describe('Pause between heartbeats to one peer.'),
@@ -52,6 +70,9 @@
     key_window_ms: milliseconds(60_000, 604_800_000, 86_400_000).describe('Age up to which an Idempotency-Key is taken; well below the retention of the log service.'),
     group_interval_ms: milliseconds(1, 5_000, 40).describe('Shortest pause between two appends of intents and outcomes.')
   }).prefault({}),
+  logging: z.strictObject({
+    level: z.enum(['info', 'warn']).default('info').describe('Lowest level of events that are logged.')
+  }).prefault({}),
   stopping: z.strictObject({
     grace_ms: milliseconds(0, 3_600_000, 30_000).describe('Longest time given to requests in flight when the router stops.')
   }).prefault({})
--- /dev/null
+++ b/packages/router/src/settings/settings-page.ts
@@ -0,0 +1,53 @@
+import { z } from 'zod'
+import { RouterSettings } from './router-settings.js'
+
+const HEADER = `# Settings
+
+\`mimosarock-router run --settings FILE\` reads an INI file; \`mimosarock-router check --settings FILE\` validates it
+and prints the settings in effect. The end of a key names its unit: \`_ms\` milliseconds, \`_bytes\` bytes. A key
+without a default is needed. This page is printed by \`mimosarock-router settings\`.
+`
+
+interface KeySchema {
+  readonly type?: string
+  readonly description?: string
+  readonly default?: unknown
+  readonly minimum?: number
+  readonly maximum?: number
+  readonly enum?: readonly string[]
+  readonly format?: string
+  readonly pattern?: string
+  readonly minLength?: number
+}
+
+function unitOf (key: string): string {
+  if (key.endsWith('_ms')) return 'ms'
+  if (key.endsWith('_bytes')) return 'bytes'
+  return '-'
+}
+
+function boundOf (schema: KeySchema): string {
+  if (schema.enum !== undefined) return schema.enum.join(' or ')
+  if (schema.minimum !== undefined) return `${schema.minimum} to ${schema.maximum}`
+  if (schema.format === 'uri') return 'a URL'
+  if (schema.pattern?.includes('\\d') === true) return 'IP number and port'
+  if (schema.minLength !== undefined) return `at least ${schema.minLength} characters`
+  return '-'
+}
+
+function defaultOf (schema: KeySchema): string {
+  if (schema.default === undefined) return 'needed'
+  return schema.default === '' ? 'none' : String(schema.default)
+}
+
+/** The page docs/SETTINGS.md. */
+export function settingsPage (): string {
+  const json = z.toJSONSchema(RouterSettings, { io: 'input', unrepresentable: 'any' })
+  const sections = json.properties as Record<string, { properties: Record<string, KeySchema> }>
+  const pages = Object.entries(sections).map(([section, { properties }]) => {
+    const rows = Object.entries(properties).map(([key, schema]) =>
+      `| ${key} | ${unitOf(key)} | ${defaultOf(schema)} | ${boundOf(schema)} | ${schema.description ?? ''} |\n`)
+    return `\n## [${section}]\n\n| key | unit | default | bound | meaning |\n| --- | --- | --- | --- | --- |\n${rows.join('')}`
+  })
+  return HEADER + pages.join('')
+}
