--- a/packages/coordination/src/stream-replica.ts
+++ b/packages/coordination/src/stream-replica.ts
@@ -33,7 +33,7 @@
   private readonly _appliedListeners = new Set<(position: RecordPosition) => void>()
   private readonly _provenListeners = new Set<() => void>()
   private readonly _replacedListeners = new Set<() => void>()
-  private readonly _checkpointListeners = new Set<(coversOffset: number) => void>()
+  private readonly _checkpointListeners = new Set<(position: RecordPosition) => void>()
   private _assembler = new CheckpointAssembler()
   /** Assembles the checkpoints that pass by, to tell when the stream last got a whole one. */
   private readonly _passing = new CheckpointAssembler()
@@ -43,6 +43,8 @@
   private _provenAt: number | undefined
   private _truncated = false
   private _oldestOffset = 1
+  /** Grows with each peer state that is taken; a read that was under way then is dropped. */
+  private _adoptions = 0
   private _wake = new AbortController()
 
   /**
@@ -117,10 +119,10 @@
 
   /**
    * Calls back when a whole checkpoint was read in the stream.
-   * @param listener gets the last offset that the checkpoint covers
+   * @param listener gets the position of the record with its last part
    * @returns a function that ends the calls
    */
-  onCheckpoint (listener: (coversOffset: number) => void): () => void {
+  onCheckpoint (listener: (position: RecordPosition) => void): () => void {
     this._checkpointListeners.add(listener)
     return () => this._checkpointListeners.delete(listener)
   }
@@ -197,14 +199,27 @@
   adopt (checkpoint: AssembledCheckpoint): boolean {
     const newer = checkpoint.coversOffset > this._appliedOffset
     if (!newer && (this.started || checkpoint.coversOffset < this._appliedOffset)) return false
+    this._adoptions += 1
     this._load(checkpoint)
     this._options.eventLog.info('state-adopted', { stream: this.stream, offset: checkpoint.coversOffset })
     return true
   }
 
+  /**
+   * Takes a peer's word that nothing was missing at a time. Only for a peer whose applied offset, from then on,
+   * this replica has reached.
+   * @param provenAt time of the injected clock, in milliseconds
+   */
+  noteProof (provenAt: number): void {
+    if (!this.started) return
+    this._provenAt = Math.max(provenAt, this._provenAt ?? provenAt)
+    for (const listener of this._provenListeners) listener()
+  }
+
   private async _readOnce (signal: AbortSignal): Promise<boolean> {
     const from = this._nextReadOffset()
     const askedAt = this._options.clock.now()
+    const adoptions = this._adoptions
     const waitMs = this._isReader() && this.started ? this._options.longPollMs : 0
     const timeout = AbortSignal.timeout(waitMs + this._options.readTimeoutMs)
     const result = await this._options.logService.read(this.stream, from, {
@@ -213,6 +228,8 @@
       signal: AbortSignal.any([signal, timeout])
     })
     this._oldestOffset = result.oldestOffset
+    // Its records may not follow the adopted state without a gap.
+    if (adoptions !== this._adoptions) return false
     this._noticeTruncation(from, result)
     for (const record of result.records) this._take(record)
     const atEnd = this._nextReadOffset() >= result.nextOffset || result.records.length === 0
@@ -238,7 +255,8 @@
       if (expired) this._startOver()
       return
     }
-    if (result.oldestOffset <= from) return
+    // Peers may have given records while the read was under way.
+    if (result.oldestOffset <= Math.max(from, this._appliedOffset + 1)) return
     this._options.eventLog.warn('log-records-expired', { stream: this.stream, from, oldest: result.oldestOffset })
     this._startOver()
   }
@@ -306,8 +324,7 @@
       this._heldBack = undefined
     }
     // The answer may be as old as the call, so the proof counts from the call's start.
-    this._provenAt = Math.max(askedAt, this._provenAt ?? askedAt)
-    for (const listener of this._provenListeners) listener()
+    this.noteProof(askedAt)
   }
 
   private _apply (chained: ChainedRecord): void {
@@ -330,7 +347,7 @@
     if (entry.kind.case !== 'checkpoint') return
     const whole = this._passing.add(entry.kind.value)
     if (whole === undefined) return
-    for (const listener of this._checkpointListeners) listener(whole.coversOffset)
+    for (const listener of this._checkpointListeners) listener(position)
   }
 
   /** A record that can't be decoded is folded as empty, the same on every router. */
--- /dev/null
+++ b/packages/coordination/src/test/configuration-node-options.ts
@@ -0,0 +1,15 @@
+import type { LogService } from '../log-service.js'
+import type { ConfigurationNode } from './configuration-node.js'
+import type { LocalNetwork } from './local-network.js'
+
+/** What a test node is made of. */
+export interface ConfigurationNodeOptions {
+  readonly id: string
+  readonly logService: LogService
+  readonly network: LocalNetwork
+  /** Live nodes; the new one adds itself. */
+  readonly fleet: ConfigurationNode[]
+  readonly retentionMs?: number
+  readonly maximumPartBytes?: number
+  readonly maximumRecords?: number
+}
