Serve chats and plain services end to end through entry and owner routers

The data path: callers' server with numbered refusals, chats placed by the key's rendezvous order, one forward to the endpoint's owner, streams resumed by event id, whole answers held until they are whole, plain services streamed or keyed. RouterProcess wires the parts and stops gracefully.

Two faults were found by its first tests: - GroupAppender: once one of two callers of a group had given up, the signal that wakes the pause stayed aborted, so a log that refused at once was asked again without any pause (the process ran out of memory in a test of a log outage). The signal is renewed for each try; a test with 200 appends as its bound fails on the old code. - A payment repeated through another router right after its answer got "in progress", since the outcome was on its way to the log. The second call now waits up to 1,000 ms for it and gets the same answer.

--- a/packages/coordination/src/group-appender.ts
+++ b/packages/coordination/src/group-appender.ts
@@ -121,9 +121,10 @@
       writtenAtMs: BigInt(Math.round(this._options.clock.wallNow())),
       entries: group.map((pending) => pending.entry)
     }))
-    this._readBack = new AbortController()
     let retryMs = MINIMUM_RETRY_MS
     while (!signal.aborted && group.some((pending) => !pending.settled)) {
+      // Renewed for each try: one that has fired would make every later pause end at once.
+      this._readBack = new AbortController()
       const acknowledged = await this._sendOnce(data, group, signal)
       if (acknowledged) {
         // The next record need not wait for this one's read-back: the sequence keeps their order.
--- a/packages/coordination/src/ledger/operation-ledger.ts
+++ b/packages/coordination/src/ledger/operation-ledger.ts
@@ -81,6 +81,24 @@
     return describe(operation, attempt)
   }
 
+  /**
+   * Waits until an operation is no longer in progress.
+   * @param workspace workspace that the key belongs to
+   * @param key the Idempotency-Key
+   * @param timeoutMs longest wait, in milliseconds
+   * @param signal ends the wait
+   * @returns the operation as it stands then
+   */
+  async waitForOutcome (workspace: string, key: string, timeoutMs: number, signal: AbortSignal): Promise<OperationRecord | undefined> {
+    const ended = new AbortController()
+    const stopListening = this._options.replica.onApplied(() => {
+      if (this.get(workspace, key)?.state !== OperationState.IN_PROGRESS) ended.abort()
+    })
+    await this._options.clock.sleep(timeoutMs, AbortSignal.any([ended.signal, signal]))
+    stopListening()
+    return this.get(workspace, key)
+  }
+
   /**
    * Records that an attempt did not and will not run. Also to be called for an attempt whose intent was not
    * confirmed: if it should win after all, the outcome is recorded then.
--- /dev/null
+++ b/packages/coordination/src/test/group-appender-outage_test.ts
@@ -0,0 +1,47 @@
+import { create } from '@bufbuild/protobuf'
+import { LogEntrySchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { expect, test } from 'vitest'
+import { GroupAppender } from '../group-appender.js'
+import type { LogService } from '../log-service.js'
+import { SilentEventLog } from '../silent-event-log.js'
+import { StreamReplica } from '../stream-replica.js'
+import { SystemClock } from '../system-clock.js'
+
+const MAXIMUM_APPENDS = 200
+
+test('a log that refuses at once is asked with pauses, also after one of two callers gave up', async () => {
+  let appends = 0
+  const ending = new AbortController()
+  const logService: LogService = {
+    append: async () => {
+      appends += 1
+      // Ends the test in place of the process, should the appender never pause.
+      if (appends > MAXIMUM_APPENDS) ending.abort()
+      throw new Error('outage')
+    },
+    read: async () => ({ records: [], oldestOffset: 1, nextOffset: 1 })
+  }
+  const clock = new SystemClock()
+  const eventLog = new SilentEventLog()
+  const replica = new StreamReplica({
+    stream: 'stream',
+    logService,
+    fold: { apply: () => {}, encodeState: () => new Uint8Array(), decodeState: () => {} },
+    clock,
+    eventLog,
+    longPollMs: 10,
+    slowPollMs: 10,
+    readTimeoutMs: 10
+  })
+  const appender = new GroupAppender({
+    logService, replica, writerId: 'writer', clock, eventLog, groupIntervalMs: 1, appendTimeoutMs: 10, maximumRecordBytes: 1_000
+  })
+  const entry = create(LogEntrySchema, { kind: { case: 'barrier', value: {} } })
+  const appending = Promise.allSettled([appender.append(entry, 20), appender.append(entry, 400)])
+  const running = appender.run(ending.signal)
+  const results = await appending
+  ending.abort()
+  await running
+  expect(results.map((result) => result.status)).toEqual(['rejected', 'rejected'])
+  expect(appends).toBeLessThan(MAXIMUM_APPENDS)
+})
--- /dev/null
+++ b/packages/router/src/entry/placed-call.ts
@@ -0,0 +1,9 @@
+import type { DispatchAnswer } from '../forward/dispatch-answer.js'
+import type { DispatchCall } from '../forward/dispatch-call.js'
+
+/** A call that an endpoint has answered. */
+export interface PlacedCall {
+  /** The call as it was sent to that endpoint. */
+  readonly call: DispatchCall
+  readonly answer: DispatchAnswer
+}
--- a/packages/router/src/forward/dispatch-call.ts
+++ b/packages/router/src/forward/dispatch-call.ts
@@ -28,6 +28,8 @@
   readonly resumeFrom?: number
   /** Endpoint that displaced chats' directory named as holder of the context, if the entry router knows one. */
   readonly contextHolder?: string
+  /** Whether the call gets a connection of its own, so that a failure to connect is known as not run. */
+  readonly ownConnection?: boolean
   /** Tries made before this one for the same call. */
   readonly attempt: number
 }
--- a/packages/router/src/operations/keyed-call-options.ts
+++ b/packages/router/src/operations/keyed-call-options.ts
@@ -16,6 +16,8 @@
   readonly minimumRemainingMs: number
   /** How long a dispatch may go on past the caller's deadline, so that its outcome becomes known, in milliseconds. */
   readonly outcomeGraceMs: number
+  /** Longest wait for the outcome of another call with the same key, in milliseconds. */
+  readonly inProgressWaitMs: number
   /** Largest answer body that is kept for later calls with the same key, in bytes. */
   readonly maximumKeptAnswerBytes: number
 }
--- a/packages/router/src/operations/keyed-call.ts
+++ b/packages/router/src/operations/keyed-call.ts
@@ -66,6 +66,7 @@
     } catch (error) {
       return await this._withoutLedger(request, attempt, ledger, dispatch, signal, error)
     }
+    if (result.outcome === BeginOutcome.IN_PROGRESS) result = await this._awaitOutcome(request, attempt, ledger, signal)
     if (result.outcome !== BeginOutcome.WON) return this._answerFromLedger(result)
     const refusal = this._reasonNotToDispatch(request, sentAt, signal)
     if (refusal !== undefined) {
@@ -75,6 +76,21 @@
     return await this._dispatch(request, attempt, ledger, dispatch)
   }
 
+  /**
+   * Waits a little for the outcome of another call with the key: a caller that repeats itself at once through
+   * another router usually finds the outcome on its way to the log.
+   */
+  private async _awaitOutcome (request: KeyedRequest, attempt: OperationAttempt, ledger: OperationLedger, signal: AbortSignal): Promise<BeginResult> {
+    const remainingMs = request.deadlineAt - this._options.clock.now() - this._options.minimumRemainingMs
+    const waitMs = Math.max(0, Math.min(this._options.inProgressWaitMs, remainingMs))
+    const operation = await ledger.waitForOutcome(attempt.workspace, attempt.key, waitMs, signal)
+    // A key that was given back as not run is left to the caller's next try, which wins it anew.
+    if (operation?.state !== OperationState.ANSWERED && operation?.state !== OperationState.IN_DOUBT) {
+      return { outcome: BeginOutcome.IN_PROGRESS, operation }
+    }
+    return await ledger.begin(attempt)
+  }
+
   /** The ledger did not confirm the intent: refuses, or passes on where the endpoint refuses repeats itself. */
   private async _withoutLedger (request: KeyedRequest, attempt: OperationAttempt, ledger: OperationLedger, dispatch: KeyedDispatch, signal: AbortSignal, error: unknown): Promise<KeyedAnswer> {
     const refused = asLedgerError(error)
--- /dev/null
+++ b/packages/router/src/owner/call-admission.ts
@@ -0,0 +1,13 @@
+import type { DispatchCall } from '../forward/dispatch-call.js'
+
+/** Decides whether an endpoint takes a call now, later or not. */
+export interface CallAdmission {
+  /**
+   * Admits a call, perhaps after a wait in the endpoint's queue.
+   * @param call the call; its waitMs bounds the wait
+   * @param signal ends the wait
+   * @returns a function that gives the admitted load back; calling it again has no effect
+   * @throws {MimosarockError} ENDPOINT_OVER_BOUND, CONTEXT_ELSEWHERE, QUEUE_FULL, DEADLINE_CANNOT_BE_MET; `not-run`
+   */
+  admit (call: DispatchCall, signal: AbortSignal): Promise<() => void>
+}
--- /dev/null
+++ b/packages/router/src/owner/dispatch-owned-options.ts
@@ -0,0 +1,16 @@
+import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
+import type { CallAdmission } from './call-admission.js'
+import type { EndpointClients } from './endpoint-clients.js'
+import type { EndpointHealth } from './endpoint-health.js'
+
+/** What running calls at this router's endpoints needs. */
+export interface DispatchOwnedOptions {
+  readonly configuration: ConfigurationSource
+  readonly admission: CallAdmission
+  readonly health: EndpointHealth
+  readonly clients: EndpointClients
+  /** Bound on the wait for the head of an answer, in milliseconds. */
+  readonly firstByteTimeoutMs: number
+  /** Bound on silence within an answer, in milliseconds, where the pool sets none. */
+  readonly silenceTimeoutMs: number
+}
--- /dev/null
+++ b/packages/router/src/owner/dispatch-owned.ts
@@ -0,0 +1,137 @@
+import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
+import { PoolKind } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { Endpoint, Pool } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { RunState } from '@mimosarock/schema/run-state.js'
+import type { DispatchAnswer } from '../forward/dispatch-answer.js'
+import type { DispatchCall } from '../forward/dispatch-call.js'
+import type { EndpointDispatch } from '../forward/endpoint-dispatch.js'
+import type { HttpAnswer } from '../http/http-answer.js'
+import type { DispatchOwnedOptions } from './dispatch-owned-options.js'
+
+/** Statuses by which an engine says that it took no work. */
+const ENGINE_REFUSALS = new Set([429, 503])
+const SERVER_ERROR = 500
+const CANCEL_TIMEOUT_MS = 1_000
+
+/** Runs calls at endpoints as their owner: availability, admission, then the call itself. */
+export class DispatchOwned implements EndpointDispatch {
+  private readonly _options: DispatchOwnedOptions
+
+  /**
+   * @param options what it works with
+   */
+  constructor (options: DispatchOwnedOptions) {
+    this._options = options
+  }
+
+  /**
+   * Runs the call at its endpoint.
+   * @param call the call
+   * @param signal ends the call
+   * @throws {MimosarockError} see EndpointDispatch
+   */
+  async dispatch (call: DispatchCall, signal: AbortSignal): Promise<DispatchAnswer> {
+    const { pool, endpoint } = this._find(call)
+    this._checkAvailability(call)
+    const release = call.resumeFrom === undefined
+      ? await this._options.admission.admit(call, signal)
+      : () => {}
+    try {
+      const answer = await this._send(call, pool, endpoint, signal)
+      return {
+        status: answer.status,
+        headers: answer.headers,
+        body: this._followBody(call, answer, release),
+        endpoint: call.endpoint
+      }
+    } catch (error) {
+      release()
+      this._noteError(call, error, signal)
+      throw error
+    }
+  }
+
+  /**
+   * Ends the call's stream at its engine.
+   * @param call the call
+   */
+  async cancel (call: DispatchCall): Promise<void> {
+    try {
+      const { endpoint } = this._find(call)
+      const answer = await this._options.clients.get(endpoint.address).send({
+        method: 'DELETE',
+        path: `/v1/streams/${encodeURIComponent(call.requestId)}`,
+        headers: {},
+        body: undefined,
+        firstByteTimeoutMs: CANCEL_TIMEOUT_MS,
+        silenceTimeoutMs: CANCEL_TIMEOUT_MS
+      }, AbortSignal.timeout(CANCEL_TIMEOUT_MS))
+      for await (const chunk of answer.body) if (chunk.length === 0) break
+    } catch {
+      // The engine's resume window ends the stream.
+    }
+  }
+
+  private _find (call: DispatchCall): { pool: Pool, endpoint: Endpoint } {
+    const pool = this._options.configuration.current()?.pools.get(call.pool)
+    const endpoint = pool?.endpoints.find((candidate) => candidate.name === call.endpoint)
+    if (pool === undefined || endpoint === undefined) {
+      throw new MimosarockError(ResultCode.NO_ENDPOINT, `pool ${call.pool} has no endpoint ${call.endpoint}`)
+    }
+    return { pool, endpoint }
+  }
+
+  private _checkAvailability (call: DispatchCall): void {
+    if (call.resumeFrom !== undefined) return
+    const availability = this._options.health.availability(call.pool, call.endpoint)
+    if (availability === EndpointAvailability.LEAVING) {
+      throw new MimosarockError(ResultCode.ENDPOINT_LEAVING, `endpoint ${call.endpoint} is leaving`)
+    }
+    if (availability === EndpointAvailability.FAILED) {
+      throw new MimosarockError(ResultCode.CIRCUIT_OPEN, `endpoint ${call.endpoint} does not answer`)
+    }
+  }
+
+  private async _send (call: DispatchCall, pool: Pool, endpoint: Endpoint, signal: AbortSignal): Promise<HttpAnswer> {
+    const answer = await this._options.clients.get(endpoint.address).send({
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+      body: call.body,
+      firstByteTimeoutMs: Math.min(this._options.firstByteTimeoutMs, call.remainingMs),
+      silenceTimeoutMs: pool.silenceMs > 0 ? pool.silenceMs : this._options.silenceTimeoutMs,
+      ownConnection: call.ownConnection === true
+    }, signal)
+    if (pool.kind !== PoolKind.SERVICE && ENGINE_REFUSALS.has(answer.status)) {
+      await discard(answer)
+      throw new MimosarockError(ResultCode.OVERLOADED, `engine ${call.endpoint} refused with status ${answer.status}`)
+    }
+    return answer
+  }
+
+  /** Passes the body through and gives the load back when it ends, however it ends. */
+  private async * _followBody (call: DispatchCall, answer: HttpAnswer, release: () => void): AsyncGenerator<Uint8Array> {
+    try {
+      yield * answer.body
+      if (answer.status < SERVER_ERROR) this._options.health.noteSuccess(call.pool, call.endpoint)
+      else this._options.health.noteFailure(call.pool, call.endpoint)
+    } catch (error) {
+      this._noteError(call, error, undefined)
+      throw error
+    } finally {
+      release()
+    }
+  }
+
+  private _noteError (call: DispatchCall, error: unknown, signal: AbortSignal | undefined): void {
+    if (signal?.aborted === true || !(error instanceof MimosarockError)) return
+    if (error.code === ResultCode.ENDPOINT_SILENT) this._options.health.noteSilence(call.pool, call.endpoint)
+    if (error.code === ResultCode.ENDPOINT_FAILED && error.run !== RunState.RAN) this._options.health.noteFailure(call.pool, call.endpoint)
+  }
+}
+
+async function discard (answer: HttpAnswer): Promise<void> {
+  for await (const chunk of answer.body) if (chunk.length === 0) break
+}
--- /dev/null
+++ b/packages/router/src/router-parts.ts
@@ -0,0 +1,20 @@
+import type { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
+import type { PeerConnections } from '@mimosarock/coordination/membership/peer-connections.js'
+import type { PeerServer } from '@mimosarock/coordination/membership/peer-server.js'
+import type { CallerServer } from './caller/caller-server.js'
+import type { ForwardServer } from './forward/forward-server.js'
+import type { OwnerDispatch } from './forward/owner-dispatch.js'
+import type { EndpointClients } from './owner/endpoint-clients.js'
+import type { RouterStreams } from './router-streams.js'
+
+/** The parts of a started router that are ended one by one when it stops. */
+export interface RouterParts {
+  readonly streams: RouterStreams
+  readonly clients: EndpointClients
+  readonly forwardServer: ForwardServer
+  readonly peerServer: PeerServer
+  readonly messenger: PeerConnections
+  readonly membership: HeartbeatMembership
+  readonly ownerDispatch: OwnerDispatch
+  readonly callerServer: CallerServer
+}
--- /dev/null
+++ b/packages/router/src/router-process.ts
@@ -0,0 +1,246 @@
+import { randomBytes } from 'node:crypto'
+import { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
+import { PeerConnections } from '@mimosarock/coordination/membership/peer-connections.js'
+import { PeerMethods } from '@mimosarock/coordination/membership/peer-methods.js'
+import { PeerServer } from '@mimosarock/coordination/membership/peer-server.js'
+import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
+import { RetryBudget } from '@mimosarock/placement/retry-budget.js'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { CallerServer } from './caller/caller-server.js'
+import { ChatHandler } from './caller/chat-handler.js'
+import { ModelsHandler } from './caller/models-handler.js'
+import { OpenWorkspaceGate } from './caller/open-workspace-gate.js'
+import { ServiceHandler } from './caller/service-handler.js'
+import { EntryPlacement } from './entry/entry-placement.js'
+import { PoolOrder } from './entry/pool-order.js'
+import { SilentDisplacement } from './entry/silent-displacement.js'
+import { ForwardServer } from './forward/forward-server.js'
+import { LiveOwners } from './forward/live-owners.js'
+import { OwnerDispatch } from './forward/owner-dispatch.js'
+import { KeyedCall } from './operations/keyed-call.js'
+import { ConfiguredHealth } from './owner/configured-health.js'
+import { DispatchOwned } from './owner/dispatch-owned.js'
+import { EndpointClients } from './owner/endpoint-clients.js'
+import { OpenAdmission } from './owner/open-admission.js'
+import type { RouterAddresses } from './router-addresses.js'
+import type { RouterParts } from './router-parts.js'
+import type { RouterProcessOptions } from './router-process-options.js'
+import { RouterStreams } from './router-streams.js'
+import type { Readiness } from './status/readiness.js'
+import { RouterMetrics } from './status/router-metrics.js'
+import { StatusHandler } from './status/status-handler.js'
+
+const RETRY_SHARE = 0.1
+const RETRY_RESERVE = 20
+const MAXIMUM_UNOWNED_CALLS = 8
+const MAXIMUM_FORWARD_CONNECTIONS = 1_024
+/** Longest time between an intent and its dispatch; a router that was paused for longer does not dispatch. */
+const DISPATCH_WINDOW_MS = 2_000
+const MINIMUM_REMAINING_MS = 20
+const OUTCOME_GRACE_MS = 10_000
+const IN_PROGRESS_WAIT_MS = 1_000
+const ID_BYTES = 6
+const STOP_CHECK_MS = 20
+const FLUSH_MS = 5_000
+
+/** Wires the parts of one router process and runs their tasks. */
+export class RouterProcess implements Readiness {
+  /** Metrics of this router. */
+  readonly metrics = new RouterMetrics()
+  /** Name in the fleet, unique for each start. */
+  readonly id: string
+  private readonly _options: RouterProcessOptions
+  private readonly _ending = new AbortController()
+  private readonly _traffic = new TrafficCounter()
+  private _tasks: Promise<unknown> = Promise.resolve()
+  private _parts: RouterParts | undefined
+  private _stopping = false
+
+  /**
+   * @param options settings and the outside systems
+   */
+  constructor (options: RouterProcessOptions) {
+    this._options = options
+    this.id = options.routerId ?? randomBytes(ID_BYTES).toString('base64url')
+  }
+
+  /** The started parts. */
+  get parts (): RouterParts {
+    if (this._parts === undefined) throw new MimosarockError(ResultCode.ROUTER_NOT_READY, 'the router was not started')
+    return this._parts
+  }
+
+  /** Bytes written for anything but callers' bodies and answers. */
+  get controlBytes (): number {
+    return this._traffic.total
+  }
+
+  /**
+   * Opens the servers and starts all tasks.
+   * @returns the addresses, with the ports that the system picked
+   * @throws {MimosarockError} ADDRESS_IN_USE
+   */
+  async start (): Promise<RouterAddresses> {
+    const { settings, clock, eventLog, vmList } = this._options
+    const streams = new RouterStreams(this._options, this.id)
+    const { configuration } = streams
+
+    const clients = new EndpointClients(settings.endpoints.connect_timeout_ms)
+    const owned = new DispatchOwned({
+      configuration,
+      admission: new OpenAdmission(),
+      health: new ConfiguredHealth(configuration),
+      clients,
+      firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
+      silenceTimeoutMs: settings.endpoints.silence_timeout_ms
+    })
+    const drainTimeoutMs = settings.callers.body_timeout_ms
+    const maximumKeptBodyBytes = settings.callers.maximum_kept_body_bytes
+    const forwardServer = new ForwardServer({ address: settings.forwards.address, maximumKeptBodyBytes, drainTimeoutMs }, owned)
+    const forwards = await forwardServer.start()
+
+    const methods = new PeerMethods()
+    const access = {}
+    const peerServer = new PeerServer({ address: settings.peers.address, methods, access, clock, eventLog, traffic: this._traffic })
+    const peers = await peerServer.listen()
+    const messenger = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
+    const membership = new HeartbeatMembership({
+      self: { id: this.id, availabilityZone: settings.router.availability_zone, peerAddress: peers, forwardAddress: forwards, leaving: false },
+      messenger,
+      vmList,
+      seeds: settings.peers.seeds.split(',').map((seed) => seed.trim()).filter((seed) => seed !== ''),
+      clock,
+      eventLog,
+      heartbeatMs: settings.membership.heartbeat_ms,
+      suspicionMs: settings.membership.suspicion_ms
+    })
+    configuration.onChange(() => membership.setRevision(configuration.current()?.revision ?? 0))
+
+    const ownerDispatch = new OwnerDispatch({
+      self: () => membership.self,
+      owners: new LiveOwners(configuration, membership),
+      local: owned,
+      forward: {
+        connectTimeoutMs: settings.endpoints.connect_timeout_ms,
+        maximumConnections: MAXIMUM_FORWARD_CONNECTIONS,
+        firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
+        silenceTimeoutMs: settings.endpoints.silence_timeout_ms
+      },
+      maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
+    })
+    const order = new PoolOrder()
+    const gate = new OpenWorkspaceGate()
+    const displacement = new SilentDisplacement()
+    const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
+    const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryBudget, clock })
+    const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryBudget, clock })
+    const keyedCall = new KeyedCall({
+      ledgerFor: () => streams.ledger,
+      clock,
+      eventLog,
+      keyWindowMs: settings.operations.key_window_ms,
+      dispatchWindowMs: DISPATCH_WINDOW_MS,
+      minimumRemainingMs: MINIMUM_REMAINING_MS,
+      outcomeGraceMs: OUTCOME_GRACE_MS,
+      inProgressWaitMs: IN_PROGRESS_WAIT_MS,
+      maximumKeptAnswerBytes: maximumKeptBodyBytes
+    })
+    const callerServer = new CallerServer({
+      address: settings.callers.address,
+      maximumHeaderBytes: settings.callers.maximum_header_bytes,
+      headerTimeoutMs: settings.callers.header_timeout_ms,
+      bodyTimeoutMs: settings.callers.body_timeout_ms,
+      clock,
+      eventLog,
+      metrics: this.metrics,
+      chats: new ChatHandler({
+        configuration,
+        gate,
+        order,
+        placement,
+        dispatch: ownerDispatch,
+        clock,
+        eventLog,
+        metrics: this.metrics,
+        maximumBodyBytes: settings.callers.maximum_body_bytes,
+        maximumKeptAnswerBytes: maximumKeptBodyBytes,
+        drainTimeoutMs
+      }),
+      services: new ServiceHandler({
+        configuration,
+        gate,
+        order,
+        placement,
+        directPlacement,
+        keyedCall,
+        clock,
+        maximumBodyBytes: settings.callers.maximum_body_bytes,
+        maximumKeptBodyBytes,
+        drainTimeoutMs
+      }),
+      models: new ModelsHandler(configuration),
+      status: new StatusHandler(this, this.metrics)
+    })
+    const callers = await callerServer.start()
+    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer }
+    this._observe(this._parts)
+    const signal = this._ending.signal
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal)])
+    eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
+    return { callers, forwards, peers, operators: '' }
+  }
+
+  /** Why the router is not ready, if it is not. */
+  reasonNotReady (): string | undefined {
+    if (this._stopping) return 'stopping'
+    if (this._parts?.streams.configuration.current() === undefined) return 'no configuration that is proved current'
+    return undefined
+  }
+
+  /**
+   * Stops gracefully: not ready, no new ownership, requests in flight finish within the grace time.
+   * @returns requests that were cut off because the grace time ended
+   */
+  async stop (): Promise<number> {
+    const { streams, membership, callerServer, forwardServer } = this.parts
+    const { clock, eventLog, settings } = this._options
+    this._stopping = true
+    membership.leave()
+    callerServer.announceClose()
+    eventLog.info('router-stopping', { router: this.id, in_flight: callerServer.inFlight })
+    const deadlineAt = clock.now() + settings.stopping.grace_ms
+    await clock.sleep(Math.min(settings.stopping.notice_ms, settings.stopping.grace_ms))
+    const closed = callerServer.stop()
+    while ((callerServer.inFlight > 0 || forwardServer.inFlight > 0) && clock.now() < deadlineAt) await clock.sleep(STOP_CHECK_MS)
+    const cutOff = callerServer.inFlight + forwardServer.inFlight
+    await streams.ledger.flush(FLUSH_MS)
+    await membership.depart()
+    await this.kill()
+    await closed
+    eventLog.info('router-stopped', { router: this.id, cut_off: cutOff })
+    return cutOff
+  }
+
+  /** Ends everything at once, as a lost VM would, but for the sockets, which are closed. */
+  async kill (): Promise<void> {
+    this._stopping = true
+    this._ending.abort()
+    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer } = this.parts
+    streams.ledger.stop()
+    callerServer.destroy()
+    forwardServer.destroy()
+    messenger.close()
+    await Promise.all([
+      callerServer.stop(), forwardServer.stop(), peerServer.close(), ownerDispatch.destroy(), clients.destroy(), this._tasks
+    ])
+  }
+
+  private _observe (parts: RouterParts): void {
+    const { configuration } = parts.streams
+    this.metrics.observe('mimosarock_control_bytes_total', 'Bytes written for anything but bodies and answers of callers.', () => this.controlBytes)
+    this.metrics.observe('mimosarock_configuration_revision', 'Revision of the configuration in force.', () => configuration.current()?.revision ?? 0)
+    this.metrics.observe('mimosarock_configuration_staleness_seconds', 'Time since the configuration was last proved current.', () => configuration.stalenessMs / 1_000)
+    this.metrics.observe('mimosarock_live_routers', 'Routers that this router sees live.', () => parts.membership.live().length)
+  }
+}
--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -53,6 +53,7 @@
     group_interval_ms: milliseconds(1, 5_000, 40).describe('Shortest pause between two appends of intents and outcomes.')
   }).prefault({}),
   stopping: z.strictObject({
+    notice_ms: milliseconds(0, 600_000, 2_000).describe('Time between not being ready and taking no new connections; longer than the balancer needs to notice.'),
     grace_ms: milliseconds(0, 3_600_000, 30_000).describe('Longest time given to requests in flight when the router stops.')
   }).prefault({})
 })
--- a/packages/router/src/test/keyed-call_test.ts
+++ b/packages/router/src/test/keyed-call_test.ts
@@ -37,6 +37,7 @@
     dispatchWindowMs: 1_000,
     minimumRemainingMs: 10,
     outcomeGraceMs: 1_000,
+    inProgressWaitMs: 0,
     maximumKeptAnswerBytes: 64
   })
 }
--- /dev/null
+++ b/packages/router/src/test/router-process_test.ts
@@ -0,0 +1,171 @@
+import { randomUUID } from 'node:crypto'
+import OpenAI from 'openai'
+import { afterAll, beforeAll, describe, expect, test } from 'vitest'
+import { RouterFixture } from './router-fixture.js'
+
+const fixture = new RouterFixture()
+const messages = (text: string): Array<{ role: 'user', content: string }> => [{ role: 'user', content: text }]
+
+function client (router: number, chat?: string): OpenAI {
+  return new OpenAI({
+    apiKey: 'unused',
+    baseURL: `${fixture.url(router)}/v1`,
+    maxRetries: 0,
+    defaultHeaders: { 'Mimosarock-Workspace': 'alpha', ...(chat === undefined ? {} : { 'Mimosarock-Chat': chat }) }
+  })
+}
+
+beforeAll(async () => {
+  await fixture.start(3, 4)
+  await fixture.configure()
+})
+afterAll(async () => await fixture.stop())
+
+describe('chats through the official client', () => {
+  test('a whole answer', async () => {
+    const answer = await client(0).chat.completions.create({ model: 'assistant', messages: messages('hello there'), max_tokens: 5 })
+    expect(answer.choices[0]?.message.content?.length).toBeGreaterThan(0)
+    expect(answer.usage?.completion_tokens).toBe(5)
+  })
+
+  test('a streamed answer equals the whole one', async () => {
+    const whole = await client(1).chat.completions.create({ model: 'assistant', messages: messages('tell me'), max_tokens: 12 })
+    const stream = await client(2).chat.completions.create({ model: 'assistant', messages: messages('tell me'), max_tokens: 12, stream: true })
+    let text = ''
+    for await (const chunk of stream) text += chunk.choices[0]?.delta.content ?? ''
+    expect(text).toBe(whole.choices[0]?.message.content)
+  })
+
+  test('a returning chat lands at one endpoint from every router and finds its context', async () => {
+    const endpoints = new Set<string | null>()
+    let cached = 0
+    for (const router of [0, 1, 2]) {
+      const { data, response } = await client(router, 'chat-1').chat.completions
+        .create({ model: 'assistant', messages: messages('the same long opening of a chat that returns again and again'), max_tokens: 3 }).withResponse()
+      endpoints.add(response.headers.get('mimosarock-endpoint'))
+      cached = data.usage?.prompt_tokens_details?.cached_tokens ?? 0
+    }
+    expect(endpoints.size).toBe(1)
+    expect(cached).toBeGreaterThan(0)
+  })
+
+  test('the models of a workspace', async () => {
+    const models = await client(0).models.list()
+    expect(models.data.map((model) => model.id)).toEqual(['assistant', 'other'])
+  })
+
+  test('a stream whose connection falls silent is resumed, each event once', async () => {
+    const question = messages('a stream that is cut in the middle')
+    const whole = await client(0).chat.completions.create({ model: 'assistant', messages: question, max_tokens: 60 })
+    const stream = await client(0).chat.completions.create({ model: 'assistant', messages: question, max_tokens: 60, stream: true })
+    let text = ''
+    let chunks = 0
+    for await (const chunk of stream) {
+      text += chunk.choices[0]?.delta.content ?? ''
+      chunks += 1
+      if (chunks === 5) for (const engine of fixture.engines) engine.server.silenceConnections()
+    }
+    expect(text).toBe(whole.choices[0]?.message.content)
+  })
+
+  test('a stream whose engine loses it ends with an error, never as if whole', async () => {
+    const stream = await client(1).chat.completions.create({ model: 'assistant', messages: messages('an engine that restarts'), max_tokens: 80, stream: true })
+    const read = async (): Promise<void> => {
+      let chunks = 0
+      for await (const chunk of stream) {
+        chunks += chunk.choices.length
+        if (chunks === 5) for (const engine of fixture.engines) engine.restart()
+      }
+    }
+    await expect(read()).rejects.toThrow(/broke off/)
+  })
+})
+
+describe('refusals', () => {
+  const chat = JSON.stringify({ model: 'assistant', messages: messages('x') })
+  const json = { 'content-type': 'application/json' }
+  const alpha = { ...json, 'mimosarock-workspace': 'alpha' }
+  const cases: Array<[string, string, RequestInit, number, number]> = [
+    ['malformed JSON', '/v1/chat/completions', { method: 'POST', headers: alpha, body: '{' }, 400, 2001],
+    ['another content type', '/v1/chat/completions', { method: 'POST', headers: { ...alpha, 'content-type': 'text/plain' }, body: chat }, 415, 2002],
+    ['an oversize body', '/v1/chat/completions', { method: 'POST', headers: alpha, body: 'x'.repeat(200_000) }, 413, 2003],
+    ['an oversize header', '/v1/chat/completions', { method: 'POST', headers: { ...alpha, 'x-large': 'x'.repeat(30_000) }, body: chat }, 431, 2004],
+    ['no workspace', '/v1/chat/completions', { method: 'POST', headers: json, body: chat }, 400, 2005],
+    ['an unknown workspace', '/v1/chat/completions', { method: 'POST', headers: { ...json, 'mimosarock-workspace': 'zeta' }, body: chat }, 403, 2006],
+    ['an unknown model', '/v1/chat/completions', { method: 'POST', headers: alpha, body: chat.replace('assistant', 'nothing') }, 404, 2007],
+    ['an unknown route', '/services/nothing/at/all', { headers: alpha }, 404, 2008],
+    ['a model that the workspace may not use', '/v1/chat/completions', { method: 'POST', headers: { ...json, 'mimosarock-workspace': 'limited' }, body: chat }, 403, 2009],
+    ['a field of the wrong type', '/v1/chat/completions', { method: 'POST', headers: alpha, body: '{"model":"assistant","messages":"x"}' }, 400, 2010],
+    ['another method', '/v1/chat/completions', { headers: alpha }, 405, 2011],
+    ['an unknown path', '/nothing', {}, 404, 2012],
+    ['a missing key', '/services/payments/pay', { method: 'POST', headers: alpha, body: '{}' }, 400, 4001]
+  ]
+  test.each(cases)('%s', async (_, path, init, status, code) => {
+    const answer = await fetch(`${fixture.url(0)}${path}`, init)
+    const problem = await answer.json() as Record<string, unknown>
+    expect({ status: answer.status, code: problem.code, run: problem.run }).toEqual({ status, code, run: 'not-run' })
+    expect(answer.headers.get('content-type')).toBe('application/problem+json')
+  })
+})
+
+describe('calls that may not be repeated', () => {
+  const pay = async (router: number, key: string, body = '{"amount":5}'): Promise<Response> => await fetch(`${fixture.url(router)}/services/payments/pay`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', 'mimosarock-workspace': 'alpha', 'idempotency-key': key, 'idempotency-key-time': String(Date.now()) },
+    body
+  })
+
+  test('a payment that is sent twice through two routers runs once and has one answer', async () => {
+    const key = randomUUID()
+    const first = await pay(0, key)
+    const again = await pay(1, key)
+    expect([first.status, again.status]).toEqual([200, 200])
+    expect(await again.text()).toBe(await first.text())
+    expect(fixture.service.runsOf(key)).toBe(1)
+  })
+
+  test('payments with one key at the same moment run once', async () => {
+    const key = randomUUID()
+    const answers = await Promise.all([0, 1, 2, 0, 1, 2].map(async (router) => await pay(router, key)))
+    expect(answers.some((answer) => answer.status === 200)).toBe(true)
+    expect(fixture.service.runsOf(key)).toBe(1)
+  })
+
+  test('a key with another body is refused', async () => {
+    const key = randomUUID()
+    await pay(0, key)
+    const other = await pay(1, key, '{"amount":6}')
+    expect(await other.json()).toMatchObject({ code: 4004, run: 'not-run' })
+  })
+
+  test('a log outage refuses payments as not run and leaves chats alone', async () => {
+    fixture.log.startOutage()
+    try {
+      const key = randomUUID()
+      const refused = await pay(0, key)
+      expect(await refused.json()).toMatchObject({ code: 4008, run: 'not-run' })
+      expect(refused.headers.get('retry-after')).not.toBeNull()
+      expect(fixture.service.runsOf(key)).toBe(0)
+      const answer = await client(1).chat.completions.create({ model: 'assistant', messages: messages('during the outage'), max_tokens: 2 })
+      expect(answer.usage?.completion_tokens).toBe(2)
+    } finally {
+      fixture.log.endOutage()
+    }
+  })
+})
+
+describe('a planned stop', () => {
+  test('cuts off no request in flight', async () => {
+    const router = fixture.routers[2]
+    const streams = await Promise.all([1, 2, 3, 4].map(async (chat) => await client(2, `stop-${chat}`).chat.completions
+      .create({ model: 'assistant', messages: messages('a long answer'), max_tokens: 60, stream: true })))
+    const stopped = router?.stop()
+    const counts = await Promise.all(streams.map(async (stream) => {
+      let tokens = 0
+      for await (const chunk of stream) tokens += chunk.choices[0]?.delta.content === undefined ? 0 : 1
+      return tokens
+    }))
+    expect(await stopped).toBe(0)
+    expect(counts.every((count) => count >= 60)).toBe(true)
+  })
+})
