Settle operations in doubt by operators and by status calls

An operation in doubt closed its key for ever. Operators now list and settle such operations, and a route's status call settles them without anyone: one endpoint that knows of the run is proof; not run takes the word of all of the pool's endpoints, and the longest pause plus the route's deadline must have passed on this router's own clock, since a paused winner might still send it. One endpoint's word for not run was ruled out: its siblings may have run it.

--- a/packages/coordination/src/ledger/operation-key.ts
+++ b/packages/coordination/src/ledger/operation-key.ts
@@ -1,13 +1,13 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 
-const UUID = /^[0-9a-f]{8}-[0-9a-f]{4}-([0-9a-f])[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}$/
+const UUID = /^[0-9a-f]{8}-[0-9a-f]{4}-([0-9a-f])[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}$/i
 /** How far a key's time may be ahead of this router's clock. */
 const MAXIMUM_AHEAD_MS = 60_000
 
 /** An Idempotency-Key with the time that it carries. */
 export class OperationKey {
-  /** The key in lower case. */
+  /** The key as the caller gave it; the endpoint gets the same. */
   readonly value: string
   /** When the caller made it, in milliseconds since the epoch. */
   readonly timeMs: number
@@ -27,14 +27,13 @@
     if (key === undefined || key === '') {
       throw new MimosarockError(ResultCode.KEY_MISSING, 'calls on this route need an Idempotency-Key', { field: 'idempotency-key' })
     }
-    const value = key.toLowerCase()
-    const version = UUID.exec(value)?.[1]
+    const version = UUID.exec(key)?.[1]
     if (version === undefined) throw new MimosarockError(ResultCode.KEY_INVALID, 'an Idempotency-Key is a UUID', { field: 'idempotency-key' })
-    if (version === '7') return new OperationKey(value, Number.parseInt(value.slice(0, 8) + value.slice(9, 13), 16))
+    if (version === '7') return new OperationKey(key, Number.parseInt(key.slice(0, 8) + key.slice(9, 13), 16))
     if (keyTime === undefined || !/^\d{1,15}$/.test(keyTime)) {
       throw new MimosarockError(ResultCode.KEY_INVALID, 'a key that is no UUIDv7 needs Idempotency-Key-Time in milliseconds', { field: 'idempotency-key-time' })
     }
-    return new OperationKey(value, Number(keyTime))
+    return new OperationKey(key, Number(keyTime))
   }
 
   /**
--- a/packages/coordination/src/ledger/operation-ledger.ts
+++ b/packages/coordination/src/ledger/operation-ledger.ts
@@ -147,6 +147,15 @@
     return this._ages.ageMs(operation)
   }
 
+  /**
+   * Time until an open operation may be settled as not run, in milliseconds; not above 0 if it may be now.
+   * @param operation an operation in progress or in doubt
+   * @param runBoundMs longest time that the winner may take over the call, in milliseconds
+   */
+  notRunAfterMs (operation: OperationRecord, runBoundMs: number): number {
+    return this._options.longestPauseMs + runBoundMs - this.openForMs(operation)
+  }
+
   /**
    * Settles an operation that is in progress or in doubt and waits until that is read back.
    *
@@ -156,11 +165,12 @@
    * @param state ANSWERED or NOT_RUN
    * @param actor who settles it
    * @param reason why, for the audit trail
+   * @param runBoundMs longest time that the winner may take over the call, in milliseconds; adds to the longest pause
    * @returns offset of the settlement
    * @throws {MimosarockError} SETTLEMENT_REFUSED, OPERATION_UNKNOWN or LOG_UNAVAILABLE
    */
-  async settle (operation: OperationRecord, state: OperationState, actor: Actor, reason: string): Promise<number> {
-    this._checkSettlement(operation, state)
+  async settle (operation: OperationRecord, state: OperationState, actor: Actor, reason: string, runBoundMs = 0): Promise<number> {
+    this._checkSettlement(operation, state, runBoundMs)
     const entry = create(LogEntrySchema, {
       kind: {
         case: 'operationSettlement',
@@ -173,7 +183,7 @@
     throw new MimosarockError(ResultCode.SETTLEMENT_REFUSED, 'the operation changed before the settlement was folded', { field: 'state' })
   }
 
-  private _checkSettlement (operation: OperationRecord, state: OperationState): void {
+  private _checkSettlement (operation: OperationRecord, state: OperationState, runBoundMs: number): void {
     const known = this.get(operation.workspace, operation.key)
     if (known === undefined) throw new MimosarockError(ResultCode.OPERATION_UNKNOWN, `no operation has the key ${operation.key}`, { field: 'key' })
     if (known.attemptId !== operation.attemptId || !isOpen(known.state)) {
@@ -183,7 +193,7 @@
     if (state !== OperationState.NOT_RUN) {
       throw new MimosarockError(ResultCode.SETTLEMENT_REFUSED, 'an operation is settled as answered or as not run', { field: 'state' })
     }
-    const restMs = this._options.longestPauseMs - this.openForMs(known)
+    const restMs = this.notRunAfterMs(known, runBoundMs)
     if (restMs <= 0) return
     throw new MimosarockError(ResultCode.SETTLEMENT_REFUSED, 'a paused router might still run the operation', { field: 'state', retryAfterMs: Math.ceil(restMs) })
   }
--- a/packages/coordination/src/test/memory-fleet.ts
+++ b/packages/coordination/src/test/memory-fleet.ts
@@ -50,7 +50,7 @@
       ...settings,
       logService: this.logService,
       messenger: this._messenger(id),
-      writers: new LedgerWriters(this._membership(id)),
+      writers: new LedgerWriters(this.membership(id)),
       clock,
       eventLog: new SilentEventLog(),
       routerId: id,
@@ -77,7 +77,7 @@
     }
   }
 
-  private _membership (id: string): Membership {
+  membership (id: string): Membership {
     const identity = (name: string): RouterIdentity => ({ id: name, availabilityZone: 'a', peerAddress: name, forwardAddress: name, leaving: false })
     return {
       self: identity(id),
--- /dev/null
+++ b/packages/router/src/operations/ledger-administration-options.ts
@@ -0,0 +1,9 @@
+import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
+import type { LedgerPartitions } from '@mimosarock/coordination/ledger/ledger-partitions.js'
+
+/** What operators' access to the ledger works with. */
+export interface LedgerAdministrationOptions {
+  readonly partitions: LedgerPartitions
+  /** Gives the deadlines of routes. */
+  readonly configuration: ConfigurationSource
+}
