--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -50,7 +50,11 @@
   operations: z.strictObject({
     intent_timeout_ms: milliseconds(50, 60_000, 1_000).describe('Longest wait for an intent to be read back before the call is refused as not run.'),
     key_window_ms: milliseconds(60_000, 604_800_000, 86_400_000).describe('Age up to which an Idempotency-Key is taken; well below the retention of the log service.'),
-    group_interval_ms: milliseconds(1, 5_000, 40).describe('Shortest pause between two appends of intents and outcomes.')
+    group_interval_ms: milliseconds(1, 5_000, 40).describe('Shortest pause between two appends of intents and outcomes.'),
+    dispatch_window_ms: milliseconds(50, 60_000, 2_000).describe('Longest time between sending an intent and starting the call; a router that was paused for longer does not start it.'),
+    longest_pause_ms: milliseconds(1_000, 3_600_000, 120_000).describe('Longest time for which a router may be paused in the middle of a call; beyond it and the route\'s deadline an operation may be settled as not run.'),
+    maximum_kept_answer_bytes: bytes(0, 1_048_576, 16_384).describe('Largest answer that is kept for later calls with the same Idempotency-Key.'),
+    partitions: z.coerce.number().int().min(1).max(1_024).default(1).describe('Streams that the keys are split into; the same on every router.')
   }).prefault({}),
   stopping: z.strictObject({
     grace_ms: milliseconds(0, 3_600_000, 30_000).describe('Longest time given to requests in flight when the router stops.')
