--- /dev/null
+++ b/packages/router/src/create-router.ts
@@ -0,0 +1,22 @@
+import { HttpLogService } from '@mimosarock/coordination/http-log-service.js'
+import { HttpVmList } from '@mimosarock/coordination/http-vm-list.js'
+import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import { SystemClock } from '@mimosarock/coordination/system-clock.js'
+import { RouterProcess } from './router-process.js'
+import type { RouterSettings } from './settings/router-settings.js'
+import type { StoppableRouter } from './stoppable-router.js'
+
+/**
+ * Makes a router that meets the platform's services over HTTP. Nothing is started yet.
+ * @param settings the validated settings
+ * @param eventLog takes the router's events
+ */
+export function createRouter (settings: RouterSettings, eventLog: EventLog): StoppableRouter {
+  return new RouterProcess({
+    settings,
+    logService: new HttpLogService(settings.platform.log_service_url),
+    vmList: new HttpVmList(settings.platform.vm_list_url),
+    clock: new SystemClock(),
+    eventLog
+  })
+}
--- /dev/null
+++ b/packages/router/src/main.ts
@@ -0,0 +1,6 @@
+#!/usr/bin/env node
+import { Cli } from 'clipanion'
+import { createRouter } from './create-router.js'
+import { runRouterCli } from './run-router-cli.js'
+
+process.exitCode = await runRouterCli(process.argv.slice(2), { ...Cli.defaultContext, signals: process, createRouter })
