--- a/packages/stand-ins/src/plain-service-stand-in.ts
+++ b/packages/stand-ins/src/plain-service-stand-in.ts
@@ -92,8 +92,7 @@
     }
     const run = await this._run(key)
     if (this._take('lostAnswers')) response.destroy()
-    else if (this._take('silentAnswers')) request.socket.cork()
-    else sendJson(response, 200, { service: this._name, method: request.method, path: request.url, key, bytes: body.length, run })
+    else if (!this._take('silentAnswers')) sendJson(response, 200, { service: this._name, method: request.method, path: request.url, key, bytes: body.length, run })
   }
 
   /** The run counts before its delay: a caller that gives up meanwhile does not undo it. */
--- a/packages/stand-ins/src/stand-in-server.ts
+++ b/packages/stand-ins/src/stand-in-server.ts
@@ -79,8 +79,10 @@
   silenceConnections (): number {
     for (const socket of this._sockets) {
       this._silenced.add(socket)
-      // Corked writes stay in the buffer; they are never uncorked.
-      socket.cork()
+      // Corking would not do: the end of an answer uncorks its socket.
+      socket._write = (_chunk, _encoding, done) => done()
+      socket._writev = (_chunks, done) => done()
+      socket._final = (done) => done()
     }
     return this._sockets.size
   }
