Follow a stream without gaps while peers help, and append without storms

A read is now dropped if the state it followed has gone back, and a cut is judged against the state after the read. - A replica that looked for a checkpoint adopted states older than its own. - A wish to read that came during a read was forgotten until the next slow poll. - Once one caller of a group had given up, a failing append was retried without any pause; with an append that fails at once the process never got to its timers again (the test ran out of memory). - Groups whose read-back came before the append's answer were kept for ever.

--- a/packages/coordination/src/group-appender.ts
+++ b/packages/coordination/src/group-appender.ts
@@ -121,9 +121,10 @@
       writtenAtMs: BigInt(Math.round(this._options.clock.wallNow())),
       entries: group.map((pending) => pending.entry)
     }))
-    this._readBack = new AbortController()
     let retryMs = MINIMUM_RETRY_MS
     while (!signal.aborted && group.some((pending) => !pending.settled)) {
+      // Renewed for each try: an old one that a caller has ended would leave no pause between tries.
+      this._readBack = new AbortController()
       const acknowledged = await this._sendOnce(data, group, signal)
       if (acknowledged) {
         // The next record need not wait for this one's read-back: the sequence keeps their order.
@@ -152,6 +153,8 @@
     const timeout = AbortSignal.timeout(this._options.appendTimeoutMs)
     try {
       await this._options.logService.append(this._options.replica.stream, data, AbortSignal.any([signal, timeout]))
+      const readBack = group.every((pending) => pending.settled)
+      if (readBack) return true
       this._acknowledged.set(this._sequence, group)
       this._options.replica.readNow()
       return true
@@ -167,10 +170,18 @@
     if (position.writerId !== this._options.writerId) return
     const group = this._acknowledged.get(position.sequence) ??
       (position.sequence === this._sequence ? this._inFlight : [])
-    this._acknowledged.delete(position.sequence)
+    this._forgetUpTo(position.sequence)
     for (const pending of group) {
       if (!pending.settled) pending.resolve(position.offset)
     }
     if (position.sequence === this._sequence) this._readBack.abort()
   }
+
+  /** Groups before the one read back are folded or superseded; those still kept lost their read-back to a peer's state. */
+  private _forgetUpTo (sequence: number): void {
+    for (const acknowledged of this._acknowledged.keys()) {
+      if (acknowledged > sequence) return
+      this._acknowledged.delete(acknowledged)
+    }
+  }
 }
--- a/packages/coordination/src/stream-replica.ts
+++ b/packages/coordination/src/stream-replica.ts
@@ -44,6 +44,7 @@
   private _truncated = false
   private _oldestOffset = 1
   private _wake = new AbortController()
+  private _readWanted = false
 
   /**
    * @param options what the replica works with
@@ -125,8 +126,9 @@
     return () => this._checkpointListeners.delete(listener)
   }
 
-  /** Makes a replica that is between two slow polls read at once. */
+  /** Makes a replica read at once, or after the read that it is in, instead of at the next slow poll. */
   readNow (): void {
+    this._readWanted = true
     this._wake.abort()
   }
 
@@ -190,7 +192,8 @@
   }
 
   /**
-   * Takes a peer's state if it is newer than what this replica has.
+   * Takes a peer's state if it is newer than what this replica has. A replica that looks for a checkpoint takes
+   * one of the same age as well, but never an older one.
    * @param checkpoint the peer's state
    * @returns whether it was taken
    */
@@ -203,6 +206,7 @@
   }
 
   private async _readOnce (signal: AbortSignal): Promise<boolean> {
+    this._readWanted = false
     const from = this._nextReadOffset()
     const askedAt = this._options.clock.now()
     const waitMs = this._isReader() && this.started ? this._options.longPollMs : 0
@@ -213,7 +217,9 @@
       signal: AbortSignal.any([signal, timeout])
     })
     this._oldestOffset = result.oldestOffset
-    this._noticeTruncation(from, result)
+    // A peer's state that came meanwhile may end before these records; they would leave a gap.
+    if (this._nextReadOffset() < from) return false
+    this._noticeTruncation(result)
     for (const record of result.records) this._take(record)
     const atEnd = this._nextReadOffset() >= result.nextOffset || result.records.length === 0
     if (atEnd) this._reachEnd(result, askedAt)
@@ -230,16 +236,11 @@
     return (last?.offset ?? this._appliedOffset) + 1
   }
 
-  /** A read that starts past the wanted offset means that unread records have expired. */
-  private _noticeTruncation (from: number, result: ReadResult): void {
-    if (this._heldBack !== undefined) {
-      const readUpTo = from - 1
-      const expired = result.oldestOffset > from && readUpTo > 0
-      if (expired) this._startOver()
-      return
-    }
-    if (result.oldestOffset <= from) return
-    this._options.eventLog.warn('log-records-expired', { stream: this.stream, from, oldest: result.oldestOffset })
+  /** A read that starts past the next offset means that unread records have expired. */
+  private _noticeTruncation (result: ReadResult): void {
+    const next = this._nextReadOffset()
+    if (result.oldestOffset <= next) return
+    if (this.started) this._options.eventLog.warn('log-records-expired', { stream: this.stream, from: next, oldest: result.oldestOffset })
     this._startOver()
   }
 
@@ -344,6 +345,7 @@
   }
 
   private async _pauseBetweenReads (signal: AbortSignal): Promise<void> {
+    if (this._readWanted) return
     this._wake = new AbortController()
     await this._options.clock.sleep(this._options.slowPollMs, AbortSignal.any([signal, this._wake.signal]))
   }
--- /dev/null
+++ b/packages/coordination/src/test/note-fold.ts
@@ -0,0 +1,20 @@
+import type { LogFold } from '@mimosarock/coordination/log-fold.js'
+import type { RecordPosition } from '@mimosarock/coordination/record-position.js'
+import type { LogEntry } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+
+/** A fold whose state is the list of applied audit ids with their offsets, so that any difference shows. */
+export class NoteFold implements LogFold {
+  notes: string[] = []
+
+  apply (entry: LogEntry, position: RecordPosition): void {
+    if (entry.kind.case === 'audit') this.notes.push(`${entry.kind.value.auditId}@${position.offset}`)
+  }
+
+  encodeState (): Uint8Array {
+    return Buffer.from(JSON.stringify(this.notes))
+  }
+
+  decodeState (state: Uint8Array): void {
+    this.notes = JSON.parse(Buffer.from(state).toString())
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/test/virtual-clock.ts
@@ -0,0 +1,53 @@
+import type { Clock } from '@mimosarock/coordination/clock.js'
+
+/** Event loop turns after which everything that can run without a timer has run. */
+const SETTLING_TURNS = 4
+
+interface Timer {
+  readonly at: number
+  readonly fire: () => void
+}
+
+/** A clock whose time jumps to the next timer once nothing else is left to do. */
+export class VirtualClock implements Clock {
+  private _time = 0
+  private _timers: Timer[] = []
+
+  now (): number {
+    return this._time
+  }
+
+  wallNow (): number {
+    return 1_700_000_000_000 + this._time
+  }
+
+  sleep (ms: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted === true) {
+        resolve()
+        return
+      }
+      const timer: Timer = { at: this._time + Math.max(ms, 0), fire: () => finish() }
+      const finish = (): void => {
+        this._timers = this._timers.filter((other) => other !== timer)
+        signal?.removeEventListener('abort', finish)
+        resolve()
+      }
+      this._timers.push(timer)
+      signal?.addEventListener('abort', finish, { once: true })
+    })
+  }
+
+  /** Runs until the condition holds, firing timers in their order. */
+  async runUntil (condition: () => boolean, boundMs = 10_000): Promise<void> {
+    const until = this._time + boundMs
+    for (;;) {
+      for (let turn = 0; turn < SETTLING_TURNS; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+      if (condition()) return
+      const next = this._timers.reduce<Timer | undefined>((first, timer) => first === undefined || timer.at < first.at ? timer : first, undefined)
+      if (next === undefined || next.at > until) throw new Error(`never true: ${condition.toString()}`)
+      this._time = Math.max(this._time, next.at)
+      next.fire()
+    }
+  }
+}
