--- a/packages/coordination/src/group-appender.ts
+++ b/packages/coordination/src/group-appender.ts
@@ -123,7 +123,7 @@
     }))
     let retryMs = MINIMUM_RETRY_MS
     while (!signal.aborted && group.some((pending) => !pending.settled)) {
-      // Renewed for each try: an old one that a caller has ended would leave no pause between tries.
+      // Renewed for each try: one that has fired would make every later pause end at once.
       this._readBack = new AbortController()
       const acknowledged = await this._sendOnce(data, group, signal)
       if (acknowledged) {
