--- a/packages/coordination/src/group-appender.ts
+++ b/packages/coordination/src/group-appender.ts
@@ -153,6 +153,8 @@
     const timeout = AbortSignal.timeout(this._options.appendTimeoutMs)
     try {
       await this._options.logService.append(this._options.replica.stream, data, AbortSignal.any([signal, timeout]))
+      const readBack = group.every((pending) => pending.settled)
+      if (readBack) return true
       this._acknowledged.set(this._sequence, group)
       this._options.replica.readNow()
       return true
@@ -168,10 +170,18 @@
     if (position.writerId !== this._options.writerId) return
     const group = this._acknowledged.get(position.sequence) ??
       (position.sequence === this._sequence ? this._inFlight : [])
-    this._acknowledged.delete(position.sequence)
+    this._forgetUpTo(position.sequence)
     for (const pending of group) {
       if (!pending.settled) pending.resolve(position.offset)
     }
     if (position.sequence === this._sequence) this._readBack.abort()
   }
+
+  /** Groups before the one read back are folded or superseded; those still kept lost their read-back to a peer's state. */
+  private _forgetUpTo (sequence: number): void {
+    for (const acknowledged of this._acknowledged.keys()) {
+      if (acknowledged > sequence) return
+      this._acknowledged.delete(acknowledged)
+    }
+  }
 }
