Take a failed connect of a probe without an exception

undici's connector calls back with an undefined socket where its type says null, so a refused connect threw in a callback and ended the process.

--- a/packages/router/src/owner/endpoint-probe-client.ts
+++ b/packages/router/src/owner/endpoint-probe-client.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import { Client, buildConnector } from 'undici'
 import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
@@ -61,8 +62,9 @@
     const connector = buildConnector({ timeout: this._connectTimeoutMs })
     return new Client(`http://${this._address}`, {
       connect: (options, callback) => connector(options, (...result) => {
-        const socket = result[1]
-        if (socket !== null) {
+        // A failed connect gives undefined, although its type says null.
+        const socket = result[1] as Socket | null | undefined
+        if (socket !== null && socket !== undefined) {
           this._connections += 1
           this._traffic.watch(socket)
         }
