Admit calls at owned endpoints and wire it into the router

Cause: calls were admitted without a bound, and displaced chats lost their context. Change: admission of each pool with its load and bound, load exchange through a pool's home router, reports of displaced chats, carrying of contexts where measured costs say so, limits as the workspaces' gate. Requests without context are admitted to a lower load, so that returning chats find room. When every endpoint refuses, the first that did so for its load is asked with a wait, not one that is down. Ruled out: load digests in heartbeats, since these reach a few routers a second and each byte goes to every one.

--- a/packages/placement/src/admission-bound.ts
+++ b/packages/placement/src/admission-bound.ts
@@ -14,12 +14,20 @@
   [PlacementGoal.REUSE]: 1
 } as const
 
+/**
+ * Share of the admission excess that a request may use whose context is not at the endpoint. It loses nothing
+ * at another endpoint, and leaves the rest to returning chats.
+ */
+const CONTEXTLESS_SHARE = 0.3
+
 /** The load up to which an endpoint admits, derived from the multiple that its pool promises. */
 export class AdmissionBound {
   /** Promised multiple of the pool's mean load. */
   readonly promisedMultiple: number
   /** Multiple up to which requests are admitted; at most the promised one. */
   readonly admissionMultiple: number
+  /** Multiple up to which requests are admitted that have no context at the endpoint. */
+  readonly contextlessMultiple: number
 
   /**
    * @param loadMultiple promised multiple; 0 means the default of 1.25
@@ -28,6 +36,7 @@
   constructor (loadMultiple: number, goal: PlacementGoal) {
     this.promisedMultiple = loadMultiple > 0 ? loadMultiple : DEFAULT_LOAD_MULTIPLE
     this.admissionMultiple = 1 + (this.promisedMultiple - 1) * ADMISSION_SHARE[goal]
+    this.contextlessMultiple = 1 + (this.admissionMultiple - 1) * CONTEXTLESS_SHARE
   }
 
   /**
@@ -35,9 +44,11 @@
    * below it, so a request finds a place while any endpoint has free capacity.
    * @param mean the pool's load for each unit of capacity
    * @param capacity the endpoint's capacity, which is a limit of its own
+   * @param hasContext whether the request's context is at the endpoint
    */
-  limit (mean: number, capacity: number): number {
-    return Math.min(capacity, this.admissionMultiple * mean * capacity + SLACK_REQUESTS)
+  limit (mean: number, capacity: number, hasContext: boolean): number {
+    const multiple = hasContext ? this.admissionMultiple : this.contextlessMultiple
+    return Math.min(capacity, multiple * mean * capacity + SLACK_REQUESTS)
   }
 
   /**
--- a/packages/placement/src/admission-request.ts
+++ b/packages/placement/src/admission-request.ts
@@ -7,6 +7,8 @@
   readonly weight: number
   /** Load that it brings, in requests of mean size. */
   readonly load: number
+  /** Whether its context is at the endpoint. */
+  readonly hasContext: boolean
   /** Time left until its first byte must be there, in milliseconds. */
   readonly remainingMs: number
 }
--- a/packages/placement/src/endpoint-admission.ts
+++ b/packages/placement/src/endpoint-admission.ts
@@ -82,7 +82,7 @@
     if (this._inFlight > 0 && this._times.firstByteMs > request.remainingMs) {
       throw this._refusal(ResultCode.DEADLINE_CANNOT_BE_MET, 'takes longer to its first byte than the request has left')
     }
-    if (this._queue.size === 0 && this._fits(request.load)) return this._grant(request.load)
+    if (this._queue.size === 0 && this._fits(request)) return this._grant(request.load)
     if (waitMs <= 0) throw this._refusal(ResultCode.ENDPOINT_OVER_BOUND, 'is at its bound')
     this._checkDeadline(request, waitMs)
     this._makeRoom(request)
@@ -100,7 +100,7 @@
 
   /** Admits waiting requests that fit by now; to be called after the limit may have grown. */
   recheck (): void {
-    for (let next = this._queue.peek(); next !== undefined && this._fits(next.load); next = this._queue.peek()) {
+    for (let next = this._queue.peek(); next !== undefined && this._fits(next.request); next = this._queue.peek()) {
       this._queue.take()
       this._queuedLoad -= next.load
       next.timer.abort()
@@ -116,8 +116,8 @@
     for (let next = this._queue.peek(); next !== undefined; next = this._queue.peek()) this._drop(next, error)
   }
 
-  private _fits (load: number): boolean {
-    return this.load + load <= this._options.limit() + ROUNDING
+  private _fits (request: AdmissionRequest): boolean {
+    return this.load + request.load <= this._options.limit(request.hasContext) + ROUNDING
   }
 
   private _grant (load: number): AdmissionTicket {
--- a/packages/placement/src/pool-load.ts
+++ b/packages/placement/src/pool-load.ts
@@ -56,11 +56,13 @@
   }
 
   /**
-   * Forgets a router that is no longer live.
-   * @param routerId the router
+   * Forgets digests.
+   * @param isKept tells of a router whether its digest is kept
    */
-  forget (routerId: string): void {
-    this._digests.delete(routerId)
+  retain (isKept: (routerId: string) => boolean): void {
+    for (const routerId of this._digests.keys()) {
+      if (!isKept(routerId)) this._digests.delete(routerId)
+    }
   }
 
   /** What this router tells the others. */
@@ -76,9 +78,13 @@
 
   /** Load for each unit of capacity over the pool; 0 if nothing is known. */
   mean (): number {
-    const own = this.digest()
-    let load = own.load
-    let capacity = own.capacity
+    const { load, capacity } = this.total()
+    return capacity > 0 ? load / capacity : 0
+  }
+
+  /** Sums over this router's endpoints and all digests that are not stale. */
+  total (): { load: number, capacity: number } {
+    let { load, capacity } = this.digest()
     const oldest = this._options.clock.now() - this._options.staleMs
     for (const [routerId, received] of this._digests) {
       if (received.receivedAt < oldest) {
@@ -88,7 +94,7 @@
       load += received.digest.load
       capacity += received.digest.capacity
     }
-    return capacity > 0 ? load / capacity : 0
+    return { load, capacity }
   }
 
   /**
--- a/packages/placement/src/test/admission-bound_test.ts
+++ b/packages/placement/src/test/admission-bound_test.ts
@@ -4,24 +4,25 @@
 import { AdmissionBound } from '../admission-bound.js'
 
 test.each([
-  { multiple: 0, goal: PlacementGoal.UNSPECIFIED, promised: 1.25, admission: 1.15 },
-  { multiple: 1.25, goal: PlacementGoal.SKEW, promised: 1.25, admission: 1.15 },
-  { multiple: 1.25, goal: PlacementGoal.REUSE, promised: 1.25, admission: 1.25 },
-  { multiple: 2, goal: PlacementGoal.SKEW, promised: 2, admission: 1.6 }
-])('multiple $multiple with goal $goal', ({ multiple, goal, promised, admission }) => {
+  { multiple: 0, goal: PlacementGoal.UNSPECIFIED, promised: 1.25, admission: 1.15, contextless: 1.045 },
+  { multiple: 1.25, goal: PlacementGoal.SKEW, promised: 1.25, admission: 1.15, contextless: 1.045 },
+  { multiple: 1.25, goal: PlacementGoal.REUSE, promised: 1.25, admission: 1.25, contextless: 1.075 },
+  { multiple: 2, goal: PlacementGoal.SKEW, promised: 2, admission: 1.6, contextless: 1.18 }
+])('multiple $multiple with goal $goal', ({ multiple, goal, promised, admission, contextless }) => {
   const bound = new AdmissionBound(multiple, goal)
   expect(bound.promisedMultiple).toBeCloseTo(promised, 10)
   expect(bound.admissionMultiple).toBeCloseTo(admission, 10)
+  expect(bound.contextlessMultiple).toBeCloseTo(contextless, 10)
 })
 
 test('some endpoint of a pool admits while one has free capacity', () => {
   const loads = fc.array(fc.record({ load: fc.integer({ min: 0, max: 32 }), capacity: fc.integer({ min: 1, max: 32 }) }), { minLength: 1 })
-  fc.assert(fc.property(loads, fc.constantFrom(PlacementGoal.SKEW, PlacementGoal.REUSE), (drawn, goal) => {
+  fc.assert(fc.property(loads, fc.constantFrom(PlacementGoal.SKEW, PlacementGoal.REUSE), fc.boolean(), (drawn, goal, hasContext) => {
     const endpoints = drawn.map((each) => ({ load: Math.min(each.load, each.capacity), capacity: each.capacity }))
     const bound = new AdmissionBound(1.25, goal)
     const load = endpoints.reduce((sum, each) => sum + each.load, 0)
     const capacity = endpoints.reduce((sum, each) => sum + each.capacity, 0)
-    const admits = endpoints.some((each) => each.load + 1 <= bound.limit(load / capacity, each.capacity) + 1e-9)
+    const admits = endpoints.some((each) => each.load + 1 <= bound.limit(load / capacity, each.capacity, hasContext) + 1e-9)
     expect(admits).toBe(load < capacity)
   }), { seed: 5 })
 })
@@ -29,7 +30,7 @@
 test('what is admitted does not break the promise at that moment', () => {
   fc.assert(fc.property(fc.double({ min: 0, max: 1, noNaN: true }), fc.integer({ min: 1, max: 64 }), (mean, capacity) => {
     const bound = new AdmissionBound(1.25, PlacementGoal.REUSE)
-    expect(bound.isBroken(bound.limit(mean, capacity), mean, capacity)).toBe(false)
+    expect(bound.isBroken(bound.limit(mean, capacity, true), mean, capacity)).toBe(false)
     expect(bound.isBroken(1.25 * mean * capacity + 1.01, mean, capacity)).toBe(true)
   }), { seed: 6 })
 })
--- a/packages/placement/src/test/endpoint-admission_test.ts
+++ b/packages/placement/src/test/endpoint-admission_test.ts
@@ -9,9 +9,9 @@
 import { ManualClock } from './manual-clock.js'
 
 const request = (changes: Partial<AdmissionRequest> = {}): AdmissionRequest =>
-  ({ workspace: 'alpha', priority: 0, weight: 1, load: 1, remainingMs: 10_000, ...changes })
+  ({ workspace: 'alpha', priority: 0, weight: 1, load: 1, hasContext: true, remainingMs: 10_000, ...changes })
 
-function admissionAt (limit: number | (() => number), maximumQueued = 4): { clock: ManualClock, admission: EndpointAdmission } {
+function admissionAt (limit: number | ((hasContext: boolean) => number), maximumQueued = 4): { clock: ManualClock, admission: EndpointAdmission } {
   const clock = new ManualClock()
   const read = typeof limit === 'number' ? () => limit : limit
   return { clock, admission: new EndpointAdmission({ endpoint: 'engine-1', capacity: 16, limit: read, maximumQueued, clock }) }
@@ -103,6 +103,14 @@
   })
 })
 
+test('requests without context here are admitted to a lower load', async () => {
+  const { admission } = admissionAt((hasContext) => hasContext ? 3 : 2)
+  await admission.admit(request({ hasContext: false }), 0)
+  await admission.admit(request({ hasContext: false }), 0)
+  expect(await outcome(admission.admit(request({ hasContext: false }), 0))).toBe('ENDPOINT_OVER_BOUND')
+  expect(await outcome(admission.admit(request(), 0))).toBe('admitted')
+})
+
 test('a slow endpoint refuses short deadlines only while something runs that can show it to be faster', async () => {
   const { clock, admission } = admissionAt(4)
   await serve(admission, clock, 2_000, 3_000)
--- a/packages/placement/src/test/pool-load_test.ts
+++ b/packages/placement/src/test/pool-load_test.ts
@@ -38,7 +38,7 @@
   load.addOwned('engine-1', { load: 2, capacity: 8 })
   load.receive(digest({}))
   load.removeOwned('engine-1')
-  load.forget('r2')
+  load.retain((routerId) => routerId !== 'r2')
   expect(load.mean()).toBe(0)
   expect(load.digest()).toMatchObject({ load: 0, capacity: 0 })
 })
--- a/packages/router/src/entry/entry-placement.ts
+++ b/packages/router/src/entry/entry-placement.ts
@@ -11,13 +11,15 @@
   ResultCode.ENDPOINT_OVER_BOUND, ResultCode.QUEUE_FULL, ResultCode.ENDPOINT_LEAVING, ResultCode.CIRCUIT_OPEN,
   ResultCode.NOT_OWNER, ResultCode.ROUTER_STOPPING, ResultCode.OVERLOADED, ResultCode.NO_ENDPOINT
 ])
+/** Refusals whose field names the endpoint that holds the chat's context. */
+const NAMES_HOLDER = new Set<number>([ResultCode.CONTEXT_ELSEWHERE, ResultCode.ENDPOINT_OVER_BOUND])
 /** Redirects to the endpoint that holds a chat's context; the directory may be stale, so one is followed. */
 const MAXIMUM_REDIRECTS = 1
 
 /**
  * Walks a call's endpoints in the order of its key until one takes it. Every router walks the same order, so a
- * displaced chat is displaced to the same endpoint again. When all refuse for their load, the first endpoint
- * is asked once more with a wait in its queue.
+ * displaced chat is displaced to the same endpoint again. When all refuse, the first one that
+ * did so for its load is asked once more with a wait in its queue.
  */
 export class EntryPlacement {
   private readonly _options: EntryPlacementOptions
@@ -37,23 +39,25 @@
    */
   async place (plan: CallPlan, signal: AbortSignal): Promise<PlacedCall> {
     const waiting = plan.order.map((endpoint) => endpoint.name)
-    const first = waiting[0]
-    if (first === undefined) throw new MimosarockError(ResultCode.NO_ENDPOINT, `pool ${plan.pool.name} has no endpoint in service`)
+    if (waiting.length === 0) throw new MimosarockError(ResultCode.NO_ENDPOINT, `pool ${plan.pool.name} has no endpoint in service`)
     const asked = new Set<string>()
     let redirects = 0
+    let contextHolder = plan.call.contextHolder
     let attempt = 0
     let mayHaveRun = false
-    let loadRefusal: MimosarockError | undefined
+    let firstLoaded: string | undefined
     let refusal: MimosarockError | undefined
     while (waiting.length > 0) {
       const endpoint = waiting.shift()
       if (endpoint === undefined || asked.has(endpoint)) continue
       asked.add(endpoint)
       try {
-        return await this._tryEndpoint(plan, endpoint, attempt, 0, redirects > 0 ? endpoint : undefined, signal)
+        return await this._tryEndpoint(plan, endpoint, attempt, 0, contextHolder, signal)
       } catch (error) {
         refusal = asRefusal(error)
         attempt += 1
+        // An owner that refuses names the endpoint that holds the context, its own one included.
+        if (NAMES_HOLDER.has(refusal.code)) contextHolder = refusal.field ?? contextHolder
         mayHaveRun ||= refusal.run !== RunState.NOT_RUN
         if (plan.call.body instanceof StreamedBody && plan.call.body.started) throw refusal
         if (refusal.code === ResultCode.CONTEXT_ELSEWHERE && refusal.field !== undefined) {
@@ -62,12 +66,12 @@
           redirects += 1
           continue
         }
-        if (refusal.code === ResultCode.ENDPOINT_OVER_BOUND || refusal.code === ResultCode.QUEUE_FULL) loadRefusal = refusal
+        if (refusal.code === ResultCode.ENDPOINT_OVER_BOUND || refusal.code === ResultCode.QUEUE_FULL) firstLoaded ??= endpoint
         if (!NEXT_ENDPOINT.has(refusal.code)) this._checkRetry(plan, refusal, signal)
       }
     }
-    if (loadRefusal !== undefined && plan.pool.queueWaitMs > 0) {
-      return await this._tryEndpoint(plan, first, attempt, plan.pool.queueWaitMs, undefined, signal)
+    if (firstLoaded !== undefined && plan.pool.queueWaitMs > 0) {
+      return await this._tryEndpoint(plan, firstLoaded, attempt, plan.pool.queueWaitMs, contextHolder, signal)
     }
     throw summarize(plan, refusal, mayHaveRun)
   }
@@ -77,11 +81,12 @@
   ): Promise<PlacedCall> {
     const remainingMs = plan.deadlineAt - this._options.clock.now()
     if (remainingMs <= 0) throw new MimosarockError(ResultCode.DEADLINE_EXCEEDED, 'the deadline passed before an endpoint took the call')
-    const call = { ...plan.call, endpoint, attempt, remainingMs, waitMs, contextHolder: contextHolder ?? plan.call.contextHolder }
+    const call = { ...plan.call, endpoint, attempt, remainingMs, waitMs, contextHolder }
     const answer = await this._options.dispatch.dispatch(call, signal)
     this._options.retryBudget.noteSuccess()
     const first = plan.order[0]?.name ?? endpoint
-    if (call.affinityKey !== '' && answer.endpoint !== first) {
+    // Where the first endpoint's owner sent the chat itself, it knows already.
+    if (call.affinityKey !== '' && answer.endpoint !== first && answer.endpoint !== contextHolder) {
       this._options.displacement.displaced(plan.pool.name, call.affinityKey, first, answer.endpoint)
     }
     return { call, answer }
--- a/packages/router/src/limits/workspace-limits.ts
+++ b/packages/router/src/limits/workspace-limits.ts
@@ -3,6 +3,7 @@
 import type { Workspace } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
+import type { WorkspaceGate } from '../caller/workspace-gate.js'
 import type { LimitGrant } from './limit-grant.js'
 import type { LimitRequest } from './limit-request.js'
 import type { LimitShortage } from './limit-shortage.js'
@@ -24,10 +25,10 @@
  * elsewhere until that router renews.
  *
  * @example
- * const release = await limits.acquire('alpha')
+ * const release = await limits.enter(workspace)
  * try { await run() } finally { release() }
  */
-export class WorkspaceLimits {
+export class WorkspaceLimits implements WorkspaceGate {
   private readonly _options: WorkspaceLimitsOptions
   private readonly _home: LimitsHome
   private readonly _shares = new Map<string, WorkspaceShare>()
@@ -52,13 +53,13 @@
 
   /**
    * Takes one request of a workspace's limits.
-   * @param name name of the workspace
+   * @param workspace the workspace with its limits
    * @returns gives the slot back; only the first call counts
    * @throws {MimosarockError} RATE_LIMITED or CONCURRENCY_LIMITED, `not-run`
    */
-  async acquire (name: string): Promise<() => void> {
-    const workspace = this._options.configuration.current()?.workspaces.get(name)
-    if (workspace === undefined || !isLimited(workspace)) return () => {}
+  async enter (workspace: Workspace): Promise<() => void> {
+    if (!isLimited(workspace)) return () => {}
+    const name = workspace.name
     const share = this._shareOf(name)
     share.noteArrival()
     const shortage = share.tryTake(workspace) && await this._askAndTake(workspace, share)
--- a/packages/router/src/owner/dispatch-owned.ts
+++ b/packages/router/src/owner/dispatch-owned.ts
@@ -1,3 +1,4 @@
+import type { AdmissionTicket } from '@mimosarock/placement/admission-ticket.js'
 import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import { PoolKind } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import type { Endpoint, Pool } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
@@ -35,19 +36,17 @@
   async dispatch (call: DispatchCall, signal: AbortSignal): Promise<DispatchAnswer> {
     const { pool, endpoint } = this._find(call)
     this._checkAvailability(call)
-    const release = call.resumeFrom === undefined
-      ? await this._options.admission.admit(call, signal)
-      : () => {}
+    const ticket = call.resumeFrom === undefined ? await this._options.admission.admit(call, signal) : undefined
     try {
       const answer = await this._send(call, pool, endpoint, signal)
       return {
         status: answer.status,
         headers: answer.headers,
-        body: this._followBody(call, answer, release),
+        body: this._followBody(call, answer, ticket),
         endpoint: call.endpoint
       }
     } catch (error) {
-      release()
+      ticket?.release()
       this._noteError(call, error, signal)
       throw error
     }
@@ -112,16 +111,19 @@
   }
 
   /** Passes the body through and gives the load back when it ends, however it ends. */
-  private async * _followBody (call: DispatchCall, answer: HttpAnswer, release: () => void): AsyncGenerator<Uint8Array> {
+  private async * _followBody (call: DispatchCall, answer: HttpAnswer, ticket: AdmissionTicket | undefined): AsyncGenerator<Uint8Array> {
     try {
-      yield * answer.body
+      for await (const chunk of answer.body) {
+        ticket?.noteFirstByte()
+        yield chunk
+      }
       if (answer.status < SERVER_ERROR) this._options.health.noteSuccess(call.pool, call.endpoint)
       else this._options.health.noteFailure(call.pool, call.endpoint)
     } catch (error) {
       this._noteError(call, error, undefined)
       throw error
     } finally {
-      release()
+      ticket?.release()
     }
   }
 
--- /dev/null
+++ b/packages/router/src/owner/load-exchange-options.ts
@@ -0,0 +1,14 @@
+import type { Clock } from '@mimosarock/coordination/clock.js'
+import type { Membership } from '@mimosarock/coordination/membership.js'
+import type { PeerMessenger } from '@mimosarock/coordination/peer-messenger.js'
+import type { EndpointAdmissions } from './endpoint-admissions.js'
+
+/** What exchanging loads works with. */
+export interface LoadExchangeOptions {
+  readonly admissions: EndpointAdmissions
+  readonly membership: Membership
+  readonly messenger: PeerMessenger
+  readonly clock: Clock
+  /** Pause between two exchanges, in milliseconds. */
+  readonly periodMs: number
+}
--- a/packages/router/src/router-parts.ts
+++ b/packages/router/src/router-parts.ts
@@ -5,6 +5,7 @@
 import type { ForwardServer } from './forward/forward-server.js'
 import type { OwnerDispatch } from './forward/owner-dispatch.js'
 import type { EndpointClients } from './owner/endpoint-clients.js'
+import type { PlacementParts } from './placement-parts.js'
 import type { RouterStreams } from './router-streams.js'
 
 /** The parts of a started router that are ended one by one when it stops. */
@@ -17,4 +18,5 @@
   readonly membership: HeartbeatMembership
   readonly ownerDispatch: OwnerDispatch
   readonly callerServer: CallerServer
+  readonly placement: PlacementParts
 }
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -10,11 +10,9 @@
 import { CallerServer } from './caller/caller-server.js'
 import { ChatHandler } from './caller/chat-handler.js'
 import { ModelsHandler } from './caller/models-handler.js'
-import { OpenWorkspaceGate } from './caller/open-workspace-gate.js'
 import { ServiceHandler } from './caller/service-handler.js'
 import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
-import { SilentDisplacement } from './entry/silent-displacement.js'
 import { ForwardServer } from './forward/forward-server.js'
 import { LiveOwners } from './forward/live-owners.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
@@ -22,7 +20,6 @@
 import { ConfiguredHealth } from './owner/configured-health.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
-import { OpenAdmission } from './owner/open-admission.js'
 import type { RouterAddresses } from './router-addresses.js'
 import type { RouterParts } from './router-parts.js'
 import type { RouterProcessOptions } from './router-process-options.js'
@@ -30,6 +27,7 @@
 import type { Readiness } from './status/readiness.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
 const RETRY_RESERVE = 20
@@ -87,17 +85,13 @@
     const { configuration } = streams
 
     const clients = new EndpointClients(settings.endpoints.connect_timeout_ms)
-    const owned = new DispatchOwned({
-      configuration,
-      admission: new OpenAdmission(),
-      health: new ConfiguredHealth(configuration),
-      clients,
-      firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
-      silenceTimeoutMs: settings.endpoints.silence_timeout_ms
-    })
     const drainTimeoutMs = settings.callers.body_timeout_ms
     const maximumKeptBodyBytes = settings.callers.maximum_kept_body_bytes
-    const forwardServer = new ForwardServer({ address: settings.forwards.address, maximumKeptBodyBytes, drainTimeoutMs }, owned)
+    const forwardServer = new ForwardServer({ address: settings.forwards.address, maximumKeptBodyBytes, drainTimeoutMs }, {
+      // Nobody knows this router's address before the parts below are there.
+      dispatch: async (call, signal) => await owned.dispatch(call, signal),
+      cancel: async (call) => await owned.cancel(call)
+    })
     const forwards = await forwardServer.start()
 
     const methods = new PeerMethods()
@@ -117,9 +111,20 @@
     })
     configuration.onChange(() => membership.setRevision(configuration.current()?.revision ?? 0))
 
+    const owners = new LiveOwners(configuration, membership)
+    const health = new ConfiguredHealth(configuration)
+    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, health, clients, clock, eventLog })
+    const owned = new DispatchOwned({
+      configuration,
+      admission: placementParts.admissions,
+      health,
+      clients,
+      firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
+      silenceTimeoutMs: settings.endpoints.silence_timeout_ms
+    })
     const ownerDispatch = new OwnerDispatch({
       self: () => membership.self,
-      owners: new LiveOwners(configuration, membership),
+      owners,
       local: owned,
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
@@ -130,8 +135,8 @@
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
     const order = new PoolOrder()
-    const gate = new OpenWorkspaceGate()
-    const displacement = new SilentDisplacement()
+    const gate = placementParts.limits
+    const displacement = placementParts.reports
     const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
     const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryBudget, clock })
     const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryBudget, clock })
@@ -183,10 +188,10 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal)])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal)])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators: '' }
   }
--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -65,6 +65,18 @@
     silence_timeout_ms: milliseconds(50, 600_000, 2_000).describe('Bound on silence within an answer; a pool may set its own.'),
     load_poll_ms: milliseconds(50, 60_000, 1_000).describe('Pause between load reports read from an owned endpoint.')
   }).prefault({}),
+  placement: z.strictObject({
+    maximum_queued: z.coerce.number().int().min(0).max(100_000).default(64).describe('Most requests that wait for one owned endpoint.'),
+    load_exchange_ms: milliseconds(50, 60_000, 500).describe('Pause between two exchanges of load with the home router of a pool.'),
+    maximum_displaced_chats: z.coerce.number().int().min(0).max(10_000_000).default(50_000).describe('Most chats remembered that run elsewhere than at the first endpoint of their order.'),
+    displaced_chat_keep_ms: milliseconds(1_000, 86_400_000, 3_600_000).describe('How long such a chat is remembered without a turn.'),
+    maximum_held_contexts: z.coerce.number().int().min(0).max(10_000_000).default(20_000).describe('Most chats whose context is remembered for one owned endpoint.'),
+    cache_bytes_per_token: bytes(1, 16_777_216, 131_072).describe('Size of the cache of one token, until imports have shown it.'),
+    link_bytes_per_ms: bytes(1, 1_000_000_000, 1_000_000).describe('Rate at which caches move between engines, until imports have shown it.'),
+    prefill_us_per_token: z.coerce.number().int().min(1).max(10_000_000).default(100).describe('Time that an engine takes to compute one prompt token, in microseconds.'),
+    carry_fixed_ms: milliseconds(0, 60_000, 10).describe('Fixed time of carrying one context.'),
+    carried_bytes_per_second: bytes(0, 100_000_000_000, 50_000_000).describe('Most bytes of contexts that engines carry for this router.')
+  }).prefault({}),
   operations: z.strictObject({
     intent_timeout_ms: milliseconds(50, 60_000, 1_000).describe('Longest wait for an intent to be read back before the call is refused as not run.'),
     key_window_ms: milliseconds(60_000, 604_800_000, 86_400_000).describe('Age up to which an Idempotency-Key is taken; well below the retention of the log service.'),
--- /dev/null
+++ b/packages/router/src/test/endpoint-admissions_test.ts
@@ -0,0 +1,143 @@
+import { expect, test } from 'vitest'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { RunState } from '@mimosarock/schema/run-state.js'
+import type { AdmissionTicket } from '@mimosarock/placement/admission-ticket.js'
+import type { DispatchCall } from '../forward/dispatch-call.js'
+import { AdmissionFleet } from './admission-fleet.js'
+
+const chat = 'aaaaaaaaaaaaaaaa'
+
+async function admit (fleet: AdmissionFleet, changes: Partial<DispatchCall>): Promise<AdmissionTicket> {
+  const call = fleet.call(changes)
+  return await fleet.ownerOf(call.endpoint).parts.admissions.admit(call, new AbortController().signal)
+}
+
+/** Outcome as text: `admitted`, `waiting`, or the refusal's code with the field that it names. */
+async function outcome (promise: Promise<AdmissionTicket>): Promise<string> {
+  const waiting = new Promise<string>((resolve) => setImmediate(() => setImmediate(() => resolve('waiting'))))
+  return await Promise.race([waiting, promise.then(() => 'admitted', (error: unknown) => {
+    if (!(error instanceof MimosarockError)) throw error
+    expect(error.run).toBe(RunState.NOT_RUN)
+    const name = Object.entries(ResultCode).find(([, code]) => code === error.code)?.[0] ?? ''
+    return error.field === undefined ? name : `${name} ${error.field}`
+  })])
+}
+
+/** Fills an endpoint to its bound with calls of other chats, whose context is nowhere. */
+async function fill (fleet: AdmissionFleet, endpoint: string): Promise<AdmissionTicket[]> {
+  const tickets: AdmissionTicket[] = []
+  for (let number = 0; ; number += 1) {
+    const affinityKey = String(number).padStart(16, '0')
+    try {
+      tickets.push(await admit(fleet, { endpoint, affinityKey }))
+    } catch {
+      return tickets
+    }
+  }
+}
+
+test('a displaced chat is sent to its context on its first try only', async () => {
+  const fleet = new AdmissionFleet(1, 4)
+  fleet.member(0).parts.reports.displaced('chat', chat, 'e0', 'e2')
+  expect(await outcome(admit(fleet, {}))).toBe('CONTEXT_ELSEWHERE e2')
+  expect(await outcome(admit(fleet, { endpoint: 'e2', attempt: 1 }))).toBe('admitted')
+  expect(await outcome(admit(fleet, {}))).toBe('CONTEXT_ELSEWHERE e2')
+  expect(await outcome(admit(fleet, { attempt: 2 }))).toBe('admitted')
+  // It runs at its first endpoint again, so the directory has forgotten it.
+  expect(await outcome(admit(fleet, {}))).not.toContain('CONTEXT_ELSEWHERE')
+})
+
+test('reports reach the owner of the first endpoint in one call', async () => {
+  const fleet = new AdmissionFleet(3, 6)
+  const owner = fleet.ownerOf('e0')
+  const reporter = fleet.members.find((member) => member !== owner) as typeof owner
+  reporter.parts.reports.displaced('chat', chat, 'e0', 'e2')
+  reporter.parts.reports.displaced('chat', 'bbbbbbbbbbbbbbbb', 'e0', 'e3')
+  expect(await outcome(admit(fleet, {}))).toBe('admitted')
+  await fleet.clock.advance(250)
+  expect(owner.parts.displaced.size).toBe(2)
+  expect(await outcome(admit(fleet, {}))).toBe('CONTEXT_ELSEWHERE e2')
+})
+
+test.each([
+  { name: 'no wait set', contextWaitMs: 0, holds: true, expected: 'ENDPOINT_OVER_BOUND e0' },
+  { name: 'a wait for what is not here', contextWaitMs: 300, holds: false, expected: 'ENDPOINT_OVER_BOUND' },
+  { name: 'a wait at the holder', contextWaitMs: 300, holds: true, expected: 'waiting' }
+])('a full endpoint with $name', async ({ contextWaitMs, holds, expected }) => {
+  const fleet = new AdmissionFleet(1, 4, { contextWaitMs })
+  const tickets = await fill(fleet, 'e0')
+  expect(tickets.length).toBeGreaterThan(0)
+  if (holds) fleet.hold('e0', chat)
+  const admission = admit(fleet, {})
+  expect(await outcome(admission)).toBe(expected)
+  if (expected !== 'waiting') return
+  tickets[0]?.release()
+  expect(await outcome(admission)).toBe('admitted')
+})
+
+test.each([
+  { name: 'from the named holder', pool: { carryContext: true }, call: { contextHolder: 'e0' }, imports: [`address-1 ${chat} address-0`] },
+  { name: 'not if the pool forbids it', pool: {}, call: { contextHolder: 'e0' }, imports: [] },
+  { name: 'not if no holder is known', pool: { carryContext: true }, call: {}, imports: [] },
+  { name: 'not to the holder itself', pool: { carryContext: true }, call: { contextHolder: 'e1' }, imports: [] },
+  { name: 'not if it is too short to be worth it', pool: { carryContext: true }, call: { contextHolder: 'e0', promptTokens: 20 }, imports: [] }
+])('a context is carried: $name', async ({ pool, call, imports }) => {
+  const fleet = new AdmissionFleet(1, 4, pool)
+  expect(await outcome(admit(fleet, { endpoint: 'e1', attempt: 1, ...call }))).toBe('admitted')
+  expect(fleet.imports).toEqual(imports)
+})
+
+test('an answered call makes the endpoint a holder, an unanswered one does not', async () => {
+  const fleet = new AdmissionFleet(1, 4)
+  const held = fleet.member(0).parts.admissions.heldAt('chat', 'e0')
+  const unanswered = await admit(fleet, {})
+  unanswered.release()
+  expect(held?.tokensOf(chat)).toBe(undefined)
+  const answered = await admit(fleet, {})
+  answered.noteFirstByte()
+  answered.release()
+  expect(held?.tokensOf(chat)).toBe(10_000)
+})
+
+test('every owner learns the mean load of the pool', async () => {
+  const fleet = new AdmissionFleet(4, 12)
+  const means = (): number[] => fleet.members.map((member) => member.parts.admissions.pools.get('chat')?.load.mean() ?? -1)
+  const exchange = async (): Promise<void> => {
+    for (let round = 0; round < 2; round += 1) for (const member of fleet.members) await member.parts.exchange.exchange()
+  }
+  await exchange()
+  const tickets: AdmissionTicket[] = []
+  for (let endpoint = 0; endpoint < 6; endpoint += 1) tickets.push(await admit(fleet, { endpoint: `e${endpoint}` }))
+  await exchange()
+  const true6 = 6 / (12 * 16)
+  for (const mean of means()) expect(mean).toBeCloseTo(true6, 2)
+  fleet.failed.add('e0').add('e11')
+  await exchange()
+  for (const mean of means()) expect(mean).toBeCloseTo(5 / (10 * 16), 2)
+})
+
+test('the mean survives the loss of the router that sums it', async () => {
+  const fleet = new AdmissionFleet(4, 12)
+  for (let endpoint = 0; endpoint < 12; endpoint += 1) await admit(fleet, { endpoint: `e${endpoint}` })
+  for (const gone of [0, 1, 2, 3]) {
+    const others = [0, 1, 2, 3].filter((index) => index !== gone)
+    fleet.cutOff.clear()
+    fleet.cutOff.add(`p${gone}`)
+    for (const viewer of others) fleet.see(viewer, others)
+    await fleet.clock.advance(5_001)
+    for (let round = 0; round < 2; round += 1) for (const viewer of others) await fleet.member(viewer).parts.exchange.exchange()
+    const loads = others.map((index) => fleet.member(index).parts.admissions.pools.get('chat')?.load.total())
+    for (const total of loads) expect(total?.capacity).toBe(12 * 16)
+  }
+})
+
+test('an owner that nobody reaches keeps the bound by its own endpoints', async () => {
+  const fleet = new AdmissionFleet(4, 12)
+  for (const member of fleet.members) fleet.cutOff.add(member.self.peerAddress)
+  await Promise.all(fleet.members.map(async (member) => await member.parts.exchange.exchange()))
+  for (const member of fleet.members) {
+    const total = member.parts.admissions.pools.get('chat')?.load.total()
+    expect(total?.capacity).toBe((member.parts.admissions.pools.get('chat')?.owned.size ?? 0) * 16)
+  }
+})
--- a/packages/router/src/test/limits-fleet.ts
+++ b/packages/router/src/test/limits-fleet.ts
@@ -3,6 +3,7 @@
 import type { PeerMessenger } from '@mimosarock/coordination/peer-messenger.js'
 import type { RouterIdentity } from '@mimosarock/coordination/router-identity.js'
 import { ConfigurationIndex } from '@mimosarock/coordination/configuration-index.js'
+import type { Workspace } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { ConfigurationSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
@@ -16,6 +17,7 @@
   readonly clock = new SteppedClock()
   readonly limits: WorkspaceLimits[] = []
   messages = 0
+  readonly workspace: Workspace
   /** Routers whose calls and answers are lost. */
   readonly cutOff = new Set<string>()
   private readonly _identities: RouterIdentity[]
@@ -28,6 +30,7 @@
       id: `r${index}`, availabilityZone: 'a', peerAddress: `p${index}`, forwardAddress: '', leaving: false
     }))
     const index = new ConfigurationIndex(create(ConfigurationSchema, { workspaces: [{ name: 'alpha', ...limits }] }), 1, 1)
+    this.workspace = index.workspaces.get('alpha') as Workspace
     const configuration = { current: () => index, onChange: () => () => {} }
     for (const self of this._identities) {
       const number = this._views.push([...this._identities]) - 1
--- a/packages/router/src/test/workspace-limits_test.ts
+++ b/packages/router/src/test/workspace-limits_test.ts
@@ -18,7 +18,7 @@
   await Promise.all(Array.from({ length: count }, async (_, index) => {
     try {
       const router = routers[index % routers.length] ?? 0
-      outcome.releases.push(await (fleet.limits[router] as LimitsFleet['limits'][number]).acquire('alpha'))
+      outcome.releases.push(await (fleet.limits[router] as LimitsFleet['limits'][number]).enter(fleet.workspace))
     } catch (error) {
       if (!(error instanceof MimosarockError)) throw error
       expect(error.run).toBe(RunState.NOT_RUN)
--- /dev/null
+++ b/packages/router/src/wire-placement.ts
@@ -0,0 +1,70 @@
+import type { Clock } from '@mimosarock/coordination/clock.js'
+import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
+import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { Membership } from '@mimosarock/coordination/membership.js'
+import type { PeerMessenger } from '@mimosarock/coordination/peer-messenger.js'
+import { CarryCost } from '@mimosarock/placement/carry-cost.js'
+import { DisplacedChats } from '@mimosarock/placement/displaced-chats.js'
+import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
+import { TokenBucket } from '@mimosarock/placement/token-bucket.js'
+import type { OwnerLookup } from './forward/owner-lookup.js'
+import { WorkspaceLimits } from './limits/workspace-limits.js'
+import { ContextCarrier } from './owner/context-carrier.js'
+import { DisplacementReports } from './owner/displacement-reports.js'
+import { EndpointAdmissions } from './owner/endpoint-admissions.js'
+import type { EndpointClients } from './owner/endpoint-clients.js'
+import type { EndpointHealth } from './owner/endpoint-health.js'
+import { LoadExchange } from './owner/load-exchange.js'
+import type { PlacementParts } from './placement-parts.js'
+import type { RouterSettings } from './settings/router-settings.js'
+
+/** What the parts of placement are wired to. */
+interface WirePlacementOptions {
+  readonly settings: RouterSettings['placement']
+  readonly configuration: ConfigurationSource
+  readonly membership: Membership
+  readonly messenger: PeerMessenger
+  readonly owners: OwnerLookup
+  readonly health: EndpointHealth
+  readonly clients: EndpointClients
+  readonly clock: Clock
+  readonly eventLog: EventLog
+}
+
+/**
+ * Wires the parts that place calls at owned endpoints.
+ * @param options what they work with
+ */
+export function wirePlacement (options: WirePlacementOptions): PlacementParts {
+  const { settings, configuration, membership, messenger, owners, health, clients, clock, eventLog } = options
+  const selfId = (): string => membership.self.id
+  const displaced = new DisplacedChats(settings.maximum_displaced_chats, settings.displaced_chat_keep_ms, clock)
+  const cost = new CarryCost({
+    bytesPerToken: settings.cache_bytes_per_token,
+    linkBytesPerMs: settings.link_bytes_per_ms,
+    prefillMsPerToken: settings.prefill_us_per_token / 1_000,
+    fixedMs: settings.carry_fixed_ms
+  })
+  const bytes = new TokenBucket(settings.carried_bytes_per_second, settings.carried_bytes_per_second, clock)
+  const carrier = new ContextCarrier({ clients, cost, bytes, clock, eventLog })
+  const admissions = new EndpointAdmissions({
+    configuration,
+    owners,
+    selfId,
+    isAvailable: (pool, endpoint) => health.availability(pool, endpoint) === EndpointAvailability.LIVE,
+    clock,
+    displaced,
+    carrier,
+    maximumQueued: settings.maximum_queued,
+    maximumHeldContexts: settings.maximum_held_contexts
+  })
+  membership.onChange(() => admissions.update())
+  return {
+    admissions,
+    displaced,
+    reports: new DisplacementReports({ owners, selfId, messenger, displaced, clock }),
+    exchange: new LoadExchange({ admissions, membership, messenger, clock, periodMs: settings.load_exchange_ms }),
+    carrier,
+    limits: new WorkspaceLimits({ configuration, membership, messenger, clock })
+  }
+}
--- a/packages/stand-ins/src/model-engine-stand-in.ts
+++ b/packages/stand-ins/src/model-engine-stand-in.ts
@@ -35,6 +35,8 @@
   readonly faults = new ModelEngineFaults()
   /** Completions taken, and their prompt tokens: all, and those found in the cache. */
   readonly counts = { completions: 0, promptTokens: 0, cachedTokens: 0 }
+  /** Ids of the completions taken, so that a caller can check what a refusal says. */
+  readonly takenRequestIds = new Set<string>()
   /** Its HTTP server. */
   readonly server = new StandInServer((request, response) => this._serve(request, response))
   /** Models, adapters and role. */
@@ -157,6 +159,7 @@
     const stream = new EngineStream(requestId, header(request, 'x-cache-key') ?? '', priority, chat)
     this._streams.start(stream)
     this.counts.completions += 1
+    this.takenRequestIds.add(requestId)
     this.counts.promptTokens += stream.promptTokens
     if (chat.stream === true) this._answers.sendEvents(stream, 0, request, response)
     else this._answers.sendWhole(stream, request, response)
