--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -78,6 +78,7 @@
     level: z.enum(['info', 'warn']).default('info').describe('Lowest level of events that are logged.')
   }).prefault({}),
   stopping: z.strictObject({
+    notice_ms: milliseconds(0, 600_000, 2_000).describe('Time between not being ready and taking no new connections; longer than the balancer needs to notice.'),
     grace_ms: milliseconds(0, 3_600_000, 30_000).describe('Longest time given to requests in flight when the router stops.')
   }).prefault({})
 })
