--- a/packages/coordination/src/stream-replica.ts
+++ b/packages/coordination/src/stream-replica.ts
@@ -46,6 +46,7 @@
   /** Grows with each peer state that is taken; a read that was under way then is dropped. */
   private _adoptions = 0
   private _wake = new AbortController()
+  private _readWanted = false
 
   /**
    * @param options what the replica works with
@@ -127,8 +128,9 @@
     return () => this._checkpointListeners.delete(listener)
   }
 
-  /** Makes a replica that is between two slow polls read at once. */
+  /** Makes a replica read at once, or after the read that it is in, instead of at the next slow poll. */
   readNow (): void {
+    this._readWanted = true
     this._wake.abort()
   }
 
@@ -192,7 +194,8 @@
   }
 
   /**
-   * Takes a peer's state if it is newer than what this replica has.
+   * Takes a peer's state if it is newer than what this replica has. A replica that looks for a checkpoint takes
+   * one of the same age as well, but never an older one.
    * @param checkpoint the peer's state
    * @returns whether it was taken
    */
@@ -217,6 +220,7 @@
   }
 
   private async _readOnce (signal: AbortSignal): Promise<boolean> {
+    this._readWanted = false
     const from = this._nextReadOffset()
     const askedAt = this._options.clock.now()
     const adoptions = this._adoptions
@@ -361,6 +365,7 @@
   }
 
   private async _pauseBetweenReads (signal: AbortSignal): Promise<void> {
+    if (this._readWanted) return
     this._wake = new AbortController()
     await this._options.clock.sleep(this._options.slowPollMs, AbortSignal.any([signal, this._wake.signal]))
   }
