--- a/packages/coordination/src/ledger/operation-ledger.ts
+++ b/packages/coordination/src/ledger/operation-ledger.ts
@@ -81,6 +81,24 @@
     return describe(operation, attempt)
   }
 
+  /**
+   * Waits until an operation is no longer in progress.
+   * @param workspace workspace that the key belongs to
+   * @param key the Idempotency-Key
+   * @param timeoutMs longest wait, in milliseconds
+   * @param signal ends the wait
+   * @returns the operation as it stands then
+   */
+  async waitForOutcome (workspace: string, key: string, timeoutMs: number, signal: AbortSignal): Promise<OperationRecord | undefined> {
+    const ended = new AbortController()
+    const stopListening = this._options.replica.onApplied(() => {
+      if (this.get(workspace, key)?.state !== OperationState.IN_PROGRESS) ended.abort()
+    })
+    await this._options.clock.sleep(timeoutMs, AbortSignal.any([ended.signal, signal]))
+    stopListening()
+    return this.get(workspace, key)
+  }
+
   /**
    * Records that an attempt did not and will not run. Also to be called for an attempt whose intent was not
    * confirmed: if it should win after all, the outcome is recorded then.
@@ -147,6 +165,15 @@
     return this._ages.ageMs(operation)
   }
 
+  /**
+   * Time until an open operation may be settled as not run, in milliseconds; not above 0 if it may be now.
+   * @param operation an operation in progress or in doubt
+   * @param runBoundMs longest time that the winner may take over the call, in milliseconds
+   */
+  notRunAfterMs (operation: OperationRecord, runBoundMs: number): number {
+    return this._options.longestPauseMs + runBoundMs - this.openForMs(operation)
+  }
+
   /**
    * Settles an operation that is in progress or in doubt and waits until that is read back.
    *
@@ -156,11 +183,12 @@
    * @param state ANSWERED or NOT_RUN
    * @param actor who settles it
    * @param reason why, for the audit trail
+   * @param runBoundMs longest time that the winner may take over the call, in milliseconds; adds to the longest pause
    * @returns offset of the settlement
    * @throws {MimosarockError} SETTLEMENT_REFUSED, OPERATION_UNKNOWN or LOG_UNAVAILABLE
    */
-  async settle (operation: OperationRecord, state: OperationState, actor: Actor, reason: string): Promise<number> {
-    this._checkSettlement(operation, state)
+  async settle (operation: OperationRecord, state: OperationState, actor: Actor, reason: string, runBoundMs = 0): Promise<number> {
+    this._checkSettlement(operation, state, runBoundMs)
     const entry = create(LogEntrySchema, {
       kind: {
         case: 'operationSettlement',
@@ -173,7 +201,7 @@
     throw new MimosarockError(ResultCode.SETTLEMENT_REFUSED, 'the operation changed before the settlement was folded', { field: 'state' })
   }
 
-  private _checkSettlement (operation: OperationRecord, state: OperationState): void {
+  private _checkSettlement (operation: OperationRecord, state: OperationState, runBoundMs: number): void {
     const known = this.get(operation.workspace, operation.key)
     if (known === undefined) throw new MimosarockError(ResultCode.OPERATION_UNKNOWN, `no operation has the key ${operation.key}`, { field: 'key' })
     if (known.attemptId !== operation.attemptId || !isOpen(known.state)) {
@@ -183,7 +211,7 @@
     if (state !== OperationState.NOT_RUN) {
       throw new MimosarockError(ResultCode.SETTLEMENT_REFUSED, 'an operation is settled as answered or as not run', { field: 'state' })
     }
-    const restMs = this._options.longestPauseMs - this.openForMs(known)
+    const restMs = this.notRunAfterMs(known, runBoundMs)
     if (restMs <= 0) return
     throw new MimosarockError(ResultCode.SETTLEMENT_REFUSED, 'a paused router might still run the operation', { field: 'state', retryAfterMs: Math.ceil(restMs) })
   }
