--- /dev/null
+++ b/packages/bench/src/membership/measure-endpoint-watch.ts
@@ -0,0 +1,50 @@
+import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { SystemClock } from '@mimosarock/coordination/system-clock.js'
+import { EndpointWatch } from '@mimosarock/router/owner/endpoint-watch.js'
+import { ModelEngineStandIn } from '@mimosarock/stand-ins/model-engine-stand-in.js'
+
+const WINDOW_MS = 10_000
+const POLL_MS = 1_000
+const CONNECT_TIMEOUT_MS = 500
+/** Pause between chats, so that cache events come all the time. */
+const CHAT_INTERVAL_MS = 100
+
+/**
+ * Bytes a second that the watch of one busy engine writes: probes, load reports and reads of cache events.
+ */
+export async function measureEndpointWatch (): Promise<number> {
+  const engine = new ModelEngineStandIn({ tokenMs: 1 })
+  await engine.server.start()
+  const traffic = new TrafficCounter()
+  const watch = new EndpointWatch({
+    address: engine.address,
+    publishesCacheEvents: true,
+    clock: new SystemClock(),
+    eventLog: new SilentEventLog(),
+    traffic,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    pollMs: POLL_MS,
+    onLoadReport: () => {},
+    onProbe: () => {}
+  })
+  const ended = new AbortController()
+  const watching = watch.run(ended.signal)
+  const startedAt = performance.now()
+  for (let chat = 0; performance.now() - startedAt < WINDOW_MS; chat += 1) await runChat(engine.address, chat)
+  const rate = traffic.total / ((performance.now() - startedAt) / 1_000)
+  ended.abort()
+  await watching
+  await engine.server.stop()
+  return rate
+}
+
+async function runChat (address: string, chat: number): Promise<void> {
+  const answer = await fetch(`http://${address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', 'x-request-id': `chat-${chat}`, 'x-cache-key': `key-${chat}` },
+    body: JSON.stringify({ model: 'm', messages: [{ role: 'user', content: `chat number ${chat}` }], max_tokens: 1 })
+  })
+  await answer.text()
+  await new Promise((resolve) => setTimeout(resolve, CHAT_INTERVAL_MS))
+}
