Wire operators' services, spreading and checkpoints into the router

A router serves operators, reports the revision in force in its heartbeats, learns the configuration from peers and writes checkpoints of each stream that it writes. Peers' token and certificates come from the settings.

--- a/packages/router/src/router-parts.ts
+++ b/packages/router/src/router-parts.ts
@@ -1,6 +1,7 @@
 import type { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
 import type { PeerConnections } from '@mimosarock/coordination/membership/peer-connections.js'
 import type { PeerServer } from '@mimosarock/coordination/membership/peer-server.js'
+import type { ConfigurationParts } from './configuration-parts.js'
 import type { CallerServer } from './caller/caller-server.js'
 import type { ForwardServer } from './forward/forward-server.js'
 import type { OwnerDispatch } from './forward/owner-dispatch.js'
@@ -18,5 +19,6 @@
   readonly membership: HeartbeatMembership
   readonly ownerDispatch: OwnerDispatch
   readonly callerServer: CallerServer
+  readonly configurationParts: ConfigurationParts
   readonly placement: PlacementParts
 }
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -25,6 +25,9 @@
 import type { RouterProcessOptions } from './router-process-options.js'
 import { RouterStreams } from './router-streams.js'
 import type { Readiness } from './status/readiness.js'
+import { readPeerAccess } from './access/read-peer-access.js'
+import { LedgerAdministration } from './operations/ledger-administration.js'
+import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
 import { wirePlacement } from './wire-placement.js'
@@ -95,7 +98,7 @@
     const forwards = await forwardServer.start()
 
     const methods = new PeerMethods()
-    const access = {}
+    const access = readPeerAccess(settings)
     const peerServer = new PeerServer({ address: settings.peers.address, methods, access, clock, eventLog, traffic: this._traffic })
     const peers = await peerServer.listen()
     const messenger = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
@@ -109,7 +112,11 @@
       heartbeatMs: settings.membership.heartbeat_ms,
       suspicionMs: settings.membership.suspicion_ms
     })
-    configuration.onChange(() => membership.setRevision(configuration.current()?.revision ?? 0))
+    const { ledger } = streams
+    const operations = new LedgerAdministration({ partitions: { partitions: [{ ledger }], ledgerFor: () => ledger }, configuration })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations, endpoints: () => [], clock, eventLog })
+    const { operatorSide, spreader, checkpointWriters } = configurationParts
+    const operators = await operatorSide.start()
 
     const owners = new LiveOwners(configuration, membership)
     const health = new ConfiguredHealth(configuration)
@@ -188,12 +195,12 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal)])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
-    return { callers, forwards, peers, operators: '' }
+    return { callers, forwards, peers, operators }
   }
 
   /** Why the router is not ready, if it is not. */
@@ -231,13 +238,13 @@
   async kill (): Promise<void> {
     this._stopping = true
     this._ending.abort()
-    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer } = this.parts
+    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer, configurationParts } = this.parts
     streams.ledger.stop()
     callerServer.destroy()
     forwardServer.destroy()
     messenger.close()
     await Promise.all([
-      callerServer.stop(), forwardServer.stop(), peerServer.close(), ownerDispatch.destroy(), clients.destroy(), this._tasks
+      callerServer.stop(), configurationParts.operatorSide.stop(), forwardServer.stop(), peerServer.close(), ownerDispatch.destroy(), clients.destroy(), this._tasks
     ])
   }
 
--- a/packages/router/src/router-streams.ts
+++ b/packages/router/src/router-streams.ts
@@ -26,6 +26,8 @@
   readonly configurationAppender: GroupAppender
   readonly ledger: OperationLedger
   private readonly _options: RouterProcessOptions
+  /** Each stream with the appender that writes it, for checkpoints. */
+  readonly written: Array<{ readonly replica: StreamReplica, readonly appender: GroupAppender }> = []
   private readonly _replicas: StreamReplica[] = []
   private readonly _appenders: GroupAppender[] = []
 
@@ -79,6 +81,7 @@
       logService, replica, writerId, clock, eventLog, groupIntervalMs, appendTimeoutMs: APPEND_TIMEOUT_MS, maximumRecordBytes: MAXIMUM_RECORD_BYTES
     })
     this._appenders.push(appender)
+    this.written.push({ replica, appender })
     return appender
   }
 }
