--- /dev/null
+++ b/packages/bench/src/fleet/fleet.ts
@@ -0,0 +1,172 @@
+import { create, toBinary } from '@bufbuild/protobuf'
+import { HttpLogService } from '@mimosarock/coordination/http-log-service.js'
+import { HttpVmList } from '@mimosarock/coordination/http-vm-list.js'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { SystemClock } from '@mimosarock/coordination/system-clock.js'
+import { RouterProcess } from '@mimosarock/router/router-process.js'
+import type { Configuration } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { LogRecordSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { LogServiceStandIn } from '@mimosarock/stand-ins/log-service-stand-in.js'
+import { ModelEngineStandIn } from '@mimosarock/stand-ins/model-engine-stand-in.js'
+import { PlainServiceStandIn } from '@mimosarock/stand-ins/plain-service-stand-in.js'
+import { VmListStandIn } from '@mimosarock/stand-ins/vm-list-stand-in.js'
+import { fleetConfiguration } from './fleet-configuration.js'
+import type { FleetOptions } from './fleet-options.js'
+import { fleetRouterSettings } from './fleet-router-settings.js'
+import type { FleetRouter } from './fleet-router.js'
+import { waitUntil } from './wait-until.js'
+
+const DEFAULT_ROUTERS = 3
+const DEFAULT_ENGINES = 3
+const DEFAULT_ZONES = ['a', 'b', 'c']
+const IN_FORCE_BOUND_MS = 30_000
+const CONFIGURATION_STREAM = 'configuration'
+
+/**
+ * Routers and stand-ins in one process, each on ports that the system picks.
+ *
+ * @example
+ * const fleet = await Fleet.start({ routers: 8, engines: Array(13).fill({ capacity: 16 }) })
+ * await fetch(`http://${fleet.callers(0)}/v1/models`, { headers: { 'mimosarock-workspace': 'alpha' } })
+ * await fleet.stop()
+ */
+export class Fleet {
+  readonly log = new LogServiceStandIn()
+  readonly vms = new VmListStandIn()
+  readonly engines: readonly ModelEngineStandIn[]
+  readonly services: readonly PlainServiceStandIn[]
+  private readonly _options: FleetOptions
+  private readonly _zones: readonly string[]
+  private readonly _routers: FleetRouter[] = []
+  private _routersStarted = 0
+  private _changes = 0
+
+  private constructor (options: FleetOptions) {
+    this._options = options
+    this._zones = options.availabilityZones ?? DEFAULT_ZONES
+    const engines = options.engines ?? Array.from({ length: DEFAULT_ENGINES }, () => ({}))
+    this.engines = engines.map((engine, index) => new ModelEngineStandIn({ seed: index + 1, ...engine }))
+    this.services = Array.from({ length: options.services ?? 1 }, (_, index) => new PlainServiceStandIn({ name: `service-${index}` }))
+  }
+
+  /**
+   * Starts stand-ins and routers and submits the fleet's configuration.
+   * @param options what the fleet is made of
+   * @returns the fleet, once the configuration is in force on every router and all know each other
+   */
+  static async start (options: FleetOptions = {}): Promise<Fleet> {
+    const fleet = new Fleet(options)
+    await Promise.all([fleet.log.start(), fleet.vms.start()])
+    await Promise.all([...fleet.engines, ...fleet.services].map(async (endpoint) => await endpoint.start()))
+    for (let index = 0; index < (options.routers ?? DEFAULT_ROUTERS); index += 1) await fleet.startRouter()
+    await fleet.submit(fleet.defaultConfiguration())
+    return fleet
+  }
+
+  /** Routers that run. */
+  get routers (): readonly FleetRouter[] {
+    return this._routers
+  }
+
+  /** The configuration that `start` submits. */
+  defaultConfiguration (): Configuration {
+    return fleetConfiguration(this._options, this.engines, this.services, (index) => this._zone(index))
+  }
+
+  /**
+   * IP number and port on which a router takes callers.
+   * @param index place among the routers that run
+   */
+  callers (index: number): string {
+    return this._router(index).addresses.callers
+  }
+
+  /** Starts one more router and lists its VM. */
+  async startRouter (): Promise<FleetRouter> {
+    const number = this._routersStarted
+    this._routersStarted += 1
+    const name = `router-${number}`
+    const settings = fleetRouterSettings(this._zone(number), this.log.url, this.vms.url, this._options.settings)
+    const overHttp = this._options.platformOverHttp === true
+    const process = new RouterProcess({
+      settings,
+      logService: overHttp ? new HttpLogService(this.log.url) : this.log,
+      vmList: overHttp ? new HttpVmList(this.vms.url, name) : this.vms.viewOf(name),
+      clock: new SystemClock(),
+      eventLog: this._options.eventLog ?? new SilentEventLog(),
+      routerId: name
+    })
+    const router: FleetRouter = { process, addresses: await process.start() }
+    this._routers.push(router)
+    this.vms.set({ name, role: 'router', address: router.addresses.peers, availabilityZone: this._zone(number), leaving: false })
+    return router
+  }
+
+  /**
+   * Ends a router without notice; the VM list keeps it until `vms.remove` is called.
+   * @param index place among the routers that run
+   */
+  async killRouter (index: number): Promise<void> {
+    const [router] = this._routers.splice(index, 1)
+    await router?.process.kill()
+  }
+
+  /**
+   * Replaces the whole configuration and waits until it is in force on every router.
+   * @param configuration the new configuration
+   * @throws {Error} if it is refused or not in force in time
+   */
+  async submit (configuration: Configuration): Promise<void> {
+    this._changes += 1
+    const changeId = `fleet-${this._changes}`
+    const record = create(LogRecordSchema, {
+      writerId: 'fleet',
+      sequence: BigInt(this._changes),
+      writtenAtMs: BigInt(Date.now()),
+      entries: [{
+        kind: {
+          case: 'configurationChange',
+          value: {
+            changeId,
+            basedOnRevision: BigInt(Math.max(0, ...this._routers.map(revisionOf))),
+            actor: { name: 'bench', source: '127.0.0.1' },
+            edits: [{ kind: { case: 'replaceAll', value: configuration } }]
+          }
+        }
+      }]
+    })
+    await this.log.append(CONFIGURATION_STREAM, toBinary(LogRecordSchema, record))
+    await waitUntil(() => this._routers.every((router) => this._isInForce(router, changeId)), IN_FORCE_BOUND_MS, 'configuration in force')
+  }
+
+  /** Ends every router and stand-in at once. */
+  async stop (): Promise<void> {
+    await Promise.all(this._routers.splice(0).map(async (router) => await router.process.kill()))
+    await Promise.all([...this.engines, ...this.services, this.log, this.vms].map(async (standIn) => await standIn.stop()))
+  }
+
+  private _isInForce (router: FleetRouter, changeId: string): boolean {
+    const { configuration } = router.process.parts.streams
+    const result = configuration.fold.resultOf(changeId)
+    if (result === undefined) return false
+    const accepted = result.code === ResultCode.OK || result.code === ResultCode.NOTHING_CHANGED
+    if (!accepted) throw new Error(`configuration refused with ${result.code}: ${result.detail}`)
+    const knowsAll = router.process.parts.membership.live().length >= this._routers.length
+    return knowsAll && revisionOf(router) >= Number(result.revision)
+  }
+
+  private _zone (index: number): string {
+    return this._zones[index % this._zones.length] ?? 'a'
+  }
+
+  private _router (index: number): FleetRouter {
+    const router = this._routers[index]
+    if (router === undefined) throw new Error(`no router ${index}`)
+    return router
+  }
+}
+
+function revisionOf (router: FleetRouter): number {
+  return router.process.parts.streams.configuration.current()?.revision ?? 0
+}
--- /dev/null
+++ b/packages/bench/src/test/fleet_test.ts
@@ -0,0 +1,26 @@
+import { Fleet } from '@mimosarock/bench/fleet/fleet.js'
+import { AnswerText } from '@mimosarock/stand-ins/engine/answer-text.js'
+import { expect, test } from 'vitest'
+
+test('a fleet answers chats and plain calls on every router, also on one that starts later', async () => {
+  const fleet = await Fleet.start({ routers: 2, engines: [{}, {}], platformOverHttp: true })
+  try {
+    await fleet.startRouter()
+    await fleet.submit(fleet.defaultConfiguration())
+    const answers = await Promise.all(fleet.routers.map(async (_router, index) => {
+      const messages = [{ role: 'user', content: `question ${index}` }]
+      const headers = { 'content-type': 'application/json', 'mimosarock-workspace': 'alpha' }
+      const chat = await fetch(`http://${fleet.callers(index)}/v1/chat/completions`, {
+        method: 'POST',
+        headers,
+        body: JSON.stringify({ model: 'm', messages, max_tokens: 3 })
+      })
+      const list = await fetch(`http://${fleet.callers(index)}/services/lists/a?b=c`, { headers })
+      const content = (await chat.json() as any).choices[0].message.content
+      return { whole: content === new AnswerText(messages).text(3), list: (await list.json() as any).path }
+    }))
+    expect(answers).toEqual(Array.from({ length: 3 }, () => ({ whole: true, list: '/a?b=c' })))
+  } finally {
+    await fleet.stop()
+  }
+})
