--- a/packages/router/src/owner/cache-knowledge.ts
+++ b/packages/router/src/owner/cache-knowledge.ts
@@ -69,6 +69,18 @@
     return { tokens: context.tokens, certain, heardAt: context.heardAt }
   }
 
+  /**
+   * Contexts that the engine surely held at the current position, those heard of last first.
+   * @param limit most contexts wanted
+   */
+  recent (limit: number): Array<{ affinityKey: string, tokens: number }> {
+    return [...this._contexts]
+      .filter(([, context]) => context.gapsBefore === this._gaps)
+      .map(([affinityKey, context]) => ({ affinityKey, tokens: context.tokens }))
+      .reverse()
+      .slice(0, limit)
+  }
+
   /**
    * Applies an answer of the feed to a read after the current position.
    * @param page the answer
