--- a/packages/placement/src/displaced-chats.ts
+++ b/packages/placement/src/displaced-chats.ts
@@ -34,6 +34,11 @@
     return this._chats.size
   }
 
+  /** Keys and endpoints of the chats kept, those seen last first. */
+  entries (): Array<readonly [affinityKey: string, endpoint: string]> {
+    return [...this._chats].map(([key, { endpoint }]) => [key, endpoint] as const).reverse()
+  }
+
   /**
    * Notes where a chat's context lies now.
    * @param affinityKey the chat's key
