Count log service and VM list in the control traffic, and let benches make links lossy

What a router writes to the platform is control traffic too and was not counted. Fleets can give single routers other options, such as a log service or links to peers that fail.

--- a/packages/bench/src/fleet/fleet-options.ts
+++ b/packages/bench/src/fleet/fleet-options.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { RouterProcessOptions } from '@mimosarock/router/router-process-options.js'
 import type { ModelEngineOptions } from '@mimosarock/stand-ins/model-engine-options.js'
 import type { MessageInitShape } from '@bufbuild/protobuf'
 import type { PoolSchema, WorkspaceSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
@@ -24,4 +25,6 @@
   readonly workspaces?: ReadonlyArray<MessageInitShape<typeof WorkspaceSchema>>
   /** Whether routers reach the platform over HTTP instead of in the same process. */
   readonly platformOverHttp?: boolean
+  /** Options of single router processes over the fleet's own, by router id. */
+  readonly processOptions?: (routerId: string, own: RouterProcessOptions) => Partial<RouterProcessOptions>
 }
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -1,8 +1,10 @@
 import { create, toBinary } from '@bufbuild/protobuf'
 import { HttpLogService } from '@mimosarock/coordination/http-log-service.js'
 import { HttpVmList } from '@mimosarock/coordination/http-vm-list.js'
+import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { SystemClock } from '@mimosarock/coordination/system-clock.js'
+import type { RouterProcessOptions } from '@mimosarock/router/router-process-options.js'
 import { RouterProcess } from '@mimosarock/router/router-process.js'
 import type { Configuration } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { LogRecordSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
@@ -89,14 +91,17 @@
     const name = `router-${number}`
     const settings = fleetRouterSettings(this._zone(number), this.log.url, this.vms.url, this._options.settings)
     const overHttp = this._options.platformOverHttp === true
-    const process = new RouterProcess({
+    const traffic = new TrafficCounter()
+    const own: RouterProcessOptions = {
       settings,
-      logService: overHttp ? new HttpLogService(this.log.url) : this.log,
-      vmList: overHttp ? new HttpVmList(this.vms.url, name) : this.vms.viewOf(name),
+      traffic,
+      logService: overHttp ? new HttpLogService(this.log.url, traffic) : this.log,
+      vmList: overHttp ? new HttpVmList(this.vms.url, name, traffic) : this.vms.viewOf(name),
       clock: new SystemClock(),
       eventLog: this._options.eventLog ?? new SilentEventLog(),
       routerId: name
-    })
+    }
+    const process = new RouterProcess({ ...own, ...this._options.processOptions?.(name, own) })
     const router: FleetRouter = { process, addresses: await process.start() }
     this._routers.push(router)
     this.vms.set({ name, role: 'router', address: router.addresses.peers, availabilityZone: this._zone(number), leaving: false })
--- a/packages/coordination/src/http-log-service.ts
+++ b/packages/coordination/src/http-log-service.ts
@@ -3,6 +3,8 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
+import { countedConnector } from './counted-connector.js'
+import type { TrafficCounter } from './membership/traffic-counter.js'
 import { isConnectFailure } from './is-connect-failure.js'
 import type { LogService } from './log-service.js'
 import type { ReadOptions } from './read-options.js'
@@ -29,13 +31,17 @@
  */
 export class HttpLogService implements LogService {
   private readonly _url: string
-  private _agent = newAgent()
+  private readonly _traffic: TrafficCounter | undefined
+  private _agent: Agent
 
   /**
    * @param url base URL of the log service
+   * @param traffic counts what is written, as control traffic
    */
-  constructor (url: string) {
+  constructor (url: string, traffic?: TrafficCounter) {
     this._url = url.replace(/\/$/, '')
+    this._traffic = traffic
+    this._agent = newAgent(traffic)
   }
 
   /**
@@ -106,13 +112,13 @@
   /** Calls in flight end on their connections; new calls get new ones. */
   private _leave (agent: Agent): void {
     if (this._agent !== agent) return
-    this._agent = newAgent()
+    this._agent = newAgent(this._traffic)
     agent.close().catch(() => {})
   }
 }
 
-function newAgent (): Agent {
-  return new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
+function newAgent (traffic?: TrafficCounter): Agent {
+  return new Agent({ connect: countedConnector(CONNECT_TIMEOUT_MS, traffic), headersTimeout: 0, bodyTimeout: 0 })
 }
 
 function bounded (timeoutMs: number, signal?: AbortSignal): AbortSignal {
--- a/packages/coordination/src/http-vm-list.ts
+++ b/packages/coordination/src/http-vm-list.ts
@@ -1,6 +1,8 @@
 import { Agent, request } from 'undici'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { countedConnector } from './counted-connector.js'
+import type { TrafficCounter } from './membership/traffic-counter.js'
 import type { VmEntry } from './vm-entry.js'
 import type { VmList } from './vm-list.js'
 
@@ -22,13 +24,15 @@
 export class HttpVmList implements VmList {
   private readonly _url: string
   private readonly _asker: string
-  private readonly _agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } })
+  private readonly _agent: Agent
 
   /**
    * @param url base URL of the VM list
    * @param asker name of this router, sent along for the platform's own records
+   * @param traffic counts what is written, as control traffic
    */
-  constructor (url: string, asker = '') {
+  constructor (url: string, asker = '', traffic?: TrafficCounter) {
+    this._agent = new Agent({ connect: countedConnector(CONNECT_TIMEOUT_MS, traffic) })
     this._url = url.replace(/\/$/, '')
     this._asker = asker
   }
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/create-router.ts
@@ -1,6 +1,7 @@
 import { HttpLogService } from '@mimosarock/coordination/http-log-service.js'
 import { HttpVmList } from '@mimosarock/coordination/http-vm-list.js'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { SystemClock } from '@mimosarock/coordination/system-clock.js'
 import { RouterProcess } from './router-process.js'
 import type { RouterSettings } from './settings/router-settings.js'
@@ -12,10 +13,12 @@
  * @param eventLog takes the router's events
  */
 export function createRouter (settings: RouterSettings, eventLog: EventLog): StoppableRouter {
+  const traffic = new TrafficCounter()
   return new RouterProcess({
     settings,
-    logService: new HttpLogService(settings.platform.log_service_url),
-    vmList: new HttpVmList(settings.platform.vm_list_url),
+    traffic,
+    logService: new HttpLogService(settings.platform.log_service_url, traffic),
+    vmList: new HttpVmList(settings.platform.vm_list_url, '', traffic),
     clock: new SystemClock(),
     eventLog
   })
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -53,7 +53,7 @@
   readonly id: string
   private readonly _options: RouterProcessOptions
   private readonly _ending = new AbortController()
-  private readonly _traffic = new TrafficCounter()
+  private readonly _traffic: TrafficCounter
   private _tasks: Promise<unknown> = Promise.resolve()
   private _parts: RouterParts | undefined
   private _stopping = false
@@ -63,6 +63,7 @@
    */
   constructor (options: RouterProcessOptions) {
     this._options = options
+    this._traffic = options.traffic ?? new TrafficCounter()
     this.id = options.routerId ?? randomBytes(ID_BYTES).toString('base64url')
   }
 
@@ -101,7 +102,8 @@
     const access = readPeerAccess(settings)
     const peerServer = new PeerServer({ address: settings.peers.address, methods, access, clock, eventLog, traffic: this._traffic })
     const peers = await peerServer.listen()
-    const messenger = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
+    const connections = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
+    const messenger = this._options.decorateMessenger?.(connections) ?? connections
     const membership = new HeartbeatMembership({
       self: { id: this.id, availabilityZone: settings.router.availability_zone, peerAddress: peers, forwardAddress: forwards, leaving: false },
       messenger,
@@ -195,7 +197,7 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
     this._observe(this._parts)
     const signal = this._ending.signal
     this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
