Stream every chat from its engine, also one whose answer is whole

A whole answer on a connection that fell silent was noticed only after first_byte_timeout_ms (30 s), since nothing of it comes before its end. The entry router now asks for a stream in any case and puts the answer together, so that it is resumed by event id like a streamed one; one that its engine lost is placed anew. The head of a stream has a bound of its own (2 s), and silence before the first event no longer counts towards the eight fruitless resumptions.

Tests: an engine that restarts and a connection that falls silent under a whole answer; the answer put together equals the engine's own. Passing whole answers through and repeating the call was ruled out: it costs the caller the bound of the whole answer.

--- a/packages/router/src/answers/resumed-stream.ts
+++ b/packages/router/src/answers/resumed-stream.ts
@@ -6,8 +6,8 @@
 import type { StreamEvent } from './stream-event.js'
 import { StreamEventSplitter } from './stream-event-splitter.js'
 
-/** Resumptions of one answer; beyond it the endpoint is as good as gone. */
-const MAXIMUM_RESUMPTIONS = 8
+/** Resumptions without a new event in between; beyond it the endpoint is as good as gone. */
+const MAXIMUM_FRUITLESS_RESUMPTIONS = 8
 const DONE = Buffer.from('data: [DONE]')
 const OK = 200
 
@@ -22,7 +22,7 @@
   private _placed: PlacedCall
   private _nextId = 0
   private _done = false
-  private _resumptions = 0
+  private _fruitless = 0
 
   /**
    * @param options the answer's head and the ways to go on
@@ -72,6 +72,7 @@
       if (id < this._nextId) continue
       if (id > this._nextId) throw new Error(`event ${id} came in place of ${this._nextId}`)
       this._nextId += 1
+      this._fruitless = 0
       fresh.push(event.bytes)
       if (event.bytes.includes(DONE)) this._done = true
     }
@@ -81,8 +82,9 @@
 
   private async _resume (cause: unknown): Promise<void> {
     let reason = cause
-    while (this._resumptions < MAXIMUM_RESUMPTIONS && this._options.remainingMs() > 0) {
-      this._resumptions += 1
+    while (this._fruitless < MAXIMUM_FRUITLESS_RESUMPTIONS && this._options.remainingMs() > 0) {
+      // Before its first event an engine may well be silent for long: it computes the prompt.
+      if (this._nextId > 0 || !isSilence(reason)) this._fruitless += 1
       this._splitter.reset()
       this._options.onResume(this._nextId)
       try {
@@ -121,6 +123,10 @@
   }
 }
 
+function isSilence (error: unknown): boolean {
+  return error instanceof MimosarockError && error.code === ResultCode.ENDPOINT_SILENT
+}
+
 function incomplete (nextId: number, cause: unknown): MimosarockError {
   return new MimosarockError(ResultCode.STREAM_INCOMPLETE, `the answer broke off after ${nextId} events: ${String(cause)}`, { run: RunState.RAN, cause })
 }
--- a/packages/router/src/caller/chat-handler-options.ts
+++ b/packages/router/src/caller/chat-handler-options.ts
@@ -19,8 +19,6 @@
   readonly metrics: RouterMetrics
   /** Largest body, held whole so that the chat can be placed again. */
   readonly maximumBodyBytes: number
-  /** Largest answer held whole before it is passed on. */
-  readonly maximumKeptAnswerBytes: number
   /** Bound on the wait for a slow caller, in milliseconds. */
   readonly drainTimeoutMs: number
 }
--- a/packages/router/src/caller/chat-handler.ts
+++ b/packages/router/src/caller/chat-handler.ts
@@ -6,8 +6,8 @@
 import type { CallPlan } from '../entry/call-plan.js'
 import type { PlacedCall } from '../entry/placed-call.js'
 import { ResumedStream } from '../answers/resumed-stream.js'
-import { collectAnswer } from '../answers/collect-answer.js'
 import { streamErrorEvent } from '../answers/stream-error-event.js'
+import { WholeAnswerAssembler } from '../answers/whole-answer-assembler.js'
 import { writeAnswer } from '../forward/write-answer.js'
 import type { ChatHandlerOptions } from './chat-handler-options.js'
 import { ChatRequest } from './chat-request.js'
@@ -54,7 +54,8 @@
       const placed = await this._options.placement.place(plan, exchange.callerGone)
       exchange.fields.endpoint = placed.answer.endpoint
       this._options.metrics.timeToHead.observe((this._options.clock.now() - exchange.startedAt) / 1_000)
-      if (chat.stream && placed.answer.status === OK) await this._passStream(exchange, plan, placed)
+      if (placed.answer.status !== OK) await this._passRefusal(exchange, placed)
+      else if (chat.stream) await this._passStream(exchange, plan, placed)
       else await this._passWhole(exchange, plan, placed)
     } finally {
       leave()
@@ -89,15 +90,63 @@
           'x-cache-key': key,
           'x-priority': String(workspace.priority)
         }),
-        body,
+        // The engine streams in any case, so that an answer can be resumed and silence shows.
+        body: chat.stream ? body : chat.streamedBody(),
+        streamed: true,
         load: 1,
         promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN)
       }
     }
   }
 
+  /** Passes on what an endpoint says to a request that it does not take. */
+  private async _passRefusal (exchange: Exchange, placed: PlacedCall): Promise<void> {
+    exchange.response.writeHead(placed.answer.status, this._answerHeaders(exchange, placed))
+    await writeAnswer(exchange.response, placed.answer.body, this._options.drainTimeoutMs)
+  }
+
   private async _passStream (exchange: Exchange, plan: CallPlan, placed: PlacedCall): Promise<void> {
-    const stream = new ResumedStream({
+    const stream = this._resumedStream(exchange, plan, placed)
+    const { response } = exchange
+    response.writeHead(placed.answer.status, this._answerHeaders(exchange, placed))
+    response.flushHeaders()
+    try {
+      await writeAnswer(response, this._withErrorEvent(exchange, stream), this._options.drainTimeoutMs)
+    } finally {
+      this._finish(exchange, stream)
+    }
+  }
+
+  /** Puts the streamed answer together; nothing is passed on before it is whole, so a lost one is had again. */
+  private async _passWhole (exchange: Exchange, plan: CallPlan, first: PlacedCall): Promise<void> {
+    let placed = first
+    let body: string
+    try {
+      body = await this._assemble(exchange, plan, placed)
+    } catch (error) {
+      if (exchange.callerGone.aborted || !(error instanceof MimosarockError)) throw error
+      this._options.eventLog.warn('answer-broken', { request_id: exchange.requestId, endpoint: placed.answer.endpoint, error: error.message })
+      placed = await this._options.placement.place(plan, exchange.callerGone)
+      body = await this._assemble(exchange, plan, placed)
+    }
+    const headers = { ...this._answerHeaders(exchange, placed), 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)) }
+    exchange.response.writeHead(placed.answer.status, headers)
+    exchange.response.end(body)
+  }
+
+  private async _assemble (exchange: Exchange, plan: CallPlan, placed: PlacedCall): Promise<string> {
+    const stream = this._resumedStream(exchange, plan, placed)
+    const whole = new WholeAnswerAssembler()
+    try {
+      for await (const bytes of stream) whole.push(bytes)
+    } finally {
+      this._finish(exchange, stream)
+    }
+    return whole.finish()
+  }
+
+  private _resumedStream (exchange: Exchange, plan: CallPlan, placed: PlacedCall): ResumedStream {
+    return new ResumedStream({
       placed,
       dispatch: this._options.dispatch,
       signal: exchange.callerGone,
@@ -108,15 +157,12 @@
         this._options.eventLog.info('stream-resumed', { request_id: exchange.requestId, endpoint: placed.answer.endpoint, next_event: nextId })
       }
     })
-    const { response } = exchange
-    response.writeHead(placed.answer.status, this._answerHeaders(exchange, placed))
-    response.flushHeaders()
-    try {
-      await writeAnswer(response, this._withErrorEvent(exchange, stream), this._options.drainTimeoutMs)
-    } finally {
-      exchange.fields.events = stream.eventCount
-      if (exchange.callerGone.aborted && !response.writableFinished) this._options.dispatch.cancel(stream.call).catch(() => {})
-    }
+  }
+
+  /** Notes how far the stream came, and ends it at its engine if nobody is left to read it. */
+  private _finish (exchange: Exchange, stream: ResumedStream): void {
+    exchange.fields.events = stream.eventCount
+    if (exchange.callerGone.aborted && !exchange.response.writableFinished) this._options.dispatch.cancel(stream.call).catch(() => {})
   }
 
   /** A stream that can't be completed ends with an error event, so that no caller takes it for whole. */
@@ -132,23 +178,6 @@
     }
   }
 
-  /** Holds the answer until it is whole, so that one that breaks off can be had again elsewhere. */
-  private async _passWhole (exchange: Exchange, plan: CallPlan, first: PlacedCall): Promise<void> {
-    let placed = first
-    let collected = await collectAnswer(placed.answer.body, this._options.maximumKeptAnswerBytes)
-    if (collected.error !== undefined) {
-      if (exchange.callerGone.aborted) throw collected.error
-      this._options.eventLog.warn('answer-broken', { request_id: exchange.requestId, endpoint: placed.answer.endpoint, error: String(collected.error) })
-      placed = await this._options.placement.place(plan, exchange.callerGone)
-      collected = await collectAnswer(placed.answer.body, this._options.maximumKeptAnswerBytes)
-    }
-    if (collected.error !== undefined) {
-      throw new MimosarockError(ResultCode.ENDPOINT_FAILED, 'the answer broke off twice', { run: 'ran', cause: collected.error })
-    }
-    exchange.response.writeHead(placed.answer.status, this._answerHeaders(exchange, placed))
-    await writeAnswer(exchange.response, collected.body, this._options.drainTimeoutMs)
-  }
-
   private _answerHeaders (exchange: Exchange, placed: PlacedCall): Record<string, string> {
     return { ...placed.answer.headers, 'x-request-id': exchange.requestId, 'mimosarock-endpoint': placed.answer.endpoint }
   }
--- a/packages/router/src/caller/chat-request.ts
+++ b/packages/router/src/caller/chat-request.ts
@@ -13,13 +13,20 @@
   readonly model: string
   readonly messages: readonly Readonly<Record<string, unknown>>[]
   readonly stream: boolean
+  private readonly _fields: z.infer<typeof Schema>
 
   private constructor (fields: z.infer<typeof Schema>) {
+    this._fields = fields
     this.model = fields.model
     this.messages = fields.messages
     this.stream = fields.stream ?? false
   }
 
+  /** The same request with a streamed answer, whose last chunk tells the usage. */
+  streamedBody (): Buffer {
+    return Buffer.from(JSON.stringify({ ...this._fields, stream: true, stream_options: { include_usage: true } }))
+  }
+
   /**
    * Parses a body.
    * @param body the bytes of the request
--- a/packages/router/src/forward/dispatch-call.ts
+++ b/packages/router/src/forward/dispatch-call.ts
@@ -30,6 +30,8 @@
   readonly contextHolder?: string
   /** Whether the call gets a connection of its own, so that a failure to connect is known as not run. */
   readonly ownConnection?: boolean
+  /** Whether the head of the answer comes at once, before the answer is computed. */
+  readonly streamed?: boolean
   /** Tries made before this one for the same call. */
   readonly attempt: number
 }
--- a/packages/router/src/forward/forward-client.ts
+++ b/packages/router/src/forward/forward-client.ts
@@ -68,6 +68,11 @@
     await this._client.destroy()
   }
 
+  /** The owner's own bound on the head, and as much again for what it does before it sends the call. */
+  private _headBoundMs (call: DispatchCall): number {
+    return call.streamed === true ? 2 * this._options.headTimeoutMs : this._options.firstByteTimeoutMs
+  }
+
   private async _forward (call: DispatchCall, signal: AbortSignal): Promise<HttpAnswer> {
     try {
       return await this._client.send({
@@ -75,7 +80,7 @@
         path: '/forward',
         headers: { [ForwardCodec.CALL_HEADER]: ForwardCodec.encode(call) },
         body: call.body,
-        firstByteTimeoutMs: call.waitMs + Math.min(call.remainingMs, this._options.firstByteTimeoutMs),
+        firstByteTimeoutMs: call.waitMs + Math.min(call.remainingMs, this._headBoundMs(call)),
         silenceTimeoutMs: this._options.silenceTimeoutMs
       }, signal)
     } catch (error) {
--- a/packages/router/src/owner/dispatch-owned-options.ts
+++ b/packages/router/src/owner/dispatch-owned-options.ts
@@ -9,6 +9,8 @@
   readonly admission: CallAdmission
   readonly health: EndpointHealth
   readonly clients: EndpointClients
+  /** Bound on the wait for the head of a streamed answer, which engines send at once, in milliseconds. */
+  readonly headTimeoutMs: number
   /** Bound on the wait for the head of an answer, in milliseconds. */
   readonly firstByteTimeoutMs: number
   /** Bound on silence within an answer, in milliseconds, where the pool sets none. */
--- a/packages/router/src/owner/dispatch-owned.ts
+++ b/packages/router/src/owner/dispatch-owned.ts
@@ -100,7 +100,7 @@
       path: call.path,
       headers: call.headers,
       body: call.body,
-      firstByteTimeoutMs: Math.min(this._options.firstByteTimeoutMs, call.remainingMs),
+      firstByteTimeoutMs: Math.min(call.streamed === true ? this._options.headTimeoutMs : this._options.firstByteTimeoutMs, call.remainingMs),
       silenceTimeoutMs: pool.silenceMs > 0 ? pool.silenceMs : this._options.silenceTimeoutMs,
       ownConnection: call.ownConnection === true
     }, signal)
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -92,6 +92,7 @@
       admission: new OpenAdmission(),
       health: new ConfiguredHealth(configuration),
       clients,
+      headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
     })
@@ -124,6 +125,7 @@
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
         maximumConnections: MAXIMUM_FORWARD_CONNECTIONS,
+        headTimeoutMs: settings.endpoints.head_timeout_ms,
         firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
         silenceTimeoutMs: settings.endpoints.silence_timeout_ms
       },
@@ -164,7 +166,6 @@
         eventLog,
         metrics: this.metrics,
         maximumBodyBytes: settings.callers.maximum_body_bytes,
-        maximumKeptAnswerBytes: maximumKeptBodyBytes,
         drainTimeoutMs
       }),
       services: new ServiceHandler({
--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -61,6 +61,7 @@
   }).prefault({}),
   endpoints: z.strictObject({
     connect_timeout_ms: milliseconds(10, 60_000, 500).describe('Bound on opening a connection to an endpoint or a router.'),
+    head_timeout_ms: milliseconds(10, 600_000, 2_000).describe('Bound on the wait for the head of a streamed answer, which engines send at once.'),
     first_byte_timeout_ms: milliseconds(50, 3_600_000, 30_000).describe('Bound on the wait for the first byte of an answer.'),
     silence_timeout_ms: milliseconds(50, 600_000, 2_000).describe('Bound on silence within an answer; a pool may set its own.'),
     load_poll_ms: milliseconds(50, 60_000, 1_000).describe('Pause between load reports read from an owned endpoint.')
--- a/packages/router/src/test/router-process_test.ts
+++ b/packages/router/src/test/router-process_test.ts
@@ -81,6 +81,22 @@
   })
 })
 
+describe('whole answers that break off', () => {
+  test('are had again when the engine restarts', async () => {
+    const answering = client(0).chat.completions.create({ model: 'assistant', messages: messages('restart while whole'), max_tokens: 60 })
+    await fixture.until(() => fixture.engines.some((engine) => engine.runningCount > 0))
+    for (const engine of fixture.engines) engine.restart()
+    expect((await answering).usage?.completion_tokens).toBe(60)
+  })
+
+  test('are resumed when the connection falls silent', async () => {
+    const answering = client(0).chat.completions.create({ model: 'assistant', messages: messages('silent while whole'), max_tokens: 60 })
+    await fixture.until(() => fixture.engines.some((engine) => engine.runningCount > 0))
+    for (const engine of fixture.engines) engine.server.silenceConnections()
+    expect((await answering).usage?.completion_tokens).toBe(60)
+  })
+})
+
 describe('refusals', () => {
   const chat = JSON.stringify({ model: 'assistant', messages: messages('x') })
   const json = { 'content-type': 'application/json' }
@@ -169,3 +185,14 @@
     expect(counts.every((count) => count >= 60)).toBe(true)
   })
 })
+
+describe('whole answers', () => {
+  test('an answer put together from a stream is what the engine gives whole', async () => {
+    const body = JSON.stringify({ model: 'assistant', messages: messages('compare both ways'), max_tokens: 9 })
+    const headers = { 'content-type': 'application/json', 'mimosarock-workspace': 'alpha' }
+    const own = (answer: Record<string, unknown>): unknown => ({ ...answer, id: '', created: 0, usage: { ...answer.usage as object, prompt_tokens_details: {} } })
+    const routed = await (await fetch(`${fixture.url(0)}/v1/chat/completions`, { method: 'POST', headers, body })).json() as Record<string, unknown>
+    const direct = await (await fetch(`http://${fixture.engines[0]?.address ?? ''}/v1/chat/completions`, { method: 'POST', headers, body })).json() as Record<string, unknown>
+    expect(own(routed)).toEqual(own(direct))
+  })
+})
