--- /dev/null
+++ b/packages/router/src/main.ts
@@ -0,0 +1,7 @@
+#!/usr/bin/env node
+import { Cli } from 'clipanion'
+import { createRouter } from './create-router.js'
+import { runRouterCli } from './run-router-cli.js'
+
+// A failed start may leave servers open, which would keep the process alive.
+process.exit(await runRouterCli(process.argv.slice(2), { ...Cli.defaultContext, signals: process, createRouter }))
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -10,11 +10,9 @@
 import { CallerServer } from './caller/caller-server.js'
 import { ChatHandler } from './caller/chat-handler.js'
 import { ModelsHandler } from './caller/models-handler.js'
-import { OpenWorkspaceGate } from './caller/open-workspace-gate.js'
 import { ServiceHandler } from './caller/service-handler.js'
 import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
-import { SilentDisplacement } from './entry/silent-displacement.js'
 import { ForwardServer } from './forward/forward-server.js'
 import { LiveOwners } from './forward/live-owners.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
@@ -22,14 +20,17 @@
 import { ConfiguredHealth } from './owner/configured-health.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
-import { OpenAdmission } from './owner/open-admission.js'
 import type { RouterAddresses } from './router-addresses.js'
 import type { RouterParts } from './router-parts.js'
 import type { RouterProcessOptions } from './router-process-options.js'
 import { RouterStreams } from './router-streams.js'
 import type { Readiness } from './status/readiness.js'
+import { readPeerAccess } from './access/read-peer-access.js'
+import { LedgerAdministration } from './operations/ledger-administration.js'
+import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
 const RETRY_RESERVE = 20
@@ -87,21 +88,17 @@
     const { configuration } = streams
 
     const clients = new EndpointClients(settings.endpoints.connect_timeout_ms)
-    const owned = new DispatchOwned({
-      configuration,
-      admission: new OpenAdmission(),
-      health: new ConfiguredHealth(configuration),
-      clients,
-      firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
-      silenceTimeoutMs: settings.endpoints.silence_timeout_ms
-    })
     const drainTimeoutMs = settings.callers.body_timeout_ms
     const maximumKeptBodyBytes = settings.callers.maximum_kept_body_bytes
-    const forwardServer = new ForwardServer({ address: settings.forwards.address, maximumKeptBodyBytes, drainTimeoutMs }, owned)
+    const forwardServer = new ForwardServer({ address: settings.forwards.address, maximumKeptBodyBytes, drainTimeoutMs }, {
+      // Nobody knows this router's address before the parts below are there.
+      dispatch: async (call, signal) => await owned.dispatch(call, signal),
+      cancel: async (call) => await owned.cancel(call)
+    })
     const forwards = await forwardServer.start()
 
     const methods = new PeerMethods()
-    const access = {}
+    const access = readPeerAccess(settings)
     const peerServer = new PeerServer({ address: settings.peers.address, methods, access, clock, eventLog, traffic: this._traffic })
     const peers = await peerServer.listen()
     const messenger = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
@@ -115,11 +112,26 @@
       heartbeatMs: settings.membership.heartbeat_ms,
       suspicionMs: settings.membership.suspicion_ms
     })
-    configuration.onChange(() => membership.setRevision(configuration.current()?.revision ?? 0))
+    const { ledger } = streams
+    const operations = new LedgerAdministration({ partitions: { partitions: [{ ledger }], ledgerFor: () => ledger }, configuration })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations, endpoints: () => [], clock, eventLog })
+    const { operatorSide, spreader, checkpointWriters } = configurationParts
+    const operators = await operatorSide.start()
 
+    const owners = new LiveOwners(configuration, membership)
+    const health = new ConfiguredHealth(configuration)
+    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, health, clients, clock, eventLog })
+    const owned = new DispatchOwned({
+      configuration,
+      admission: placementParts.admissions,
+      health,
+      clients,
+      firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
+      silenceTimeoutMs: settings.endpoints.silence_timeout_ms
+    })
     const ownerDispatch = new OwnerDispatch({
       self: () => membership.self,
-      owners: new LiveOwners(configuration, membership),
+      owners,
       local: owned,
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
@@ -130,8 +142,8 @@
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
     const order = new PoolOrder()
-    const gate = new OpenWorkspaceGate()
-    const displacement = new SilentDisplacement()
+    const gate = placementParts.limits
+    const displacement = placementParts.reports
     const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
     const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryBudget, clock })
     const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryBudget, clock })
@@ -183,12 +195,12 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal)])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
-    return { callers, forwards, peers, operators: '' }
+    return { callers, forwards, peers, operators }
   }
 
   /** Why the router is not ready, if it is not. */
@@ -226,13 +238,13 @@
   async kill (): Promise<void> {
     this._stopping = true
     this._ending.abort()
-    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer } = this.parts
+    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer, configurationParts } = this.parts
     streams.ledger.stop()
     callerServer.destroy()
     forwardServer.destroy()
     messenger.close()
     await Promise.all([
-      callerServer.stop(), forwardServer.stop(), peerServer.close(), ownerDispatch.destroy(), clients.destroy(), this._tasks
+      callerServer.stop(), configurationParts.operatorSide.stop(), forwardServer.stop(), peerServer.close(), ownerDispatch.destroy(), clients.destroy(), this._tasks
     ])
   }
 
