--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -128,6 +128,7 @@
       admission: placementParts.admissions,
       health,
       clients,
+      headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
     })
@@ -138,6 +139,7 @@
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
         maximumConnections: MAXIMUM_FORWARD_CONNECTIONS,
+        headTimeoutMs: settings.endpoints.head_timeout_ms,
         firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
         silenceTimeoutMs: settings.endpoints.silence_timeout_ms
       },
@@ -178,7 +180,6 @@
         eventLog,
         metrics: this.metrics,
         maximumBodyBytes: settings.callers.maximum_body_bytes,
-        maximumKeptAnswerBytes: maximumKeptBodyBytes,
         drainTimeoutMs
       }),
       services: new ServiceHandler({
