--- a/packages/bench/src/fleet/fleet-options.ts
+++ b/packages/bench/src/fleet/fleet-options.ts
@@ -27,4 +27,6 @@
   readonly platformOverHttp?: boolean
   /** Options of single router processes over the fleet's own, by router id. */
   readonly processOptions?: (routerId: string, own: RouterProcessOptions) => Partial<RouterProcessOptions>
+  /** Whether `start` submits the fleet's own configuration; it does if this is left out. */
+  readonly configure?: boolean
 }
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -62,7 +62,7 @@
     await Promise.all([fleet.log.start(), fleet.vms.start()])
     await Promise.all([...fleet.engines, ...fleet.services].map(async (endpoint) => await endpoint.start()))
     for (let index = 0; index < (options.routers ?? DEFAULT_ROUTERS); index += 1) await fleet.startRouter()
-    await fleet.submit(fleet.defaultConfiguration())
+    if (options.configure !== false) await fleet.submit(fleet.defaultConfiguration())
     return fleet
   }
 
