--- a/packages/bench/src/fleet/fleet-configuration.ts
+++ b/packages/bench/src/fleet/fleet-configuration.ts
@@ -60,7 +60,7 @@
     routes: [
       { name: 'chat', model: 'm', pool: 'chat', repeatable: true, deadlineMs: CHAT_DEADLINE_MS },
       { name: 'lists', pool: 'gifts', repeatable: true, deadlineMs: SERVICE_DEADLINE_MS },
-      { name: 'payments', pool: 'gifts', repeatable: false, deadlineMs: SERVICE_DEADLINE_MS }
+      { name: 'payments', pool: 'gifts', repeatable: false, deadlineMs: SERVICE_DEADLINE_MS, ...options.paymentsRoute }
     ]
   })
 }
--- a/packages/bench/src/fleet/fleet-options.ts
+++ b/packages/bench/src/fleet/fleet-options.ts
@@ -1,7 +1,9 @@
+import type { Clock } from '@mimosarock/coordination/clock.js'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { LogService } from '@mimosarock/coordination/log-service.js'
 import type { ModelEngineOptions } from '@mimosarock/stand-ins/model-engine-options.js'
 import type { MessageInitShape } from '@bufbuild/protobuf'
-import type { PoolSchema, WorkspaceSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { PoolSchema, RouteSchema, WorkspaceSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import type { RouterSettingsInput } from './router-settings-input.js'
 
 /** What a fleet is made of; everything may be left out. */
@@ -22,6 +24,10 @@
   readonly modelPool?: MessageInitShape<typeof PoolSchema>
   /** Workspaces of the configuration; one named `alpha` if left out. */
   readonly workspaces?: ReadonlyArray<MessageInitShape<typeof WorkspaceSchema>>
+  /** Wraps the log service and the clock of one router, for example to pause it; both are shared if left out. */
+  readonly platformOf?: (router: string, log: LogService, clock: Clock) => { readonly logService: LogService, readonly clock: Clock }
+  /** Fields of the route `payments` over the fleet's own. */
+  readonly paymentsRoute?: MessageInitShape<typeof RouteSchema>
   /** Whether routers reach the platform over HTTP instead of in the same process. */
   readonly platformOverHttp?: boolean
 }
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -89,11 +89,13 @@
     const name = `router-${number}`
     const settings = fleetRouterSettings(this._zone(number), this.log.url, this.vms.url, this._options.settings)
     const overHttp = this._options.platformOverHttp === true
+    const sharedLog = overHttp ? new HttpLogService(this.log.url) : this.log
+    const sharedClock = new SystemClock()
+    const platform = this._options.platformOf?.(name, sharedLog, sharedClock) ?? { logService: sharedLog, clock: sharedClock }
     const process = new RouterProcess({
       settings,
-      logService: overHttp ? new HttpLogService(this.log.url) : this.log,
+      ...platform,
       vmList: overHttp ? new HttpVmList(this.vms.url, name) : this.vms.viewOf(name),
-      clock: new SystemClock(),
       eventLog: this._options.eventLog ?? new SilentEventLog(),
       routerId: name
     })
--- /dev/null
+++ b/packages/bench/src/operations/fault-counts.ts
@@ -0,0 +1,15 @@
+/** How often each kind of fault was caused. */
+export interface FaultCounts {
+  killed_routers: number
+  paused_routers: number
+  lost_log_answers: number
+  late_log_appends: number
+  duplicated_log_appends: number
+  slow_log: number
+  stopped_log: number
+  silent_connections: number
+  silent_calls: number
+  silent_answers: number
+  lost_answers: number
+  delayed_answers: number
+}
--- /dev/null
+++ b/packages/bench/src/operations/operation-faults.ts
@@ -0,0 +1,157 @@
+import type { PlainServiceStandIn } from '@mimosarock/stand-ins/plain-service-stand-in.js'
+import type { SeededRandom } from '@mimosarock/stand-ins/seeded-random.js'
+import type { Fleet } from '../fleet/fleet.js'
+import type { FaultCounts } from './fault-counts.js'
+import type { PauseGate } from './pause-gate.js'
+
+const LOG_OUTAGE_MS = 250
+const LOG_SLOW_MS = 250
+const LOG_DELAY_MS = 120
+const LATE_APPEND_MS = 400
+const ANSWER_DELAY_MS = 150
+const DELAYED_FOR_MS = 200
+const MINIMUM_PAUSE_MS = 400
+const MAXIMUM_PAUSE_MS = 1_500
+/** How long the VM list still names a router that was killed. */
+const VM_LIST_LAG_MS = 500
+
+/** Causes every kind of fault once in each round, at random times within it. */
+export class OperationFaults {
+  /** What was caused so far. */
+  readonly counts: FaultCounts = {
+    killed_routers: 0,
+    paused_routers: 0,
+    lost_log_answers: 0,
+    late_log_appends: 0,
+    duplicated_log_appends: 0,
+    slow_log: 0,
+    stopped_log: 0,
+    silent_connections: 0,
+    silent_calls: 0,
+    silent_answers: 0,
+    lost_answers: 0,
+    delayed_answers: 0
+  }
+
+  private readonly _fleet: Fleet
+  private readonly _gates: ReadonlyMap<string, PauseGate>
+  private readonly _random: SeededRandom
+
+  /**
+   * @param fleet what is disturbed
+   * @param gates pause each router, by its name
+   * @param random picks times and victims
+   */
+  constructor (fleet: Fleet, gates: ReadonlyMap<string, PauseGate>, random: SeededRandom) {
+    this._fleet = fleet
+    this._gates = gates
+    this._random = random
+  }
+
+  /**
+   * Causes faults round after round.
+   * @param rounds number of rounds
+   * @param roundMs length of one, in milliseconds
+   */
+  async run (rounds: number, roundMs: number): Promise<void> {
+    for (let round = 0; round < rounds; round += 1) {
+      const causes = [
+        () => this._kill(), () => this._pause(), () => this._slowLog(), () => this._stopLog(), () => this._loseLogAnswer(),
+        () => this._delayAppend(), () => this._duplicateAppend(), () => this._silence(), () => this._delayAnswers(), () => this._disturbService()
+      ]
+      await Promise.all([sleep(roundMs), ...causes.map(async (cause) => {
+        await sleep(this._random.below(roundMs * 0.7))
+        await cause()
+      })])
+    }
+  }
+
+  private async _kill (): Promise<void> {
+    const { routers, vms } = this._fleet
+    const index = this._random.below(routers.length)
+    const name = routers[index]?.process.id ?? ''
+    await this._fleet.killRouter(index)
+    this._gates.get(name)?.open()
+    this.counts.killed_routers += 1
+    await sleep(VM_LIST_LAG_MS)
+    vms.remove(name)
+    await this._fleet.startRouter()
+  }
+
+  private async _pause (): Promise<void> {
+    const { routers } = this._fleet
+    const gate = this._gates.get(routers[this._random.below(routers.length)]?.process.id ?? '')
+    if (gate === undefined || gate.closed) return
+    gate.close()
+    this.counts.paused_routers += 1
+    await sleep(MINIMUM_PAUSE_MS + this._random.below(MAXIMUM_PAUSE_MS - MINIMUM_PAUSE_MS))
+    gate.open()
+  }
+
+  private async _slowLog (): Promise<void> {
+    const { faults } = this._fleet.log
+    faults.appendDelayMs = LOG_DELAY_MS
+    faults.readDelayMs = LOG_DELAY_MS
+    this.counts.slow_log += 1
+    await sleep(LOG_SLOW_MS)
+    faults.appendDelayMs = 0
+    faults.readDelayMs = 0
+  }
+
+  private async _stopLog (): Promise<void> {
+    this._fleet.log.startOutage()
+    this.counts.stopped_log += 1
+    await sleep(LOG_OUTAGE_MS)
+    this._fleet.log.endOutage()
+  }
+
+  private _loseLogAnswer (): void {
+    this._fleet.log.faults.lostAnswers += 1
+    this.counts.lost_log_answers += 1
+  }
+
+  /** An append that takes effect after later ones. */
+  private _delayAppend (): void {
+    this._fleet.log.faults.lateAppendMs = LATE_APPEND_MS
+    this._fleet.log.faults.lateAppends += 1
+    this.counts.late_log_appends += 1
+  }
+
+  private _duplicateAppend (): void {
+    this._fleet.log.faults.duplicatedAppends += 1
+    this.counts.duplicated_log_appends += 1
+  }
+
+  private _silence (): void {
+    if (this._service().server.silenceConnections() > 0) this.counts.silent_connections += 1
+  }
+
+  private async _delayAnswers (): Promise<void> {
+    const { faults } = this._service()
+    faults.delayMs = ANSWER_DELAY_MS
+    this.counts.delayed_answers += 1
+    await sleep(DELAYED_FOR_MS)
+    faults.delayMs = 0
+  }
+
+  private _disturbService (): void {
+    const { faults } = this._service()
+    faults.silentCalls += 1
+    this.counts.silent_calls += 1
+    faults.silentAnswers += 1
+    this.counts.silent_answers += 1
+    faults.lostAnswers += 1
+    this.counts.lost_answers += 1
+  }
+
+  private _service (): PlainServiceStandIn {
+    const { services } = this._fleet
+    const service = services[this._random.below(services.length)]
+    if (service === undefined) throw new Error('the fleet has no service')
+    return service
+  }
+}
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
--- a/packages/stand-ins/src/plain-service-stand-in.ts
+++ b/packages/stand-ins/src/plain-service-stand-in.ts
@@ -22,6 +22,8 @@
   private readonly _capacity: number
   private readonly _name: string
   private readonly _runs = new Map<string, number>()
+  /** Values of the `x-call-id` header of the runs of each key. */
+  private readonly _callIds = new Map<string, string[]>()
   private _running = 0
   private _totalRuns = 0
 
@@ -57,6 +59,14 @@
     return this._runs.get(key) ?? 0
   }
 
+  /**
+   * Values of the `x-call-id` header with which a key ran, one for each run that had the header.
+   * @param key the Idempotency-Key
+   */
+  callIdsOf (key: string): readonly string[] {
+    return this._callIds.get(key) ?? []
+  }
+
   /** Listens. */
   async start (): Promise<void> {
     await this.server.start()
@@ -90,6 +100,8 @@
       sendJson(response, 409, { error: 'this key ran before', runs: this.runsOf(key) })
       return
     }
+    const callId = request.headers['x-call-id']
+    if (key !== undefined && typeof callId === 'string') this._callIds.set(key, [...this.callIdsOf(key), callId])
     const run = await this._run(key)
     if (this._take('lostAnswers')) response.destroy()
     else if (!this._take('silentAnswers')) sendJson(response, 200, { service: this._name, method: request.method, path: request.url, key, bytes: body.length, run })
