Run the ledger's partitions and the settler in the router

The router appended intents for itself, judged a healthy idle replica stale after 12 s although its proof may be as old as two long polls of 10 s, and allowed settlements only after 10 minutes whatever the settings said. It now runs the ledger by partitions with one writer each, polls of 2 s and the settings' bounds, writes the partitions' checkpoints and settles by status calls.

--- a/packages/coordination/src/ledger/ledger-partition.ts
+++ b/packages/coordination/src/ledger/ledger-partition.ts
@@ -29,7 +29,8 @@
   readonly fold = new LedgerFold()
   /** Takes what peers hand to this router as the partition's writer. */
   readonly appender: FunnelledAppender
-  private readonly _direct: GroupAppender
+  /** Appends as this router, whoever is the writer; for checkpoints. */
+  readonly direct: GroupAppender
 
   /**
    * @param partition number of the partition
@@ -47,7 +48,7 @@
       slowPollMs: SLOW_POLL_MS,
       readTimeoutMs: READ_TIMEOUT_MS
     })
-    this._direct = new GroupAppender({
+    this.direct = new GroupAppender({
       logService,
       replica: this.replica,
       writerId: options.routerId,
@@ -60,7 +61,7 @@
     this.appender = new FunnelledAppender({
       partition,
       replica: this.replica,
-      direct: this._direct,
+      direct: this.direct,
       writers,
       messenger,
       clock,
@@ -87,7 +88,7 @@
    * @param signal ends the tasks
    */
   async run (signal: AbortSignal): Promise<void> {
-    await Promise.all([this.replica.run(signal), this._direct.run(signal)])
+    await Promise.all([this.replica.run(signal), this.direct.run(signal)])
     this.ledger.stop()
   }
 }
--- a/packages/router/src/router-parts.ts
+++ b/packages/router/src/router-parts.ts
@@ -5,6 +5,7 @@
 import type { CallerServer } from './caller/caller-server.js'
 import type { ForwardServer } from './forward/forward-server.js'
 import type { OwnerDispatch } from './forward/owner-dispatch.js'
+import type { LedgerParts } from './ledger-parts.js'
 import type { EndpointClients } from './owner/endpoint-clients.js'
 import type { PlacementParts } from './placement-parts.js'
 import type { RouterStreams } from './router-streams.js'
@@ -21,4 +22,5 @@
   readonly callerServer: CallerServer
   readonly configurationParts: ConfigurationParts
   readonly placement: PlacementParts
+  readonly ledger: LedgerParts
 }
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -16,7 +16,8 @@
 import { ForwardServer } from './forward/forward-server.js'
 import { LiveOwners } from './forward/live-owners.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
-import { KeyedCall } from './operations/keyed-call.js'
+import { HttpStatusCall } from './operations/http-status-call.js'
+import { StatusSettler } from './operations/status-settler.js'
 import { ConfiguredHealth } from './owner/configured-health.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
@@ -26,7 +27,7 @@
 import { RouterStreams } from './router-streams.js'
 import type { Readiness } from './status/readiness.js'
 import { readPeerAccess } from './access/read-peer-access.js'
-import { LedgerAdministration } from './operations/ledger-administration.js'
+import { wireLedger } from './wire-ledger.js'
 import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
@@ -36,11 +37,6 @@
 const RETRY_RESERVE = 20
 const MAXIMUM_UNOWNED_CALLS = 8
 const MAXIMUM_FORWARD_CONNECTIONS = 1_024
-/** Longest time between an intent and its dispatch; a router that was paused for longer does not dispatch. */
-const DISPATCH_WINDOW_MS = 2_000
-const MINIMUM_REMAINING_MS = 20
-const OUTCOME_GRACE_MS = 10_000
-const IN_PROGRESS_WAIT_MS = 1_000
 const ID_BYTES = 6
 const STOP_CHECK_MS = 20
 const FLUSH_MS = 5_000
@@ -114,10 +110,13 @@
       heartbeatMs: settings.membership.heartbeat_ms,
       suspicionMs: settings.membership.suspicion_ms
     })
-    const { ledger } = streams
-    const operations = new LedgerAdministration({ partitions: { partitions: [{ ledger }], ledgerFor: () => ledger }, configuration })
-    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations, endpoints: () => [], clock, eventLog })
-    const { operatorSide, spreader, checkpointWriters } = configurationParts
+    const ledger = wireLedger({ process: this._options, streams, membership, messenger })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => [], clock, eventLog })
+    const { operatorSide, spreader } = configurationParts
+    const checkpointWriters = [...configurationParts.checkpointWriters, ...ledger.checkpointWriters]
+    const settler = new StatusSettler({
+      ...ledger, configuration, statusCall: new HttpStatusCall(), auditTrail: operatorSide.auditTrail, clock, eventLog, routerId: this.id
+    })
     const operators = await operatorSide.start()
 
     const owners = new LiveOwners(configuration, membership)
@@ -151,17 +150,6 @@
     const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
     const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryBudget, clock })
     const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryBudget, clock })
-    const keyedCall = new KeyedCall({
-      ledgerFor: () => streams.ledger,
-      clock,
-      eventLog,
-      keyWindowMs: settings.operations.key_window_ms,
-      dispatchWindowMs: DISPATCH_WINDOW_MS,
-      minimumRemainingMs: MINIMUM_REMAINING_MS,
-      outcomeGraceMs: OUTCOME_GRACE_MS,
-      inProgressWaitMs: IN_PROGRESS_WAIT_MS,
-      maximumKeptAnswerBytes: maximumKeptBodyBytes
-    })
     const callerServer = new CallerServer({
       address: settings.callers.address,
       maximumHeaderBytes: settings.callers.maximum_header_bytes,
@@ -188,7 +176,7 @@
         order,
         placement,
         directPlacement,
-        keyedCall,
+        keyedCall: ledger.keyedCall,
         clock,
         maximumBodyBytes: settings.callers.maximum_body_bytes,
         maximumKeptBodyBytes,
@@ -198,10 +186,10 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
@@ -218,7 +206,7 @@
    * @returns requests that were cut off because the grace time ended
    */
   async stop (): Promise<number> {
-    const { streams, membership, callerServer, forwardServer } = this.parts
+    const { ledger, membership, callerServer, forwardServer } = this.parts
     const { clock, eventLog, settings } = this._options
     this._stopping = true
     membership.leave()
@@ -229,7 +217,7 @@
     const closed = callerServer.stop()
     while ((callerServer.inFlight > 0 || forwardServer.inFlight > 0) && clock.now() < deadlineAt) await clock.sleep(STOP_CHECK_MS)
     const cutOff = callerServer.inFlight + forwardServer.inFlight
-    await streams.ledger.flush(FLUSH_MS)
+    await ledger.partitions.flush(FLUSH_MS)
     await membership.depart()
     await this.kill()
     await closed
@@ -241,8 +229,8 @@
   async kill (): Promise<void> {
     this._stopping = true
     this._ending.abort()
-    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer, configurationParts } = this.parts
-    streams.ledger.stop()
+    const { ledger, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer, configurationParts } = this.parts
+    ledger.partitions.stop()
     callerServer.destroy()
     forwardServer.destroy()
     messenger.close()
--- a/packages/router/src/router-streams.ts
+++ b/packages/router/src/router-streams.ts
@@ -1,30 +1,22 @@
 import { ConfigurationFold } from '@mimosarock/coordination/configuration/configuration-fold.js'
 import { ConfigurationReplica } from '@mimosarock/coordination/configuration/configuration-replica.js'
 import { GroupAppender } from '@mimosarock/coordination/group-appender.js'
-import { LedgerFold } from '@mimosarock/coordination/ledger/ledger-fold.js'
-import { OperationLedger } from '@mimosarock/coordination/ledger/operation-ledger.js'
 import type { LogFold } from '@mimosarock/coordination/log-fold.js'
 import { StreamReplica } from '@mimosarock/coordination/stream-replica.js'
 import type { RouterProcessOptions } from './router-process-options.js'
 
 const CONFIGURATION_STREAM = 'configuration'
-const LEDGER_STREAM = 'operations-0'
 const LONG_POLL_MS = 10_000
 const SLOW_POLL_MS = 1_000
 const READ_TIMEOUT_MS = 2_000
 const APPEND_TIMEOUT_MS = 1_000
 const MAXIMUM_RECORD_BYTES = 524_288
 const CONFIGURATION_GROUP_MS = 20
-/** Staleness of the ledger beyond which keyed calls are refused at once; longer than one long poll. */
-const LEDGER_STALE_MS = LONG_POLL_MS + READ_TIMEOUT_MS
-const LONGEST_PAUSE_MS = 600_000
-const MAXIMUM_OPERATIONS = 1_000_000
 
 /** The streams of the log service that a router follows and writes. */
 export class RouterStreams {
   readonly configuration: ConfigurationReplica
   readonly configurationAppender: GroupAppender
-  readonly ledger: OperationLedger
   private readonly _options: RouterProcessOptions
   /** Each stream with the appender that writes it, for checkpoints. */
   readonly written: Array<{ readonly replica: StreamReplica, readonly appender: GroupAppender }> = []
@@ -41,21 +33,6 @@
     const configurationReplica = this._replica(CONFIGURATION_STREAM, configurationFold)
     this.configuration = new ConfigurationReplica(configurationReplica, configurationFold)
     this.configurationAppender = this._appender(configurationReplica, routerId, CONFIGURATION_GROUP_MS)
-    const ledgerFold = new LedgerFold()
-    const ledgerReplica = this._replica(LEDGER_STREAM, ledgerFold)
-    this.ledger = new OperationLedger({
-      replica: ledgerReplica,
-      fold: ledgerFold,
-      appender: this._appender(ledgerReplica, routerId, options.settings.operations.group_interval_ms),
-      routerId,
-      clock: options.clock,
-      eventLog: options.eventLog,
-      intentTimeoutMs: options.settings.operations.intent_timeout_ms,
-      keyWindowMs: options.settings.operations.key_window_ms,
-      staleAfterMs: LEDGER_STALE_MS,
-      longestPauseMs: LONGEST_PAUSE_MS,
-      maximumOperations: MAXIMUM_OPERATIONS
-    })
   }
 
   /**
