Measure calls that may run at most once under faults

bench -- operations sends keyed calls through eight routers whose callers repeat them through others, while routers are killed and paused, the log loses, delays, doubles and refuses appends, and services fall silent or lose answers.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,8 +1,10 @@
 import { Builtins, Cli } from 'clipanion'
 import { MembershipBench } from './membership/membership-bench.js'
+import { OperationsBench } from './operations/operations-bench.js'
 
 const cli = new Cli({ binaryLabel: 'mimosarock bench', binaryName: 'npm run --silent bench --' })
 cli.register(Builtins.HelpCommand)
 cli.register(MembershipBench)
+cli.register(OperationsBench)
 process.exitCode = await cli.run(process.argv.slice(2))
 process.exit()
--- a/packages/bench/src/operations/operation-faults.ts
+++ b/packages/bench/src/operations/operation-faults.ts
@@ -10,6 +10,8 @@
 const LATE_APPEND_MS = 400
 const ANSWER_DELAY_MS = 150
 const DELAYED_FOR_MS = 200
+/** Longest wait for an open connection to silence. */
+const SILENCE_WAIT_MS = 1_000
 const MINIMUM_PAUSE_MS = 400
 const MAXIMUM_PAUSE_MS = 1_500
 /** How long the VM list still names a router that was killed. */
@@ -122,8 +124,16 @@
     this.counts.duplicated_log_appends += 1
   }
 
-  private _silence (): void {
-    if (this._service().server.silenceConnections() > 0) this.counts.silent_connections += 1
+  /** Silences a connection that carries a call; calls have connections of their own, so it waits for one. */
+  private async _silence (): Promise<void> {
+    const until = performance.now() + SILENCE_WAIT_MS
+    while (performance.now() < until) {
+      if (this._service().server.silenceConnections() > 0) {
+        this.counts.silent_connections += 1
+        return
+      }
+      await sleep(1)
+    }
   }
 
   private async _delayAnswers (): Promise<void> {
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -20,6 +20,7 @@
 import { StatusSettler } from './operations/status-settler.js'
 import { ConfiguredHealth } from './owner/configured-health.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
+import { OpenAdmission } from './owner/open-admission.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
 import type { RouterAddresses } from './router-addresses.js'
 import type { RouterParts } from './router-parts.js'
@@ -122,15 +123,18 @@
     const owners = new LiveOwners(configuration, membership)
     const health = new ConfiguredHealth(configuration)
     const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, health, clients, clock, eventLog })
-    const owned = new DispatchOwned({
+    const dispatchOptions = {
       configuration,
-      admission: placementParts.admissions,
       health,
       clients,
       headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
-    })
+    }
+    const owned = new DispatchOwned({ ...dispatchOptions, admission: placementParts.admissions })
+    // Keyed calls go straight from the router that won the key, which does not know the load of endpoints that it
+    // does not own: a bound counted here would refuse calls at idle endpoints.
+    const ownedOnce = new DispatchOwned({ ...dispatchOptions, admission: new OpenAdmission() })
     const ownerDispatch = new OwnerDispatch({
       self: () => membership.self,
       owners,
@@ -149,7 +153,7 @@
     const displacement = placementParts.reports
     const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
     const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryBudget, clock })
-    const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryBudget, clock })
+    const directPlacement = new EntryPlacement({ dispatch: ownedOnce, displacement, retryBudget, clock })
     const callerServer = new CallerServer({
       address: settings.callers.address,
       maximumHeaderBytes: settings.callers.maximum_header_bytes,
