Keep news of a starting fleet from flooding it, and try several hints at once

Urgent heartbeats in a row now wait twice as long each time, a call whose timer came 100 ms late proves nothing, and 4 addresses are tried at once after a start.

--- a/packages/coordination/src/membership/heartbeat-exchange.ts
+++ b/packages/coordination/src/membership/heartbeat-exchange.ts
@@ -10,7 +10,7 @@
 import { PendingUpdates } from './pending-updates.js'
 
 /** Bounds on one heartbeat; more follows in the next. */
-const MAXIMUM_RECORDS = 32
+const MAXIMUM_RECORDS = 64
 const MAXIMUM_REVISIONS = 200
 
 /** What a heartbeat's answer tells the sender to do. */
--- a/packages/coordination/src/membership/heartbeat-sender.ts
+++ b/packages/coordination/src/membership/heartbeat-sender.ts
@@ -10,10 +10,10 @@
 /** Bounds on the time that a peer has for its answer. */
 const MINIMUM_TIMEOUT_MS = 250
 const MAXIMUM_TIMEOUT_MS = 1_000
-/** Shortest pause between two heartbeats to one peer, however urgent. */
+/** Shortest pause between two heartbeats to one peer, however urgent; doubled with each urgent one in a row. */
 const MINIMUM_PAUSE_MS = 50
 /** A call that took so much longer than its bound shows that this process itself stood still. */
-const PAUSE_TOLERANCE_MS = 500
+const PAUSE_TOLERANCE_MS = 100
 /** Failed tries before a peer is suspected; doubled each time that the peer refutes and still does not answer. */
 const TRIES = 2
 const MAXIMUM_TRIES = 32
@@ -71,13 +71,16 @@
   async run (signal: AbortSignal): Promise<void> {
     const phaseMs = hash32(this._view.self.identity.id + this._peer.id) % this._heartbeatMs
     await this._pause(phaseMs, signal)
+    let minimumPauseMs = MINIMUM_PAUSE_MS
     while (!signal.aborted) {
       const answered = await this.beat()
-      await this._clock.sleep(MINIMUM_PAUSE_MS, signal)
+      await this._clock.sleep(minimumPauseMs, signal)
       // A peer that did not answer is tried again at once, on a new connection.
       if (!answered && this._failures === 1) continue
-      const moreNews = this._exchange.pending.hasRecords(this._peer.id)
-      if (!(answered && moreNews)) await this._pause(this._heartbeatMs - MINIMUM_PAUSE_MS, signal)
+      const moreNews = answered && this._exchange.pending.hasRecords(this._peer.id)
+      const urgent = moreNews || await this._pause(this._heartbeatMs - minimumPauseMs, signal)
+      // While a whole fleet starts, news never ends; it then travels in fewer and fuller heartbeats.
+      minimumPauseMs = urgent ? Math.min(minimumPauseMs * 2, this._heartbeatMs / 2) : MINIMUM_PAUSE_MS
     }
   }
 
@@ -131,9 +134,10 @@
     this._view.suspect(this._peer.id, incarnation)
   }
 
-  private async _pause (ms: number, signal: AbortSignal): Promise<void> {
+  /** Gives whether the pause was cut short because news can't wait. */
+  private async _pause (ms: number, signal: AbortSignal): Promise<boolean> {
     this._wake = new AbortController()
-    if (this._urgent) return
-    await this._clock.sleep(Math.max(ms, 0), AbortSignal.any([signal, this._wake.signal]))
+    if (!this._urgent) await this._clock.sleep(Math.max(ms, 0), AbortSignal.any([signal, this._wake.signal]))
+    return this._urgent
   }
 }
--- a/packages/coordination/src/membership/peer-discovery.ts
+++ b/packages/coordination/src/membership/peer-discovery.ts
@@ -11,6 +11,8 @@
 const EAGER_TRY_INTERVAL_MS = 250
 const EAGER_VM_LIST_INTERVAL_MS = 1_000
 const EAGER_MS = 15_000
+/** Addresses tried at once while eager, so that lost VMs in the list, which cost a timeout each, hold nothing up. */
+const EAGER_TRIES = 4
 const VM_LIST_TIMEOUT_MS = 2_000
 /** Every router tries; so many a second in the whole fleet are enough to find a healed partition. */
 const FLEET_TRIES_PER_SECOND = 20
@@ -48,7 +50,8 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this._readList(signal)
-      await this._tryNext()
+      const tries = this._isEager() ? EAGER_TRIES : 1
+      await Promise.all(Array.from({ length: tries }, () => this._tryNext()))
       await this._options.clock.sleep(this._intervalMs(), signal)
     }
   }
