--- /dev/null
+++ b/packages/router/src/wire-leaving.ts
@@ -0,0 +1,78 @@
+import type { Clock } from '@mimosarock/coordination/clock.js'
+import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
+import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
+import type { PeerMessenger } from '@mimosarock/coordination/peer-messenger.js'
+import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
+import type { PoolOrder } from './entry/pool-order.js'
+import { ContextEvacuation } from './owner/context-evacuation.js'
+import type { EndpointOwnership } from './owner/endpoint-ownership.js'
+import { OwnershipHandover } from './owner/ownership-handover.js'
+import { Retirements } from './owner/retirements.js'
+import type { TrackedDispatch } from './owner/tracked-dispatch.js'
+import type { WatchedEndpoints } from './owner/watched-endpoints.js'
+import type { PlacementParts } from './placement-parts.js'
+
+/** What the parts for leaving endpoints and routers are wired to. */
+interface WireLeavingOptions {
+  readonly configuration: ConfigurationSource
+  readonly membership: HeartbeatMembership
+  readonly owners: EndpointOwnership
+  readonly watch: WatchedEndpoints
+  readonly dispatch: TrackedDispatch
+  readonly placement: PlacementParts
+  readonly order: PoolOrder
+  readonly messenger: PeerMessenger
+  readonly clock: Clock
+  readonly eventLog: EventLog
+}
+
+/** The parts that take endpoints and this router out of service in order. */
+interface LeavingParts {
+  readonly retirements: Retirements
+  readonly handover: OwnershipHandover
+}
+
+/**
+ * Wires what happens when an endpoint is retired or this router stops.
+ * @param options what the parts work with
+ */
+export function wireLeaving (options: WireLeavingOptions): LeavingParts {
+  const { configuration, membership, owners, watch, dispatch, placement, order, messenger, clock, eventLog } = options
+  const evacuation = new ContextEvacuation({
+    configuration,
+    isLive: (pool, endpoint) => watch.availability(pool, endpoint) === EndpointAvailability.LIVE,
+    cacheOf: (pool, endpoint) => watch.cacheKnowledge(pool, endpoint),
+    carrier: placement.carrier
+  })
+  const retirements = new Retirements({
+    configuration,
+    owners,
+    selfId: () => membership.self.id,
+    steps: {
+      mayBegin: (pool, endpoint) => watch.retirementRuns(pool, endpoint),
+      inFlight: (pool, endpoint) => dispatch.inFlight(pool, endpoint),
+      endInFlight: (pool, endpoint) => dispatch.endInFlight(pool, endpoint),
+      exportContext: async (pool, endpoint, signal) => await evacuation.evacuate(pool, endpoint, signal)
+    },
+    clock,
+    eventLog
+  })
+  const handover = new OwnershipHandover({
+    configuration,
+    membership,
+    owners,
+    messenger,
+    displaced: placement.displaced,
+    firstEndpoint: (name, key) => {
+      const index = configuration.current()
+      const pool = index?.pools.get(name)
+      return index === undefined || pool === undefined ? undefined : order.first(index, pool, key, 1)[0]?.name
+    },
+    inFlight: (pool, endpoint) => dispatch.inFlight(pool, endpoint),
+    noteForeign: (pool, endpoint, running) => placement.admissions.admissionOf(pool, endpoint)?.noteReport(running),
+    clock,
+    eventLog
+  })
+  return { retirements, handover }
+}
