--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,8 @@
 import { Builtins, Cli } from 'clipanion'
+import { DecisionBench } from './decision/decision-bench.js'
 
 const cli = new Cli({ binaryLabel: 'mimosarock bench', binaryName: 'npm run --silent bench --' })
 cli.register(Builtins.HelpCommand)
+cli.register(DecisionBench)
 process.exitCode = await cli.run(process.argv.slice(2))
 process.exit()
--- a/packages/placement/src/held-contexts.ts
+++ b/packages/placement/src/held-contexts.ts
@@ -1,23 +1,36 @@
+import type { PlacementClock } from './placement-clock.js'
+
+/** A context and when the endpoint last used it. */
+interface HeldContext {
+  readonly tokens: number
+  readonly seenAt: number
+}
+
 /**
- * Which chats' contexts an endpoint is believed to hold, bounded. Dispatches and cache events add to it,
- * evictions take away. After a gap in the events nothing that was known before is believed until it is seen
- * again: the worst case of a gap is a cache miss, never a wait for a context that is gone.
+ * Which chats' contexts an endpoint is believed to hold because it answered them, bounded in number and time:
+ * what the endpoint evicts is not seen here. The worst case of a wrong belief is a short wait and a cache miss.
  */
 export class HeldContexts {
+  private readonly _clock: PlacementClock
   private readonly _maximum: number
-  /** Tokens by affinity key, in the order in which they were last seen. */
-  private readonly _tokens = new Map<string, number>()
+  private readonly _keepMs: number
+  /** By affinity key, in the order in which they were last seen. */
+  private readonly _contexts = new Map<string, HeldContext>()
 
   /**
    * @param maximum most chats kept; those seen least recently are forgotten first
+   * @param keepMs how long an answer is taken to prove that the context is there, in milliseconds
+   * @param clock source of time
    */
-  constructor (maximum: number) {
+  constructor (maximum: number, keepMs: number, clock: PlacementClock) {
     this._maximum = maximum
+    this._keepMs = keepMs
+    this._clock = clock
   }
 
   /** Number of chats kept. */
   get size (): number {
-    return this._tokens.size
+    return this._contexts.size
   }
 
   /**
@@ -26,7 +39,11 @@
    * @returns undefined if it is not believed to hold any
    */
   tokensOf (affinityKey: string): number | undefined {
-    return this._tokens.get(affinityKey)
+    const context = this._contexts.get(affinityKey)
+    if (context === undefined) return undefined
+    if (this._clock.now() - context.seenAt <= this._keepMs) return context.tokens
+    this._contexts.delete(affinityKey)
+    return undefined
   }
 
   /**
@@ -35,23 +52,15 @@
    * @param tokens its length in tokens
    */
   noteStored (affinityKey: string, tokens: number): void {
-    this._tokens.delete(affinityKey)
-    this._tokens.set(affinityKey, tokens)
-    if (this._tokens.size <= this._maximum) return
-    const oldest = this._tokens.keys().next()
-    if (!oldest.done) this._tokens.delete(oldest.value)
-  }
-
-  /**
-   * Notes that the endpoint dropped a chat's context.
-   * @param affinityKey the chat's key
-   */
-  noteEvicted (affinityKey: string): void {
-    this._tokens.delete(affinityKey)
+    this._contexts.delete(affinityKey)
+    this._contexts.set(affinityKey, { tokens, seenAt: this._clock.now() })
+    if (this._contexts.size <= this._maximum) return
+    const oldest = this._contexts.keys().next()
+    if (!oldest.done) this._contexts.delete(oldest.value)
   }
 
-  /** Forgets everything: the endpoint restarted, or events were missed. */
+  /** Forgets everything: the endpoint was lost, or has another owner. */
   clear (): void {
-    this._tokens.clear()
+    this._contexts.clear()
   }
 }
--- a/packages/router/src/owner/endpoint-admissions-options.ts
+++ b/packages/router/src/owner/endpoint-admissions-options.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
 import type { DisplacedChats } from '@mimosarock/placement/displaced-chats.js'
 import type { OwnerLookup } from '../forward/owner-lookup.js'
+import type { CacheKnowledge } from './cache-knowledge.js'
 import type { ContextCarrier } from './context-carrier.js'
 
 /** What admission at owned endpoints works with. */
@@ -16,6 +17,12 @@
    * @param endpoint name of the endpoint
    */
   readonly isAvailable: (pool: string, endpoint: string) => boolean
+  /**
+   * Which contexts an owned engine holds, by its cache events; undefined if it is not watched.
+   * @param pool name of the pool
+   * @param endpoint name of the endpoint
+   */
+  readonly cacheOf: (pool: string, endpoint: string) => CacheKnowledge | undefined
   readonly clock: Clock
   /** Chats that lie elsewhere than at their first endpoint, where this router owns the first. */
   readonly displaced: DisplacedChats
--- a/packages/router/src/owner/endpoint-admissions.ts
+++ b/packages/router/src/owner/endpoint-admissions.ts
@@ -73,7 +73,7 @@
     if (admissions === undefined) throw new MimosarockError(ResultCode.NO_ENDPOINT, `pool ${call.pool} is not configured`)
     this._redirect(call)
     const held = admissions.heldAt(call.endpoint)
-    const hasContext = call.affinityKey !== '' && held.tokensOf(call.affinityKey) !== undefined
+    const hasContext = call.affinityKey !== '' && this._holdsContext(held, call)
     const waitMs = hasContext ? Math.max(call.waitMs, admissions.pool.contextWaitMs) : call.waitMs
     const ticket = await this._admit(admissions, call, waitMs, hasContext, signal)
     if (call.affinityKey === '') return ticket
@@ -82,6 +82,15 @@
     return this._rememberContext(ticket, held, call)
   }
 
+  /**
+   * Cache events are late, so an answer of the last seconds counts although no event names it yet; what the
+   * events have shown and what they have lost counts only as far as they are certain.
+   */
+  private _holdsContext (held: HeldContexts, call: DispatchCall): boolean {
+    const known = this._options.cacheOf(call.pool, call.endpoint)?.get(call.affinityKey)
+    return known?.certain === true || held.tokensOf(call.affinityKey) !== undefined
+  }
+
   /** Sends a chat's first try to the endpoint that its displaced context lies at. */
   private _redirect (call: DispatchCall): void {
     if (call.attempt > 0 || call.affinityKey === '') return
--- a/packages/router/src/owner/pool-admissions.ts
+++ b/packages/router/src/owner/pool-admissions.ts
@@ -8,6 +8,9 @@
 /** Age at which another owner's load stops counting, in milliseconds. */
 const DIGEST_STALE_MS = 5_000
 
+/** How long an answer proves that the context is at the endpoint; cache events are known by then. */
+const ANSWER_PROOF_MS = 15_000
+
 /** One endpoint of a pool at this router. */
 interface AdmittedEndpoint {
   readonly admission: EndpointAdmission
@@ -112,7 +115,7 @@
     if (known !== undefined && known.capacity === capacity) return known
     const entry: AdmittedEndpoint = {
       capacity,
-      held: known?.held ?? new HeldContexts(this._options.maximumHeldContexts),
+      held: known?.held ?? new HeldContexts(this._options.maximumHeldContexts, ANSWER_PROOF_MS, this._options.clock),
       admission: new EndpointAdmission({
         endpoint,
         capacity,
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -14,10 +14,9 @@
 import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
 import { ForwardServer } from './forward/forward-server.js'
-import { LiveOwners } from './forward/live-owners.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
 import { KeyedCall } from './operations/keyed-call.js'
-import { ConfiguredHealth } from './owner/configured-health.js'
+import { ConfiguredOwners } from './owner/configured-owners.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
 import type { RouterAddresses } from './router-addresses.js'
@@ -27,6 +26,7 @@
 import type { Readiness } from './status/readiness.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { WatchedEndpoints } from './owner/watched-endpoints.js'
 import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
@@ -111,10 +111,20 @@
     })
     configuration.onChange(() => membership.setRevision(configuration.current()?.revision ?? 0))
 
-    const owners = new LiveOwners(configuration, membership)
-    const health = new ConfiguredHealth(configuration)
-    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, health, clients, clock, eventLog })
-    const owned = new DispatchOwned({
+    const owners = new ConfiguredOwners(configuration, membership)
+    const health = new WatchedEndpoints({
+      configuration,
+      membership,
+      owners,
+      vmList,
+      clock,
+      eventLog,
+      traffic: this._traffic,
+      connectTimeoutMs: settings.endpoints.connect_timeout_ms,
+      pollMs: settings.endpoints.load_poll_ms
+    })
+    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
+    const owned: DispatchOwned = new DispatchOwned({
       configuration,
       admission: placementParts.admissions,
       health,
@@ -191,7 +201,7 @@
     this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal)])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal)])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators: '' }
   }
--- a/packages/router/src/test/endpoint-admissions_test.ts
+++ b/packages/router/src/test/endpoint-admissions_test.ts
@@ -4,6 +4,7 @@
 import { RunState } from '@mimosarock/schema/run-state.js'
 import type { AdmissionTicket } from '@mimosarock/placement/admission-ticket.js'
 import type { DispatchCall } from '../forward/dispatch-call.js'
+import { CacheKnowledge } from '../owner/cache-knowledge.js'
 import { AdmissionFleet } from './admission-fleet.js'
 
 const chat = 'aaaaaaaaaaaaaaaa'
@@ -141,3 +142,30 @@
     expect(total?.capacity).toBe((member.parts.admissions.pools.get('chat')?.owned.size ?? 0) * 16)
   }
 })
+
+test.each([
+  { name: 'an event names it', pages: [[1]], expected: 'ENDPOINT_OVER_BOUND e0' },
+  { name: 'an event after it is missing', pages: [[1], [3]], expected: 'ENDPOINT_OVER_BOUND' },
+  { name: 'it was evicted', pages: [[1], [2]], expected: 'ENDPOINT_OVER_BOUND' }
+])('the holder of a context by cache events: $name', async ({ pages, expected }) => {
+  const fleet = new AdmissionFleet(1, 4)
+  await fill(fleet, 'e0')
+  const cache = new CacheKnowledge(fleet.clock, 100)
+  for (const sequences of pages) {
+    const events = sequences.map((sequence) => ({ sequence, kind: sequence === 2 ? 'evicted' as const : 'stored' as const, cache_key: sequence === 3 ? 'other' : chat, tokens: 10 }))
+    cache.apply({ oldest: sequences[0] ?? 1, newest: sequences.at(-1) ?? 1, events })
+  }
+  fleet.caches.set('e0', cache)
+  expect(await outcome(admit(fleet, {}))).toBe(expected)
+})
+
+test('what an engine reports beyond the own calls counts against the bound', async () => {
+  const fleet = new AdmissionFleet(1, 4)
+  const report = (running: number): void => {
+    for (const listener of fleet.reportListeners) listener('chat', 'e0', { running, waiting: 0, capacity: 16, cachedTokens: 0, cacheLimitTokens: 0, receivedAt: 0 })
+  }
+  report(9)
+  expect(await outcome(admit(fleet, {}))).toBe('ENDPOINT_OVER_BOUND')
+  report(0)
+  expect(await outcome(admit(fleet, {}))).toBe('admitted')
+})
--- a/packages/router/src/wire-placement.ts
+++ b/packages/router/src/wire-placement.ts
@@ -7,13 +7,13 @@
 import { DisplacedChats } from '@mimosarock/placement/displaced-chats.js'
 import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import { TokenBucket } from '@mimosarock/placement/token-bucket.js'
-import type { OwnerLookup } from './forward/owner-lookup.js'
 import { WorkspaceLimits } from './limits/workspace-limits.js'
 import { ContextCarrier } from './owner/context-carrier.js'
 import { DisplacementReports } from './owner/displacement-reports.js'
 import { EndpointAdmissions } from './owner/endpoint-admissions.js'
 import type { EndpointClients } from './owner/endpoint-clients.js'
-import type { EndpointHealth } from './owner/endpoint-health.js'
+import type { EndpointOwnership } from './owner/endpoint-ownership.js'
+import type { EndpointWatching } from './owner/endpoint-watching.js'
 import { LoadExchange } from './owner/load-exchange.js'
 import type { PlacementParts } from './placement-parts.js'
 import type { RouterSettings } from './settings/router-settings.js'
@@ -24,8 +24,8 @@
   readonly configuration: ConfigurationSource
   readonly membership: Membership
   readonly messenger: PeerMessenger
-  readonly owners: OwnerLookup
-  readonly health: EndpointHealth
+  readonly owners: EndpointOwnership
+  readonly watch: EndpointWatching
   readonly clients: EndpointClients
   readonly clock: Clock
   readonly eventLog: EventLog
@@ -36,7 +36,7 @@
  * @param options what they work with
  */
 export function wirePlacement (options: WirePlacementOptions): PlacementParts {
-  const { settings, configuration, membership, messenger, owners, health, clients, clock, eventLog } = options
+  const { settings, configuration, membership, messenger, owners, watch, clients, clock, eventLog } = options
   const selfId = (): string => membership.self.id
   const displaced = new DisplacedChats(settings.maximum_displaced_chats, settings.displaced_chat_keep_ms, clock)
   const cost = new CarryCost({
@@ -51,14 +51,17 @@
     configuration,
     owners,
     selfId,
-    isAvailable: (pool, endpoint) => health.availability(pool, endpoint) === EndpointAvailability.LIVE,
+    isAvailable: (pool, endpoint) => watch.availability(pool, endpoint) === EndpointAvailability.LIVE,
+    cacheOf: (pool, endpoint) => watch.cacheKnowledge(pool, endpoint),
     clock,
     displaced,
     carrier,
     maximumQueued: settings.maximum_queued,
     maximumHeldContexts: settings.maximum_held_contexts
   })
-  membership.onChange(() => admissions.update())
+  owners.onChange(() => admissions.update())
+  // A report shows what other routers run at the endpoint while they take themselves for its owner.
+  watch.onLoadReport((pool, endpoint, report) => admissions.admissionOf(pool, endpoint)?.noteReport(report.running + report.waiting))
   return {
     admissions,
     displaced,
