--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -53,7 +53,7 @@
   readonly id: string
   private readonly _options: RouterProcessOptions
   private readonly _ending = new AbortController()
-  private readonly _traffic = new TrafficCounter()
+  private readonly _traffic: TrafficCounter
   private _tasks: Promise<unknown> = Promise.resolve()
   private _parts: RouterParts | undefined
   private _stopping = false
@@ -63,6 +63,7 @@
    */
   constructor (options: RouterProcessOptions) {
     this._options = options
+    this._traffic = options.traffic ?? new TrafficCounter()
     this.id = options.routerId ?? randomBytes(ID_BYTES).toString('base64url')
   }
 
@@ -101,7 +102,8 @@
     const access = readPeerAccess(settings)
     const peerServer = new PeerServer({ address: settings.peers.address, methods, access, clock, eventLog, traffic: this._traffic })
     const peers = await peerServer.listen()
-    const messenger = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
+    const connections = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
+    const messenger = this._options.decorateMessenger?.(connections) ?? connections
     const membership = new HeartbeatMembership({
       self: { id: this.id, availabilityZone: settings.router.availability_zone, peerAddress: peers, forwardAddress: forwards, leaving: false },
       messenger,
@@ -136,6 +138,7 @@
       admission: placementParts.admissions,
       health,
       clients,
+      headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
     })
@@ -146,6 +149,7 @@
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
         maximumConnections: MAXIMUM_FORWARD_CONNECTIONS,
+        headTimeoutMs: settings.endpoints.head_timeout_ms,
         firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
         silenceTimeoutMs: settings.endpoints.silence_timeout_ms
       },
@@ -186,7 +190,6 @@
         eventLog,
         metrics: this.metrics,
         maximumBodyBytes: settings.callers.maximum_body_bytes,
-        maximumKeptAnswerBytes: maximumKeptBodyBytes,
         drainTimeoutMs
       }),
       services: new ServiceHandler({
@@ -205,7 +208,7 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
     this._observe(this._parts)
     const signal = this._ending.signal
     this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
