Bench placement on real routers beside an oracle and baselines

Cause: reuse and skew were not measured. An answer that an engine's loss cut off, and that says so, counts as incomplete, not wrong.

--- a/packages/bench/src/placement/chat-caller.ts
+++ b/packages/bench/src/placement/chat-caller.ts
@@ -6,6 +6,7 @@
 const OK = 200
 /** Characters for which the stand-in engines count one token. */
 const CHARACTERS_PER_TOKEN = 4
+const ERROR_EVENT = 'event: error\n'
 /** Characters of a wrong answer that are shown. */
 const DETAIL_CHARACTERS = 300
 const CALL_TIMEOUT_MS = 60_000
@@ -42,11 +43,11 @@
     const requestId = String(answer.headers['x-request-id'] ?? '')
     if (answer.statusCode !== OK) {
       const problem = JSON.parse(text) as { run?: string, request_id?: string }
-      return { status: answer.statusCode, correct: false, refusedNotRun: problem.run === 'not-run', detail: text.slice(0, DETAIL_CHARACTERS), requestId: requestId || (problem.request_id ?? ''), cachedTokens: 0, promptTokens: 0, firstTokenMs: NaN }
+      return { status: answer.statusCode, correct: false, incomplete: false, refusedNotRun: problem.run === 'not-run', detail: text.slice(0, DETAIL_CHARACTERS), requestId: requestId || (problem.request_id ?? ''), cachedTokens: 0, promptTokens: 0, firstTokenMs: NaN }
     }
     const read = readEvents(text)
     const correct = read.content === new AnswerText(messages).text(arrival.answerTokens) && read.done
-    return { status: OK, correct, refusedNotRun: false, detail: correct ? '' : text.slice(-DETAIL_CHARACTERS), requestId, cachedTokens: read.cachedTokens, promptTokens: read.promptTokens, firstTokenMs }
+    return { status: OK, correct, incomplete: !correct && text.includes(ERROR_EVENT), refusedNotRun: false, detail: correct ? '' : text.slice(-DETAIL_CHARACTERS), requestId, cachedTokens: read.cachedTokens, promptTokens: read.promptTokens, firstTokenMs }
   }
 
   /** Closes all connections. */
--- /dev/null
+++ b/packages/bench/src/test/placement-replay_test.ts
@@ -0,0 +1,52 @@
+import { expect, test } from 'vitest'
+import { AdmissionBound } from '@mimosarock/placement/admission-bound.js'
+import { PlacementGoal } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import { AlonePolicy } from '../placement/alone-policy.js'
+import { drawArrivals } from '../placement/draw-arrivals.js'
+import { OraclePolicy } from '../placement/oracle-policy.js'
+import { RendezvousPolicy } from '../placement/rendezvous-policy.js'
+import { ReplayedEngine } from '../placement/replayed-engine.js'
+import { replayArrivals } from '../placement/replay-arrivals.js'
+
+const rules = { capacity: 32, tokenMs: 100, tokenMsPerRequest: 2, prefillMsPerToken: 0.5, cacheLimitTokens: 80_000 }
+const bound = new AdmissionBound(1.25, PlacementGoal.SKEW)
+const arrivals = drawArrivals({
+  seed: 1, historyMs: 20_000, durationMs: 20_000, chatsPerSecond: 8, meanTurns: 4, answerMs: 2_000, meanPauseMs: 3_000, workspaces: 10, surgesAt: [10_000], surgeMs: 3_000, surgeChatsPerSecond: 10
+})
+const replay = { arrivals, engines: 5, rules, losses: [{ engine: 2, from: 12_000, to: 14_000 }], bound, sampleMs: 250, warmUpMs: 4_000 }
+const turn = { at: 0, chat: 1, turn: 0, workspace: 0, promptTokens: 100, answerTokens: 2 }
+
+test('the same seed draws the same arrivals, in order, with a surge', () => {
+  const again = drawArrivals({
+    seed: 1, historyMs: 20_000, durationMs: 20_000, chatsPerSecond: 8, meanTurns: 4, answerMs: 2_000, meanPauseMs: 3_000, workspaces: 10, surgesAt: [10_000], surgeMs: 3_000, surgeChatsPerSecond: 10
+  })
+  expect(again).toEqual(arrivals)
+  expect(arrivals.every((arrival, index) => index === 0 || arrival.at >= (arrivals[index - 1]?.at ?? 0))).toBe(true)
+  const begun = (from: number): number => arrivals.filter((arrival) => arrival.turn === 0 && arrival.at >= from && arrival.at < from + 3_000).length
+  expect(begun(10_000)).toBeGreaterThan(begun(6_000) * 1.5)
+})
+
+test('a replayed engine computes, caches and forgets', () => {
+  const engine = new ReplayedEngine({ ...rules, cacheLimitTokens: 150 })
+  expect(engine.add(turn, 0)).toBe(0)
+  engine.advance(199)
+  expect(engine.load).toBe(1)
+  engine.advance(1_000)
+  expect(engine.load).toBe(0)
+  expect(engine.add({ ...turn, turn: 1, promptTokens: 120 }, 1_000)).toBe(102)
+  engine.add({ ...turn, chat: 2 }, 1_000)
+  engine.advance(3_000)
+  expect([engine.cachedTokens(1), engine.cachedTokens(2)].filter((tokens) => tokens > 0).length).toBe(1)
+  engine.add(turn, 3_000)
+  expect(engine.lose()).toEqual([turn])
+  expect([engine.load, engine.live]).toEqual([0, false])
+})
+
+test('the oracle keeps the bound that rendezvous breaks, and reuses more than routers alone', () => {
+  const oracle = replayArrivals(new OraclePolicy(bound, rules.capacity), replay)
+  const rendezvous = replayArrivals(new RendezvousPolicy(), replay)
+  const alone = replayArrivals(new AlonePolicy(bound, rules.capacity, 1_000), replay)
+  expect(oracle.shareOverBound).toBeLessThan(rendezvous.shareOverBound / 4)
+  expect(oracle.reuse).toBeGreaterThan(alone.reuse)
+  expect(rendezvous.reuse).toBeGreaterThan(oracle.reuse)
+})
