--- /dev/null
+++ b/packages/router/src/leaving-parts.ts
@@ -0,0 +1,8 @@
+import type { OwnershipHandover } from './owner/ownership-handover.js'
+import type { Retirements } from './owner/retirements.js'
+
+/** The parts that take endpoints and this router out of service in order. */
+export interface LeavingParts {
+  readonly retirements: Retirements
+  readonly handover: OwnershipHandover
+}
--- a/packages/router/src/router-parts.ts
+++ b/packages/router/src/router-parts.ts
@@ -5,6 +5,7 @@
 import type { CallerServer } from './caller/caller-server.js'
 import type { ForwardServer } from './forward/forward-server.js'
 import type { OwnerDispatch } from './forward/owner-dispatch.js'
+import type { LeavingParts } from './leaving-parts.js'
 import type { LedgerParts } from './ledger-parts.js'
 import type { EndpointClients } from './owner/endpoint-clients.js'
 import type { PlacementParts } from './placement-parts.js'
@@ -23,4 +24,5 @@
   readonly configurationParts: ConfigurationParts
   readonly placement: PlacementParts
   readonly ledger: LedgerParts
+  readonly leaving: LeavingParts
 }
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -30,7 +30,9 @@
 import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { TrackedDispatch } from './owner/tracked-dispatch.js'
 import { WatchedEndpoints } from './owner/watched-endpoints.js'
+import { wireLeaving } from './wire-leaving.js'
 import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
@@ -40,6 +42,8 @@
 const ID_BYTES = 6
 const STOP_CHECK_MS = 20
 const FLUSH_MS = 5_000
+/** Time for what the next owners have not taken yet when nothing runs here any more. */
+const HANDOVER_MS = 2_000
 
 /** Wires the parts of one router process and runs their tasks. */
 export class RouterProcess implements Readiness {
@@ -132,7 +136,7 @@
       pollMs: settings.endpoints.load_poll_ms
     })
     const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
-    const owned: DispatchOwned = new DispatchOwned({
+    const owned: TrackedDispatch = new TrackedDispatch(new DispatchOwned({
       configuration,
       admission: placementParts.admissions,
       health,
@@ -140,7 +144,7 @@
       headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
-    })
+    }))
     const ownerDispatch = new OwnerDispatch({
       self: () => membership.self,
       owners,
@@ -155,6 +159,7 @@
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
     const order = new PoolOrder()
+    const leaving = wireLeaving({ configuration, membership, owners, watch: health, dispatch: owned, placement: placementParts, order, messenger, clock, eventLog })
     const gate = placementParts.limits
     const displacement = placementParts.reports
     const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
@@ -196,10 +201,10 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, leaving }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), leaving.retirements.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
@@ -216,10 +221,11 @@
    * @returns requests that were cut off because the grace time ended
    */
   async stop (): Promise<number> {
-    const { ledger, membership, callerServer, forwardServer } = this.parts
+    const { ledger, membership, callerServer, forwardServer, leaving } = this.parts
     const { clock, eventLog, settings } = this._options
     this._stopping = true
-    membership.leave()
+    const handover = new AbortController()
+    const handedOver = leaving.handover.handOver(handover.signal)
     callerServer.announceClose()
     eventLog.info('router-stopping', { router: this.id, in_flight: callerServer.inFlight })
     const deadlineAt = clock.now() + settings.stopping.grace_ms
@@ -227,6 +233,9 @@
     const closed = callerServer.stop()
     while ((callerServer.inFlight > 0 || forwardServer.inFlight > 0) && clock.now() < deadlineAt) await clock.sleep(STOP_CHECK_MS)
     const cutOff = callerServer.inFlight + forwardServer.inFlight
+    await Promise.race([handedOver, clock.sleep(HANDOVER_MS, handover.signal)])
+    handover.abort()
+    await handedOver
     await ledger.partitions.flush(FLUSH_MS)
     await membership.depart()
     await this.kill()
--- a/packages/router/src/wire-leaving.ts
+++ b/packages/router/src/wire-leaving.ts
@@ -5,6 +5,7 @@
 import type { PeerMessenger } from '@mimosarock/coordination/peer-messenger.js'
 import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import type { PoolOrder } from './entry/pool-order.js'
+import type { LeavingParts } from './leaving-parts.js'
 import { ContextEvacuation } from './owner/context-evacuation.js'
 import type { EndpointOwnership } from './owner/endpoint-ownership.js'
 import { OwnershipHandover } from './owner/ownership-handover.js'
@@ -27,12 +28,6 @@
   readonly eventLog: EventLog
 }
 
-/** The parts that take endpoints and this router out of service in order. */
-interface LeavingParts {
-  readonly retirements: Retirements
-  readonly handover: OwnershipHandover
-}
-
 /**
  * Wires what happens when an endpoint is retired or this router stops.
  * @param options what the parts work with
