--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -14,11 +14,10 @@
 import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
 import { ForwardServer } from './forward/forward-server.js'
-import { LiveOwners } from './forward/live-owners.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
 import { HttpStatusCall } from './operations/http-status-call.js'
 import { StatusSettler } from './operations/status-settler.js'
-import { ConfiguredHealth } from './owner/configured-health.js'
+import { ConfiguredOwners } from './owner/configured-owners.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { OpenAdmission } from './owner/open-admission.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
@@ -32,6 +31,9 @@
 import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { TrackedDispatch } from './owner/tracked-dispatch.js'
+import { WatchedEndpoints } from './owner/watched-endpoints.js'
+import { wireLeaving } from './wire-leaving.js'
 import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
@@ -41,6 +43,8 @@
 const ID_BYTES = 6
 const STOP_CHECK_MS = 20
 const FLUSH_MS = 5_000
+/** Time for what the next owners have not taken yet when nothing runs here any more. */
+const HANDOVER_MS = 2_000
 
 /** Wires the parts of one router process and runs their tasks. */
 export class RouterProcess implements Readiness {
@@ -120,9 +124,19 @@
     })
     const operators = await operatorSide.start()
 
-    const owners = new LiveOwners(configuration, membership)
-    const health = new ConfiguredHealth(configuration)
-    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, health, clients, clock, eventLog })
+    const owners = new ConfiguredOwners(configuration, membership)
+    const health = new WatchedEndpoints({
+      configuration,
+      membership,
+      owners,
+      vmList,
+      clock,
+      eventLog,
+      traffic: this._traffic,
+      connectTimeoutMs: settings.endpoints.connect_timeout_ms,
+      pollMs: settings.endpoints.load_poll_ms
+    })
+    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
     const dispatchOptions = {
       configuration,
       health,
@@ -131,7 +145,7 @@
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
     }
-    const owned = new DispatchOwned({ ...dispatchOptions, admission: placementParts.admissions })
+    const owned: TrackedDispatch = new TrackedDispatch(new DispatchOwned({ ...dispatchOptions, admission: placementParts.admissions }))
     // Keyed calls go straight from the router that won the key, which does not know the load of endpoints that it
     // does not own: a bound counted here would refuse calls at idle endpoints.
     const ownedOnce = new DispatchOwned({ ...dispatchOptions, admission: new OpenAdmission() })
@@ -149,6 +163,7 @@
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
     const order = new PoolOrder()
+    const leaving = wireLeaving({ configuration, membership, owners, watch: health, dispatch: owned, placement: placementParts, order, messenger, clock, eventLog })
     const gate = placementParts.limits
     const displacement = placementParts.reports
     const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
@@ -190,10 +205,10 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, leaving }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), leaving.retirements.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
@@ -210,10 +225,11 @@
    * @returns requests that were cut off because the grace time ended
    */
   async stop (): Promise<number> {
-    const { ledger, membership, callerServer, forwardServer } = this.parts
+    const { ledger, membership, callerServer, forwardServer, leaving } = this.parts
     const { clock, eventLog, settings } = this._options
     this._stopping = true
-    membership.leave()
+    const handover = new AbortController()
+    const handedOver = leaving.handover.handOver(handover.signal)
     callerServer.announceClose()
     eventLog.info('router-stopping', { router: this.id, in_flight: callerServer.inFlight })
     const deadlineAt = clock.now() + settings.stopping.grace_ms
@@ -221,6 +237,9 @@
     const closed = callerServer.stop()
     while ((callerServer.inFlight > 0 || forwardServer.inFlight > 0) && clock.now() < deadlineAt) await clock.sleep(STOP_CHECK_MS)
     const cutOff = callerServer.inFlight + forwardServer.inFlight
+    await Promise.race([handedOver, clock.sleep(HANDOVER_MS, handover.signal)])
+    handover.abort()
+    await handedOver
     await ledger.partitions.flush(FLUSH_MS)
     await membership.depart()
     await this.kill()
