--- a/packages/coordination/src/test/heartbeat-membership_test.ts
+++ b/packages/coordination/src/test/heartbeat-membership_test.ts
@@ -43,6 +43,12 @@
   expect(Math.max(...fleet.map((router) => router.membership.heartbeatPeerIds.length))).toBe(4)
 })
 
+test('128 routers in one process find each other, with no more heartbeats for each than in a small fleet', { timeout: 120_000 }, async () => {
+  const fleet = await startFleet(128, { heartbeatMs: 1_000, suspicionMs: 10_000 })
+  expect(await eventually(() => agree(fleet, ids(fleet)), 100_000)).toBe(true)
+  expect(Math.max(...fleet.map((router) => router.membership.heartbeatPeerIds.length))).toBe(4)
+})
+
 test('a crashed router is a suspect first and then removed everywhere', async () => {
   const fleet = await startFleet(8)
   await eventually(() => agree(fleet, ids(fleet)))
