--- a/packages/router/src/leaving-parts.ts
+++ b/packages/router/src/leaving-parts.ts
@@ -1,3 +1,4 @@
+import type { EndpointStatuses } from './owner/endpoint-statuses.js'
 import type { OwnershipHandover } from './owner/ownership-handover.js'
 import type { Retirements } from './owner/retirements.js'
 
@@ -5,4 +6,6 @@
 export interface LeavingParts {
   readonly retirements: Retirements
   readonly handover: OwnershipHandover
+  /** The endpoints as operators see them. */
+  readonly statuses: EndpointStatuses
 }
--- /dev/null
+++ b/packages/router/src/owner/endpoint-statuses-options.ts
@@ -0,0 +1,19 @@
+import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
+import type { EndpointHealth } from './endpoint-health.js'
+import type { EndpointOwnership } from './endpoint-ownership.js'
+import type { Retirements } from './retirements.js'
+
+/** What operators' view of the endpoints is made of. */
+export interface EndpointStatusesOptions {
+  readonly configuration: ConfigurationSource
+  readonly owners: EndpointOwnership
+  readonly health: Pick<EndpointHealth, 'availability'>
+  readonly retirements: Pick<Retirements, 'stateOf'>
+  /**
+   * Requests in flight and waiting at an owned endpoint.
+   * @param pool name of the pool
+   * @param endpoint name of the endpoint
+   * @returns undefined for endpoints that this router does not admit calls to
+   */
+  readonly admissionOf: (pool: string, endpoint: string) => { readonly inFlight: number, readonly queued: number } | undefined
+}
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -115,7 +115,7 @@
       suspicionMs: settings.membership.suspicion_ms
     })
     const ledger = wireLedger({ process: this._options, streams, membership, messenger })
-    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => [], clock, eventLog })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => this._parts?.leaving.statuses.list() ?? [], clock, eventLog })
     const { operatorSide, spreader } = configurationParts
     const checkpointWriters = [...configurationParts.checkpointWriters, ...ledger.checkpointWriters]
     const settler = new StatusSettler({
--- a/packages/router/src/wire-leaving.ts
+++ b/packages/router/src/wire-leaving.ts
@@ -8,6 +8,7 @@
 import type { LeavingParts } from './leaving-parts.js'
 import { ContextEvacuation } from './owner/context-evacuation.js'
 import type { EndpointOwnership } from './owner/endpoint-ownership.js'
+import { EndpointStatuses } from './owner/endpoint-statuses.js'
 import { OwnershipHandover } from './owner/ownership-handover.js'
 import { Retirements } from './owner/retirements.js'
 import type { TrackedDispatch } from './owner/tracked-dispatch.js'
@@ -69,5 +70,12 @@
     clock,
     eventLog
   })
-  return { retirements, handover }
+  const statuses = new EndpointStatuses({
+    configuration,
+    owners,
+    health: watch,
+    retirements,
+    admissionOf: (pool, endpoint) => placement.admissions.admissionOf(pool, endpoint)
+  })
+  return { retirements, handover, statuses }
 }
