--- /dev/null
+++ b/packages/bench/src/load/load-workers.ts
@@ -0,0 +1,58 @@
+import { once } from 'node:events'
+import { Worker } from 'node:worker_threads'
+import { build, decodeFromCompressedBase64 } from 'hdr-histogram-js'
+import type { LoadOrder } from './load-order.js'
+import type { LoadResult } from './load-result.js'
+import type { LoadSummary } from './load-summary.js'
+
+const HIGHEST_LATENCY_US = 60_000_000
+const MICROSECONDS_PER_MILLISECOND = 1_000
+const MILLISECONDS_PER_SECOND = 1_000
+
+/** Threads that share each order, so that no single one of them bounds the load. */
+export class LoadWorkers {
+  private readonly _workers: readonly Worker[]
+
+  /**
+   * @param count threads
+   */
+  constructor (count: number) {
+    this._workers = Array.from({ length: count }, () => new Worker(new URL('./load-worker.js', import.meta.url)))
+  }
+
+  /**
+   * Runs an order, its concurrency and rate divided among the threads.
+   * @param order the whole load
+   */
+  async run (order: LoadOrder): Promise<LoadSummary> {
+    const count = this._workers.length
+    const results = await Promise.all(this._workers.map(async (worker, index) => {
+      const ratePerSecond = order.ratePerSecond === undefined ? undefined : order.ratePerSecond / count
+      const share: LoadOrder = { ...order, ratePerSecond, concurrency: Math.ceil(order.concurrency / count), seed: order.seed * count + index + 1 }
+      worker.postMessage(share)
+      const [result] = await once(worker, 'message') as [LoadResult]
+      return result
+    }))
+    return summarize(results)
+  }
+
+  /** Ends the threads. */
+  async stop (): Promise<void> {
+    await Promise.all(this._workers.map(async (worker) => await worker.terminate()))
+  }
+}
+
+function summarize (results: readonly LoadResult[]): LoadSummary {
+  const latencies = build({ highestTrackableValue: HIGHEST_LATENCY_US, numberOfSignificantValueDigits: 3 })
+  for (const result of results) latencies.add(decodeFromCompressedBase64(result.latencies))
+  const sum = (pick: (result: LoadResult) => number): number => results.reduce((total, result) => total + pick(result), 0)
+  return {
+    completed: sum((result) => result.completed),
+    failed: sum((result) => result.failed),
+    bytes: sum((result) => result.bytes),
+    ratePerSecond: sum((result) => result.completed / result.durationMs * MILLISECONDS_PER_SECOND),
+    p50Ms: latencies.getValueAtPercentile(50) / MICROSECONDS_PER_MILLISECOND,
+    p95Ms: latencies.getValueAtPercentile(95) / MICROSECONDS_PER_MILLISECOND,
+    p99Ms: latencies.getValueAtPercentile(99) / MICROSECONDS_PER_MILLISECOND
+  }
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,9 @@
 import { Builtins, Cli } from 'clipanion'
 
+import { OverheadBench } from './overhead/overhead-bench.js'
+
 const cli = new Cli({ binaryLabel: 'mimosarock bench', binaryName: 'npm run --silent bench --' })
 cli.register(Builtins.HelpCommand)
+cli.register(OverheadBench)
 process.exitCode = await cli.run(process.argv.slice(2))
 process.exit()
