--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -25,6 +25,9 @@
 import type { RouterProcessOptions } from './router-process-options.js'
 import { RouterStreams } from './router-streams.js'
 import type { Readiness } from './status/readiness.js'
+import { readPeerAccess } from './access/read-peer-access.js'
+import { LedgerAdministration } from './operations/ledger-administration.js'
+import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
 import { wirePlacement } from './wire-placement.js'
@@ -50,7 +53,7 @@
   readonly id: string
   private readonly _options: RouterProcessOptions
   private readonly _ending = new AbortController()
-  private readonly _traffic = new TrafficCounter()
+  private readonly _traffic: TrafficCounter
   private _tasks: Promise<unknown> = Promise.resolve()
   private _parts: RouterParts | undefined
   private _stopping = false
@@ -60,6 +63,7 @@
    */
   constructor (options: RouterProcessOptions) {
     this._options = options
+    this._traffic = options.traffic ?? new TrafficCounter()
     this.id = options.routerId ?? randomBytes(ID_BYTES).toString('base64url')
   }
 
@@ -95,10 +99,11 @@
     const forwards = await forwardServer.start()
 
     const methods = new PeerMethods()
-    const access = {}
+    const access = readPeerAccess(settings)
     const peerServer = new PeerServer({ address: settings.peers.address, methods, access, clock, eventLog, traffic: this._traffic })
     const peers = await peerServer.listen()
-    const messenger = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
+    const connections = new PeerConnections({ methods, access, clock, eventLog, traffic: this._traffic })
+    const messenger = this._options.decorateMessenger?.(connections) ?? connections
     const membership = new HeartbeatMembership({
       self: { id: this.id, availabilityZone: settings.router.availability_zone, peerAddress: peers, forwardAddress: forwards, leaving: false },
       messenger,
@@ -109,7 +114,11 @@
       heartbeatMs: settings.membership.heartbeat_ms,
       suspicionMs: settings.membership.suspicion_ms
     })
-    configuration.onChange(() => membership.setRevision(configuration.current()?.revision ?? 0))
+    const { ledger } = streams
+    const operations = new LedgerAdministration({ partitions: { partitions: [{ ledger }], ledgerFor: () => ledger }, configuration })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations, endpoints: () => [], clock, eventLog })
+    const { operatorSide, spreader, checkpointWriters } = configurationParts
+    const operators = await operatorSide.start()
 
     const owners = new LiveOwners(configuration, membership)
     const health = new ConfiguredHealth(configuration)
@@ -119,6 +128,7 @@
       admission: placementParts.admissions,
       health,
       clients,
+      headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
     })
@@ -129,6 +139,7 @@
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
         maximumConnections: MAXIMUM_FORWARD_CONNECTIONS,
+        headTimeoutMs: settings.endpoints.head_timeout_ms,
         firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
         silenceTimeoutMs: settings.endpoints.silence_timeout_ms
       },
@@ -169,7 +180,6 @@
         eventLog,
         metrics: this.metrics,
         maximumBodyBytes: settings.callers.maximum_body_bytes,
-        maximumKeptAnswerBytes: maximumKeptBodyBytes,
         drainTimeoutMs
       }),
       services: new ServiceHandler({
@@ -188,12 +198,12 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger, membership, ownerDispatch, callerServer, placement: placementParts }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal)])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
-    return { callers, forwards, peers, operators: '' }
+    return { callers, forwards, peers, operators }
   }
 
   /** Why the router is not ready, if it is not. */
@@ -231,13 +241,13 @@
   async kill (): Promise<void> {
     this._stopping = true
     this._ending.abort()
-    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer } = this.parts
+    const { streams, clients, forwardServer, peerServer, messenger, ownerDispatch, callerServer, configurationParts } = this.parts
     streams.ledger.stop()
     callerServer.destroy()
     forwardServer.destroy()
     messenger.close()
     await Promise.all([
-      callerServer.stop(), forwardServer.stop(), peerServer.close(), ownerDispatch.destroy(), clients.destroy(), this._tasks
+      callerServer.stop(), configurationParts.operatorSide.stop(), forwardServer.stop(), peerServer.close(), ownerDispatch.destroy(), clients.destroy(), this._tasks
     ])
   }
 
