Load the overhead bench with streamed chats

The router asks engines for streams also where the caller wants a whole answer, so the endpoint answers streams; both sides of the ratio then carry the same bytes.

--- a/packages/bench/src/overhead/overhead-bench.ts
+++ b/packages/bench/src/overhead/overhead-bench.ts
@@ -61,11 +61,11 @@
       address,
       path: '/v1/chat/completions',
       headers: { 'content-type': 'application/json', 'mimosarock-workspace': 'alpha' },
-      body: JSON.stringify({ model: 'm', messages: MESSAGES, max_tokens: 40 }),
+      body: JSON.stringify({ model: 'm', messages: MESSAGES, stream: true }),
       durationMs: parseWholeNumber('seconds', this.seconds) * 1_000,
       concurrency: CONCURRENCY,
       seed: this.seedNumber,
-      expectedEnd: '}}}'
+      expectedEnd: 'data: [DONE]\n\n'
     }
   }
 }
