Count the load of an endpoint whose capacity has changed

Cause: the pool's mean kept reading the admission that the change of capacity had replaced. Its load fell to 0, so the bound fell to one request and the endpoint ran its calls one by one. Ruled out: the queue and the load report.

--- a/packages/router/src/owner/pool-admissions.ts
+++ b/packages/router/src/owner/pool-admissions.ts
@@ -93,12 +93,13 @@
   private _own (endpoint: string): void {
     if (this._owned.has(endpoint)) return
     this._owned.add(endpoint)
-    const { admission } = this._entryOf(endpoint)
+    // Looked up at each reading: a change of the endpoint's capacity puts another admission in its place.
+    const admission = (): EndpointAdmission => this._entryOf(endpoint).admission
     const isAvailable = (): boolean => this._options.isAvailable(this._name, endpoint)
     // An endpoint that takes no work is no part of the mean.
     this.load.addOwned(endpoint, {
-      get load () { return isAvailable() ? admission.load : 0 },
-      get capacity () { return isAvailable() ? admission.capacity : 0 }
+      get load () { return isAvailable() ? admission().load : 0 },
+      get capacity () { return isAvailable() ? admission().capacity : 0 }
     })
   }
 
--- a/packages/router/src/test/endpoint-admissions_test.ts
+++ b/packages/router/src/test/endpoint-admissions_test.ts
@@ -5,6 +5,7 @@
 import type { AdmissionTicket } from '@mimosarock/placement/admission-ticket.js'
 import type { DispatchCall } from '../forward/dispatch-call.js'
 import { CacheKnowledge } from '../owner/cache-knowledge.js'
+import type { PoolAdmissions } from '../owner/pool-admissions.js'
 import { AdmissionFleet } from './admission-fleet.js'
 
 const chat = 'aaaaaaaaaaaaaaaa'
@@ -169,3 +170,12 @@
   report(0)
   expect(await outcome(admit(fleet, {}))).toBe('admitted')
 })
+
+test('an endpoint whose capacity is changed is filled up to the new one', async () => {
+  const fleet = new AdmissionFleet(1, 1)
+  await fill(fleet, 'e0')
+  const admissions = fleet.member(0).parts.admissions.pools.get('chat') as PoolAdmissions
+  const endpoints = admissions.pool.endpoints.map((endpoint) => ({ ...endpoint, capacity: 32 }))
+  admissions.update({ ...admissions.pool, endpoints })
+  expect((await fill(fleet, 'e0')).length).toBe(32)
+})
