--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import { DecisionBench } from './decision/decision-bench.js'
 import { MembershipBench } from './membership/membership-bench.js'
 import { OperationsBench } from './operations/operations-bench.js'
+import { OverheadBench } from './overhead/overhead-bench.js'
 import { PlacementBench } from './placement/placement-bench.js'
 
 const cli = new Cli({ binaryLabel: 'mimosarock bench', binaryName: 'npm run --silent bench --' })
@@ -9,6 +10,7 @@
 cli.register(DecisionBench)
 cli.register(MembershipBench)
 cli.register(OperationsBench)
+cli.register(OverheadBench)
 cli.register(PlacementBench)
 process.exitCode = await cli.run(process.argv.slice(2))
 process.exit()
