--- /dev/null
+++ b/packages/router/src/test/caller-server_test.ts
@@ -0,0 +1,85 @@
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { afterAll, beforeAll, describe, expect, test } from 'vitest'
+import { RouterFixture } from './router-fixture.js'
+
+const fixture = new RouterFixture()
+const JSON_HEADERS = 'host: x\r\ncontent-type: application/json\r\nmimosarock-workspace: alpha\r\n'
+
+beforeAll(async () => {
+  await fixture.start(1, 1)
+  await fixture.configure()
+})
+afterAll(async () => await fixture.stop())
+
+/** A connection to the router with everything that it answered. */
+class RawCaller {
+  readonly socket: Socket
+  received = ''
+  closed = false
+
+  constructor () {
+    const [host, port] = (fixture.addresses[0]?.callers ?? '').split(':')
+    this.socket = connect(Number(port), host)
+    this.socket.on('data', (bytes) => { this.received += bytes.toString() })
+    this.socket.on('close', () => { this.closed = true })
+    this.socket.on('error', () => {})
+  }
+}
+
+async function stillServes (): Promise<boolean> {
+  const answer = await fetch(`${fixture.url(0)}/v1/models`, { headers: { 'mimosarock-workspace': 'alpha' } })
+  return answer.ok
+}
+
+describe('requests that are no whole requests', () => {
+  const cases: Array<[string, string, number, string]> = [
+    ['half a header section', `POST /v1/chat/completions HTTP/1.1\r\n${JSON_HEADERS}`, 2013, '408'],
+    ['nothing that is HTTP', '\u0016\u0003\u0001 not http at all\r\n\r\n', 2010, '400'],
+    ['two lengths', `POST /v1/chat/completions HTTP/1.1\r\n${JSON_HEADERS}content-length: 2\r\ncontent-length: 3\r\n\r\n{}`, 2010, '400'],
+    ['a header section beyond its bound', `GET /v1/models HTTP/1.1\r\n${JSON_HEADERS}x-large: ${'x'.repeat(40_000)}\r\n\r\n`, 2004, '431']
+  ]
+  test.each(cases)('%s', async (_, bytes, code, status) => {
+    const caller = new RawCaller()
+    caller.socket.write(bytes)
+    await fixture.until(() => caller.closed)
+    expect(caller.received).toContain(`HTTP/1.1 ${status}`)
+    expect(caller.received).toContain(`"code":${code}`)
+    expect(caller.received).toContain('"run":"not-run"')
+    expect(await stillServes()).toBe(true)
+  })
+
+  test('half a body, on a connection that stays open', async () => {
+    const caller = new RawCaller()
+    caller.socket.write(`POST /v1/chat/completions HTTP/1.1\r\n${JSON_HEADERS}content-length: 500\r\n\r\n{"model":`)
+    await fixture.until(() => caller.closed)
+    expect(caller.received).toContain('"code":2013')
+    expect(fixture.engines[0]?.counts.completions).toBe(0)
+    expect(await stillServes()).toBe(true)
+  })
+})
+
+test('requests sent ahead on one connection are answered in their order', async () => {
+  const caller = new RawCaller()
+  const ask = (path: string): string => `GET ${path} HTTP/1.1\r\n${JSON_HEADERS}\r\n`
+  caller.socket.write(ask('/v1/models') + ask('/v1/models/nothing') + ask('/livez'))
+  await fixture.until(() => caller.received.includes('\r\nok'))
+  caller.socket.destroy()
+  const statuses = [...caller.received.matchAll(/HTTP\/1\.1 (\d+)/g)].map((match) => match[1])
+  expect(statuses).toEqual(['200', '404', '200'])
+})
+
+test('a caller that goes away ends its stream at the engine', async () => {
+  const engine = fixture.engines[0]
+  const leaving = new AbortController()
+  const answer = await fetch(`${fixture.url(0)}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', 'mimosarock-workspace': 'alpha' },
+    body: JSON.stringify({ model: 'assistant', messages: [{ role: 'user', content: 'a very long answer' }], max_tokens: 100_000, stream: true }),
+    signal: leaving.signal
+  })
+  await answer.body?.getReader().read()
+  expect(engine?.runningCount).toBe(1)
+  leaving.abort()
+  await fixture.until(() => engine?.runningCount === 0)
+})
--- a/packages/router/src/test/router-fixture.ts
+++ b/packages/router/src/test/router-fixture.ts
@@ -38,7 +38,7 @@
   async addRouter (routerId: string): Promise<RouterProcess> {
     const settings = RouterSettings.parse({
       router: { availability_zone: 'a' },
-      callers: { address: LOOPBACK, header_timeout_ms: 1_000, maximum_body_bytes: 100_000, maximum_kept_body_bytes: 50_000 },
+      callers: { address: LOOPBACK, header_timeout_ms: 1_000, body_timeout_ms: 2_000, maximum_body_bytes: 100_000, maximum_kept_body_bytes: 50_000 },
       forwards: { address: LOOPBACK },
       peers: { address: LOOPBACK },
       operators: { address: LOOPBACK },
