--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -14,11 +14,10 @@
 import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
 import { ForwardServer } from './forward/forward-server.js'
-import { LiveOwners } from './forward/live-owners.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
 import { HttpStatusCall } from './operations/http-status-call.js'
 import { StatusSettler } from './operations/status-settler.js'
-import { ConfiguredHealth } from './owner/configured-health.js'
+import { ConfiguredOwners } from './owner/configured-owners.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
 import type { RouterAddresses } from './router-addresses.js'
@@ -31,6 +30,7 @@
 import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { WatchedEndpoints } from './owner/watched-endpoints.js'
 import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
@@ -119,10 +119,20 @@
     })
     const operators = await operatorSide.start()
 
-    const owners = new LiveOwners(configuration, membership)
-    const health = new ConfiguredHealth(configuration)
-    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, health, clients, clock, eventLog })
-    const owned = new DispatchOwned({
+    const owners = new ConfiguredOwners(configuration, membership)
+    const health = new WatchedEndpoints({
+      configuration,
+      membership,
+      owners,
+      vmList,
+      clock,
+      eventLog,
+      traffic: this._traffic,
+      connectTimeoutMs: settings.endpoints.connect_timeout_ms,
+      pollMs: settings.endpoints.load_poll_ms
+    })
+    const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
+    const owned: DispatchOwned = new DispatchOwned({
       configuration,
       admission: placementParts.admissions,
       health,
@@ -189,7 +199,7 @@
     this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
