Wire retirement, handover, orders and the one retry policy into the router

- Retirements run by their pools' rules at the endpoint's owner; at a planned stop ownerships, running loads and displaced chats are handed over before the router departs.
- One router of three candidates holds the lease "orders" and gives orders to engines; the settings are in [orders].
- The configuration is tailed by 16 routers, the leases by 3; the others learn from peers or by slow polls.
- Placing a call is a class of its own that keeps the state of one walk and asks the retry policy.

Fault found while doing so: a repeatable call whose first try may have run and whose second was refused told the caller "not run". Retired endpoints were left out of the order at once, though their rule may ask to wait for others; entries now leave out what the owner announces as not taking work.

--- a/packages/coordination/src/ledger/ledger-writers.ts
+++ b/packages/coordination/src/ledger/ledger-writers.ts
@@ -31,6 +31,15 @@
     return order.slice(0, count)
   }
 
+  /**
+   * Whether this router is one of the first in a partition's order.
+   * @param partition number of the partition
+   * @param count how many count as first
+   */
+  isAmongFirst (partition: number, count: number): boolean {
+    return this.first(partition, count).some((router) => this.isSelf(router))
+  }
+
   /**
    * Whether a router is this one.
    * @param router one of the order
--- a/packages/router/src/entry/pool-order.ts
+++ b/packages/router/src/entry/pool-order.ts
@@ -2,13 +2,25 @@
 import type { ConfigurationIndex } from '@mimosarock/coordination/configuration-index.js'
 import type { Endpoint, Pool } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 
+/** Endpoints looked at beyond those wanted, in place of ones that take no new work. */
+const SPARE_ENDPOINTS = 8
+
 /** Keeps the rendezvous order of each pool for the configuration in force. */
 export class PoolOrder {
+  private readonly _isUsable: (pool: string, endpoint: string) => boolean
   private _index: ConfigurationIndex | undefined
   private _orders = new Map<string, RendezvousOrder<Endpoint>>()
 
   /**
-   * First endpoints for a key; endpoints that an operator retires are left out.
+   * @param isUsable whether an endpoint takes new work, as far as this router knows
+   */
+  constructor (isUsable: (pool: string, endpoint: string) => boolean) {
+    this._isUsable = isUsable
+  }
+
+  /**
+   * First endpoints for a key, without those that take no new work. If none of the first ones does, they are given
+   * all the same, since their owners may know better.
    * @param index the configuration in force
    * @param pool the pool
    * @param key affinity key in hexadecimal
@@ -21,9 +33,11 @@
     }
     let order = this._orders.get(pool.name)
     if (order === undefined) {
-      order = new RendezvousOrder(pool.endpoints.filter((endpoint) => !index.isRetired(pool.name, endpoint.name)))
+      order = new RendezvousOrder([...pool.endpoints])
       this._orders.set(pool.name, order)
     }
-    return order.first(key, count)
+    const first = order.first(key, count + SPARE_ENDPOINTS)
+    const usable = first.filter((endpoint) => this._isUsable(pool.name, endpoint.name))
+    return (usable.length > 0 ? usable : first).slice(0, count)
   }
 }
--- a/packages/router/src/retries/retry-policy.ts
+++ b/packages/router/src/retries/retry-policy.ts
@@ -10,17 +10,19 @@
   ResultCode.CONTEXT_ELSEWHERE,
   ResultCode.ENDPOINT_OVER_BOUND,
   ResultCode.ENDPOINT_LEAVING,
-  ResultCode.NOT_OWNER
+  ResultCode.NOT_OWNER,
+  ResultCode.NO_ENDPOINT,
+  ResultCode.QUEUE_FULL,
+  ResultCode.CIRCUIT_OPEN,
+  ResultCode.ROUTER_STOPPING
 ])
 
 /** Failures of an endpoint or of the way to it. All others are the caller's or hold for the whole pool. */
 const RETRIABLE: ReadonlySet<ResultCode> = new Set([
   ResultCode.ENDPOINT_FAILED,
   ResultCode.ENDPOINT_SILENT,
-  ResultCode.CIRCUIT_OPEN,
-  ResultCode.QUEUE_FULL,
+  ResultCode.OVERLOADED,
   ResultCode.OWNER_UNREACHABLE,
-  ResultCode.ROUTER_STOPPING,
   ResultCode.ROUTER_NOT_READY,
   ResultCode.PEER_UNREACHABLE,
   ResultCode.PEER_TIMEOUT
--- a/packages/router/src/router-parts.ts
+++ b/packages/router/src/router-parts.ts
@@ -5,6 +5,8 @@
 import type { CallerServer } from './caller/caller-server.js'
 import type { ForwardServer } from './forward/forward-server.js'
 import type { OwnerDispatch } from './forward/owner-dispatch.js'
+import type { OrderParts } from './order-parts.js'
+import type { OwnedEndpointParts } from './owned-endpoint-parts.js'
 import type { LedgerParts } from './ledger-parts.js'
 import type { EndpointClients } from './owner/endpoint-clients.js'
 import type { PlacementParts } from './placement-parts.js'
@@ -23,4 +25,6 @@
   readonly configurationParts: ConfigurationParts
   readonly placement: PlacementParts
   readonly ledger: LedgerParts
+  readonly ownedEndpoints: OwnedEndpointParts
+  readonly orders: OrderParts
 }
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -1,9 +1,11 @@
 import { randomBytes } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
 import { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
 import { PeerConnections } from '@mimosarock/coordination/membership/peer-connections.js'
 import { PeerMethods } from '@mimosarock/coordination/membership/peer-methods.js'
 import { PeerServer } from '@mimosarock/coordination/membership/peer-server.js'
 import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
+import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import { RetryBudget } from '@mimosarock/placement/retry-budget.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
@@ -13,6 +15,7 @@
 import { ServiceHandler } from './caller/service-handler.js'
 import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
+import type { EndpointDispatch } from './forward/endpoint-dispatch.js'
 import { ForwardServer } from './forward/forward-server.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
 import { HttpStatusCall } from './operations/http-status-call.js'
@@ -20,6 +23,7 @@
 import { ConfiguredOwners } from './owner/configured-owners.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
+import { RetryPolicy } from './retries/retry-policy.js'
 import type { RouterAddresses } from './router-addresses.js'
 import type { RouterParts } from './router-parts.js'
 import type { RouterProcessOptions } from './router-process-options.js'
@@ -28,15 +32,26 @@
 import { readPeerAccess } from './access/read-peer-access.js'
 import { wireLedger } from './wire-ledger.js'
 import { wireConfiguration } from './wire-configuration.js'
+import { EndpointStatuses } from './status/endpoint-statuses.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
 import { WatchedEndpoints } from './owner/watched-endpoints.js'
+import { wireOrders } from './wire-orders.js'
+import { wireOwnedEndpoints } from './wire-owned-endpoints.js'
 import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
 const RETRY_RESERVE = 20
+const MAXIMUM_TRIES = 4
+const RETRY_DELAY_MS = 20
 const MAXIMUM_UNOWNED_CALLS = 8
 const MAXIMUM_FORWARD_CONNECTIONS = 1_024
+/** Rankings of the live routers beside those of the ledger's partitions, which count from 0. */
+const CONFIGURATION_RANKING = -1
+const ORDER_RANKING = -2
+/** Routers that tail the configuration by long polls; the others learn from peers. */
+const CONFIGURATION_READERS = 16
+const ORDER_CANDIDATES = 3
 const ID_BYTES = 6
 const STOP_CHECK_MS = 20
 const FLUSH_MS = 5_000
@@ -60,6 +75,8 @@
   constructor (options: RouterProcessOptions) {
     this._options = options
     this._traffic = options.traffic ?? new TrafficCounter()
+    // Every task of the router listens to the one signal that ends them all.
+    setMaxListeners(0, this._ending.signal)
     this.id = options.routerId ?? randomBytes(ID_BYTES).toString('base64url')
   }
 
@@ -111,7 +128,7 @@
       suspicionMs: settings.membership.suspicion_ms
     })
     const ledger = wireLedger({ process: this._options, streams, membership, messenger })
-    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => [], clock, eventLog })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => endpointStatuses.list(), clock, eventLog })
     const { operatorSide, spreader } = configurationParts
     const checkpointWriters = [...configurationParts.checkpointWriters, ...ledger.checkpointWriters]
     const settler = new StatusSettler({
@@ -132,7 +149,8 @@
       pollMs: settings.endpoints.load_poll_ms
     })
     const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
-    const owned: DispatchOwned = new DispatchOwned({
+    const order = new PoolOrder((pool, endpoint) => health.availability(pool, endpoint) === EndpointAvailability.LIVE)
+    const dispatchOwned = new DispatchOwned({
       configuration,
       admission: placementParts.admissions,
       health,
@@ -141,6 +159,23 @@
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
     })
+    const ownedEndpoints = wireOwnedEndpoints({
+      configuration, membership, messenger, owners, watch: health, placement: placementParts, order, dispatch: dispatchOwned, clock, eventLog
+    })
+    const owned: EndpointDispatch = ownedEndpoints.dispatch
+    const endpointStatuses = new EndpointStatuses({ configuration, membership, owners, health, admissions: placementParts.admissions })
+    const orders = wireOrders({
+      process: this._options,
+      routerId: this.id,
+      streams,
+      isCandidate: () => ledger.writers.isAmongFirst(ORDER_RANKING, ORDER_CANDIDATES),
+      auditTrail: operatorSide.auditTrail,
+      health
+    })
+    streams.chooseReaders(
+      () => ledger.writers.isAmongFirst(CONFIGURATION_RANKING, CONFIGURATION_READERS),
+      () => ledger.writers.isAmongFirst(ORDER_RANKING, ORDER_CANDIDATES)
+    )
     const ownerDispatch = new OwnerDispatch({
       self: () => membership.self,
       owners,
@@ -154,12 +189,17 @@
       },
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
-    const order = new PoolOrder()
     const gate = placementParts.limits
     const displacement = placementParts.reports
-    const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
-    const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryBudget, clock })
-    const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryBudget, clock })
+    const retryPolicy = new RetryPolicy({
+      budget: new RetryBudget(RETRY_SHARE, RETRY_RESERVE),
+      maximumTries: MAXIMUM_TRIES,
+      baseDelayMs: RETRY_DELAY_MS,
+      minimumRemainingMs: RETRY_DELAY_MS,
+      random: Math.random
+    })
+    const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryPolicy, clock })
+    const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryPolicy, clock })
     const callerServer = new CallerServer({
       address: settings.callers.address,
       maximumHeaderBytes: settings.callers.maximum_header_bytes,
@@ -196,10 +236,10 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, ownedEndpoints, orders }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    this._tasks = Promise.allSettled([orders.lease.run(signal), orders.task.run(signal), ownedEndpoints.retirements.run(signal), streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
@@ -216,17 +256,21 @@
    * @returns requests that were cut off because the grace time ended
    */
   async stop (): Promise<number> {
-    const { ledger, membership, callerServer, forwardServer } = this.parts
+    const { ledger, membership, callerServer, forwardServer, ownedEndpoints, orders } = this.parts
     const { clock, eventLog, settings } = this._options
     this._stopping = true
-    membership.leave()
     callerServer.announceClose()
+    const handover = new AbortController()
+    const handedOver = ownedEndpoints.handover.handOver(handover.signal)
     eventLog.info('router-stopping', { router: this.id, in_flight: callerServer.inFlight })
     const deadlineAt = clock.now() + settings.stopping.grace_ms
     await clock.sleep(Math.min(settings.stopping.notice_ms, settings.stopping.grace_ms))
     const closed = callerServer.stop()
     while ((callerServer.inFlight > 0 || forwardServer.inFlight > 0) && clock.now() < deadlineAt) await clock.sleep(STOP_CHECK_MS)
     const cutOff = callerServer.inFlight + forwardServer.inFlight
+    handover.abort()
+    await handedOver
+    await orders.lease.release()
     await ledger.partitions.flush(FLUSH_MS)
     await membership.depart()
     await this.kill()
--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -87,6 +87,13 @@
     maximum_kept_answer_bytes: bytes(0, 1_048_576, 16_384).describe('Largest answer that is kept for later calls with the same Idempotency-Key.'),
     partitions: z.coerce.number().int().min(1).max(1_024).default(1).describe('Streams that the keys are split into; the same on every router.')
   }).prefault({}),
+  orders: z.strictObject({
+    lease_ms: milliseconds(1_000, 600_000, 10_000).describe('How long the lease to give orders to engines holds after a renewal.'),
+    stop_margin_ms: milliseconds(100, 60_000, 2_000).describe('How long before the end of its lease the holder gives its last order.'),
+    pause_allowance_ms: milliseconds(0, 3_600_000, 30_000).describe('Longest pause of a holder that the next one waits out, for engines that do not check fencing numbers.'),
+    pass_ms: milliseconds(100, 600_000, 2_000).describe('Pause between two looks at what the engines hold.'),
+    maximum_loads: z.coerce.number().int().min(1).max(1_000).default(2).describe('Models that may load from the weight store at once.')
+  }).prefault({}),
   logging: z.strictObject({
     level: z.enum(['info', 'warn']).default('info').describe('Lowest level of events that are logged.')
   }).prefault({}),
