--- a/packages/router/src/router-parts.ts
+++ b/packages/router/src/router-parts.ts
@@ -6,7 +6,7 @@
 import type { ForwardServer } from './forward/forward-server.js'
 import type { OwnerDispatch } from './forward/owner-dispatch.js'
 import type { OrderParts } from './order-parts.js'
-import type { OwnedEndpointParts } from './owned-endpoint-parts.js'
+import type { LeavingParts } from './leaving-parts.js'
 import type { LedgerParts } from './ledger-parts.js'
 import type { EndpointClients } from './owner/endpoint-clients.js'
 import type { PlacementParts } from './placement-parts.js'
@@ -25,6 +25,6 @@
   readonly configurationParts: ConfigurationParts
   readonly placement: PlacementParts
   readonly ledger: LedgerParts
-  readonly ownedEndpoints: OwnedEndpointParts
   readonly orders: OrderParts
+  readonly leaving: LeavingParts
 }
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -15,7 +15,6 @@
 import { ServiceHandler } from './caller/service-handler.js'
 import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
-import type { EndpointDispatch } from './forward/endpoint-dispatch.js'
 import { ForwardServer } from './forward/forward-server.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
 import { HttpStatusCall } from './operations/http-status-call.js'
@@ -35,9 +34,10 @@
 import { EndpointStatuses } from './status/endpoint-statuses.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { TrackedDispatch } from './owner/tracked-dispatch.js'
 import { WatchedEndpoints } from './owner/watched-endpoints.js'
 import { wireOrders } from './wire-orders.js'
-import { wireOwnedEndpoints } from './wire-owned-endpoints.js'
+import { wireLeaving } from './wire-leaving.js'
 import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
@@ -55,6 +55,8 @@
 const ID_BYTES = 6
 const STOP_CHECK_MS = 20
 const FLUSH_MS = 5_000
+/** Time for what the next owners have not taken yet when nothing runs here any more. */
+const HANDOVER_MS = 2_000
 
 /** Wires the parts of one router process and runs their tasks. */
 export class RouterProcess implements Readiness {
@@ -150,7 +152,7 @@
     })
     const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
     const order = new PoolOrder((pool, endpoint) => health.availability(pool, endpoint) === EndpointAvailability.LIVE)
-    const dispatchOwned = new DispatchOwned({
+    const owned: TrackedDispatch = new TrackedDispatch(new DispatchOwned({
       configuration,
       admission: placementParts.admissions,
       health,
@@ -158,11 +160,7 @@
       headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
-    })
-    const ownedEndpoints = wireOwnedEndpoints({
-      configuration, membership, messenger, owners, watch: health, placement: placementParts, order, dispatch: dispatchOwned, clock, eventLog
-    })
-    const owned: EndpointDispatch = ownedEndpoints.dispatch
+    }))
     const endpointStatuses = new EndpointStatuses({ configuration, membership, owners, health, admissions: placementParts.admissions })
     const orders = wireOrders({
       process: this._options,
@@ -189,6 +187,7 @@
       },
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
+    const leaving = wireLeaving({ configuration, membership, owners, watch: health, dispatch: owned, placement: placementParts, order, messenger, clock, eventLog })
     const gate = placementParts.limits
     const displacement = placementParts.reports
     const retryPolicy = new RetryPolicy({
@@ -236,10 +235,10 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, ownedEndpoints, orders }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, leaving, orders }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([orders.lease.run(signal), orders.task.run(signal), ownedEndpoints.retirements.run(signal), streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    this._tasks = Promise.allSettled([orders.lease.run(signal), orders.task.run(signal), streams.run(signal), membership.run(signal), health.run(signal), leaving.retirements.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
@@ -256,18 +255,19 @@
    * @returns requests that were cut off because the grace time ended
    */
   async stop (): Promise<number> {
-    const { ledger, membership, callerServer, forwardServer, ownedEndpoints, orders } = this.parts
+    const { ledger, membership, callerServer, forwardServer, leaving, orders } = this.parts
     const { clock, eventLog, settings } = this._options
     this._stopping = true
-    callerServer.announceClose()
     const handover = new AbortController()
-    const handedOver = ownedEndpoints.handover.handOver(handover.signal)
+    const handedOver = leaving.handover.handOver(handover.signal)
+    callerServer.announceClose()
     eventLog.info('router-stopping', { router: this.id, in_flight: callerServer.inFlight })
     const deadlineAt = clock.now() + settings.stopping.grace_ms
     await clock.sleep(Math.min(settings.stopping.notice_ms, settings.stopping.grace_ms))
     const closed = callerServer.stop()
     while ((callerServer.inFlight > 0 || forwardServer.inFlight > 0) && clock.now() < deadlineAt) await clock.sleep(STOP_CHECK_MS)
     const cutOff = callerServer.inFlight + forwardServer.inFlight
+    await Promise.race([handedOver, clock.sleep(HANDOVER_MS, handover.signal)])
     handover.abort()
     await handedOver
     await orders.lease.release()
