--- a/packages/router/src/status/endpoint-statuses.ts
+++ b/packages/router/src/owner/endpoint-statuses.ts
@@ -1,34 +1,33 @@
 import { create } from '@bufbuild/protobuf'
-import type { EndpointStatus } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { EndpointStatusSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { EndpointStatus } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import type { EndpointStatusesOptions } from './endpoint-statuses-options.js'
 
-/** The endpoints as this router sees them, for operators. */
+/** Every configured endpoint as this router sees it, for operators. Only its owner knows what runs and waits there. */
 export class EndpointStatuses {
   private readonly _options: EndpointStatusesOptions
 
   /**
-   * @param options where the states are read
+   * @param options what the view is made of
    */
   constructor (options: EndpointStatusesOptions) {
     this._options = options
   }
 
-  /** All configured endpoints; loads are known of those that this router owns. */
-  list (): readonly EndpointStatus[] {
+  /** The endpoints in the order of the configuration; the state of a retirement goes before the availability. */
+  list (): EndpointStatus[] {
     const pools = this._options.configuration.current()?.configuration.pools ?? []
-    return pools.flatMap((pool) => pool.endpoints.map((endpoint) => this._statusOf(pool.name, endpoint.name)))
+    return pools.flatMap((pool) => pool.endpoints.map((endpoint) => this._status(pool.name, endpoint.name)))
   }
 
-  private _statusOf (pool: string, endpoint: string): EndpointStatus {
-    const { membership, owners, health, admissions } = this._options
-    const ownerRouterId = owners.ownerOf(pool, endpoint)?.id ?? ''
-    const admission = ownerRouterId === membership.self.id ? admissions.admissionOf(pool, endpoint) : undefined
+  private _status (pool: string, endpoint: string): EndpointStatus {
+    const { owners, health, retirements, admissionOf } = this._options
+    const admission = admissionOf(pool, endpoint)
     return create(EndpointStatusSchema, {
       pool,
       endpoint,
-      ownerRouterId,
-      state: health.availability(pool, endpoint),
+      ownerRouterId: owners.ownerOf(pool, endpoint)?.id ?? '',
+      state: retirements.stateOf(pool, endpoint) ?? health.availability(pool, endpoint),
       inFlight: admission?.inFlight ?? 0,
       queued: admission?.queued ?? 0
     })
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -31,7 +31,6 @@
 import { readPeerAccess } from './access/read-peer-access.js'
 import { wireLedger } from './wire-ledger.js'
 import { wireConfiguration } from './wire-configuration.js'
-import { EndpointStatuses } from './status/endpoint-statuses.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
 import { TrackedDispatch } from './owner/tracked-dispatch.js'
@@ -130,7 +129,7 @@
       suspicionMs: settings.membership.suspicion_ms
     })
     const ledger = wireLedger({ process: this._options, streams, membership, messenger })
-    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => endpointStatuses.list(), clock, eventLog })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => this._parts?.leaving.statuses.list() ?? [], clock, eventLog })
     const { operatorSide, spreader } = configurationParts
     const checkpointWriters = [...configurationParts.checkpointWriters, ...ledger.checkpointWriters]
     const settler = new StatusSettler({
@@ -161,7 +160,6 @@
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
     }))
-    const endpointStatuses = new EndpointStatuses({ configuration, membership, owners, health, admissions: placementParts.admissions })
     const orders = wireOrders({
       process: this._options,
       routerId: this.id,
