--- /dev/null
+++ b/packages/bench/src/configuration/control-traffic.ts
@@ -0,0 +1,33 @@
+import type { FleetRouter } from '../fleet/fleet-router.js'
+
+const SAMPLE_MS = 1_000
+const WINDOW_SAMPLES = 10
+const MILLISECONDS_PER_SECOND = 1_000
+
+/** Samples the control bytes of routers, for the worst router and window of 10 s. */
+export class ControlTraffic {
+  private readonly _samples = new Map<string, number[]>()
+
+  /**
+   * Samples until the signal aborts.
+   * @param routers gives the routers that run
+   * @param signal ends the task
+   */
+  async run (routers: () => readonly FleetRouter[], signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const router of routers()) {
+        const samples = this._samples.get(router.process.id) ?? []
+        samples.push(router.process.controlBytes)
+        this._samples.set(router.process.id, samples)
+      }
+      await new Promise((resolve) => setTimeout(resolve, SAMPLE_MS))
+    }
+  }
+
+  /** Bytes a second of the worst router in its worst window. */
+  worst (): number {
+    const rates = [...this._samples.values()].flatMap((samples) => samples.slice(WINDOW_SAMPLES)
+      .map((bytes, index) => (bytes - (samples[index] ?? 0)) * MILLISECONDS_PER_SECOND / (WINDOW_SAMPLES * SAMPLE_MS)))
+    return Math.round(Math.max(0, ...rates))
+  }
+}
--- a/packages/bench/src/fleet/fleet.ts
+++ b/packages/bench/src/fleet/fleet.ts
@@ -117,6 +117,15 @@
     await router?.process.kill()
   }
 
+  /**
+   * Stops a router gracefully.
+   * @param index place among the routers that run
+   */
+  async stopRouter (index: number): Promise<void> {
+    const [router] = this._routers.splice(index, 1)
+    await router?.process.stop()
+  }
+
   /**
    * Replaces the whole configuration and waits until it is in force on every router.
    * @param configuration the new configuration
