--- a/packages/bench/src/fleet/fleet-options.ts
+++ b/packages/bench/src/fleet/fleet-options.ts
@@ -2,7 +2,7 @@
 import type { RouterProcessOptions } from '@mimosarock/router/router-process-options.js'
 import type { ModelEngineOptions } from '@mimosarock/stand-ins/model-engine-options.js'
 import type { MessageInitShape } from '@bufbuild/protobuf'
-import type { PoolSchema, WorkspaceSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
+import type { PoolSchema, RouteSchema, WorkspaceSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import type { RouterSettingsInput } from './router-settings-input.js'
 
 /** What a fleet is made of; everything may be left out. */
@@ -23,8 +23,12 @@
   readonly modelPool?: MessageInitShape<typeof PoolSchema>
   /** Workspaces of the configuration; one named `alpha` if left out. */
   readonly workspaces?: ReadonlyArray<MessageInitShape<typeof WorkspaceSchema>>
+  /** Fields of the route `payments` over the fleet's own. */
+  readonly paymentsRoute?: MessageInitShape<typeof RouteSchema>
   /** Whether routers reach the platform over HTTP instead of in the same process. */
   readonly platformOverHttp?: boolean
   /** Options of single router processes over the fleet's own, by router id. */
   readonly processOptions?: (routerId: string, own: RouterProcessOptions) => Partial<RouterProcessOptions>
+  /** Whether `start` submits the fleet's own configuration; it does if this is left out. */
+  readonly configure?: boolean
 }
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,10 +1,14 @@
 import { Builtins, Cli } from 'clipanion'
 import { ConfigurationBench } from './configuration/configuration-bench.js'
+import { DecisionBench } from './decision/decision-bench.js'
 import { MembershipBench } from './membership/membership-bench.js'
+import { PlacementBench } from './placement/placement-bench.js'
 
 const cli = new Cli({ binaryLabel: 'mimosarock bench', binaryName: 'npm run --silent bench --' })
 cli.register(Builtins.HelpCommand)
 cli.register(ConfigurationBench)
+cli.register(DecisionBench)
 cli.register(MembershipBench)
+cli.register(PlacementBench)
 process.exitCode = await cli.run(process.argv.slice(2))
 process.exit()
--- a/packages/coordination/src/test/configuration-node.ts
+++ b/packages/coordination/src/test/configuration-node.ts
@@ -54,7 +54,7 @@
     })
     const membership = { self: this.self, live: () => fleet.map((node) => node.self), onChange: () => () => {} }
     const writer = new CheckpointWriter({
-      ...common, replica: this.replica, appender, membership, retentionMs, maximumPartBytes: options.maximumPartBytes ?? 65_536, maximumRecords: options.maximumRecords ?? 100_000
+      ...common, replica: this.replica, appender, membership, retentionMs, maximumPartBytes: options.maximumPartBytes ?? 65_536, bytesPerSecond: 1_000_000, maximumRecords: options.maximumRecords ?? 100_000
     })
     for (const task of [this.replica, appender, auditTrail, this.spreader, writer]) task.run(this._ended.signal)
     fleet.push(this)
--- a/packages/router/src/wire-configuration.ts
+++ b/packages/router/src/wire-configuration.ts
@@ -10,7 +10,9 @@
 const SPREAD_BURST_BYTES = 131_072
 /** How long a router that a peer is ahead of waits for the log service itself. */
 const SPREAD_GRACE_MS = 300
-const CHECKPOINT_PART_BYTES = 262_144
+const CHECKPOINT_PART_BYTES = 4_096
+/** Part of the budget of control traffic that a checkpoint may use while it is written. */
+const CHECKPOINT_BYTES_PER_SECOND = 800
 const RECORDS_BETWEEN_CHECKPOINTS = 20_000
 
 /**
@@ -42,6 +44,7 @@
     eventLog,
     retentionMs: settings.platform.log_retention_ms,
     maximumPartBytes: CHECKPOINT_PART_BYTES,
+    bytesPerSecond: CHECKPOINT_BYTES_PER_SECOND,
     maximumRecords: RECORDS_BETWEEN_CHECKPOINTS
   }))
   const operatorSide = new OperatorSide({ settings, configuration, appender, operations: options.operations, fleetStatus, clock, eventLog })
