--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -1,9 +1,11 @@
 import { randomBytes } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
 import { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
 import { PeerConnections } from '@mimosarock/coordination/membership/peer-connections.js'
 import { PeerMethods } from '@mimosarock/coordination/membership/peer-methods.js'
 import { PeerServer } from '@mimosarock/coordination/membership/peer-server.js'
 import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
+import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import { RetryBudget } from '@mimosarock/placement/retry-budget.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
@@ -20,6 +22,7 @@
 import { ConfiguredOwners } from './owner/configured-owners.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
+import { RetryPolicy } from './retries/retry-policy.js'
 import type { RouterAddresses } from './router-addresses.js'
 import type { RouterParts } from './router-parts.js'
 import type { RouterProcessOptions } from './router-process-options.js'
@@ -30,16 +33,29 @@
 import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
 import { StatusHandler } from './status/status-handler.js'
+import { TrackedDispatch } from './owner/tracked-dispatch.js'
 import { WatchedEndpoints } from './owner/watched-endpoints.js'
+import { wireOrders } from './wire-orders.js'
+import { wireLeaving } from './wire-leaving.js'
 import { wirePlacement } from './wire-placement.js'
 
 const RETRY_SHARE = 0.1
 const RETRY_RESERVE = 20
+const MAXIMUM_TRIES = 4
+const RETRY_DELAY_MS = 20
 const MAXIMUM_UNOWNED_CALLS = 8
 const MAXIMUM_FORWARD_CONNECTIONS = 1_024
+/** Rankings of the live routers beside those of the ledger's partitions, which count from 0. */
+const CONFIGURATION_RANKING = -1
+const ORDER_RANKING = -2
+/** Routers that tail the configuration by long polls; the others learn from peers. */
+const CONFIGURATION_READERS = 16
+const ORDER_CANDIDATES = 3
 const ID_BYTES = 6
 const STOP_CHECK_MS = 20
 const FLUSH_MS = 5_000
+/** Time for what the next owners have not taken yet when nothing runs here any more. */
+const HANDOVER_MS = 2_000
 
 /** Wires the parts of one router process and runs their tasks. */
 export class RouterProcess implements Readiness {
@@ -60,6 +76,8 @@
   constructor (options: RouterProcessOptions) {
     this._options = options
     this._traffic = options.traffic ?? new TrafficCounter()
+    // Every task of the router listens to the one signal that ends them all.
+    setMaxListeners(0, this._ending.signal)
     this.id = options.routerId ?? randomBytes(ID_BYTES).toString('base64url')
   }
 
@@ -111,7 +129,7 @@
       suspicionMs: settings.membership.suspicion_ms
     })
     const ledger = wireLedger({ process: this._options, streams, membership, messenger })
-    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => [], clock, eventLog })
+    const configurationParts = wireConfiguration({ settings, streams, membership, messenger, operations: ledger.administration, endpoints: () => this._parts?.leaving.statuses.list() ?? [], clock, eventLog })
     const { operatorSide, spreader } = configurationParts
     const checkpointWriters = [...configurationParts.checkpointWriters, ...ledger.checkpointWriters]
     const settler = new StatusSettler({
@@ -132,7 +150,8 @@
       pollMs: settings.endpoints.load_poll_ms
     })
     const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
-    const owned: DispatchOwned = new DispatchOwned({
+    const order = new PoolOrder((pool, endpoint) => health.availability(pool, endpoint) === EndpointAvailability.LIVE)
+    const owned: TrackedDispatch = new TrackedDispatch(new DispatchOwned({
       configuration,
       admission: placementParts.admissions,
       health,
@@ -140,7 +159,19 @@
       headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
+    }))
+    const orders = wireOrders({
+      process: this._options,
+      routerId: this.id,
+      streams,
+      isCandidate: () => ledger.writers.isAmongFirst(ORDER_RANKING, ORDER_CANDIDATES),
+      auditTrail: operatorSide.auditTrail,
+      health
     })
+    streams.chooseReaders(
+      () => ledger.writers.isAmongFirst(CONFIGURATION_RANKING, CONFIGURATION_READERS),
+      () => ledger.writers.isAmongFirst(ORDER_RANKING, ORDER_CANDIDATES)
+    )
     const ownerDispatch = new OwnerDispatch({
       self: () => membership.self,
       owners,
@@ -154,12 +185,18 @@
       },
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
-    const order = new PoolOrder()
+    const leaving = wireLeaving({ configuration, membership, owners, watch: health, dispatch: owned, placement: placementParts, order, messenger, clock, eventLog })
     const gate = placementParts.limits
     const displacement = placementParts.reports
-    const retryBudget = new RetryBudget(RETRY_SHARE, RETRY_RESERVE)
-    const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryBudget, clock })
-    const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryBudget, clock })
+    const retryPolicy = new RetryPolicy({
+      budget: new RetryBudget(RETRY_SHARE, RETRY_RESERVE),
+      maximumTries: MAXIMUM_TRIES,
+      baseDelayMs: RETRY_DELAY_MS,
+      minimumRemainingMs: RETRY_DELAY_MS,
+      random: Math.random
+    })
+    const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryPolicy, clock })
+    const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryPolicy, clock })
     const callerServer = new CallerServer({
       address: settings.callers.address,
       maximumHeaderBytes: settings.callers.maximum_header_bytes,
@@ -196,10 +233,10 @@
       status: new StatusHandler(this, this.metrics)
     })
     const callers = await callerServer.start()
-    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger }
+    this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, leaving, orders }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([streams.run(signal), membership.run(signal), health.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    this._tasks = Promise.allSettled([orders.lease.run(signal), orders.task.run(signal), streams.run(signal), membership.run(signal), health.run(signal), leaving.retirements.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
@@ -216,10 +253,11 @@
    * @returns requests that were cut off because the grace time ended
    */
   async stop (): Promise<number> {
-    const { ledger, membership, callerServer, forwardServer } = this.parts
+    const { ledger, membership, callerServer, forwardServer, leaving, orders } = this.parts
     const { clock, eventLog, settings } = this._options
     this._stopping = true
-    membership.leave()
+    const handover = new AbortController()
+    const handedOver = leaving.handover.handOver(handover.signal)
     callerServer.announceClose()
     eventLog.info('router-stopping', { router: this.id, in_flight: callerServer.inFlight })
     const deadlineAt = clock.now() + settings.stopping.grace_ms
@@ -227,6 +265,10 @@
     const closed = callerServer.stop()
     while ((callerServer.inFlight > 0 || forwardServer.inFlight > 0) && clock.now() < deadlineAt) await clock.sleep(STOP_CHECK_MS)
     const cutOff = callerServer.inFlight + forwardServer.inFlight
+    await Promise.race([handedOver, clock.sleep(HANDOVER_MS, handover.signal)])
+    handover.abort()
+    await handedOver
+    await orders.lease.release()
     await ledger.partitions.flush(FLUSH_MS)
     await membership.depart()
     await this.kill()
