--- a/packages/placement/src/admission-bound.ts
+++ b/packages/placement/src/admission-bound.ts
@@ -9,9 +9,9 @@
  * later, when the mean falls while long answers run on; the rest of the excess is kept for that.
  */
 const ADMISSION_SHARE = {
-  [PlacementGoal.UNSPECIFIED]: 0.6,
-  [PlacementGoal.SKEW]: 0.6,
-  [PlacementGoal.REUSE]: 1
+  [PlacementGoal.UNSPECIFIED]: 0.4,
+  [PlacementGoal.SKEW]: 0.4,
+  [PlacementGoal.REUSE]: 0.8
 } as const
 
 /**
--- a/packages/placement/src/rendezvous-order.ts
+++ b/packages/placement/src/rendezvous-order.ts
@@ -5,6 +5,7 @@
 const MAXIMUM_INSERTED = 16
 /** Number of values that a mixed hash can take. */
 const HASH_RANGE = 4_294_967_296
+const HOPELESS_MARGIN = 16
 
 /**
  * Order in which a key tries the members of a set: highest random weight first, where a member's chance to
@@ -27,6 +28,7 @@
   private readonly _capacities: Float64Array
   /** Whether all capacities are equal: then the hash orders as the score does. */
   private readonly _uniform: boolean
+  private readonly _largestCapacity: number
 
   /**
    * @param members the set, in any order; members without capacity are left out
@@ -43,6 +45,7 @@
       this._low[index] = Number(BigInt.asIntN(32, bits))
       this._capacities[index] = member.capacity
     }
+    this._largestCapacity = this._capacities.reduce((largest, capacity) => Math.max(largest, capacity), 0)
     this._uniform = this._capacities.every((capacity) => capacity === this._capacities[0])
   }
 
@@ -71,10 +74,13 @@
     const order: number[] = []
     if (wanted === 0) return order
     const scores: number[] = []
+    let hopeless = 0
     const keyHigh = parseInt(key.slice(0, 8), 16) | 0
     const keyLow = parseInt(key.slice(8, 16), 16) | 0
     for (let index = 0; index < this._members.length; index += 1) {
-      const score = this._score(keyHigh, keyLow, index)
+      const mixed = mixKey(keyHigh, keyLow, this._high[index] as number, this._low[index] as number)
+      if (mixed < hopeless) continue
+      const score = this._scoreOf(mixed, index)
       if (order.length === wanted && score <= (scores[wanted - 1] as number)) continue
       let place = order.length < wanted ? order.length : wanted - 1
       while (place > 0 && score > (scores[place - 1] as number)) {
@@ -84,6 +90,7 @@
       }
       scores[place] = score
       order[place] = index
+      if (order.length === wanted) hopeless = this._hopelessBelow(scores[wanted - 1] as number)
     }
     return order
   }
@@ -98,7 +105,17 @@
   }
 
   private _score (keyHigh: number, keyLow: number, index: number): number {
-    const mixed = mixKey(keyHigh, keyLow, this._high[index] as number, this._low[index] as number)
+    return this._scoreOf(mixKey(keyHigh, keyLow, this._high[index] as number, this._low[index] as number), index)
+  }
+
+  /** Mixed hash below which not even the largest member reaches a score; spares the others their logarithm. */
+  private _hopelessBelow (score: number): number {
+    if (this._uniform) return score
+    // The margin is far above the rounding of the logarithm and costs nothing but a score.
+    return Math.exp(-this._largestCapacity / score) * HASH_RANGE - HOPELESS_MARGIN
+  }
+
+  private _scoreOf (mixed: number, index: number): number {
     if (this._uniform) return mixed
     return -(this._capacities[index] as number) / Math.log((mixed + 0.5) / HASH_RANGE)
   }
