--- a/packages/router/src/wire-leaving.ts
+++ b/packages/router/src/wire-leaving.ts
@@ -75,7 +75,9 @@
     owners,
     health: watch,
     retirements,
-    admissionOf: (pool, endpoint) => placement.admissions.admissionOf(pool, endpoint)
+    admissionOf: (pool, endpoint) => owners.ownerOf(pool, endpoint)?.id === membership.self.id
+      ? placement.admissions.admissionOf(pool, endpoint)
+      : undefined
   })
   return { retirements, handover, statuses }
 }
