--- a/packages/coordination/src/checkpoints/checkpoint-writer-options.ts
+++ b/packages/coordination/src/checkpoints/checkpoint-writer-options.ts
@@ -16,6 +16,8 @@
   readonly retentionMs: number
   /** Most bytes of state in one record. */
   readonly maximumPartBytes: number
+  /** Bytes of state written a second, unless the state is too large to be written in time at that rate. */
+  readonly bytesPerSecond: number
   /** Records after which a checkpoint is written early, so that a new router need not read them all. */
   readonly maximumRecords: number
 }
--- a/packages/router/src/wire-ledger.ts
+++ b/packages/router/src/wire-ledger.ts
@@ -9,7 +9,9 @@
 
 const MINIMUM_REMAINING_MS = 20
 const IN_PROGRESS_WAIT_MS = 1_000
-const CHECKPOINT_PART_BYTES = 262_144
+const CHECKPOINT_PART_BYTES = 16_384
+/** Part of the budget of control traffic that a checkpoint may use while it is written. */
+const CHECKPOINT_BYTES_PER_SECOND = 800
 const RECORDS_BETWEEN_CHECKPOINTS = 20_000
 
 /**
@@ -52,6 +54,7 @@
     eventLog,
     retentionMs: settings.platform.log_retention_ms,
     maximumPartBytes: CHECKPOINT_PART_BYTES,
+    bytesPerSecond: CHECKPOINT_BYTES_PER_SECOND,
     maximumRecords: RECORDS_BETWEEN_CHECKPOINTS
   }))
   const administration = new LedgerAdministration({ partitions, configuration: streams.configuration })
