Keep streams and calls going while an owner stands still

Seen with three router processes, six engines and two callers at 40 chats a second, the owner of two engines stopped by SIGSTOP for 5 s: 4 streams ended with an error event, 42 chats were refused, the slowest chat took 6,974 ms. Cause: a forward to a router that stands still connects all the same, so each call waited 4 s for its head; a stream was resumed through the same owner, and by then the engine's resume window of 5 s had passed.

- A resumption goes straight to the engine: it brings no load, and the owner may be what broke the stream.
- The owner acknowledges a forward at once with an informational answer; without it within 500 ms the call goes on.
- An owner that left a forward unacknowledged is not asked again for the time of one suspicion.

--- a/packages/router/src/forward/forward-client-options.ts
+++ b/packages/router/src/forward/forward-client-options.ts
@@ -6,6 +6,8 @@
   readonly headTimeoutMs: number
   /** Bound on the wait for the head of an answer, beyond the wait in the endpoint's queue, in milliseconds. */
   readonly firstByteTimeoutMs: number
+  /** Bound on the wait for the owner's acknowledgement of a forward, in milliseconds. */
+  readonly acknowledgeTimeoutMs: number
   /** Bound on silence within an answer, in milliseconds. */
   readonly silenceTimeoutMs: number
 }
--- a/packages/router/src/forward/forward-client.ts
+++ b/packages/router/src/forward/forward-client.ts
@@ -81,15 +81,23 @@
         headers: { [ForwardCodec.CALL_HEADER]: ForwardCodec.encode(call) },
         body: call.body,
         firstByteTimeoutMs: call.waitMs + Math.min(call.remainingMs, this._headBoundMs(call)),
+        acknowledgeTimeoutMs: this._options.acknowledgeTimeoutMs,
         silenceTimeoutMs: this._options.silenceTimeoutMs
       }, signal)
     } catch (error) {
-      if (!(error instanceof MimosarockError) || error.run !== RunState.NOT_RUN) throw error
+      if (!(error instanceof MimosarockError)) throw error
+      if (error.code === ResultCode.ENDPOINT_SILENT) throw ownerSilent(call, error)
+      if (error.run !== RunState.NOT_RUN) throw error
       throw new MimosarockError(ResultCode.OWNER_UNREACHABLE, `the owner of ${call.endpoint} can not be reached`, { cause: error })
     }
   }
 }
 
+// The owner may yet run the call when it wakes, so the run state stays unknown.
+function ownerSilent (call: DispatchCall, cause: MimosarockError): MimosarockError {
+  return new MimosarockError(ResultCode.OWNER_UNREACHABLE, `the owner of ${call.endpoint} does not answer`, { run: cause.run, cause })
+}
+
 async function readText (answer: HttpAnswer): Promise<string> {
   const chunks: Uint8Array[] = []
   let bytes = 0
--- a/packages/router/src/forward/forward-server.ts
+++ b/packages/router/src/forward/forward-server.ts
@@ -66,6 +66,8 @@
       gone.abort()
     })
     try {
+      // Tells the entry router at once that this process runs, long before the engine answers.
+      response.writeProcessing()
       const call = await this._readCall(request)
       if (request.url === '/cancel') {
         await this._dispatch.cancel(call)
--- a/packages/router/src/forward/owner-dispatch.ts
+++ b/packages/router/src/forward/owner-dispatch.ts
@@ -1,5 +1,7 @@
+import type { RouterIdentity } from '@mimosarock/coordination/router-identity.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { RunState } from '@mimosarock/schema/run-state.js'
 import type { DispatchAnswer } from './dispatch-answer.js'
 import type { DispatchCall } from './dispatch-call.js'
 import type { EndpointDispatch } from './endpoint-dispatch.js'
@@ -29,13 +31,16 @@
    * @throws {MimosarockError} see EndpointDispatch
    */
   async dispatch (call: DispatchCall, signal: AbortSignal): Promise<DispatchAnswer> {
-    const remote = this._remoteOwner(call)
-    if (remote === undefined) return await this._options.local.dispatch(call, signal)
+    const owner = this._remoteOwner(call)
+    // A resumption brings the engine no load and must not wait for an owner that may be what broke the stream.
+    if (owner === undefined || call.resumeFrom !== undefined) return await this._options.local.dispatch(call, signal)
+    if (this._options.suspects.isSuspect(owner.id)) return await this._dispatchUnowned(call, unreachable(call), signal)
     try {
-      return await remote.dispatch(call, signal)
+      return await this._forwardTo(owner).dispatch(call, signal)
     } catch (error) {
-      const unreachable = error instanceof MimosarockError && error.code === ResultCode.OWNER_UNREACHABLE
-      if (!unreachable || !isRepeatableBody(call.body)) throw error
+      if (!(error instanceof MimosarockError) || error.code !== ResultCode.OWNER_UNREACHABLE) throw error
+      this._options.suspects.suspect(owner.id)
+      if (error.run !== RunState.NOT_RUN || !isRepeatableBody(call.body)) throw error
       return await this._dispatchUnowned(call, error, signal)
     }
   }
@@ -45,7 +50,8 @@
    * @param call the call
    */
   async cancel (call: DispatchCall): Promise<void> {
-    await (this._remoteOwner(call) ?? this._options.local).cancel(call)
+    const owner = this._remoteOwner(call)
+    await (owner === undefined ? this._options.local : this._forwardTo(owner)).cancel(call)
   }
 
   /** Closes the connections to all owners. */
@@ -55,9 +61,13 @@
     for (const client of clients) await client.destroy()
   }
 
-  private _remoteOwner (call: DispatchCall): ForwardClient | undefined {
+  /** The owner, if it is another router. */
+  private _remoteOwner (call: DispatchCall): RouterIdentity | undefined {
     const owner = this._options.owners.ownerOf(call.pool, call.endpoint)
-    if (owner === undefined || owner.id === this._options.self().id) return undefined
+    return owner?.id === this._options.self().id ? undefined : owner
+  }
+
+  private _forwardTo (owner: RouterIdentity): ForwardClient {
     const known = this._forwards.get(owner.forwardAddress)
     if (known !== undefined) return known
     const client = new ForwardClient({ ...this._options.forward, address: owner.forwardAddress })
@@ -86,6 +96,10 @@
   }
 }
 
+function unreachable (call: DispatchCall): MimosarockError {
+  return new MimosarockError(ResultCode.OWNER_UNREACHABLE, `the owner of ${call.endpoint} did not answer a short while ago`)
+}
+
 function isRepeatableBody (body: DispatchCall['body']): boolean {
   return body === undefined || body instanceof Uint8Array
 }
--- a/packages/router/src/http/bounded-http-client.ts
+++ b/packages/router/src/http/bounded-http-client.ts
@@ -47,12 +47,15 @@
     const follow = (): void => ending.abort(signal.reason)
     signal.addEventListener('abort', follow, { once: true })
     let silent = false
-    const timer = setTimeout(() => {
+    const giveUp = (): void => {
       silent = true
       ending.abort()
-    }, request.firstByteTimeoutMs)
+    }
+    const timer = setTimeout(giveUp, request.firstByteTimeoutMs)
+    const acknowledgeTimer = request.acknowledgeTimeoutMs === undefined ? undefined : setTimeout(giveUp, request.acknowledgeTimeoutMs)
     const finish = (): void => {
       clearTimeout(timer)
+      clearTimeout(acknowledgeTimer)
       signal.removeEventListener('abort', follow)
       own?.destroy().catch(() => {})
     }
@@ -63,9 +66,11 @@
         path: request.path,
         headers: request.headers,
         body: request.body as Dispatcher.DispatchOptions['body'],
-        signal: ending.signal
+        signal: ending.signal,
+        onInfo: () => clearTimeout(acknowledgeTimer)
       })
       clearTimeout(timer)
+      clearTimeout(acknowledgeTimer)
       return {
         status: answer.statusCode,
         headers: endToEndHeaders(answer.headers),
--- a/packages/router/src/http/bounded-http-request.ts
+++ b/packages/router/src/http/bounded-http-request.ts
@@ -8,6 +8,11 @@
   readonly body: Uint8Array | AsyncIterable<Uint8Array> | undefined
   /** Bound on the wait for the head of the answer, in milliseconds. */
   readonly firstByteTimeoutMs: number
+  /**
+   * Bound on the wait for an informational answer or the head, in milliseconds; for servers that acknowledge a
+   * call at once. None if left out.
+   */
+  readonly acknowledgeTimeoutMs?: number
   /** Bound on silence within the answer, in milliseconds. */
   readonly silenceTimeoutMs: number
   /**
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -17,6 +17,7 @@
 import { PoolOrder } from './entry/pool-order.js'
 import { ForwardServer } from './forward/forward-server.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
+import { SuspectOwners } from './forward/suspect-owners.js'
 import { HttpStatusCall } from './operations/http-status-call.js'
 import { StatusSettler } from './operations/status-settler.js'
 import { ConfiguredOwners } from './owner/configured-owners.js'
@@ -183,10 +184,12 @@
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
         maximumConnections: MAXIMUM_FORWARD_CONNECTIONS,
+        acknowledgeTimeoutMs: settings.forwards.acknowledge_timeout_ms,
         headTimeoutMs: settings.endpoints.head_timeout_ms,
         firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
         silenceTimeoutMs: settings.endpoints.silence_timeout_ms
       },
+      suspects: new SuspectOwners(clock, settings.membership.suspicion_ms),
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
     const leaving = wireLeaving({ configuration, membership, owners, watch: health, dispatch: owned, placement: placementParts, order, messenger, clock, eventLog })
--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -29,6 +29,7 @@
   }),
   forwards: z.strictObject({
     address: address.describe('Where other routers send forwarded calls.'),
+    acknowledge_timeout_ms: milliseconds(20, 60_000, 500).describe('Bound on the wait for the owner\'s acknowledgement of a forwarded call.'),
     allow_plain_text: yesOrNo('no').describe('Allows an address that is not loopback; forwarded calls are plain text.')
   }),
   peers: z.strictObject({
