Make the test of a changed capacity able to fail

Filling the endpoint first left the replaced admission loaded, which hid the fault: the test passed with the old code as well. Without the filling it admits 1 call with the old code and 32 with the new.

--- a/packages/router/src/test/endpoint-admissions_test.ts
+++ b/packages/router/src/test/endpoint-admissions_test.ts
@@ -173,7 +173,6 @@
 
 test('an endpoint whose capacity is changed is filled up to the new one', async () => {
   const fleet = new AdmissionFleet(1, 1)
-  await fill(fleet, 'e0')
   const admissions = fleet.member(0).parts.admissions.pools.get('chat') as PoolAdmissions
   const endpoints = admissions.pool.endpoints.map((endpoint) => ({ ...endpoint, capacity: 32 }))
   admissions.update({ ...admissions.pool, endpoints })
