--- /dev/null
+++ b/packages/bench/src/capacity/fit-slope.ts
@@ -0,0 +1,22 @@
+import { LineFit } from '../membership/line-fit.js'
+import type { Slope } from './slope.js'
+
+/**
+ * Fits a line through measured points.
+ * @param unit cost and what it is counted by
+ * @param points pairs of count and cost
+ */
+export function fitSlope (unit: string, points: ReadonlyArray<readonly [number, number]>): Slope {
+  const fit = new LineFit(points)
+  return {
+    unit,
+    slope: round(fit.slope),
+    intercept: round(fit.intercept),
+    worst_residual: round(fit.worstResidual),
+    points: points.map(([count, cost]) => [count, round(cost)] as const)
+  }
+}
+
+function round (value: number): number {
+  return Number(value.toPrecision(4))
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,4 +1,5 @@
 import { Builtins, Cli } from 'clipanion'
+import { CapacityBench } from './capacity/capacity-bench.js'
 import { DecisionBench } from './decision/decision-bench.js'
 import { MembershipBench } from './membership/membership-bench.js'
 import { OverheadBench } from './overhead/overhead-bench.js'
@@ -6,6 +7,7 @@
 
 const cli = new Cli({ binaryLabel: 'mimosarock bench', binaryName: 'npm run --silent bench --' })
 cli.register(Builtins.HelpCommand)
+cli.register(CapacityBench)
 cli.register(DecisionBench)
 cli.register(MembershipBench)
 cli.register(OverheadBench)
