--- a/packages/coordination/src/checkpoints/checkpoint-writer.ts
+++ b/packages/coordination/src/checkpoints/checkpoint-writer.ts
@@ -14,6 +14,11 @@
 const MAXIMUM_CHECK_MS = 5_000
 const CHECKS_IN_STAGGER = 4
 const APPEND_TIMEOUT_MS = 30_000
+/** Longest share of the time between checkpoints that writing one may take. */
+const WRITING_SHARE = 1 / 2
+/** Share of that time after which a checkpoint that was begun and not finished is given up. */
+const ABANDONED_SHARE = 3 / 4
+const MILLISECONDS_PER_SECOND = 1_000
 
 /**
  * Appends the state of a stream again and again, well before the records that it rests on expire. The routers
@@ -26,6 +31,7 @@
   private readonly _staggerMs: number
   private _lastAt: number
   private _recordsSince = 0
+  private _begunAt = -Infinity
 
   /**
    * @param options what the writer works with
@@ -35,7 +41,7 @@
     this._intervalMs = options.retentionMs / CHECKPOINTS_IN_RETENTION
     this._staggerMs = Math.min(this._intervalMs * STAGGER_SHARE, MAXIMUM_STAGGER_MS)
     this._lastAt = options.clock.now()
-    options.replica.onCheckpoint((position) => this._noteCheckpoint(position))
+    options.replica.onCheckpoint((position, whole) => this._noteCheckpoint(position, whole))
     options.replica.onApplied(() => { this._recordsSince += 1 })
   }
 
@@ -52,13 +58,14 @@
     const checkMs = Math.min(this._staggerMs / CHECKS_IN_STAGGER, MAXIMUM_CHECK_MS)
     while (!signal.aborted) {
       await this._options.clock.sleep(checkMs, signal)
-      if (!signal.aborted && this._isDue()) await this._write()
+      if (!signal.aborted && this._isDue()) await this._write(signal)
     }
   }
 
   private _isDue (): boolean {
     const { replica, maximumRecords } = this._options
     if (!replica.started || replica.appliedOffset === 0) return false
+    if (this._options.clock.now() - this._begunAt < this._intervalMs * ABANDONED_SHARE) return false
     const rank = this._rank()
     const late = this.ageMs >= this._intervalMs + rank * this._staggerMs
     const many = this._recordsSince >= maximumRecords * (1 + rank * STAGGER_SHARE)
@@ -73,13 +80,18 @@
     return membership.live().filter((router) => !router.leaving && weight(router.id) > own).length
   }
 
-  private async _write (): Promise<void> {
-    const { replica, appender, eventLog, maximumPartBytes } = this._options
+  /** Spreads the parts over time, so that a large state does not use up the budget of control traffic. */
+  private async _write (signal: AbortSignal): Promise<void> {
+    const { replica, appender, clock, eventLog, maximumPartBytes } = this._options
     const whole = replica.checkpoint()
+    const neededRate = whole.state.length * MILLISECONDS_PER_SECOND / (this._intervalMs * WRITING_SHARE)
+    const bytesPerMs = Math.max(this._options.bytesPerSecond, neededRate) / MILLISECONDS_PER_SECOND
     const parts = splitCheckpoint(randomUUID(), whole, maximumPartBytes)
     try {
       for (const part of parts) {
         await appender.append(create(LogEntrySchema, { kind: { case: 'checkpoint', value: part } }), APPEND_TIMEOUT_MS)
+        if (part.part < part.parts - 1) await clock.sleep(part.state.length / bytesPerMs, signal)
+        if (signal.aborted) return
       }
       eventLog.info('checkpoint-written', { stream: replica.stream, covers_offset: whole.coversOffset, bytes: whole.state.length, parts: parts.length })
     } catch (error) {
@@ -91,8 +103,13 @@
    * The writer's wall clock only moves the schedule: a fleet whose routers are replaced more often than
    * checkpoints are due would else never write one. A clock that is wrong costs a checkpoint more, or one interval.
    */
-  private _noteCheckpoint (position: RecordPosition): void {
+  private _noteCheckpoint (position: RecordPosition, whole: boolean): void {
     const { clock } = this._options
+    if (!whole) {
+      this._begunAt = clock.now()
+      return
+    }
+    this._begunAt = -Infinity
     const age = clock.wallNow() - position.writtenAtMs
     const bounded = Math.min(Math.max(age, 0), this._intervalMs)
     this._lastAt = Math.max(this._lastAt, clock.now() - bounded)
--- a/packages/coordination/src/stream-replica.ts
+++ b/packages/coordination/src/stream-replica.ts
@@ -33,7 +33,7 @@
   private readonly _appliedListeners = new Set<(position: RecordPosition) => void>()
   private readonly _provenListeners = new Set<() => void>()
   private readonly _replacedListeners = new Set<() => void>()
-  private readonly _checkpointListeners = new Set<(position: RecordPosition) => void>()
+  private readonly _checkpointListeners = new Set<(position: RecordPosition, whole: boolean) => void>()
   private _assembler = new CheckpointAssembler()
   /** Assembles the checkpoints that pass by, to tell when the stream last got a whole one. */
   private readonly _passing = new CheckpointAssembler()
@@ -119,11 +119,11 @@
   }
 
   /**
-   * Calls back when a whole checkpoint was read in the stream.
-   * @param listener gets the position of the record with its last part
+   * Calls back when the first part of a checkpoint, and when the whole one, was read in the stream.
+   * @param listener gets the position of the part's record, and whether the checkpoint is whole by it
    * @returns a function that ends the calls
    */
-  onCheckpoint (listener: (position: RecordPosition) => void): () => void {
+  onCheckpoint (listener: (position: RecordPosition, whole: boolean) => void): () => void {
     this._checkpointListeners.add(listener)
     return () => this._checkpointListeners.delete(listener)
   }
@@ -349,9 +349,9 @@
   private _applyEntry (entry: LogEntry, position: RecordPosition): void {
     this._options.fold.apply(entry, position)
     if (entry.kind.case !== 'checkpoint') return
-    const whole = this._passing.add(entry.kind.value)
-    if (whole === undefined) return
-    for (const listener of this._checkpointListeners) listener(position)
+    const whole = this._passing.add(entry.kind.value) !== undefined
+    if (!whole && entry.kind.value.part > 0) return
+    for (const listener of this._checkpointListeners) listener(position, whole)
   }
 
   /** A record that can't be decoded is folded as empty, the same on every router. */
