--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import { ConfigurationBench } from './configuration/configuration-bench.js'
 import { DecisionBench } from './decision/decision-bench.js'
 import { MembershipBench } from './membership/membership-bench.js'
+import { OperationsBench } from './operations/operations-bench.js'
 import { OverheadBench } from './overhead/overhead-bench.js'
 import { PlacementBench } from './placement/placement-bench.js'
 
@@ -10,6 +11,7 @@
 cli.register(ConfigurationBench)
 cli.register(DecisionBench)
 cli.register(MembershipBench)
+cli.register(OperationsBench)
 cli.register(OverheadBench)
 cli.register(PlacementBench)
 process.exitCode = await cli.run(process.argv.slice(2))
