--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,4 +1,5 @@
 import { Builtins, Cli } from 'clipanion'
+import { CapacityBench } from './capacity/capacity-bench.js'
 import { ConfigurationBench } from './configuration/configuration-bench.js'
 import { DecisionBench } from './decision/decision-bench.js'
 import { MembershipBench } from './membership/membership-bench.js'
@@ -8,6 +9,7 @@
 
 const cli = new Cli({ binaryLabel: 'mimosarock bench', binaryName: 'npm run --silent bench --' })
 cli.register(Builtins.HelpCommand)
+cli.register(CapacityBench)
 cli.register(ConfigurationBench)
 cli.register(DecisionBench)
 cli.register(MembershipBench)
