Compute an answer anew when its engine is lost, and join it only where it is the same

Now another engine computes the answer; what the caller has is compared event by event, and the rest is passed on only if all of it is the same. A different answer ends the stream as incomplete, as before.

An engine that tells another text is never joined to the first one's.

--- a/packages/router/src/answers/resumed-stream-options.ts
+++ b/packages/router/src/answers/resumed-stream-options.ts
@@ -10,7 +10,7 @@
   readonly signal: AbortSignal
   /** Time left for the whole call, in milliseconds. */
   readonly remainingMs: () => number
-  /** Places the call anew; used while no event has been passed on yet. */
+  /** Places the call anew, after its engine was lost. */
   readonly restart: () => Promise<PlacedCall>
   /** Hears of each resumption. */
   readonly onResume: (nextId: number) => void
--- a/packages/router/src/test/router-process_test.ts
+++ b/packages/router/src/test/router-process_test.ts
@@ -68,16 +68,35 @@
     expect(text).toBe(whole.choices[0]?.message.content)
   })
 
-  test('a stream whose engine loses it ends with an error, never as if whole', async () => {
+  test('a stream whose engine restarts is computed anew, and goes on where it broke off', async () => {
+    const question = messages('a stream that its engine forgets')
+    const whole = await client(0).chat.completions.create({ model: 'assistant', messages: question, max_tokens: 60 })
+    const stream = await client(0).chat.completions.create({ model: 'assistant', messages: question, max_tokens: 60, stream: true })
+    let text = ''
+    let chunks = 0
+    for await (const chunk of stream) {
+      text += chunk.choices[0]?.delta.content ?? ''
+      chunks += 1
+      if (chunks === 5) for (const engine of fixture.engines) engine.restart()
+    }
+    expect(text).toBe(whole.choices[0]?.message.content)
+  })
+
+  test('a stream whose engine is lost for good ends with an error, never as if whole', async () => {
     const stream = await client(1).chat.completions.create({ model: 'assistant', messages: messages('an engine that restarts'), max_tokens: 80, stream: true })
     const read = async (): Promise<void> => {
       let chunks = 0
       for await (const chunk of stream) {
         chunks += chunk.choices.length
-        if (chunks === 5) for (const engine of fixture.engines) engine.restart()
+        if (chunks !== 5) continue
+        for (const engine of fixture.engines) {
+          engine.faults.refusing = true
+          engine.restart()
+        }
       }
     }
     await expect(read()).rejects.toThrow(/broke off/)
+    for (const engine of fixture.engines) engine.faults.refusing = false
   })
 })
 
