--- a/packages/bench/src/capacity/capacity-at-target.ts
+++ b/packages/bench/src/capacity/capacity-at-target.ts
@@ -13,13 +13,13 @@
 const DISPLACED_SHARE = 0.05
 const CHATS = 26_000_000
 const HEARTBEATS_PER_SECOND = 4
-/** Appends a second of one ledger writer, at the default group interval of 40 ms. */
+/** Appends a second of the ledger's one writer, at the default group interval of 40 ms and in one partition. */
 const WRITER_APPENDS_PER_SECOND = 25
-const LONG_POLL_S = 10
-const STREAMS = 2
+/** Polls of configuration and leases by nodes that are no readers of them. */
+const CONFIGURATION_SLOW_POLL_S = 5
+const LEASE_SLOW_POLL_S = 30
 const BYTES_PER_MEGABYTE = 1_048_576
 const MICROSECONDS_PER_SECOND = 1_000_000
-const SLOW_POLL_S = 1
 
 /**
  * What a node and the fleet need at the target size, by the mechanisms that the router runs today.
@@ -41,7 +41,8 @@
   const configurationMb = at('workspace_bytes', WORKSPACES) / BYTES_PER_MEGABYTE
   const ledgerMb = keysPerSecond * SECONDS_PER_DAY * growth('ledger_key_bytes') / BYTES_PER_MEGABYTE
   const displacedMb = CHATS * DISPLACED_SHARE / NODES * growth('displaced_chat_bytes') / BYTES_PER_MEGABYTE
-  const appends = Math.min(NODES * WRITER_APPENDS_PER_SECOND, 2 * keysPerSecond) + changesPerSecond
+  const appends = WRITER_APPENDS_PER_SECOND + changesPerSecond
+  const slowPolls = NODES / CONFIGURATION_SLOW_POLL_S + NODES / LEASE_SLOW_POLL_S
   const values = {
     control_core_share: heartbeatShare + ledgerShare,
     control_core_share_heartbeats: heartbeatShare,
@@ -51,9 +52,9 @@
     control_memory_mb_ledger: ledgerMb,
     control_memory_mb_displaced_chats: displacedMb,
     control_bytes_per_second: at('membership_bytes_per_second', NODES) + ENDPOINTS / NODES * endpointWatchBytes + changesPerSecond * at('revision_change_bytes', NODES),
-    configuration_in_force_s: SLOW_POLL_S + at('configuration_index_ms', WORKSPACES) / 1_000,
+    configuration_in_force_s: CONFIGURATION_SLOW_POLL_S + at('configuration_index_ms', WORKSPACES) / 1_000,
     log_appends_per_second: appends,
-    log_reads_per_second: NODES * (appends + STREAMS / LONG_POLL_S)
+    log_reads_per_second: NODES * WRITER_APPENDS_PER_SECOND + slowPolls
   }
   return Object.fromEntries(Object.entries(values).map(([name, value]) => [name, Number(value.toPrecision(4))]))
 }
