--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -17,10 +17,12 @@
 import { PoolOrder } from './entry/pool-order.js'
 import { ForwardServer } from './forward/forward-server.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
+import { SuspectOwners } from './forward/suspect-owners.js'
 import { HttpStatusCall } from './operations/http-status-call.js'
 import { StatusSettler } from './operations/status-settler.js'
 import { ConfiguredOwners } from './owner/configured-owners.js'
 import { DispatchOwned } from './owner/dispatch-owned.js'
+import { OpenAdmission } from './owner/open-admission.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
 import { RetryPolicy } from './retries/retry-policy.js'
 import type { RouterAddresses } from './router-addresses.js'
@@ -151,15 +153,18 @@
     })
     const placementParts = wirePlacement({ settings: settings.placement, configuration, membership, messenger, owners, watch: health, clients, clock, eventLog })
     const order = new PoolOrder((pool, endpoint) => health.availability(pool, endpoint) === EndpointAvailability.LIVE)
-    const owned: TrackedDispatch = new TrackedDispatch(new DispatchOwned({
+    const dispatchOptions = {
       configuration,
-      admission: placementParts.admissions,
       health,
       clients,
       headTimeoutMs: settings.endpoints.head_timeout_ms,
       firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
       silenceTimeoutMs: settings.endpoints.silence_timeout_ms
-    }))
+    }
+    const owned: TrackedDispatch = new TrackedDispatch(new DispatchOwned({ ...dispatchOptions, admission: placementParts.admissions }))
+    // Keyed calls go straight from the router that won the key, which does not know the load of endpoints that it
+    // does not own: a bound counted here would refuse calls at idle endpoints.
+    const ownedOnce = new DispatchOwned({ ...dispatchOptions, admission: new OpenAdmission() })
     const orders = wireOrders({
       process: this._options,
       routerId: this.id,
@@ -179,10 +184,12 @@
       forward: {
         connectTimeoutMs: settings.endpoints.connect_timeout_ms,
         maximumConnections: MAXIMUM_FORWARD_CONNECTIONS,
+        acknowledgeTimeoutMs: settings.forwards.acknowledge_timeout_ms,
         headTimeoutMs: settings.endpoints.head_timeout_ms,
         firstByteTimeoutMs: settings.endpoints.first_byte_timeout_ms,
         silenceTimeoutMs: settings.endpoints.silence_timeout_ms
       },
+      suspects: new SuspectOwners(clock, settings.membership.suspicion_ms),
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
     const leaving = wireLeaving({ configuration, membership, owners, watch: health, dispatch: owned, placement: placementParts, order, messenger, clock, eventLog })
@@ -196,7 +203,7 @@
       random: Math.random
     })
     const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryPolicy, clock })
-    const directPlacement = new EntryPlacement({ dispatch: owned, displacement, retryPolicy, clock })
+    const directPlacement = new EntryPlacement({ dispatch: ownedOnce, displacement, retryPolicy, clock })
     const callerServer = new CallerServer({
       address: settings.callers.address,
       maximumHeaderBytes: settings.callers.maximum_header_bytes,
