--- a/packages/coordination/src/group-appender.ts
+++ b/packages/coordination/src/group-appender.ts
@@ -27,6 +27,9 @@
   private readonly _acknowledged = new Map<number, readonly PendingEntry[]>()
   private _inFlight: readonly PendingEntry[] = []
   private _sequence = 0
+  /** End the waits of callers. */
+  private readonly _timers = new Set<AbortController>()
+  private _ended = false
   private _arrival = new AbortController()
   private _readBack = new AbortController()
 
@@ -57,6 +60,8 @@
    */
   async append (entry: LogEntry, timeoutMs: number): Promise<number> {
     const timer = new AbortController()
+    if (this._ended) timer.abort()
+    this._timers.add(timer)
     const offset = await new Promise<number | undefined>((resolve) => {
       const pending: PendingEntry = {
         entry,
@@ -79,6 +84,7 @@
       })
     })
     timer.abort()
+    this._timers.delete(timer)
     if (offset !== undefined && offset >= 0) return offset
     const run = offset === undefined ? RunState.UNKNOWN : RunState.NOT_RUN
     throw new MimosarockError(ResultCode.LOG_UNAVAILABLE, `stream ${this._options.replica.stream} did not confirm the record in time`, {
@@ -88,7 +94,7 @@
   }
 
   /**
-   * Appends until the signal aborts.
+   * Appends until the signal aborts; callers that still wait are then answered at once.
    * @param signal ends the task
    */
   async run (signal: AbortSignal): Promise<void> {
@@ -102,6 +108,8 @@
       const rest = this._options.groupIntervalMs - (this._options.clock.now() - startedAt)
       if (rest > 0) await this._options.clock.sleep(rest, signal)
     }
+    this._ended = true
+    for (const timer of this._timers) timer.abort()
   }
 
   private async _waitForArrival (signal: AbortSignal): Promise<void> {
--- a/packages/coordination/src/leases/lease-holder.ts
+++ b/packages/coordination/src/leases/lease-holder.ts
@@ -67,7 +67,7 @@
   }
 
   /**
-   * Claims and renews until the signal aborts, then releases the lease.
+   * Claims and renews until the signal aborts. A process that is ended without a release is waited out.
    * @param signal ends the task
    */
   async run (signal: AbortSignal): Promise<void> {
@@ -78,7 +78,6 @@
       else if (this._options.isCandidate()) await this._claim()
       else await this._options.clock.sleep(this._renewalMs(), signal)
     }
-    await this.release()
   }
 
   /** Releases the lease, so that the next holder need not wait. No act on the lease may be under way. */
--- a/packages/coordination/src/membership/peer-connection.ts
+++ b/packages/coordination/src/membership/peer-connection.ts
@@ -51,12 +51,15 @@
 
   /** Opens the connection, reads answers and pings the peer until the connection ends. */
   async run (): Promise<void> {
+    let opened = false
     try {
       const socket = await this._opened
+      opened = true
       this._pingWhenQuiet()
       for await (const line of readLines(socket, PeerLimits.LINE_BYTES)) this._receive(line)
     } catch (error) {
-      this._options.eventLog.info('peer-connection-failed', { peer: this._peerAddress, error: String(error) })
+      // Whoever asked for a connection that could not be opened is told so; most hints of discovery lead nowhere.
+      if (opened) this._options.eventLog.info('peer-connection-failed', { peer: this._peerAddress, error: String(error) })
     } finally {
       this._ended.abort()
       this._pending.failAll(new MimosarockError(ResultCode.PEER_TIMEOUT, `the connection to ${this._peerAddress} ended`, { run: RunState.UNKNOWN }))
--- a/packages/coordination/src/test/group-appender-outage_test.ts
+++ b/packages/coordination/src/test/group-appender-outage_test.ts
@@ -45,3 +45,27 @@
   expect(results.map((result) => result.status)).toEqual(['rejected', 'rejected'])
   expect(appends).toBeLessThan(MAXIMUM_APPENDS)
 })
+
+test('callers that still wait when the appender ends are answered at once', async () => {
+  const ending = new AbortController()
+  const clock = new SystemClock()
+  const eventLog = new SilentEventLog()
+  const logService: LogService = {
+    append: async (_stream, _data, signal) => await new Promise((_resolve, reject) => {
+      signal?.addEventListener('abort', () => reject(new Error('ended')))
+    }),
+    read: async () => ({ records: [], oldestOffset: 1, nextOffset: 1 })
+  }
+  const fold = { apply: () => {}, encodeState: () => new Uint8Array(), decodeState: () => {} }
+  const replica = new StreamReplica({ stream: 'stream', logService, fold, clock, eventLog, longPollMs: 10, slowPollMs: 10, readTimeoutMs: 10 })
+  const appender = new GroupAppender({ logService, replica, writerId: 'writer', clock, eventLog, groupIntervalMs: 1, appendTimeoutMs: 10, maximumRecordBytes: 1_000 })
+  const running = appender.run(ending.signal)
+  const hour = 3_600_000
+  const entry = create(LogEntrySchema, { kind: { case: 'barrier', value: {} } })
+  const sent = appender.append(entry, hour)
+  await clock.sleep(5)
+  ending.abort()
+  await expect(sent).rejects.toMatchObject({ run: 'unknown' })
+  await expect(appender.append(entry, hour)).rejects.toMatchObject({ run: 'not-run' })
+  await Promise.race([running, clock.sleep(10)])
+})
--- a/packages/coordination/src/test/lease_test.ts
+++ b/packages/coordination/src/test/lease_test.ts
@@ -85,6 +85,7 @@
     end: async () => {
       holding.abort()
       await running
+      await holder.release()
     }
   }
 }
--- a/packages/placement/src/circuit-breaker-options.ts
+++ b/packages/placement/src/circuit-breaker-options.ts
@@ -9,4 +9,6 @@
   /** Longest time that it stays open, in milliseconds. */
   readonly maximumOpenMs: number
   readonly clock: PlacementClock
+  /** Silences within this time after one that counted count with it, in milliseconds; each counts if left out. */
+  readonly burstMs?: number
 }
--- a/packages/placement/src/circuit-breaker.ts
+++ b/packages/placement/src/circuit-breaker.ts
@@ -11,6 +11,7 @@
 export class CircuitBreaker {
   private readonly _options: CircuitBreakerOptions
   private _failures = 0
+  private _silentAt = -Infinity
   private _openUntil = 0
   private _openMs: number
   private _open = false
@@ -64,6 +65,11 @@
 
   /** Notes a call in which the endpoint fell silent. */
   noteSilence (): void {
+    const now = this._options.clock.now()
+    const sameBurst = now - this._silentAt < (this._options.burstMs ?? 0)
+    // Connections that fall silent together tell of one cause between the ends, not of an endpoint that is gone.
+    if (sameBurst && !this._probing) return
+    this._silentAt = now
     this._fail(FAILURES_OF_A_SILENCE)
   }
 
--- a/packages/placement/src/test/circuit-breaker_test.ts
+++ b/packages/placement/src/test/circuit-breaker_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { CircuitBreaker } from '../circuit-breaker.js'
+import { CircuitState } from '../circuit-state.js'
 import { ManualClock } from './manual-clock.js'
 
 /** f failure, s silence, + success, number: milliseconds that pass, ? asks to pass. */
@@ -38,3 +39,13 @@
   }
   expect(circuit.retryAfterMs).toBe(4_000)
 })
+
+test('silences that come together count once, and later ones again', async () => {
+  const clock = new ManualClock()
+  const circuit = new CircuitBreaker({ consecutiveFailures: 3, openMs: 1_000, maximumOpenMs: 4_000, burstMs: 100, clock })
+  for (let connection = 0; connection < 10; connection += 1) circuit.noteSilence()
+  expect(circuit.state).toBe(CircuitState.CLOSED)
+  await clock.advance(100)
+  circuit.noteSilence()
+  expect(circuit.state).toBe(CircuitState.OPEN)
+})
--- a/packages/router/src/caller/caller-server.ts
+++ b/packages/router/src/caller/caller-server.ts
@@ -85,7 +85,8 @@
     this._inFlight += 1
     this._options.metrics.requestsInFlight.inc()
     response.once('close', () => {
-      gone.abort()
+      // An abort costs a stack trace and wakes all listeners; after a whole answer nobody needs it.
+      if (!response.writableFinished) gone.abort()
       this._inFlight -= 1
       this._options.metrics.requestsInFlight.dec()
       this._logEnd(exchange)
--- a/packages/router/src/caller/service-handler.ts
+++ b/packages/router/src/caller/service-handler.ts
@@ -20,6 +20,7 @@
 const DEFAULT_DEADLINE_MS = 30_000
 const PREFIX = '/services/'
 const MAXIMUM_CANDIDATES = 8
+const NO_ENDPOINT_RETRY_MS = 1_000
 /** Hexadecimal digits of a placement key. */
 const KEY_DIGITS = 16
 
@@ -86,7 +87,8 @@
       method: request.method ?? 'POST',
       path,
       body,
-      deadlineAt: plan.deadlineAt
+      deadlineAt: plan.deadlineAt,
+      reasonNotToBegin: () => this._options.order.hasUsable(pool) ? undefined : noEndpoint(pool)
     }, async (signal) => await this._dispatchOnce(exchange, plan, signal), exchange.callerGone)
     response.writeHead(answer.status, { ...answer.headers, 'content-length': String(answer.body.length), 'x-request-id': exchange.requestId })
     response.end(answer.body)
@@ -135,6 +137,10 @@
   }
 }
 
+function noEndpoint (pool: Pool): MimosarockError {
+  return new MimosarockError(ResultCode.NO_ENDPOINT, `no endpoint of pool ${pool.name} takes calls now`, { retryAfterMs: NO_ENDPOINT_RETRY_MS })
+}
+
 function findRoute (request: IncomingMessage, index: ConfigurationIndex): { route: Route, pool: Pool, path: string } {
   const rest = (request.url ?? '').slice(PREFIX.length)
   const end = rest.search(/[/?]/)
--- a/packages/router/src/entry/pool-order.ts
+++ b/packages/router/src/entry/pool-order.ts
@@ -18,6 +18,14 @@
     this._isUsable = isUsable
   }
 
+  /**
+   * Whether any endpoint of a pool takes new work, as far as this router knows.
+   * @param pool the pool
+   */
+  hasUsable (pool: Pool): boolean {
+    return pool.endpoints.some((endpoint) => this._isUsable(pool.name, endpoint.name))
+  }
+
   /**
    * First endpoints for a key, without those that take no new work. If none of the first ones does, they are given
    * all the same, since their owners may know better.
--- a/packages/router/src/forward/forward-server.ts
+++ b/packages/router/src/forward/forward-server.ts
@@ -63,7 +63,7 @@
     this._inFlight += 1
     response.once('close', () => {
       this._inFlight -= 1
-      gone.abort()
+      if (!response.writableFinished) gone.abort()
     })
     try {
       // Tells the entry router at once that this process runs, long before the engine answers.
--- a/packages/router/src/operations/keyed-call.ts
+++ b/packages/router/src/operations/keyed-call.ts
@@ -51,8 +51,12 @@
     const key = OperationKey.parse(request.key, request.keyTime)
     const ledger = this._options.ledgerFor(request.workspace, key.value)
     const attempt = attemptOf(request, key)
-    if (ledger.get(attempt.workspace, attempt.key) === undefined) {
-      key.checkAge(this._options.clock.wallNow(), this._options.keyWindowMs)
+    const known = ledger.get(attempt.workspace, attempt.key)
+    if (known === undefined) key.checkAge(this._options.clock.wallNow(), this._options.keyWindowMs)
+    if (known === undefined || known.state === OperationState.NOT_RUN) {
+      // An intent and its withdrawal cost two records; repeated calls must not write them while nothing can run.
+      const refusal = request.reasonNotToBegin?.()
+      if (refusal !== undefined) throw refusal
     }
     const running = this._beginAndDispatch(request, attempt, ledger, dispatch, signal)
     return await this._withinDeadline(request, attempt, running, signal)
--- a/packages/router/src/operations/keyed-request.ts
+++ b/packages/router/src/operations/keyed-request.ts
@@ -1,3 +1,4 @@
+import type { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import type { Route } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 
 /** A caller's call on a route whose calls may not be repeated. */
@@ -14,4 +15,6 @@
   readonly body: Uint8Array
   /** When the caller must have its answer, on the router's monotonic clock in milliseconds. */
   readonly deadlineAt: number
+  /** Why the call could not be dispatched now; asked before an intent is written for it. */
+  readonly reasonNotToBegin?: () => MimosarockError | undefined
 }
--- a/packages/router/src/owner/watched-endpoints.ts
+++ b/packages/router/src/owner/watched-endpoints.ts
@@ -14,6 +14,8 @@
 
 /** Failures in a row that open an endpoint's circuit. */
 const CIRCUIT_FAILURES = 5
+/** Silences that come so close together have one cause. */
+const SILENCE_BURST_MS = 100
 const CIRCUIT_OPEN_MS = 1_000
 const CIRCUIT_MAXIMUM_OPEN_MS = 10_000
 /** Changes of owners and configuration that come together are followed once. */
@@ -248,6 +250,7 @@
     if (address === undefined) return
     const circuit = this._circuits.get(address) ?? new CircuitBreaker({
       consecutiveFailures: CIRCUIT_FAILURES,
+      burstMs: SILENCE_BURST_MS,
       openMs: CIRCUIT_OPEN_MS,
       maximumOpenMs: CIRCUIT_MAXIMUM_OPEN_MS,
       clock: this._options.clock
--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -69,6 +69,9 @@
   private readonly _ending = new AbortController()
   private readonly _traffic: TrafficCounter
   private _tasks: Promise<unknown> = Promise.resolve()
+  /** Ends the giving of orders, so that the lease can be released between two of them. */
+  private readonly _ordersEnding = new AbortController()
+  private _orderTask: Promise<unknown> = Promise.resolve()
   private _parts: RouterParts | undefined
   private _stopping = false
 
@@ -243,7 +246,9 @@
     this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, leaving, orders }
     this._observe(this._parts)
     const signal = this._ending.signal
-    this._tasks = Promise.allSettled([orders.lease.run(signal), orders.task.run(signal), streams.run(signal), membership.run(signal), health.run(signal), leaving.retirements.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
+    const ordersSignal = AbortSignal.any([signal, this._ordersEnding.signal])
+    this._orderTask = Promise.allSettled([orders.lease.run(ordersSignal), orders.task.run(ordersSignal)])
+    this._tasks = Promise.allSettled([this._orderTask, streams.run(signal), membership.run(signal), health.run(signal), leaving.retirements.run(signal), placementParts.exchange.run(signal), placementParts.limits.run(signal), operatorSide.run(signal), spreader.run(signal), ledger.partitions.run(signal), settler.run(signal), ...checkpointWriters.map(async (writer) => await writer.run(signal))])
     eventLog.info('router-started', { router: this.id, callers, forwards, peers, availability_zone: settings.router.availability_zone })
     return { callers, forwards, peers, operators }
   }
@@ -275,6 +280,8 @@
     await Promise.race([handedOver, clock.sleep(HANDOVER_MS, handover.signal)])
     handover.abort()
     await handedOver
+    this._ordersEnding.abort()
+    await this._orderTask
     await orders.lease.release()
     await ledger.partitions.flush(FLUSH_MS)
     await membership.depart()
