--- a/packages/router/src/router-process.ts
+++ b/packages/router/src/router-process.ts
@@ -6,14 +6,8 @@
 import { PeerServer } from '@mimosarock/coordination/membership/peer-server.js'
 import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
-import { RetryBudget } from '@mimosarock/placement/retry-budget.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
-import { CallerServer } from './caller/caller-server.js'
-import { ChatHandler } from './caller/chat-handler.js'
-import { ModelsHandler } from './caller/models-handler.js'
-import { ServiceHandler } from './caller/service-handler.js'
-import { EntryPlacement } from './entry/entry-placement.js'
 import { PoolOrder } from './entry/pool-order.js'
 import { ForwardServer } from './forward/forward-server.js'
 import { OwnerDispatch } from './forward/owner-dispatch.js'
@@ -24,7 +18,6 @@
 import { DispatchOwned } from './owner/dispatch-owned.js'
 import { OpenAdmission } from './owner/open-admission.js'
 import { EndpointClients } from './owner/endpoint-clients.js'
-import { RetryPolicy } from './retries/retry-policy.js'
 import type { RouterAddresses } from './router-addresses.js'
 import type { RouterParts } from './router-parts.js'
 import type { RouterProcessOptions } from './router-process-options.js'
@@ -34,17 +27,13 @@
 import { wireLedger } from './wire-ledger.js'
 import { wireConfiguration } from './wire-configuration.js'
 import { RouterMetrics } from './status/router-metrics.js'
-import { StatusHandler } from './status/status-handler.js'
 import { TrackedDispatch } from './owner/tracked-dispatch.js'
 import { WatchedEndpoints } from './owner/watched-endpoints.js'
+import { wireCallers } from './wire-callers.js'
 import { wireOrders } from './wire-orders.js'
 import { wireLeaving } from './wire-leaving.js'
 import { wirePlacement } from './wire-placement.js'
 
-const RETRY_SHARE = 0.1
-const RETRY_RESERVE = 20
-const MAXIMUM_TRIES = 4
-const RETRY_DELAY_MS = 20
 const MAXIMUM_UNOWNED_CALLS = 8
 const MAXIMUM_FORWARD_CONNECTIONS = 1_024
 /** Rankings of the live routers beside those of the ledger's partitions, which count from 0. */
@@ -196,51 +185,16 @@
       maximumUnownedCalls: MAXIMUM_UNOWNED_CALLS
     })
     const leaving = wireLeaving({ configuration, membership, owners, watch: health, dispatch: owned, placement: placementParts, order, messenger, clock, eventLog })
-    const gate = placementParts.limits
-    const displacement = placementParts.reports
-    const retryPolicy = new RetryPolicy({
-      budget: new RetryBudget(RETRY_SHARE, RETRY_RESERVE),
-      maximumTries: MAXIMUM_TRIES,
-      baseDelayMs: RETRY_DELAY_MS,
-      minimumRemainingMs: RETRY_DELAY_MS,
-      random: Math.random
-    })
-    const placement = new EntryPlacement({ dispatch: ownerDispatch, displacement, retryPolicy, clock })
-    const directPlacement = new EntryPlacement({ dispatch: ownedOnce, displacement, retryPolicy, clock })
-    const callerServer = new CallerServer({
-      address: settings.callers.address,
-      maximumHeaderBytes: settings.callers.maximum_header_bytes,
-      headerTimeoutMs: settings.callers.header_timeout_ms,
-      bodyTimeoutMs: settings.callers.body_timeout_ms,
-      clock,
-      eventLog,
-      metrics: this.metrics,
-      chats: new ChatHandler({
-        configuration,
-        gate,
-        order,
-        placement,
-        dispatch: ownerDispatch,
-        clock,
-        eventLog,
-        metrics: this.metrics,
-        maximumBodyBytes: settings.callers.maximum_body_bytes,
-        drainTimeoutMs
-      }),
-      services: new ServiceHandler({
-        configuration,
-        gate,
-        order,
-        placement,
-        directPlacement,
-        keyedCall: ledger.keyedCall,
-        clock,
-        maximumBodyBytes: settings.callers.maximum_body_bytes,
-        maximumKeptBodyBytes,
-        drainTimeoutMs
-      }),
-      models: new ModelsHandler(configuration),
-      status: new StatusHandler(this, this.metrics)
+    const callerServer = wireCallers({
+      process: this._options,
+      configuration,
+      order,
+      placement: placementParts,
+      dispatch: ownerDispatch,
+      dispatchOnce: ownedOnce,
+      keyedCall: ledger.keyedCall,
+      readiness: this,
+      metrics: this.metrics
     })
     const callers = await callerServer.start()
     this._parts = { streams, clients, forwardServer, peerServer, messenger: connections, membership, ownerDispatch, callerServer, placement: placementParts, configurationParts, ledger, leaving, orders }
--- /dev/null
+++ b/packages/router/src/wire-callers.ts
@@ -0,0 +1,60 @@
+import { RetryBudget } from '@mimosarock/placement/retry-budget.js'
+import { CallerServer } from './caller/caller-server.js'
+import { ChatHandler } from './caller/chat-handler.js'
+import { ModelsHandler } from './caller/models-handler.js'
+import { ServiceHandler } from './caller/service-handler.js'
+import { EntryPlacement } from './entry/entry-placement.js'
+import { RetryPolicy } from './retries/retry-policy.js'
+import { StatusHandler } from './status/status-handler.js'
+import type { WireCallersOptions } from './wire-callers-options.js'
+
+const RETRY_SHARE = 0.1
+const RETRY_RESERVE = 20
+const MAXIMUM_TRIES = 4
+const RETRY_DELAY_MS = 20
+
+/**
+ * Wires the server that callers connect to, with what places their calls.
+ * @param options what it works with
+ */
+export function wireCallers (options: WireCallersOptions): CallerServer {
+  const { configuration, order, dispatch, metrics } = options
+  const { clock, eventLog, settings } = options.process
+  const gate = options.placement.limits
+  const displacement = options.placement.reports
+  const maximumBodyBytes = settings.callers.maximum_body_bytes
+  const drainTimeoutMs = settings.callers.body_timeout_ms
+  const retryPolicy = new RetryPolicy({
+    budget: new RetryBudget(RETRY_SHARE, RETRY_RESERVE),
+    maximumTries: MAXIMUM_TRIES,
+    baseDelayMs: RETRY_DELAY_MS,
+    minimumRemainingMs: RETRY_DELAY_MS,
+    random: Math.random
+  })
+  const placement = new EntryPlacement({ dispatch, displacement, retryPolicy, clock })
+  const directPlacement = new EntryPlacement({ dispatch: options.dispatchOnce, displacement, retryPolicy, clock })
+  return new CallerServer({
+    address: settings.callers.address,
+    maximumHeaderBytes: settings.callers.maximum_header_bytes,
+    headerTimeoutMs: settings.callers.header_timeout_ms,
+    bodyTimeoutMs: settings.callers.body_timeout_ms,
+    clock,
+    eventLog,
+    metrics,
+    chats: new ChatHandler({ configuration, gate, order, placement, dispatch, clock, eventLog, metrics, maximumBodyBytes, drainTimeoutMs }),
+    services: new ServiceHandler({
+      configuration,
+      gate,
+      order,
+      placement,
+      directPlacement,
+      keyedCall: options.keyedCall,
+      clock,
+      maximumBodyBytes,
+      maximumKeptBodyBytes: settings.callers.maximum_kept_body_bytes,
+      drainTimeoutMs
+    }),
+    models: new ModelsHandler(configuration),
+    status: new StatusHandler(options.readiness, metrics)
+  })
+}
