Export one name from each file

A constant object and the type of its values were two export statements, and the linter's rule let the type pass.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,12 +10,9 @@
       exported += 1
       if (exported > 1) context.report({ node, messageId: 'many', data: { name } })
     }
-    const isConstantType = (node) => node.type === 'TSTypeAliasDeclaration'
     return {
       ExportNamedDeclaration (node) {
         const declaration = node.declaration
-        // A constant object and the type of its values share one name and count as one export.
-        if (declaration && isConstantType(declaration)) return
         if (declaration?.declarations) {
           for (const item of declaration.declarations) report(node, item.id.name)
         } else if (declaration) {
--- a/packages/bench/src/placement/placement-fault.ts
+++ b/packages/bench/src/placement/placement-fault.ts
@@ -1,5 +1,5 @@
 /** Faults of the placement bench. */
-export const PlacementFault = {
+const PlacementFault = {
   /** Engines are lost and come back empty. */
   CHURN: 'churn',
   /** One workspace begins many new chats. */
@@ -13,4 +13,6 @@
 } as const
 
 /** One of the faults. */
-export type PlacementFault = typeof PlacementFault[keyof typeof PlacementFault]
+type PlacementFault = typeof PlacementFault[keyof typeof PlacementFault]
+
+export { PlacementFault }
--- a/packages/coordination/src/ledger/begin-outcome.ts
+++ b/packages/coordination/src/ledger/begin-outcome.ts
@@ -1,5 +1,5 @@
 /** How an attempt to start an operation ended. */
-export const BeginOutcome = {
+const BeginOutcome = {
   /** The attempt won the key; its caller may dispatch within the dispatch window. */
   WON: 'won',
   /** The operation ran before; its answer is at hand. */
@@ -19,4 +19,6 @@
 } as const
 
 /** One of the outcomes. */
-export type BeginOutcome = typeof BeginOutcome[keyof typeof BeginOutcome]
+type BeginOutcome = typeof BeginOutcome[keyof typeof BeginOutcome]
+
+export { BeginOutcome }
--- a/packages/coordination/src/membership/router-state.ts
+++ b/packages/coordination/src/membership/router-state.ts
@@ -1,5 +1,5 @@
 /** What this router knows of another router's state; the order is the precedence within one incarnation. */
-export const RouterState = {
+const RouterState = {
   LIVE: 'live',
   /** Stops in order: keeps its connections, takes no new ownership. */
   LEAVING: 'leaving',
@@ -10,4 +10,6 @@
 } as const
 
 /** One of the states. */
-export type RouterState = typeof RouterState[keyof typeof RouterState]
+type RouterState = typeof RouterState[keyof typeof RouterState]
+
+export { RouterState }
--- a/packages/placement/src/circuit-state.ts
+++ b/packages/placement/src/circuit-state.ts
@@ -1,5 +1,5 @@
 /** What a circuit lets through. */
-export const CircuitState = {
+const CircuitState = {
   /** Every call. */
   CLOSED: 'closed',
   /** None. */
@@ -9,4 +9,6 @@
 } as const
 
 /** One of the circuit states. */
-export type CircuitState = typeof CircuitState[keyof typeof CircuitState]
+type CircuitState = typeof CircuitState[keyof typeof CircuitState]
+
+export { CircuitState }
--- a/packages/placement/src/endpoint-availability.ts
+++ b/packages/placement/src/endpoint-availability.ts
@@ -1,5 +1,5 @@
 /** Whether an endpoint may get new work. */
-export const EndpointAvailability = {
+const EndpointAvailability = {
   LIVE: 'live',
   /** Retired by an operator or marked by the VM list: no new work, streams run on. */
   LEAVING: 'leaving',
@@ -8,4 +8,6 @@
 } as const
 
 /** One of the availabilities. */
-export type EndpointAvailability = typeof EndpointAvailability[keyof typeof EndpointAvailability]
+type EndpointAvailability = typeof EndpointAvailability[keyof typeof EndpointAvailability]
+
+export { EndpointAvailability }
--- a/packages/router/src/owner/cache-event-page.ts
+++ b/packages/router/src/owner/cache-event-page.ts
@@ -3,7 +3,7 @@
 const sequence = z.number().int().min(0)
 
 /** One answer of an engine's cache event feed. */
-export const CacheEventPage = z.object({
+const CacheEventPage = z.object({
   /** Oldest sequence that the engine keeps. */
   oldest: sequence,
   /** Newest sequence that it shows. */
@@ -17,4 +17,6 @@
 })
 
 /** One answer of an engine's cache event feed. */
-export type CacheEventPage = z.infer<typeof CacheEventPage>
+type CacheEventPage = z.infer<typeof CacheEventPage>
+
+export { CacheEventPage }
--- a/packages/router/src/owner/retirement-state.ts
+++ b/packages/router/src/owner/retirement-state.ts
@@ -1,5 +1,5 @@
 /** How far the retirement of an endpoint is. */
-export const RetirementState = {
+const RetirementState = {
   /** Too few other endpoints of the pool are live. */
   WAITING: 'waiting',
   /** No new work; requests in flight have the rule's drain time. */
@@ -11,4 +11,6 @@
 } as const
 
 /** One of the states. */
-export type RetirementState = typeof RetirementState[keyof typeof RetirementState]
+type RetirementState = typeof RetirementState[keyof typeof RetirementState]
+
+export { RetirementState }
--- a/packages/router/src/settings/router-settings.ts
+++ b/packages/router/src/settings/router-settings.ts
@@ -15,7 +15,7 @@
  * Settings of one router process, one object a section of the INI file. Each key carries its unit in its name;
  * its description is what docs/SETTINGS.md prints.
  */
-export const RouterSettings = z.strictObject({
+const RouterSettings = z.strictObject({
   router: z.strictObject({
     availability_zone: z.string().min(1).describe('Availability zone of this VM.')
   }),
@@ -105,4 +105,6 @@
 })
 
 /** Settings of one router process. */
-export type RouterSettings = z.infer<typeof RouterSettings>
+type RouterSettings = z.infer<typeof RouterSettings>
+
+export { RouterSettings }
--- a/packages/schema/src/result-code.ts
+++ b/packages/schema/src/result-code.ts
@@ -3,7 +3,7 @@
  * 2 a caller's request, 3 routing and limits, 4 operations that may not be repeated, 5 configuration,
  * 6 access and peers, 7 platform services, 8 leases and orders.
  */
-export const ResultCode = {
+const ResultCode = {
   OK: 0,
 
   SETTINGS_FILE_UNREADABLE: 1001,
@@ -92,4 +92,6 @@
 } as const
 
 /** One of the numbered results. */
-export type ResultCode = typeof ResultCode[keyof typeof ResultCode]
+type ResultCode = typeof ResultCode[keyof typeof ResultCode]
+
+export { ResultCode }
--- a/packages/schema/src/run-state.ts
+++ b/packages/schema/src/run-state.ts
@@ -1,5 +1,5 @@
 /** What a refusal says about whether the call ran at an endpoint. */
-export const RunState = {
+const RunState = {
   /** No byte of the call reached an endpoint and none will. */
   NOT_RUN: 'not-run',
   /** It can't be told whether the call ran. */
@@ -9,4 +9,6 @@
 } as const
 
 /** One of the run states. */
-export type RunState = typeof RunState[keyof typeof RunState]
+type RunState = typeof RunState[keyof typeof RunState]
+
+export { RunState }
