--- /dev/null
+++ b/packages/gateway/src/caller/pick-share.ts
@@ -0,0 +1,33 @@
+import type { ServiceShare } from '../model/service-share.js'
+
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+const HASH_RANGE = 4_294_967_296
+
+/**
+ * Picks the service of a request by the shares' weights; the same request always gets the same one.
+ * @param shares services and their weights, at least one
+ * @param requestId identity of the caller's attempt
+ */
+export function pickShare (shares: readonly ServiceShare[], requestId: string): string {
+  const first = shares[0] as ServiceShare
+  if (shares.length === 1) return first.service
+  const total = shares.reduce((sum, share) => sum + share.weight, 0)
+  let point = hashOf(requestId) / HASH_RANGE * total
+  for (const share of shares) {
+    point -= share.weight
+    if (point < 0) return share.service
+  }
+  return first.service
+}
+
+/**
+ * Hash by Fowler, Noll and Vo (FNV-1a, 32 bits), with a final mixing since identities differ in few digits.
+ * @param text
+ */
+function hashOf (text: string): number {
+  let hash = FNV_OFFSET
+  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  return (hash ^ (hash >>> 13)) >>> 0
+}
--- /dev/null
+++ b/packages/gateway/src/caller/request-parts.ts
@@ -0,0 +1,50 @@
+import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { EndpointChoice } from '../choice/endpoint-choice.js'
+import type { EndpointHealth } from '../choice/endpoint-health.js'
+import type { HolderTable } from '../choice/holder-table.js'
+import type { LoadView } from '../choice/load-view.js'
+import type { ConfigurationState } from '../configuration/configuration-state.js'
+import type { ElapsedClock } from '../model/elapsed-clock.js'
+import type { WireCodec } from '../model/wire-codec.js'
+import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
+import type { EndpointConnections } from '../sending/endpoint-connections.js'
+import type { GatewayMetrics } from '../status/gateway-metrics.js'
+import type { GatewayState } from './gateway-state.js'
+
+/** What a request's task works with. */
+export interface RequestParts {
+  /** Time, suspensions counted. */
+  readonly clock: ElapsedClock
+  /** Takes a line for each decision. */
+  readonly log: EventLog
+  /** Reads and writes headers. */
+  readonly codec: WireCodec
+  /** The configuration in force. */
+  readonly configuration: ConfigurationState
+  /** Chooses endpoints. */
+  readonly choice: EndpointChoice
+  /** Who failed lately. */
+  readonly health: EndpointHealth
+  /** Who holds which context. */
+  readonly holders: HolderTable
+  /** What is in flight. */
+  readonly loads: LoadView
+  /** Connections to endpoints. */
+  readonly connections: EndpointConnections
+  /** Counters. */
+  readonly metrics: GatewayMetrics
+  /** Where the router stands in its life. */
+  readonly state: GatewayState
+  /** Age of the keys above which requests that need one are refused, in milliseconds; 0 for never. */
+  readonly keyAgeLimitMs: number
+  /**
+   * Retry budget of a service.
+   * @param service name of the service
+   */
+  readonly budgetOf: (service: string) => FleetRetryBudget
+  /**
+   * Connections that this router may hold to an endpoint of a service.
+   * @param service name of the service
+   */
+  readonly connectionsOf: (service: string) => number
+}
--- /dev/null
+++ b/packages/gateway/src/caller/request-task.ts
@@ -0,0 +1,270 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { RunState } from '@mimosarock/schema/run-state.js'
+import { AnswerRelay } from '../answers/answer-relay.js'
+import { sendRefusal } from '../answers/send-refusal.js'
+import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
+import { EndpointChoice } from '../choice/endpoint-choice.js'
+import { RouteKind } from '../model/route-kind.js'
+import { mayTryAgain } from '../retries/may-try-again.js'
+import { CallOutcome } from '../sending/call-outcome.js'
+import type { CallResult } from '../sending/call-result.js'
+import { EndpointCall } from '../sending/endpoint-call.js'
+import { admitRequest } from './admit-request.js'
+import type { AdmittedRequest } from './admitted-request.js'
+import { notRun } from './not-run.js'
+import { readRequestBody } from './read-request-body.js'
+import type { RequestParts } from './request-parts.js'
+
+/** Longest body where no configuration sets a bound, in bytes. */
+const DEFAULT_BODY_BYTES = 4_194_304
+/** Taken off the time that a caller waits, so that the router's answer still reaches it. */
+const ANSWER_MARGIN_MS = 15
+/** Least time left for which a request is sent on; no answer fits into less. */
+const LEAST_CALL_MS = 5
+const FIRST_SERVER_ERROR_STATUS = 500
+const MS_PER_SECOND = 1_000
+
+/** Serves one request of a caller, from its head to the end of its answer. */
+export class RequestTask {
+  private readonly _parts: RequestParts
+  private readonly _request: IncomingMessage
+  private readonly _response: ServerResponse
+  private readonly _startedAt: number
+  private _isCallerGone = false
+  private _mayRepeat = true
+  private _call: EndpointCall | undefined
+  private _relay: AnswerRelay | undefined
+  private _chosen: ChosenEndpoint | undefined
+  private _problem: string | undefined
+  private _tries = 0
+  private _runs = 0
+
+  /**
+   * @param parts what the task works with
+   * @param request of the caller
+   * @param response to the caller
+   */
+  constructor (parts: RequestParts, request: IncomingMessage, response: ServerResponse) {
+    this._parts = parts
+    this._request = request
+    this._response = response
+    this._startedAt = parts.clock.now()
+  }
+
+  /** Serves the request; never rejects. */
+  async run (): Promise<void> {
+    this._parts.state.requestsInWork += 1
+    this._response.on('close', () => this._onClose())
+    this._response.on('drain', () => this._call?.resume())
+    let admitted: AdmittedRequest | undefined
+    let code: ResultCode = ResultCode.OK
+    try {
+      admitted = this._admit()
+      const body = await readRequestBody(this._request, this._maximumBodyBytes())
+      await this._serve(admitted, body)
+    } catch (error) {
+      code = this._fail(error as Error)
+    }
+    this._parts.state.requestsInWork -= 1
+    this._report(admitted, code)
+  }
+
+  private _admit (): AdmittedRequest {
+    const { codec, configuration, state, keyAgeLimitMs } = this._parts
+    const { rawHeaders, headers, url } = this._request
+    if (state.refusesRequests) throw notRun(ResultCode.ROUTER_STOPPING, 'the router is stopping', 0)
+    const limits = configuration.inForce?.configuration.limits
+    if (limits !== undefined && headBytes(rawHeaders) > limits.headerBytes) {
+      throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the head is longer than ${limits.headerBytes} bytes`)
+    }
+    const caller = codec.readCallerRequest(rawHeaders)
+    if (caller === undefined) throw new MimosarockError(ResultCode.INVALID_REQUEST, 'the request has no identity')
+    return admitRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs)
+  }
+
+  private async _serve (admitted: AdmittedRequest, body: Buffer): Promise<void> {
+    const { route } = admitted
+    this._parts.budgetOf(admitted.service).countRequest()
+    const relay = new AnswerRelay({
+      response: this._response,
+      isStream: route.kind === RouteKind.STREAM,
+      isResumable: route.kind === RouteKind.STREAM && route.isResumable,
+      closesConnection: () => this._parts.state.isStopping,
+      started: () => this._observeFirstByte(route.name)
+    })
+    this._relay = relay
+    const timer = setTimeout(() => this._call?.abort('time is up'), Math.max(0, this._timeLeftMs(admitted)))
+    try {
+      await this._tryEndpoints(admitted, body, relay)
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  private async _tryEndpoints (admitted: AdmittedRequest, body: Buffer, relay: AnswerRelay): Promise<void> {
+    const excluded = new Set<string>()
+    for (;;) {
+      if (this._isCallerGone) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller left')
+      if (this._timeLeftMs(admitted) < LEAST_CALL_MS) throw this._timeIsUp()
+      const chosen = this._parts.choice.choose(admitted.service, admitted.caller.prompt, excluded)
+      if (chosen === undefined) throw this._noEndpoint()
+      this._chosen = chosen
+      excluded.add(chosen.endpoint.id)
+      const result = await this._callEndpoint(admitted, body, relay, chosen)
+      if (result.outcome !== CallOutcome.COMPLETE) this._problem = `${result.outcome}: ${result.problem}`
+      if (this._isDone(admitted, result, relay)) return
+    }
+  }
+
+  private async _callEndpoint (
+    admitted: AdmittedRequest, body: Buffer, relay: AnswerRelay, chosen: ChosenEndpoint
+  ): Promise<CallResult> {
+    const { caller, service, route } = admitted
+    const { endpoint, contextHolder } = chosen
+    const headers = this._parts.codec.writeDispatchHeaders(this._request.rawHeaders, {
+      endpointId: endpoint.id,
+      deadlineMs: Math.floor(this._timeLeftMs(admitted)),
+      workspace: admitted.workspace,
+      contextHolder: contextHolder?.address,
+      lastEventId: relay.lastEventId
+    })
+    const call = new EndpointCall({
+      id: caller.id, method: this._request.method ?? 'GET', path: this._request.url ?? '/', headers, body
+    }, this._parts.codec, relay)
+    this._call = call
+    this._tries += 1
+    const key = EndpointChoice.keyOf(caller.prompt)
+    if (key !== undefined) this._parts.holders.add(key, endpoint.id)
+    this._parts.loads.begin(endpoint.id)
+    this._mayRepeat = route.kind !== RouteKind.ONCE
+    call.send(this._parts.connections.pool(endpoint, this._mayRepeat, this._parts.connectionsOf(service)))
+    const result = await call.result
+    this._parts.loads.end(endpoint.id)
+    this._noteHealth(endpoint.id, result)
+    return result
+  }
+
+  /** Whether the request has its answer; false if it goes to another endpoint. */
+  private _isDone (admitted: AdmittedRequest, result: CallResult, relay: AnswerRelay): boolean {
+    const { outcome, head } = result
+    const isNotRun = outcome === CallOutcome.NOT_SENT || outcome === CallOutcome.REJECTED
+    if (!isNotRun) this._runs += 1
+    const isFailure = outcome !== CallOutcome.COMPLETE ||
+      (head !== undefined && head.status >= FIRST_SERVER_ERROR_STATUS && !relay.isStarted && admitted.route.kind === RouteKind.IDEMPOTENT)
+    if (isFailure && this._takesRetry(admitted, outcome, relay)) {
+      this._parts.metrics.retries.inc({ service: admitted.service, outcome })
+      relay.prepareResumption()
+      return false
+    }
+    if (outcome === CallOutcome.COMPLETE) {
+      relay.finish()
+      return true
+    }
+    throw this._errorOf(result)
+  }
+
+  private _takesRetry (admitted: AdmittedRequest, outcome: CallOutcome, relay: AnswerRelay): boolean {
+    if (this._isCallerGone) return false
+    const soFar = { tries: this._tries, runs: this._runs }
+    if (!mayTryAgain(admitted.route, outcome, soFar, relay.isStarted)) return false
+    return outcome === CallOutcome.NOT_SENT || this._parts.budgetOf(admitted.service).take()
+  }
+
+  private _noteHealth (endpointId: string, result: CallResult): void {
+    const { health } = this._parts
+    if (result.outcome === CallOutcome.COMPLETE) health.succeeded(endpointId)
+    else if (result.outcome !== CallOutcome.ABORTED && result.outcome !== CallOutcome.REJECTED) health.failed(endpointId)
+  }
+
+  private _errorOf (result: CallResult): MimosarockError {
+    const problem = result.problem ?? result.outcome
+    if (this._isCallerGone) return new MimosarockError(ResultCode.CALLER_GONE, 'the caller left')
+    if (this._runs === 0) {
+      const code = result.outcome === CallOutcome.REJECTED ? ResultCode.OVERLOADED : ResultCode.NO_ENDPOINT
+      return notRun(code, `no endpoint took the request: ${problem}`)
+    }
+    if (result.outcome === CallOutcome.ABORTED) return this._timeIsUp()
+    return new MimosarockError(ResultCode.ENDPOINT_FAILED, `the endpoint failed: ${problem}`, { run: RunState.UNKNOWN })
+  }
+
+  private _noEndpoint (): MimosarockError {
+    if (this._runs === 0) return notRun(ResultCode.NO_ENDPOINT, 'no endpoint of the service takes work')
+    return new MimosarockError(ResultCode.ENDPOINT_FAILED, 'no other endpoint is left', { run: RunState.UNKNOWN })
+  }
+
+  private _timeIsUp (): MimosarockError {
+    if (this._runs === 0) return notRun(ResultCode.DEADLINE_CANNOT_BE_MET, 'the time was up before the request was sent')
+    return new MimosarockError(ResultCode.DEADLINE_EXCEEDED, 'the time was up', { run: RunState.UNKNOWN })
+  }
+
+  /** Milliseconds until the caller's deadline or the route's timeout, whichever is first. */
+  private _timeLeftMs (admitted: AdmittedRequest): number {
+    const limit = Math.min(admitted.caller.deadlineMs ?? Infinity, admitted.route.timeoutMs)
+    return this._startedAt + limit - ANSWER_MARGIN_MS - this._parts.clock.now()
+  }
+
+  private _maximumBodyBytes (): number {
+    return this._parts.configuration.inForce?.configuration.limits?.bodyBytes ?? DEFAULT_BODY_BYTES
+  }
+
+  private _onClose (): void {
+    if (this._response.writableFinished) return
+    this._isCallerGone = true
+    // A call that may run only once goes on: breaking it off would not undo it.
+    if (this._mayRepeat || this._call?.isSent === false) this._call?.abort('the caller left')
+  }
+
+  private _fail (error: Error): ResultCode {
+    const known = error instanceof MimosarockError
+      ? error
+      : new MimosarockError(ResultCode.UNEXPECTED_FAILURE, error.message, { cause: error, run: RunState.UNKNOWN })
+    this._problem ??= known.message
+    if (this._isCallerGone || this._response.destroyed) return ResultCode.CALLER_GONE
+    if (this._response.headersSent) this._relay?.breakOff()
+    else sendRefusal(this._response, known, this._closesAfter(known))
+    return known.code
+  }
+
+  /** A request whose body was not read to its end leaves bytes on the connection that must not be read as the next one. */
+  private _closesAfter (error: MimosarockError): boolean {
+    return this._parts.state.isStopping || !this._request.complete || error.code === ResultCode.HEADERS_TOO_LARGE
+  }
+
+  private _observeFirstByte (route: string): void {
+    this._parts.metrics.firstByteSeconds.observe({ route }, (this._parts.clock.now() - this._startedAt) / MS_PER_SECOND)
+  }
+
+  private _report (admitted: AdmittedRequest | undefined, code: ResultCode): void {
+    const { log, metrics, configuration, clock } = this._parts
+    const elapsedMs = clock.now() - this._startedAt
+    const status = this._response.headersSent ? this._response.statusCode : 0
+    const route = admitted?.route.name ?? 'none'
+    metrics.requests.inc({ route, status, code })
+    metrics.answerSeconds.observe({ route }, elapsedMs / MS_PER_SECOND)
+    log.info('request', {
+      request: admitted?.caller.id,
+      route,
+      service: admitted?.service,
+      workspace: admitted?.workspace,
+      configuration: admitted?.configurationVersion,
+      configuration_age_ms: Math.round(configuration.ageMs),
+      endpoint: this._chosen?.endpoint.id,
+      choice: this._chosen?.reason,
+      context_from: this._chosen?.contextHolder?.id,
+      load: this._chosen?.load,
+      bound: this._chosen === undefined ? undefined : Math.round(this._chosen.bound),
+      tries: this._tries,
+      status,
+      code,
+      elapsed_ms: Math.round(elapsedMs),
+      problem: this._problem
+    })
+  }
+}
+
+function headBytes (rawHeaders: readonly string[]): number {
+  // Each header takes a colon, a space and a line end beside its name and value.
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
+}
--- /dev/null
+++ b/packages/gateway/src/choice/endpoint-choice.ts
@@ -0,0 +1,127 @@
+import { RendezvousOrder } from '@mimosarock/placement/rendezvous-order.js'
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { PromptPart } from '../model/prompt-part.js'
+import { ChoiceReason } from './choice-reason.js'
+import type { ChosenEndpoint } from './chosen-endpoint.js'
+import type { EndpointChoiceOptions } from './endpoint-choice-options.js'
+
+/** Share of the promised bound at which an endpoint is passed over; the rest covers reports that are late. */
+const BOUND_SHARE = 0.7
+/** Requests that an endpoint may hold beside the multiple of the mean. */
+const BOUND_SLACK = 2
+/** How many endpoints of a key's order are tried before the least loaded one is taken. */
+const HOME_CANDIDATES = 3
+const KEY_DIGITS = 16
+
+/** Member of a key's order. */
+interface OrderMember {
+  readonly name: string
+  readonly capacity: number
+  readonly endpoint: EndpointEntry
+}
+
+/**
+ * Chooses the endpoint of a request. A prompt goes to the endpoint that holds its shared context, unless that one is
+ * over the bound; else to the first of the key's rendezvous order that is under it, with the holder named so that
+ * the context can be copied. Other requests go to the least loaded endpoint.
+ */
+export class EndpointChoice {
+  private readonly _options: EndpointChoiceOptions
+  private readonly _orders = new Map<string, { revision: number, order: RendezvousOrder<OrderMember> }>()
+
+  /**
+   * @param options the parts
+   */
+  constructor (options: EndpointChoiceOptions) {
+    this._options = options
+  }
+
+  /**
+   * Chooses an endpoint.
+   * @param service name of the service
+   * @param prompt parts of the prompt; empty for other requests
+   * @param excluded identities of endpoints that this request was sent to before
+   * @returns undefined if no endpoint is left
+   */
+  choose (service: string, prompt: readonly PromptPart[], excluded: ReadonlySet<string>): ChosenEndpoint | undefined {
+    const ready = this._options.endpoints.ready(service).filter((endpoint) => !excluded.has(endpoint.id))
+    if (ready.length === 0) return undefined
+    const sound = ready.filter((endpoint) => !this._options.health.isSuspect(endpoint.id))
+    const candidates = sound.length > 0 ? sound : ready
+    const bound = this._bound(service)
+    const key = EndpointChoice.keyOf(prompt)
+    if (key === undefined) return this._leastLoaded(candidates, bound)
+    return this._chooseFor(key, service, candidates, bound)
+  }
+
+  /**
+   * Key by which requests share context: the last part that more than one request may have.
+   * @param prompt parts of the prompt
+   */
+  static keyOf (prompt: readonly PromptPart[]): string | undefined {
+    return prompt.length > 1 ? prompt[prompt.length - 2]?.id : prompt[0]?.id
+  }
+
+  private _chooseFor (key: string, service: string, candidates: EndpointEntry[], bound: number): ChosenEndpoint {
+    const { loads } = this._options
+    const holders = this._options.holders.holders(key)
+    const holding = candidates.filter((endpoint) => holders.includes(endpoint.id))
+    const holder = this._lowest(holding)
+    if (holder !== undefined && loads.total(holder.id) < bound) {
+      return { endpoint: holder, contextHolder: undefined, reason: ChoiceReason.HOLDER, load: loads.total(holder.id), bound }
+    }
+    const source = this._source(holders)
+    const home = this._order(service).first(key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS), HOME_CANDIDATES)
+      .map((member) => member.endpoint)
+      .find((endpoint) => candidates.includes(endpoint) && loads.total(endpoint.id) < bound)
+    if (home !== undefined) {
+      return { endpoint: home, contextHolder: source, reason: ChoiceReason.HOME, load: loads.total(home.id), bound }
+    }
+    return { ...this._leastLoaded(candidates, bound), contextHolder: source }
+  }
+
+  private _leastLoaded (candidates: EndpointEntry[], bound: number): ChosenEndpoint {
+    const endpoint = this._lowest(candidates) as EndpointEntry
+    return { endpoint, contextHolder: undefined, reason: ChoiceReason.LEAST_LOADED, load: this._options.loads.total(endpoint.id), bound }
+  }
+
+  private _lowest (candidates: readonly EndpointEntry[]): EndpointEntry | undefined {
+    let lowest: EndpointEntry | undefined
+    let lowestLoad = Infinity
+    const start = candidates.length === 0 ? 0 : Math.floor(Math.random() * candidates.length)
+    for (let step = 0; step < candidates.length; step += 1) {
+      const candidate = candidates[(start + step) % candidates.length] as EndpointEntry
+      const load = this._options.loads.total(candidate.id) / Math.max(1, candidate.slots)
+      if (load >= lowestLoad) continue
+      lowest = candidate
+      lowestLoad = load
+    }
+    return lowest
+  }
+
+  /** A live endpoint that holds the key; one that is draining can still hand its context on. */
+  private _source (holders: readonly string[]): EndpointEntry | undefined {
+    for (const id of holders) {
+      const entry = this._options.endpoints.find(id)
+      if (entry !== undefined && !this._options.health.isSuspect(id)) return entry
+    }
+    return undefined
+  }
+
+  private _bound (service: string): number {
+    const endpoints = this._options.endpoints.ready(service)
+    const sum = endpoints.reduce((total, endpoint) => total + this._options.loads.total(endpoint.id), 0)
+    const mean = sum / Math.max(1, endpoints.length)
+    return mean * this._options.loadBoundFactor * BOUND_SHARE + BOUND_SLACK
+  }
+
+  private _order (service: string): RendezvousOrder<OrderMember> {
+    const { endpoints } = this._options
+    const ready = endpoints.ready(service)
+    const held = this._orders.get(service)
+    if (held?.revision === endpoints.revision) return held.order
+    const order = new RendezvousOrder(ready.map((endpoint) => ({ name: endpoint.id, capacity: endpoint.slots, endpoint })))
+    this._orders.set(service, { revision: endpoints.revision, order })
+    return order
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/choice/holder-table.ts
@@ -0,0 +1,80 @@
+import type { HolderNote } from './holder-note.js'
+
+/** Keys that are remembered; at some 150 bytes each, 30 MB. */
+const MAXIMUM_KEYS = 200_000
+/** Holders remembered for a key; more copies than these save nothing. */
+const MAXIMUM_HOLDERS = 4
+
+/** Notes of the newest changes that other routers can ask for. */
+const MAXIMUM_NOTES = 8_192
+
+/**
+ * Which endpoints hold the context of a key. Learned from where requests were sent, by this router and by others;
+ * forgotten with the incarnation of the endpoint, and least recently used first.
+ */
+export class HolderTable {
+  private readonly _holders = new Map<string, string[]>()
+  private readonly _notes: HolderNote[] = []
+  private _firstNote = 0
+
+  /** Number of changes so far; readers of changes go on from here. */
+  get cursor (): number {
+    return this._firstNote + this._notes.length
+  }
+
+  /**
+   * Identities of the endpoints that hold a key, the latest first.
+   * @param key identity of the last shared part of the prompt
+   */
+  holders (key: string): readonly string[] {
+    const holders = this._holders.get(key)
+    if (holders === undefined) return []
+    this._holders.delete(key)
+    this._holders.set(key, holders)
+    return holders
+  }
+
+  /**
+   * Notes that an endpoint holds a key now.
+   * @param key identity of the last shared part of the prompt
+   * @param endpointId identity of the endpoint
+   */
+  add (key: string, endpointId: string): void {
+    const holders = this._holders.get(key)
+    if (holders?.includes(endpointId) === true) return
+    this._holders.delete(key)
+    this._holders.set(key, [endpointId, ...(holders ?? [])].slice(0, MAXIMUM_HOLDERS))
+    this._note({ key, endpointId })
+    if (this._holders.size > MAXIMUM_KEYS) this._holders.delete(this._holders.keys().next().value as string)
+  }
+
+  /**
+   * Forgets all that an endpoint held.
+   * @param endpointId identity of the endpoint
+   */
+  forget (endpointId: string): void {
+    for (const [key, holders] of this._holders) {
+      if (!holders.includes(endpointId)) continue
+      const left = holders.filter((holder) => holder !== endpointId)
+      if (left.length > 0) this._holders.set(key, left)
+      else this._holders.delete(key)
+    }
+  }
+
+  /**
+   * Changes since a cursor.
+   * @param cursor as it was at the last reading; 0 for all that is still kept
+   * @param most highest number of notes
+   */
+  notesSince (cursor: number, most: number): readonly HolderNote[] {
+    const from = Math.max(0, cursor - this._firstNote)
+    return this._notes.slice(from, from + most)
+  }
+
+  private _note (note: HolderNote): void {
+    this._notes.push(note)
+    if (this._notes.length <= MAXIMUM_NOTES) return
+    this._notes.splice(0, MAXIMUM_NOTES / 2)
+    this._firstNote += MAXIMUM_NOTES / 2
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/choice/load-by-endpoint.ts
@@ -0,0 +1,2 @@
+/** Requests in flight by endpoint. */
+export type LoadByEndpoint = Readonly<Record<string, number>>
--- /dev/null
+++ b/packages/gateway/src/choice/load-view.ts
@@ -0,0 +1,89 @@
+import type { LoadByEndpoint } from './load-by-endpoint.js'
+
+/** What one other router has in flight. */
+interface ForeignLoad {
+  readonly load: LoadByEndpoint
+  readonly until: number
+}
+
+/** How long another router's report counts; a router that says nothing for so long is taken as gone. */
+const REPORT_KEEP_MS = 1_500
+
+/** Requests in flight at each endpoint: this router's exact count and what the others reported last. */
+export class LoadView {
+  private readonly _own = new Map<string, number>()
+  private readonly _foreign = new Map<string, ForeignLoad>()
+  private readonly _now: () => number
+  private _foreignSum = new Map<string, number>()
+
+  /**
+   * @param now milliseconds of a steady clock
+   */
+  constructor (now: () => number) {
+    this._now = now
+  }
+
+  /**
+   * Requests in flight at an endpoint from the whole fleet, as far as known.
+   * @param endpointId identity of the endpoint
+   */
+  total (endpointId: string): number {
+    return (this._own.get(endpointId) ?? 0) + (this._foreignSum.get(endpointId) ?? 0)
+  }
+
+  /**
+   * Counts a request that is sent to an endpoint.
+   * @param endpointId identity of the endpoint
+   */
+  begin (endpointId: string): void {
+    this._own.set(endpointId, (this._own.get(endpointId) ?? 0) + 1)
+  }
+
+  /**
+   * Counts the end of a request at an endpoint.
+   * @param endpointId identity of the endpoint
+   */
+  end (endpointId: string): void {
+    const left = (this._own.get(endpointId) ?? 0) - 1
+    if (left > 0) this._own.set(endpointId, left)
+    else this._own.delete(endpointId)
+  }
+
+  /** What this router has in flight. */
+  own (): LoadByEndpoint {
+    return Object.fromEntries(this._own)
+  }
+
+  /**
+   * Takes another router's report.
+   * @param router name of the router
+   * @param load its requests in flight
+   */
+  report (router: string, load: LoadByEndpoint): void {
+    this._foreign.set(router, { load, until: this._now() + REPORT_KEEP_MS })
+    this._sum()
+  }
+
+  /** Reports of the other routers that still count, by router. */
+  reports (): Record<string, LoadByEndpoint> {
+    const now = this._now()
+    const reports: Record<string, LoadByEndpoint> = {}
+    for (const [router, foreign] of this._foreign) {
+      if (foreign.until > now) reports[router] = foreign.load
+    }
+    return reports
+  }
+
+  private _sum (): void {
+    const now = this._now()
+    const sum = new Map<string, number>()
+    for (const [router, foreign] of this._foreign) {
+      if (foreign.until <= now) {
+        this._foreign.delete(router)
+        continue
+      }
+      for (const [endpoint, count] of Object.entries(foreign.load)) sum.set(endpoint, (sum.get(endpoint) ?? 0) + count)
+    }
+    this._foreignSum = sum
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/membership/endpoint-listener.ts
@@ -0,0 +1,16 @@
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+
+/** Learns of endpoints that came, changed or went. */
+export interface EndpointListener {
+  /**
+   * An endpoint came, or its entry changed.
+   * @param entry as it is now
+   * @param previous as it was; undefined for a new one or a new incarnation
+   */
+  endpointChanged (entry: EndpointEntry, previous: EndpointEntry | undefined): void
+  /**
+   * An endpoint is gone.
+   * @param entry as it was
+   */
+  endpointGone (entry: EndpointEntry): void
+}
--- /dev/null
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -0,0 +1,171 @@
+import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { ElapsedClock } from '../model/elapsed-clock.js'
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { TopicChange } from '../model/topic-change.js'
+import type { EndpointListener } from './endpoint-listener.js'
+
+/** How long an entry that vanished around an outage of the store is still used; endpoints register again within 2 s. */
+const LAPSED_KEEP_MS = 2_300
+
+/** An entry that vanished together with the store and may come back. */
+interface LapsedEntry {
+  readonly entry: EndpointEntry
+  readonly until: number
+}
+
+/**
+ * The endpoints that may get work. An entry that is removed while the store is sound is gone at once. One that
+ * lapsed during an outage of the store stays for the time in which a live endpoint registers again.
+ */
+export class EndpointTable {
+  private readonly _entries = new Map<string, EndpointEntry>()
+  private readonly _lapsed = new Map<string, LapsedEntry>()
+  private readonly _clock: ElapsedClock
+  private readonly _log: EventLog
+  private readonly _listeners: EndpointListener[] = []
+  private _byService: Map<string, EndpointEntry[]> | undefined
+  private _revision = 0
+
+  /**
+   * @param clock for the time that lapsed entries stay
+   * @param log takes a line for each endpoint that comes, drains or goes
+   */
+  constructor (clock: ElapsedClock, log: EventLog) {
+    this._clock = clock
+    this._log = log
+  }
+
+  /** Grows with each change that others should learn. */
+  get revision (): number {
+    return this._revision
+  }
+
+  /** All entries, also of those that are draining. */
+  get entries (): Iterable<EndpointEntry> {
+    return this._entries.values()
+  }
+
+  /**
+   * Adds a listener.
+   * @param listener is called after each change
+   */
+  listen (listener: EndpointListener): void {
+    this._listeners.push(listener)
+  }
+
+  /**
+   * An entry by identity, also of one that is draining.
+   * @param id identity of the endpoint
+   */
+  find (id: string): EndpointEntry | undefined {
+    return this._entries.get(id)
+  }
+
+  /**
+   * The endpoints of a service that take new work.
+   * @param service name of the service
+   */
+  ready (service: string): readonly EndpointEntry[] {
+    this.expireLapsed()
+    this._byService ??= this._index()
+    return this._byService.get(service) ?? []
+  }
+
+  /**
+   * Applies changes that the store told.
+   * @param changes in order
+   * @param isAfterOutage whether entries may have lapsed because the store was away
+   */
+  apply (changes: readonly TopicChange<EndpointEntry>[], isAfterOutage: boolean): void {
+    for (const change of changes) {
+      if (change.value !== undefined) this._put(change.value)
+      else this._remove(change.key, isAfterOutage)
+    }
+  }
+
+  /**
+   * Replaces all entries by what the store, or another router, holds now.
+   * @param entries all that are registered
+   * @param isAfterOutage whether entries may have lapsed because the store was away
+   */
+  replace (entries: readonly EndpointEntry[], isAfterOutage: boolean): void {
+    const named = new Set(entries.map((entry) => entry.id))
+    for (const id of [...this._entries.keys()]) {
+      if (!named.has(id) && !this._lapsed.has(id)) this._remove(id, isAfterOutage)
+    }
+    for (const entry of entries) this._put(entry)
+  }
+
+  /** Drops lapsed entries whose endpoints did not register again in time. */
+  expireLapsed (): void {
+    if (this._lapsed.size === 0) return
+    const now = this._clock.now()
+    for (const [id, lapsed] of this._lapsed) {
+      if (now >= lapsed.until) this._drop(id)
+    }
+  }
+
+  private _put (entry: EndpointEntry): void {
+    const held = this._entries.get(entry.id)
+    this._lapsed.delete(entry.id)
+    if (held !== undefined && sameEntry(held, entry)) {
+      this._entries.set(entry.id, entry)
+      return
+    }
+    const isNewIncarnation = held !== undefined && held.startedAt !== entry.startedAt
+    this._entries.set(entry.id, entry)
+    this._changed()
+    this._log.info('endpoint-registered', {
+      endpoint: entry.id,
+      service: entry.service,
+      address: entry.address,
+      draining: entry.isDraining,
+      restarted: isNewIncarnation
+    })
+    for (const listener of this._listeners) listener.endpointChanged(entry, isNewIncarnation ? undefined : held)
+  }
+
+  private _remove (id: string, isAfterOutage: boolean): void {
+    const entry = this._entries.get(id)
+    if (entry === undefined) return
+    if (!isAfterOutage || entry.isDraining) {
+      this._drop(id)
+      return
+    }
+    if (this._lapsed.has(id)) return
+    this._lapsed.set(id, { entry, until: this._clock.now() + LAPSED_KEEP_MS })
+    this._log.warn('endpoint-lapsed', { endpoint: id, keep_ms: LAPSED_KEEP_MS })
+  }
+
+  private _drop (id: string): void {
+    const entry = this._entries.get(id)
+    this._lapsed.delete(id)
+    if (entry === undefined) return
+    this._entries.delete(id)
+    this._changed()
+    this._log.info('endpoint-gone', { endpoint: id, service: entry.service })
+    for (const listener of this._listeners) listener.endpointGone(entry)
+  }
+
+  private _changed (): void {
+    this._revision += 1
+    this._byService = undefined
+  }
+
+  private _index (): Map<string, EndpointEntry[]> {
+    const byService = new Map<string, EndpointEntry[]>()
+    for (const entry of this._entries.values()) {
+      if (entry.isDraining) continue
+      const entries = byService.get(entry.service)
+      if (entries === undefined) byService.set(entry.service, [entry])
+      else entries.push(entry)
+    }
+    return byService
+  }
+}
+
+function sameEntry (left: EndpointEntry, right: EndpointEntry): boolean {
+  return left.service === right.service && left.address === right.address && left.slots === right.slots &&
+    left.isDraining === right.isDraining && left.startedAt === right.startedAt &&
+    left.availabilityZone === right.availabilityZone
+}
--- /dev/null
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -0,0 +1,115 @@
+import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { ElapsedClock } from '../model/elapsed-clock.js'
+import type { RouterEntry } from '../model/router-entry.js'
+import { pause } from './pause.js'
+import type { FleetSyncOptions } from './fleet-sync-options.js'
+import type { RouterTable } from './router-table.js'
+import type { SyncAnswer } from './sync-answer.js'
+import type { SyncClient } from './sync-client.js'
+
+/** Pause between two questions; with the reader's own pauses it bounds how late a leaving endpoint is known. */
+const SYNC_INTERVAL_MS = 250
+/** How long a router that did not answer, or knew nothing fresh, is passed over. */
+const PASS_OVER_MS = 1_500
+/** Age of configuration or endpoints above which another router is asked. */
+const STALE_MS = 3_200
+/** Endpoints are read more often than configurations. */
+const STALE_ENDPOINTS_MS = 1_600
+
+/**
+ * Keeps this router's knowledge fresh through another one. The routers have an order; the first that lives and
+ * reaches the store reads it for all, and the others ask that one. A router that finds no better one fresh is the
+ * reader itself.
+ */
+export class FleetSync {
+  private readonly _routers: RouterTable
+  private readonly _client: SyncClient
+  private readonly _clock: ElapsedClock
+  private readonly _log: EventLog
+  private readonly _seeds: readonly string[]
+  private readonly _isStoreFailing: () => boolean
+  private readonly _passedOver = new Map<string, number>()
+  private _source: string | undefined
+  private _isReader = false
+
+  /**
+   * @param options the parts
+   * @param clock dates failures
+   * @param log takes a line when the source of knowledge changes
+   */
+  constructor (options: FleetSyncOptions, clock: ElapsedClock, log: EventLog) {
+    this._routers = options.routers
+    this._client = options.client
+    this._clock = clock
+    this._log = log
+    this._seeds = options.seeds.filter((seed) => seed !== options.routers.self.address)
+    this._isStoreFailing = options.isStoreFailing
+  }
+
+  /** Whether this router has to read the store: no router before it in the order is known to be fresh. */
+  get isReader (): boolean {
+    return this._isReader
+  }
+
+  /**
+   * Asks for news until ended.
+   * @param signal ends it
+   */
+  async run (signal: AbortSignal): Promise<void> {
+    await Promise.all(this._seeds.map((seed) => this._ask(seed)))
+    while (!signal.aborted) {
+      await this._round(signal)
+      await pause(SYNC_INTERVAL_MS, signal)
+    }
+  }
+
+  private async _round (signal: AbortSignal): Promise<void> {
+    for (const router of this._routers.inReaderOrder()) {
+      if (signal.aborted) return
+      if (router.name === this._routers.self.name) {
+        this._becomeReader()
+        // A reader asks no one while its own reading works; the others come to it.
+        if (!this._isStoreFailing()) return
+        continue
+      }
+      if (this._isPassedOver(router.address)) continue
+      const answer = await this._ask(router.address)
+      if (answer !== undefined && isFresh(answer)) return this._follow(router)
+      this._passedOver.set(router.address, this._clock.now() + PASS_OVER_MS)
+    }
+  }
+
+  private async _ask (address: string): Promise<SyncAnswer | undefined> {
+    try {
+      return await this._client.sync(address)
+    } catch (error) {
+      this._log.info('peer-unreachable', { address, problem: (error as Error).message })
+      return undefined
+    }
+  }
+
+  private _isPassedOver (address: string): boolean {
+    return (this._passedOver.get(address) ?? -Infinity) > this._clock.now()
+  }
+
+  private _follow (router: RouterEntry): void {
+    const order = this._routers.inReaderOrder()
+    const isBetter = order.indexOf(router) < order.indexOf(this._routers.self)
+    if (this._source === router.name && this._isReader !== isBetter) return
+    this._isReader = !isBetter
+    this._source = router.name
+    this._log.info('knowledge-source', { source: router.name, reads_store: this._isReader })
+  }
+
+  private _becomeReader (): void {
+    if (this._isReader && (this._source === undefined || this._isStoreFailing())) return
+    this._isReader = true
+    this._source = undefined
+    this._log.info('knowledge-source', { source: 'store' })
+  }
+}
+
+function isFresh (answer: SyncAnswer): boolean {
+  return answer.configurationAgeMs >= 0 && answer.configurationAgeMs < STALE_MS &&
+    answer.endpointsAgeMs >= 0 && answer.endpointsAgeMs < STALE_ENDPOINTS_MS
+}
--- /dev/null
+++ b/packages/gateway/src/membership/peer-rpc-server.ts
@@ -0,0 +1,33 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0'
+import type { SyncRequest } from './sync-request.js'
+import type { SyncServer } from './sync-server.js'
+
+const METHOD_NOT_ALLOWED = 405
+const BAD_REQUEST = 400
+
+/**
+ * HTTP server that answers other routers by JSON-RPC 2.0.
+ * @param sync answers the questions
+ */
+export function createPeerRpcServer (sync: SyncServer): Server {
+  const rpc = new JSONRPCServer()
+  rpc.addMethod('fleet.sync', (params) => sync.answer(params as SyncRequest))
+  return createServer((request, response) => {
+    if (request.method !== 'POST') {
+      response.writeHead(METHOD_NOT_ALLOWED).end()
+      return
+    }
+    answer(rpc, request, response).catch((error: Error) => {
+      response.writeHead(BAD_REQUEST).end(error.message)
+    })
+  })
+}
+
+async function answer (rpc: JSONRPCServer, request: IncomingMessage, response: ServerResponse): Promise<void> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  const message = JSON.parse(Buffer.concat(chunks).toString()) as JSONRPCRequest
+  const result = JSON.stringify(await rpc.receive(message))
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(result) }).end(result)
+}
--- /dev/null
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -0,0 +1,29 @@
+import type { HolderNote } from '../choice/holder-note.js'
+import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { GatewayConfiguration } from '../model/gateway-configuration.js'
+import type { RouterContact } from './router-contact.js'
+
+/** What a router knows that the asking one does not. */
+export interface SyncAnswer {
+  /** Name of the answering router. */
+  readonly name: string
+  /** The configuration, if it is newer than the asking router's. */
+  readonly configuration: GatewayConfiguration | undefined
+  /** Milliseconds since the store held nothing newer; -1 if that was never so. */
+  readonly configurationAgeMs: number
+  /** All endpoints, if they changed since the revision that the asking router has. */
+  readonly endpoints: readonly EndpointEntry[] | undefined
+  /** Revision of the endpoints. */
+  readonly endpointsRevision: string
+  /** Milliseconds since the endpoints were read from the store; -1 if they never were. */
+  readonly endpointsAgeMs: number
+  /** What the other routers have in flight, by their names. */
+  readonly loads: Readonly<Record<string, LoadByEndpoint>>
+  /** Contexts that came to be held. */
+  readonly notes: readonly HolderNote[]
+  /** Where the asking router stands in the notes now. */
+  readonly notesCursor: string
+  /** The routers that it knows. */
+  readonly routers: readonly RouterContact[]
+}
--- /dev/null
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -0,0 +1,80 @@
+import type { ElapsedClock } from '../model/elapsed-clock.js'
+import type { FleetKnowledge } from './fleet-knowledge.js'
+import type { SyncAnswer } from './sync-answer.js'
+import type { SyncCall } from './sync-call.js'
+
+/** Most notes in one request; the rest follows with the next one. */
+const MAXIMUM_NOTES = 1_000
+
+/** Asks other routers for news and takes their answers in. */
+export class SyncClient {
+  private readonly _knowledge: FleetKnowledge
+  private readonly _clock: ElapsedClock
+  private readonly _call: SyncCall
+  private readonly _revisions = new Map<string, string>()
+  private readonly _cursors = new Map<string, string>()
+  private readonly _told = new Map<string, number>()
+
+  /**
+   * @param knowledge takes the news
+   * @param clock dates them
+   * @param call sends a request
+   */
+  constructor (knowledge: FleetKnowledge, clock: ElapsedClock, call: SyncCall) {
+    this._knowledge = knowledge
+    this._clock = clock
+    this._call = call
+  }
+
+  /**
+   * Asks one router.
+   * @param address of the router, host:port
+   * @returns its answer, which has been taken in
+   */
+  async sync (address: string): Promise<SyncAnswer> {
+    const { configuration, holders, loads, routers } = this._knowledge
+    const told = this._told.get(address) ?? 0
+    const notes = holders.notesSince(told, MAXIMUM_NOTES)
+    const sentAt = this._clock.now()
+    const answer = await this._call(address, {
+      router: routers.self,
+      configurationVersion: configuration.version,
+      endpointsRevision: this._revisions.get(address),
+      load: loads.own(),
+      notes,
+      notesCursor: this._cursors.get(address)
+    })
+    this._told.set(address, Math.max(told, holders.cursor - holders.notesSince(told, Infinity).length) + notes.length)
+    this._takeIn(address, answer, sentAt)
+    return answer
+  }
+
+  private _takeIn (address: string, answer: SyncAnswer, sentAt: number): void {
+    const { configuration, routers, holders, loads } = this._knowledge
+    const passed = this._clock.now() - sentAt
+    for (const router of answer.routers) routers.heard(router, router.heardAgoMs + passed)
+    if (answer.configuration !== undefined) configuration.adopt(answer.configuration, answer.name)
+    // The answer was made after the request was sent, so an age in it counts from that moment at the latest.
+    if (answer.configurationAgeMs >= 0) configuration.verified(sentAt - answer.configurationAgeMs)
+    this._takeEndpoints(address, answer, sentAt)
+    for (const [name, load] of Object.entries(answer.loads)) {
+      if (name !== routers.self.name) loads.report(name, load)
+    }
+    for (const note of answer.notes) holders.add(note.key, note.endpointId)
+    this._cursors.set(address, answer.notesCursor)
+  }
+
+  private _takeEndpoints (address: string, answer: SyncAnswer, sentAt: number): void {
+    const { endpoints, endpointsFreshness } = this._knowledge
+    const verifiedAt = sentAt - answer.endpointsAgeMs
+    if (answer.endpointsAgeMs < 0 || verifiedAt < endpointsFreshness.verifiedAt) {
+      // Ours is newer: the whole list is asked for again next time.
+      this._revisions.delete(address)
+      return
+    }
+    endpointsFreshness.verifiedAt = verifiedAt
+    if (answer.endpoints !== undefined) endpoints.replace(answer.endpoints, false)
+    for (const other of this._revisions.keys()) if (other !== address) this._revisions.delete(other)
+    this._revisions.set(address, answer.endpointsRevision)
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -0,0 +1,62 @@
+import type { FleetKnowledge } from './fleet-knowledge.js'
+import type { SyncAnswer } from './sync-answer.js'
+import type { SyncRequest } from './sync-request.js'
+
+/** Most notes in one answer; the rest follows with the next one. */
+const MAXIMUM_NOTES = 1_000
+
+/** Answers other routers that ask for news. */
+export class SyncServer {
+  private readonly _knowledge: FleetKnowledge
+  private readonly _instance: string
+  private readonly _now: () => number
+
+  /**
+   * @param knowledge what is told
+   * @param instance identity of this process, so that positions of an earlier one are not taken for its own
+   * @param now the router's clock
+   */
+  constructor (knowledge: FleetKnowledge, instance: string, now: () => number) {
+    this._knowledge = knowledge
+    this._instance = instance
+    this._now = now
+  }
+
+  /**
+   * Takes what a router tells and answers what it does not know.
+   * @param request from the other router
+   */
+  answer (request: SyncRequest): SyncAnswer {
+    const { configuration, endpoints, routers, holders, loads } = this._knowledge
+    endpoints.expireLapsed()
+    routers.heard(request.router, 0)
+    loads.report(request.router.name, request.load)
+    const cursor = this._positionIn(request.notesCursor)
+    const notes = holders.notesSince(cursor, MAXIMUM_NOTES)
+    const nextCursor = Math.max(cursor, holders.cursor - holders.notesSince(cursor, Infinity).length) + notes.length
+    for (const note of request.notes) holders.add(note.key, note.endpointId)
+    const revision = `${this._instance}:${endpoints.revision}`
+    const known = configuration.inForce?.configuration
+    return {
+      name: routers.self.name,
+      configuration: known !== undefined && known.version > request.configurationVersion ? known : undefined,
+      configurationAgeMs: this._age(configuration.verifiedAt),
+      endpoints: revision === request.endpointsRevision ? undefined : [...endpoints.entries],
+      endpointsRevision: revision,
+      endpointsAgeMs: this._age(this._knowledge.endpointsFreshness.verifiedAt),
+      loads: { ...loads.reports(), [routers.self.name]: loads.own() },
+      notes,
+      notesCursor: `${this._instance}:${nextCursor}`,
+      routers: routers.contacts()
+    }
+  }
+
+  private _age (verifiedAt: number): number {
+    return verifiedAt === -Infinity ? -1 : this._now() - verifiedAt
+  }
+
+  private _positionIn (cursor: string | undefined): number {
+    const [instance, position] = (cursor ?? '').split(':')
+    return instance === this._instance ? Number(position) : 0
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/model/router-entry.ts
@@ -0,0 +1,7 @@
+/** A router of the fleet, as it announced itself. */
+export interface RouterEntry {
+  /** Name of the VM. */
+  readonly name: string
+  /** Address for calls between routers, host:port. */
+  readonly address: string
+}
--- /dev/null
+++ b/packages/gateway/src/settings/read-gateway-settings.ts
@@ -0,0 +1,74 @@
+import { readFileSync } from 'node:fs'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { parse } from 'ini'
+import type { GatewaySettings } from './gateway-settings.js'
+
+const MS_PER_SECOND = 1_000
+const ADDRESS = /^[^\s:]+:\d{1,5}$/
+
+/** Values of one section. */
+type Section = Readonly<Record<string, unknown>>
+
+/**
+ * Reads a router's settings from an INI file. Unknown sections and keys are left alone.
+ * @param path of the file
+ * @throws MimosarockError if the file can't be read, or a value is missing or wrong
+ */
+export function readGatewaySettings (path: string): GatewaySettings {
+  const sections = parse(readText(path)) as Readonly<Record<string, Section | undefined>>
+  const value = (section: string, key: string) => readValue(sections, section, key)
+  const address = (section: string, key: string) => readAddress(value(section, key), `${section}.${key}`)
+  const number = (section: string, key: string) => readNumber(value(section, key), `${section}.${key}`)
+  return {
+    name: required(value('vm', 'name'), 'vm.name'),
+    availabilityZone: required(value('vm', 'availability_zone'), 'vm.availability_zone'),
+    fileDescriptors: number('vm', 'file_descriptors'),
+    callers: address('listen', 'callers'),
+    readiness: address('listen', 'readiness'),
+    peers: address('listen', 'peers'),
+    metrics: value('listen', 'metrics') === undefined ? undefined : address('listen', 'metrics'),
+    seeds: (value('fleet', 'seeds') ?? '').split(',').map((seed) => seed.trim()).filter((seed) => ADDRESS.test(seed)),
+    store: address('fleet', 'store'),
+    stopGraceMs: number('stop', 'grace_seconds') * MS_PER_SECOND,
+    keyAgeLimitMs: value('keys', 'fail_closed') === 'true' ? number('keys', 'revoked_within_ms') : 0,
+    retryRatio: number('retries', 'ratio'),
+    retryAllowance: number('retries', 'allowance'),
+    retryWindowMs: number('retries', 'window_seconds') * MS_PER_SECOND,
+    loadBoundFactor: number('load', 'bound_factor')
+  }
+}
+
+function readText (path: string): string {
+  try {
+    return readFileSync(path, 'utf8')
+  } catch (error) {
+    throw new MimosarockError(ResultCode.SETTINGS_FILE_UNREADABLE, `can't read ${path}`, { cause: error, field: path })
+  }
+}
+
+function readValue (sections: Readonly<Record<string, Section | undefined>>, section: string, key: string): string | undefined {
+  const value = sections[section]?.[key]
+  return value === undefined || value === '' ? undefined : String(value)
+}
+
+function required (value: string | undefined, field: string): string {
+  if (value === undefined) throw new MimosarockError(ResultCode.SETTINGS_MISSING_KEY, `${field} is not set`, { field })
+  return value
+}
+
+function readAddress (value: string | undefined, field: string): string {
+  const address = required(value, field)
+  if (!ADDRESS.test(address)) {
+    throw new MimosarockError(ResultCode.SETTINGS_INVALID_VALUE, `${field} is not an address (host:port)`, { field })
+  }
+  return address
+}
+
+function readNumber (value: string | undefined, field: string): number {
+  const number = Number(required(value, field))
+  if (!Number.isFinite(number) || number < 0) {
+    throw new MimosarockError(ResultCode.SETTINGS_INVALID_VALUE, `${field} is not a number of 0 or more`, { field })
+  }
+  return number
+}
--- /dev/null
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -0,0 +1,64 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Bounds of the latency histograms, in seconds; the objectives lie between 0.1 and 1. */
+const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4, 8, 16]
+
+/** Counters and histograms of a router. */
+export class GatewayMetrics {
+  /** Where they are registered. */
+  readonly registry = new Registry()
+  /** Requests by route, status and outcome. */
+  readonly requests = new Counter({
+    name: 'mimosarock_requests_total',
+    help: 'Requests that ended, by route, status and result code.',
+    labelNames: ['route', 'status', 'code'],
+    registers: [this.registry]
+  })
+
+  /** Tries beyond the first one. */
+  readonly retries = new Counter({
+    name: 'mimosarock_retries_total',
+    help: 'Requests that were sent to another endpoint, by service and the outcome before.',
+    labelNames: ['service', 'outcome'],
+    registers: [this.registry]
+  })
+
+  /** Time to the first byte of an answer. */
+  readonly firstByteSeconds = new Histogram({
+    name: 'mimosarock_first_byte_seconds',
+    help: 'Time from the whole head of a request to the first byte of its answer.',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry]
+  })
+
+  /** Time to the end of an answer. */
+  readonly answerSeconds = new Histogram({
+    name: 'mimosarock_answer_seconds',
+    help: 'Time from the whole head of a request to the end of its answer.',
+    labelNames: ['route'],
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry]
+  })
+
+  /** Version of the configuration in force. */
+  readonly configurationVersion = new Gauge({
+    name: 'mimosarock_configuration_version',
+    help: 'Version of the configuration in force.',
+    registers: [this.registry]
+  })
+
+  /** Age of the knowledge of the configuration. */
+  readonly configurationAgeSeconds = new Gauge({
+    name: 'mimosarock_configuration_age_seconds',
+    help: 'Time since the store is known to have held no newer configuration.',
+    registers: [this.registry]
+  })
+
+  /** Requests in work. */
+  readonly requestsInWork = new Gauge({
+    name: 'mimosarock_requests_in_work',
+    help: 'Requests of callers that are not answered yet.',
+    registers: [this.registry]
+  })
+}
--- /dev/null
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -0,0 +1,221 @@
+import { randomUUID } from 'node:crypto'
+import { createServer, type Server } from 'node:http'
+import { createCallerListener } from '../caller/caller-listener.js'
+import type { GatewayState } from '../caller/gateway-state.js'
+import type { RequestParts } from '../caller/request-parts.js'
+import { EndpointChoice } from '../choice/endpoint-choice.js'
+import { EndpointHealth } from '../choice/endpoint-health.js'
+import { HolderTable } from '../choice/holder-table.js'
+import { LoadView } from '../choice/load-view.js'
+import { ConfigurationState } from '../configuration/configuration-state.js'
+import { GracefulStop } from '../leaving/graceful-stop.js'
+import { EndpointTable } from '../membership/endpoint-table.js'
+import type { FleetKnowledge } from '../membership/fleet-knowledge.js'
+import { FleetSync } from '../membership/fleet-sync.js'
+import { PeerRpcClient } from '../membership/peer-rpc-client.js'
+import { createPeerRpcServer } from '../membership/peer-rpc-server.js'
+import { RouterTable } from '../membership/router-table.js'
+import { StoreFeed } from '../membership/store-feed.js'
+import { SyncClient } from '../membership/sync-client.js'
+import { SyncServer } from '../membership/sync-server.js'
+import { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
+import { EndpointConnections } from '../sending/endpoint-connections.js'
+import { GatewayMetrics } from '../status/gateway-metrics.js'
+import { announceRouter } from './announce-router.js'
+import type { GatewayOptions } from './gateway-options.js'
+import { listenAt } from './listen-at.js'
+
+/** How long the store waits for a new configuration before it answers that there is none; bounds the age of keys. */
+const CONFIGURATION_WAIT_MS = 1_500
+/** Pause between two readings of the configuration. */
+const CONFIGURATION_GAP_MS = 20
+/** How long the store waits for a change of the endpoints. */
+const ENDPOINTS_WAIT_MS = 600
+/** Pause between two readings of the endpoints, which report about once a second each. */
+const ENDPOINTS_GAP_MS = 450
+/** Taken off the age limit of keys for what clocks and timers may be off. */
+const KEY_AGE_MARGIN_MS = 250
+/** File descriptors that are not for connections to endpoints. */
+const RESERVED_DESCRIPTORS = 1_000
+/** Connections to an endpoint where its service says nothing. */
+const DEFAULT_CONNECTIONS = 64
+const OK = 200
+const NOT_READY = 503
+
+/** A router: takes callers' requests and sends each straight to the endpoint that fits it. */
+export class Gateway {
+  private readonly _options: GatewayOptions
+  private readonly _ending = new AbortController()
+  private readonly _state: GatewayState = { isStopping: false, refusesRequests: false, requestsInWork: 0 }
+  private readonly _metrics = new GatewayMetrics()
+  private readonly _connections = new EndpointConnections()
+  private readonly _peerClient = new PeerRpcClient()
+  private readonly _knowledge: FleetKnowledge
+  private readonly _health: EndpointHealth
+  private readonly _budgets = new Map<string, FleetRetryBudget>()
+  private readonly _servers: Server[] = []
+  private _callerServer: Server | undefined
+
+  /**
+   * @param options the parts that come from outside
+   */
+  constructor (options: GatewayOptions) {
+    this._options = options
+    const { clock, log, settings } = options
+    this._health = new EndpointHealth(clock)
+    this._knowledge = {
+      configuration: new ConfigurationState(clock, log),
+      endpoints: new EndpointTable(clock, log),
+      endpointsFreshness: { verifiedAt: -Infinity },
+      routers: new RouterTable({ name: settings.name, address: settings.peers }, clock),
+      holders: new HolderTable(),
+      loads: new LoadView(() => clock.now())
+    }
+    this._knowledge.endpoints.listen({
+      endpointChanged: (entry, previous) => { if (previous === undefined) this._knowledge.holders.forget(entry.id) },
+      endpointGone: (entry) => {
+        this._knowledge.holders.forget(entry.id)
+        this._connections.close(entry.id)
+      }
+    })
+  }
+
+  /** Starts to listen and to learn. Resolves when callers can connect. */
+  async start (): Promise<void> {
+    const { settings, log, clock } = this._options
+    const sync = new SyncServer(this._knowledge, randomUUID(), () => clock.now())
+    const callerServer = createCallerListener(this._requestParts())
+    this._callerServer = callerServer
+    await Promise.all([
+      this._listen(callerServer, settings.callers),
+      this._listen(this._readinessServer(), settings.readiness),
+      this._listen(createPeerRpcServer(sync), settings.peers),
+      settings.metrics === undefined ? undefined : this._listen(this._metricsServer(), settings.metrics)
+    ])
+    log.info('started', { vm: settings.name, callers: settings.callers, peers: settings.peers })
+    this._learn()
+  }
+
+  /** Stops as GracefulStop tells, and closes everything. */
+  async stop (): Promise<void> {
+    const { settings, log } = this._options
+    await new GracefulStop(this._callerServer as Server, this._state, settings.stopGraceMs, log).run()
+    this._ending.abort()
+    for (const server of this._servers) server.close()
+    this._connections.closeAll()
+    await this._peerClient.close()
+  }
+
+  private _learn (): void {
+    const { store, clock, log, settings } = this._options
+    const { configuration, endpoints, endpointsFreshness, routers } = this._knowledge
+    const configurations = new StoreFeed({
+      topic: 'configuration',
+      reader: store.configurations,
+      waitMs: CONFIGURATION_WAIT_MS,
+      gapMs: CONFIGURATION_GAP_MS,
+      isWanted: (): boolean => sync.isReader,
+      take: (page, verifiedAt) => {
+        for (const change of page.changes) if (change.value !== undefined) configuration.adopt(change.value, 'store')
+        configuration.verified(verifiedAt)
+      }
+    }, clock, log)
+    const registrations = new StoreFeed({
+      topic: 'endpoints',
+      reader: store.endpoints,
+      waitMs: ENDPOINTS_WAIT_MS,
+      gapMs: ENDPOINTS_GAP_MS,
+      isWanted: (): boolean => sync.isReader,
+      take: (page, verifiedAt, isAfterOutage) => {
+        const present = page.changes.flatMap((change) => change.value ?? [])
+        if (page.isWhole) endpoints.replace(present, isAfterOutage)
+        else endpoints.apply(page.changes, isAfterOutage)
+        endpointsFreshness.verifiedAt = verifiedAt
+      }
+    }, clock, log)
+    const client = new SyncClient(this._knowledge, clock, (address, request) => this._peerClient.sync(address, request))
+    const sync: FleetSync = new FleetSync({
+      routers,
+      client,
+      seeds: settings.seeds,
+      isStoreFailing: (): boolean => configurations.isFailing || registrations.isFailing
+    }, clock, log)
+    const { signal } = this._ending
+    const tasks = [configurations.run(signal), registrations.run(signal), sync.run(signal), announceRouter(store, routers, log, signal)]
+    Promise.all(tasks).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
+  }
+
+  private _requestParts (): RequestParts {
+    const { clock, log, codec, settings } = this._options
+    const { configuration, endpoints, loads, holders } = this._knowledge
+    return {
+      clock,
+      log,
+      codec,
+      configuration,
+      loads,
+      holders,
+      health: this._health,
+      choice: new EndpointChoice({
+        endpoints, loads, holders, health: this._health, loadBoundFactor: settings.loadBoundFactor
+      }),
+      connections: this._connections,
+      metrics: this._metrics,
+      state: this._state,
+      keyAgeLimitMs: Math.max(0, settings.keyAgeLimitMs - KEY_AGE_MARGIN_MS),
+      budgetOf: (service) => this._budgetOf(service),
+      connectionsOf: (service) => this._connectionsOf(service)
+    }
+  }
+
+  private _budgetOf (service: string): FleetRetryBudget {
+    let budget = this._budgets.get(service)
+    if (budget === undefined) {
+      const { retryRatio, retryAllowance, retryWindowMs } = this._options.settings
+      const options = { ratio: retryRatio, allowance: retryAllowance, windowMs: retryWindowMs }
+      budget = new FleetRetryBudget(options, this._options.clock, () => this._knowledge.routers.size)
+      this._budgets.set(service, budget)
+    }
+    return budget
+  }
+
+  /** An equal part of what an endpoint takes from all routers, within what this process may open. */
+  private _connectionsOf (service: string): number {
+    const { configuration, routers, endpoints } = this._knowledge
+    const maximum = configuration.inForce?.service(service)?.maximumConnections ?? DEFAULT_CONNECTIONS
+    const descriptors = this._options.settings.fileDescriptors - RESERVED_DESCRIPTORS
+    const perEndpoint = Math.floor(descriptors / Math.max(1, endpoints.ready(service).length * 2))
+    return Math.max(2, Math.min(Math.floor(maximum / routers.size), perEndpoint))
+  }
+
+  private get _isReady (): boolean {
+    const { configuration, endpointsFreshness } = this._knowledge
+    return !this._state.isStopping && configuration.inForce !== undefined && endpointsFreshness.verifiedAt > -Infinity
+  }
+
+  private _readinessServer (): Server {
+    const { readinessPath } = this._options.codec
+    return createServer((request, response) => {
+      const isReady = request.url === readinessPath && this._isReady
+      response.writeHead(isReady ? OK : NOT_READY, { 'content-length': 0 }).end()
+    })
+  }
+
+  private _metricsServer (): Server {
+    return createServer((_request, response) => {
+      const { configuration } = this._knowledge
+      this._metrics.configurationVersion.set(configuration.version)
+      this._metrics.configurationAgeSeconds.set(configuration.ageMs / 1_000)
+      this._metrics.requestsInWork.set(this._state.requestsInWork)
+      this._metrics.registry.metrics().then(
+        (text) => response.writeHead(OK, { 'content-type': this._metrics.registry.contentType }).end(text),
+        (error: Error) => response.writeHead(NOT_READY).end(error.message)
+      )
+    })
+  }
+
+  private async _listen (server: Server, address: string): Promise<void> {
+    this._servers.push(server)
+    await listenAt(server, address)
+  }
+}
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -464,5 +464,11 @@
     httpStatus: 503,
     ran: 'no',
     action: 'Nothing; the order is sent when the budget allows.'
+  },
+  UNEXPECTED_FAILURE: {
+    meaning: 'The router met an error that it does not know.',
+    httpStatus: 502,
+    ran: 'unknown',
+    action: 'Report it with the log line of the request.'
   }
 }
--- a/packages/schema/src/result-code.ts
+++ b/packages/schema/src/result-code.ts
@@ -1,7 +1,8 @@
 /**
  * Numbered results of every interface. Thousands tell the subject: 1 settings and command line,
  * 2 a caller's request, 3 routing and limits, 4 operations that may not be repeated, 5 configuration,
- * 6 access and peers, 7 platform services, 8 leases and orders.
+ * 6 access and peers, 7 platform services, 8 leases and orders,
+ * 9 faults of the program itself.
  */
 const ResultCode = {
   OK: 0,
@@ -88,7 +89,9 @@
   LEASE_NOT_HELD: 8001,
   ORDER_REFUSED: 8002,
   ORDER_NOT_CONFIRMED: 8003,
-  WEIGHT_BUDGET_SPENT: 8004
+  WEIGHT_BUDGET_SPENT: 8004,
+
+  UNEXPECTED_FAILURE: 9001
 } as const
 
 /** One of the numbered results. */
