--- a/packages/gateway/src/sending/endpoint-connections.ts
+++ b/packages/gateway/src/sending/endpoint-connections.ts
@@ -1,5 +1,6 @@
-import { buildConnector, Pool } from 'undici'
+import { Pool } from 'undici'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import { connectNoticingResets } from './connect-noticing-resets.js'
 
 /** Longest time to establish a connection; an endpoint accepts within milliseconds or not at all. */
 const CONNECT_TIMEOUT_MS = 600
@@ -13,8 +14,6 @@
  */
 const FRESH_KEEP_MS = 250
 
-const RESET_BY_ENDPOINT = 'RESET_BY_ENDPOINT'
-
 /** Connections to one endpoint. */
 interface Connections {
   readonly address: string
@@ -72,7 +71,7 @@
   return new Pool(`http://${address}`, {
     connections: maximum,
     pipelining: 1,
-    connect: connectMarkingResets(),
+    connect: connectNoticingResets(CONNECT_TIMEOUT_MS),
     keepAliveTimeout: idleKeepMs,
     keepAliveMaxTimeout: idleKeepMs,
     keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -81,17 +80,3 @@
     bodyTimeout: 0
   })
 }
-
-/**
- * The HTTP client takes a reset for the end of an answer that has no length. Such an answer is not whole, so the
- * error gets a code of the router's own before the client sees it.
- */
-function connectMarkingResets (): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
-  return (options, callback) => connect(options, (...result) => {
-    result[1]?.prependListener('error', (error: NodeJS.ErrnoException) => {
-      if (error.code === 'ECONNRESET') error.code = RESET_BY_ENDPOINT
-    })
-    callback(...result)
-  })
-}
--- /dev/null
+++ b/packages/gateway/src/test/header-codec.ts
@@ -0,0 +1,19 @@
+import type { AnswerHead } from '@mimosarock/gateway/model/answer-head.js'
+
+/** Reads answer heads with plain header names, for tests. */
+export const headerCodec = {
+  readAnswerHead (status: number, rawHeaders: readonly string[]): AnswerHead {
+    const headers = new Map<string, string>()
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+      headers.set((rawHeaders[index] as string).toLowerCase(), rawHeaders[index + 1] as string)
+    }
+    return {
+      status,
+      headers: [...headers].flat(),
+      requestId: headers.get('request-id'),
+      isSigned: headers.has('signature'),
+      isNotRun: headers.has('not-run'),
+      isEncoded: headers.has('content-encoding')
+    }
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,7 +9,7 @@
     alias: [{ find: /^@mimosarock\/([^/]+)\/(.+)\.js$/, replacement: `${packages}/$1/src/$2.ts` }]
   },
   test: {
-    include: ['packages/*/src/test/**/*_test.ts'],
+    include: ['packages/*/src/test/**/*_test.ts', 'platform/test/**/*_test.ts'],
     // Its ES modules import directories, which only a bundler resolves.
     server: { deps: { inline: ['clipanion'] } },
     testTimeout: 30_000,
