--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -9,12 +9,14 @@
 
 /** Pause between two questions; with the reader's own pauses it bounds how late a leaving endpoint is known. */
 const SYNC_INTERVAL_MS = 250
+/** A reader asks another router in every so many rounds. */
+const READER_ROUNDS = 4
 /** How long a router that did not answer, or knew nothing fresh, is passed over. */
 const PASS_OVER_MS = 1_500
 /** Age of configuration or endpoints above which another router is asked. */
 const STALE_MS = 3_200
 /** Endpoints are read more often than configurations. */
-const STALE_ENDPOINTS_MS = 1_600
+const STALE_ENDPOINTS_MS = 1_700
 
 /**
  * Keeps this router's knowledge fresh through another one. The routers have an order; the first that lives and
@@ -31,6 +33,7 @@
   private readonly _passedOver = new Map<string, number>()
   private _source: string | undefined
   private _isReader = false
+  private _rounds = 0
 
   /**
    * @param options the parts
@@ -68,17 +71,25 @@
       if (signal.aborted) return
       if (router.name === this._routers.self.name) {
         this._becomeReader()
-        // A reader asks no one while its own reading works; the others come to it.
-        if (!this._isStoreFailing()) return
+        if (!this._isStoreFailing()) return await this._askOne()
         continue
       }
       if (this._isPassedOver(router.address)) continue
       const answer = await this._ask(router.address)
       if (answer !== undefined && isFresh(answer)) return this._follow(router)
-      this._passedOver.set(router.address, this._clock.now() + PASS_OVER_MS)
+      this._passOver(router, answer)
     }
   }
 
+  /** The others come to a reader; it asks one of them now and then, so that two readers learn of each other. */
+  private async _askOne (): Promise<void> {
+    const others = this._routers.inReaderOrder().filter((router) => router.name !== this._routers.self.name)
+    this._rounds += 1
+    if (others.length === 0 || this._rounds % READER_ROUNDS !== 0) return
+    const other = others[(this._rounds / READER_ROUNDS) % others.length] as RouterEntry
+    await this._ask(other.address)
+  }
+
   private async _ask (address: string): Promise<SyncAnswer | undefined> {
     try {
       return await this._client.sync(address)
@@ -92,6 +103,16 @@
     return (this._passedOver.get(address) ?? -Infinity) > this._clock.now()
   }
 
+  private _passOver (router: RouterEntry, answer: SyncAnswer | undefined): void {
+    this._passedOver.set(router.address, this._clock.now() + PASS_OVER_MS)
+    if (answer === undefined) return
+    this._log.info('peer-not-fresh', {
+      peer: router.name,
+      configuration_age_ms: Math.round(answer.configurationAgeMs),
+      endpoints_age_ms: Math.round(answer.endpointsAgeMs)
+    })
+  }
+
   private _follow (router: RouterEntry): void {
     const order = this._routers.inReaderOrder()
     const isBetter = order.indexOf(router) < order.indexOf(this._routers.self)
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -41,6 +41,7 @@
     const sentAt = this._clock.now()
     const answer = await this._call(address, {
       router: routers.self,
+      routers: routers.contacts(),
       configurationVersion: configuration.version,
       endpointsRevision: this._revisions.get(address),
       load: loads.own(),
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -1,11 +1,14 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
 import type { RouterEntry } from '../model/router-entry.js'
+import type { RouterContact } from './router-contact.js'
 
 /** What a router tells another one when it asks for news. */
 export interface SyncRequest {
   /** Who asks. */
   readonly router: RouterEntry
+  /** The routers that it knows. */
+  readonly routers: readonly RouterContact[]
   /** Configuration version that it has. */
   readonly configurationVersion: number
   /** Revision of the answering router's endpoints that it has; undefined for none. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -30,6 +30,7 @@
     const { configuration, endpoints, routers, holders, loads } = this._knowledge
     endpoints.expireLapsed()
     routers.heard(request.router, 0)
+    for (const router of request.routers) routers.heard(router, router.heardAgoMs)
     loads.report(request.router.name, request.load)
     const cursor = this._positionIn(request.notesCursor)
     const notes = holders.notesSince(cursor, MAXIMUM_NOTES)
--- /dev/null
+++ b/packages/gateway/src/test/sync_test.ts
@@ -0,0 +1,99 @@
+import { expect, test } from 'vitest'
+import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
+import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
+import { ConfigurationState } from '@mimosarock/gateway/configuration/configuration-state.js'
+import { EndpointTable } from '@mimosarock/gateway/membership/endpoint-table.js'
+import type { FleetKnowledge } from '@mimosarock/gateway/membership/fleet-knowledge.js'
+import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
+import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
+import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+
+class HandClock {
+  ms = 10_000
+  now (): number { return this.ms }
+}
+
+function createKnowledge (name: string, clock: HandClock): FleetKnowledge {
+  const log = new SilentEventLog()
+  return {
+    configuration: new ConfigurationState(clock, log),
+    endpoints: new EndpointTable(clock, log),
+    endpointsFreshness: { verifiedAt: -Infinity },
+    routers: new RouterTable({ name, address: name }, clock),
+    holders: new HolderTable(),
+    loads: new LoadView(() => clock.now())
+  }
+}
+
+/** A reader and two routers that ask it. */
+function createFleet (): { clock: HandClock, reader: FleetKnowledge, routers: FleetKnowledge[], syncs: SyncClient[] } {
+  const clock = new HandClock()
+  const reader = createKnowledge('reader', clock)
+  const server = new SyncServer(reader, 'i1', () => clock.now())
+  const routers = ['a', 'b'].map((name) => createKnowledge(name, clock))
+  const syncs = routers.map((knowledge) => new SyncClient(knowledge, clock, async (_address, request) => {
+    return JSON.parse(JSON.stringify(server.answer(JSON.parse(JSON.stringify(request))))) as ReturnType<typeof server.answer>
+  }, () => undefined))
+  return { clock, reader, routers, syncs }
+}
+
+const CONFIGURATION = { version: 3, routes: [], services: [], limits: undefined, workspaces: undefined }
+const ENDPOINT = {
+  id: 'e1', service: 's', address: '10.0.0.1:1', availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1, reportSequence: 1
+}
+
+test('holders reach the other routers through the reader', async () => {
+  const { reader, routers, syncs } = createFleet()
+  routers[0]?.holders.add('key', 'e1')
+  reader.holders.add('other', 'e2')
+  for (const sync of [...syncs, ...syncs]) await sync.sync('reader')
+  expect(routers[1]?.holders.holders('key')).toEqual(['e1'])
+  expect(routers[1]?.holders.holders('other')).toEqual(['e2'])
+  expect(reader.holders.holders('key')).toEqual(['e1'])
+  routers[0]?.holders.add('later', 'e3')
+  for (const sync of syncs) await sync.sync('reader')
+  expect(routers[1]?.holders.holders('later')).toEqual(['e3'])
+})
+
+test('configuration, endpoints and loads reach a router, with the age of the knowledge', async () => {
+  const { clock, reader, routers, syncs } = createFleet()
+  reader.configuration.adopt(CONFIGURATION, 'store')
+  reader.configuration.verified(clock.now())
+  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], false)
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  reader.loads.begin('e1')
+  clock.ms += 500
+  await syncs[0]?.sync('reader')
+  const router = routers[0] as FleetKnowledge
+  expect(router.configuration.version).toBe(3)
+  expect(router.configuration.ageMs).toBe(500)
+  expect(router.endpoints.ready('s').map((endpoint) => endpoint.id)).toEqual(['e1'])
+  expect(router.loads.total('e1')).toBe(1)
+  expect(router.routers.size).toBe(2)
+})
+
+test('a router tells the routers that it knows', async () => {
+  const { reader, routers, syncs } = createFleet()
+  routers[0]?.routers.heard({ name: 'b', address: 'b' }, 0)
+  await syncs[0]?.sync('reader')
+  expect(reader.routers.inReaderOrder().map((router) => router.name).sort()).toEqual(['a', 'b', 'reader'])
+})
+
+test('a reader that never read the store makes nobody fresh', async () => {
+  const { routers, syncs } = createFleet()
+  await syncs[0]?.sync('reader')
+  expect(routers[0]?.configuration.verifiedAt).toBe(-Infinity)
+  expect(routers[0]?.endpointsFreshness.verifiedAt).toBe(-Infinity)
+})
+
+test('an endpoint that the reader no longer has is gone', async () => {
+  const { clock, reader, routers, syncs } = createFleet()
+  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], false)
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  await syncs[0]?.sync('reader')
+  reader.endpoints.apply([{ key: 'e1', value: undefined }], false)
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  await syncs[0]?.sync('reader')
+  expect(routers[0]?.endpoints.ready('s')).toEqual([])
+})
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -27,11 +27,11 @@
 import { listenAt } from './listen-at.js'
 
 /** How long the store waits for a new configuration before it answers that there is none; bounds the age of keys. */
-const CONFIGURATION_WAIT_MS = 1_500
+const CONFIGURATION_WAIT_MS = 1_000
 /** Pause between two readings of the configuration. */
 const CONFIGURATION_GAP_MS = 20
 /** How long the store waits for a change of the endpoints. */
-const ENDPOINTS_WAIT_MS = 600
+const ENDPOINTS_WAIT_MS = 300
 /** Pause between two readings of the endpoints, which report about once a second each. */
 const ENDPOINTS_GAP_MS = 450
 /** Taken off the age limit of keys for what clocks and timers may be off. */
