--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -4,22 +4,14 @@
 import type { TopicChange } from '../model/topic-change.js'
 import type { EndpointListener } from './endpoint-listener.js'
 
-/** How long an entry that vanished around an outage of the store is still used; endpoints register again within 2 s. */
-const LAPSED_KEEP_MS = 2_300
-
-/** An entry that vanished together with the store and may come back. */
-interface LapsedEntry {
-  readonly entry: EndpointEntry
-  readonly until: number
-}
-
 /**
  * The endpoints that may get work. An entry that is removed while the store is sound is gone at once. One that
  * lapsed during an outage of the store stays for the time in which a live endpoint registers again.
  */
 export class EndpointTable {
   private readonly _entries = new Map<string, EndpointEntry>()
-  private readonly _lapsed = new Map<string, LapsedEntry>()
+  /** Moments at which entries that vanished around an outage are dropped. */
+  private readonly _lapsed = new Map<string, number>()
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private readonly _listeners: EndpointListener[] = []
@@ -74,24 +66,24 @@
   /**
    * Applies changes that the store told.
    * @param changes in order
-   * @param isAfterOutage whether entries may have lapsed because the store was away
+   * @param lapsedUntil moment until which vanished entries are still used, since the store was away; undefined if it was not
    */
-  apply (changes: readonly TopicChange<EndpointEntry>[], isAfterOutage: boolean): void {
+  apply (changes: readonly TopicChange<EndpointEntry>[], lapsedUntil: number | undefined): void {
     for (const change of changes) {
       if (change.value !== undefined) this._put(change.value)
-      else this._remove(change.key, isAfterOutage)
+      else this._remove(change.key, lapsedUntil)
     }
   }
 
   /**
    * Replaces all entries by what the store, or another router, holds now.
    * @param entries all that are registered
-   * @param isAfterOutage whether entries may have lapsed because the store was away
+   * @param lapsedUntil moment until which vanished entries are still used, since the store was away; undefined if it was not
    */
-  replace (entries: readonly EndpointEntry[], isAfterOutage: boolean): void {
+  replace (entries: readonly EndpointEntry[], lapsedUntil: number | undefined): void {
     const named = new Set(entries.map((entry) => entry.id))
     for (const id of [...this._entries.keys()]) {
-      if (!named.has(id) && !this._lapsed.has(id)) this._remove(id, isAfterOutage)
+      if (!named.has(id) && !this._lapsed.has(id)) this._remove(id, lapsedUntil)
     }
     for (const entry of entries) this._put(entry)
   }
@@ -100,8 +92,8 @@
   expireLapsed (): void {
     if (this._lapsed.size === 0) return
     const now = this._clock.now()
-    for (const [id, lapsed] of this._lapsed) {
-      if (now >= lapsed.until) this._drop(id)
+    for (const [id, until] of this._lapsed) {
+      if (now >= until) this._drop(id)
     }
   }
 
@@ -125,16 +117,16 @@
     for (const listener of this._listeners) listener.endpointChanged(entry, isNewIncarnation ? undefined : held)
   }
 
-  private _remove (id: string, isAfterOutage: boolean): void {
+  private _remove (id: string, lapsedUntil: number | undefined): void {
     const entry = this._entries.get(id)
     if (entry === undefined) return
-    if (!isAfterOutage || entry.isDraining) {
+    if (lapsedUntil === undefined || entry.isDraining) {
       this._drop(id)
       return
     }
     if (this._lapsed.has(id)) return
-    this._lapsed.set(id, { entry, until: this._clock.now() + LAPSED_KEEP_MS })
-    this._log.warn('endpoint-lapsed', { endpoint: id, keep_ms: LAPSED_KEEP_MS })
+    this._lapsed.set(id, lapsedUntil)
+    this._log.warn('endpoint-lapsed', { endpoint: id, keep_ms: Math.round(lapsedUntil - this._clock.now()) })
   }
 
   private _drop (id: string): void {
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -108,6 +108,7 @@
     if (answer === undefined) return
     this._log.info('peer-not-fresh', {
       peer: router.name,
+      reads_store: answer.readsStore,
       configuration_age_ms: Math.round(answer.configurationAgeMs),
       endpoints_age_ms: Math.round(answer.endpointsAgeMs)
     })
@@ -131,6 +132,7 @@
 }
 
 function isFresh (answer: SyncAnswer): boolean {
-  return answer.configurationAgeMs >= 0 && answer.configurationAgeMs < STALE_MS &&
+  // What a router heard from another one says nothing of its own reading: two could wait for each other.
+  return answer.readsStore && answer.configurationAgeMs >= 0 && answer.configurationAgeMs < STALE_MS &&
     answer.endpointsAgeMs >= 0 && answer.endpointsAgeMs < STALE_ENDPOINTS_MS
 }
--- a/packages/gateway/src/membership/store-feed-options.ts
+++ b/packages/gateway/src/membership/store-feed-options.ts
@@ -17,7 +17,6 @@
    * Takes a page.
    * @param page the changes
    * @param verifiedAt moment at which nothing else was in the store
-   * @param isAfterOutage whether the store was away just before
    */
-  readonly take: (page: TopicPage<Value>, verifiedAt: number, isAfterOutage: boolean) => void
+  readonly take: (page: TopicPage<Value>, verifiedAt: number) => void
 }
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -3,8 +3,6 @@
 import { pause } from './pause.js'
 import type { StoreFeedOptions } from './store-feed-options.js'
 
-/** After an outage, entries that lapsed during it come back within this time. */
-const OUTAGE_SHADOW_MS = 2_300
 /** First pause after a refused call. */
 const FIRST_RETRY_MS = 150
 /** Longest pause between calls while the store is away; it bounds how late its return is seen. */
@@ -21,7 +19,6 @@
   private readonly _log: EventLog
   private _offset: number | undefined
   private _failures = 0
-  private _outageEndedAt = -Infinity
   private _wasWanted = false
 
   /**
@@ -40,6 +37,11 @@
     return this._failures > 0
   }
 
+  /** Whether this router reads the topic, and the last call succeeded. */
+  get isSound (): boolean {
+    return this._wasWanted && this._offset !== undefined && this._failures === 0
+  }
+
   /**
    * Follows the topic.
    * @param signal ends it
@@ -64,7 +66,7 @@
       const page = await this._options.reader.read(this._offset, this._options.waitMs, limit)
       this._regained()
       this._offset = page.nextOffset
-      this._options.take(page, sentAt, this._clock.now() - this._outageEndedAt < OUTAGE_SHADOW_MS)
+      this._options.take(page, sentAt)
     } catch (error) {
       if (signal.aborted) return
       this._failures += 1
@@ -78,7 +80,6 @@
     if (this._failures === 0) return
     this._log.info('store-regained', { topic: this._options.topic, failures: this._failures })
     this._failures = 0
-    this._outageEndedAt = this._clock.now()
   }
 
   private _pauseMs (isWanted: boolean): number {
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -8,6 +8,8 @@
 export interface SyncAnswer {
   /** Name of the answering router. */
   readonly name: string
+  /** Whether it reads the store itself, with success; only such a router spares others the reading. */
+  readonly readsStore: boolean
   /** The configuration, if it is newer than the asking router's. */
   readonly configuration: GatewayConfiguration | undefined
   /** Milliseconds since the store held nothing newer; -1 if that was never so. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -78,7 +78,7 @@
       return
     }
     endpointsFreshness.verifiedAt = verifiedAt
-    if (answer.endpoints !== undefined) endpoints.replace(answer.endpoints, false)
+    if (answer.endpoints !== undefined) endpoints.replace(answer.endpoints, undefined)
     for (const other of this._revisions.keys()) if (other !== address) this._revisions.delete(other)
     this._revisions.set(address, answer.endpointsRevision)
   }
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -10,16 +10,19 @@
   private readonly _knowledge: FleetKnowledge
   private readonly _instance: string
   private readonly _now: () => number
+  private readonly _readsStore: () => boolean
 
   /**
    * @param knowledge what is told
    * @param instance identity of this process, so that positions of an earlier one are not taken for its own
    * @param now the router's clock
+   * @param readsStore whether this router reads the store itself, with success
    */
-  constructor (knowledge: FleetKnowledge, instance: string, now: () => number) {
+  constructor (knowledge: FleetKnowledge, instance: string, now: () => number, readsStore: () => boolean) {
     this._knowledge = knowledge
     this._instance = instance
     this._now = now
+    this._readsStore = readsStore
   }
 
   /**
@@ -40,6 +43,7 @@
     const known = configuration.inForce?.configuration
     return {
       name: routers.self.name,
+      readsStore: this._readsStore(),
       configuration: known !== undefined && known.version > request.configurationVersion ? known : undefined,
       configurationAgeMs: this._age(configuration.verifiedAt),
       endpoints: revision === request.endpointsRevision ? undefined : [...endpoints.entries],
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -30,7 +30,7 @@
 function createFleet (): { clock: HandClock, reader: FleetKnowledge, routers: FleetKnowledge[], syncs: SyncClient[] } {
   const clock = new HandClock()
   const reader = createKnowledge('reader', clock)
-  const server = new SyncServer(reader, 'i1', () => clock.now())
+  const server = new SyncServer(reader, 'i1', () => clock.now(), () => true)
   const routers = ['a', 'b'].map((name) => createKnowledge(name, clock))
   const syncs = routers.map((knowledge) => new SyncClient(knowledge, clock, async (_address, request) => {
     return JSON.parse(JSON.stringify(server.answer(JSON.parse(JSON.stringify(request))))) as ReturnType<typeof server.answer>
@@ -60,7 +60,7 @@
   const { clock, reader, routers, syncs } = createFleet()
   reader.configuration.adopt(CONFIGURATION, 'store')
   reader.configuration.verified(clock.now())
-  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], false)
+  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], undefined)
   reader.endpointsFreshness.verifiedAt = clock.now()
   reader.loads.begin('e1')
   clock.ms += 500
@@ -89,10 +89,10 @@
 
 test('an endpoint that the reader no longer has is gone', async () => {
   const { clock, reader, routers, syncs } = createFleet()
-  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], false)
+  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], undefined)
   reader.endpointsFreshness.verifiedAt = clock.now()
   await syncs[0]?.sync('reader')
-  reader.endpoints.apply([{ key: 'e1', value: undefined }], false)
+  reader.endpoints.apply([{ key: 'e1', value: undefined }], undefined)
   reader.endpointsFreshness.verifiedAt = clock.now()
   await syncs[0]?.sync('reader')
   expect(routers[0]?.endpoints.ready('s')).toEqual([])
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -13,6 +13,7 @@
 import { EndpointTable } from '../membership/endpoint-table.js'
 import type { FleetKnowledge } from '../membership/fleet-knowledge.js'
 import { FleetSync } from '../membership/fleet-sync.js'
+import { OutageWatch } from '../membership/outage-watch.js'
 import { PeerRpcClient } from '../membership/peer-rpc-client.js'
 import { createPeerRpcServer } from '../membership/peer-rpc-server.js'
 import { RouterTable } from '../membership/router-table.js'
@@ -56,6 +57,7 @@
   private readonly _budgets = new Map<string, FleetRetryBudget>()
   private readonly _servers: Server[] = []
   private readonly _startup = new StartupGate()
+  private _feeds: readonly { readonly isSound: boolean, readonly isFailing: boolean }[] = []
   private _callerServer: Server | undefined
 
   /**
@@ -85,7 +87,8 @@
   /** Starts to listen and to learn. Resolves when callers can connect. */
   async start (): Promise<void> {
     const { settings, log, clock } = this._options
-    const sync = new SyncServer(this._knowledge, randomUUID(), () => clock.now())
+    this._learn()
+    const sync = new SyncServer(this._knowledge, randomUUID(), () => clock.now(), () => this._readsStore())
     const callerServer = createCallerListener(this._requestParts())
     this._callerServer = callerServer
     await Promise.all([
@@ -94,8 +97,9 @@
       this._listen(createPeerRpcServer(sync), settings.peers),
       settings.metrics === undefined ? undefined : this._listen(this._metricsServer(), settings.metrics)
     ])
-    log.info('started', { vm: settings.name, callers: settings.callers, peers: settings.peers })
-    this._learn()
+    log.info('started', {
+      vm: settings.name, callers: settings.callers, peers: settings.peers, since_process_start_ms: Math.round(performance.now())
+    })
   }
 
   /** Stops as GracefulStop tells, and closes everything. */
@@ -111,6 +115,7 @@
   private _learn (): void {
     const { store, clock, log, settings } = this._options
     const { configuration, endpoints, endpointsFreshness, routers } = this._knowledge
+    const outages = new OutageWatch(clock)
     const configurations = new StoreFeed({
       topic: 'configuration',
       reader: store.configurations,
@@ -129,14 +134,16 @@
       waitMs: ENDPOINTS_WAIT_MS,
       gapMs: ENDPOINTS_GAP_MS,
       isWanted: (): boolean => sync.isReader || endpointsFreshness.verifiedAt === -Infinity,
-      take: (page, verifiedAt, isAfterOutage) => {
+      take: (page, verifiedAt) => {
+        outages.read(endpointsFreshness.verifiedAt)
         const present = page.changes.flatMap((change) => change.value ?? [])
-        if (page.isWhole) endpoints.replace(present, isAfterOutage)
-        else endpoints.apply(page.changes, isAfterOutage)
+        if (page.isWhole) endpoints.replace(present, outages.lapsedUntil)
+        else endpoints.apply(page.changes, outages.lapsedUntil)
         endpointsFreshness.verifiedAt = verifiedAt
         this._openWhenKnown()
       }
     }, clock, log)
+    this._feeds = [configurations, registrations]
     const client = new SyncClient(this._knowledge, clock, async (address, request) => {
       return await this._peerClient.sync(address, request)
     }, () => this._openWhenKnown())
@@ -144,7 +151,7 @@
       routers,
       client,
       seeds: settings.seeds,
-      isStoreFailing: (): boolean => configurations.isFailing || registrations.isFailing
+      isStoreFailing: () => this._feeds.some((feed) => feed.isFailing)
     }, clock, log)
     const { signal } = this._ending
     const tasks = [configurations.run(signal), registrations.run(signal), sync.run(signal), announceRouter(store, routers, log, signal)]
@@ -195,6 +202,10 @@
     return Math.max(2, Math.min(Math.floor(maximum / routers.size), perEndpoint))
   }
 
+  private _readsStore (): boolean {
+    return this._feeds.length > 0 && this._feeds.every((feed) => feed.isSound)
+  }
+
   private _openWhenKnown (): void {
     const { configuration, endpointsFreshness } = this._knowledge
     if (this._startup.isOpen || configuration.inForce === undefined || endpointsFreshness.verifiedAt === -Infinity) return
