--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -33,6 +33,16 @@
   }
 }
 
+/** The logging library looks for optional packages at each start; this router uses none of them. */
+const OPTIONAL_PACKAGES = /require\('(dtrace-provider|mv|safe-json-stringify|source-map-support)'( \+ '')?\)/g
+const withoutOptionalPackages = {
+  name: 'without-optional-packages',
+  transform (code, id) {
+    if (!id.endsWith('/bunyan/lib/bunyan.js')) return undefined
+    return code.replace(OPTIONAL_PACKAGES, '(() => { throw new Error(\'not bundled\') })()')
+  }
+}
+
 /** Reads the sources of sibling packages, so that no build has to come first. */
 const workspaceSources = {
   name: 'workspace-sources',
@@ -45,9 +55,7 @@
 const bundle = await rolldown({
   input: `${root}platform/main.ts`,
   platform: 'node',
-  // Optional parts of the logging library that this router does not use.
-  external: ['dtrace-provider', 'source-map-support', 'mv', 'safe-json-stringify', 'moment'],
-  plugins: [usedParts, workspaceSources],
+  plugins: [usedParts, withoutOptionalPackages, workspaceSources],
   resolve: { extensionAlias: { '.js': ['.ts', '.js'] } }
 })
 await bundle.write({ file: `${root}target/router.mjs`, format: 'esm', minify: true })
