--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -175,8 +175,9 @@
 
   private _noteHealth (endpointId: string, result: CallResult): void {
     const { health } = this._parts
-    if (result.outcome === CallOutcome.COMPLETE) health.succeeded(endpointId)
-    else if (result.outcome !== CallOutcome.ABORTED && result.outcome !== CallOutcome.REJECTED) health.failed(endpointId)
+    if (result.outcome === CallOutcome.COMPLETE) return health.succeeded(endpointId)
+    if (result.outcome === CallOutcome.ABORTED || result.outcome === CallOutcome.REJECTED) return
+    health.failed(endpointId, result.outcome === CallOutcome.NOT_SENT)
   }
 
   private _errorOf (result: CallResult): MimosarockError {
--- a/packages/gateway/src/choice/endpoint-choice.ts
+++ b/packages/gateway/src/choice/endpoint-choice.ts
@@ -99,11 +99,11 @@
     return lowest
   }
 
-  /** A live endpoint that holds the key; one that is draining can still hand its context on. */
+  /** An endpoint that holds the key; one that is draining or has just left can still hand its context on. */
   private _source (holders: readonly string[]): EndpointEntry | undefined {
     for (const id of holders) {
-      const entry = this._options.endpoints.find(id)
-      if (entry !== undefined && !this._options.health.isSuspect(id)) return entry
+      const entry = this._options.endpoints.findSource(id)
+      if (entry !== undefined && !this._options.health.isUnreachable(id)) return entry
     }
     return undefined
   }
--- a/packages/gateway/src/choice/holder-table.ts
+++ b/packages/gateway/src/choice/holder-table.ts
@@ -71,6 +71,15 @@
     return this._notes.slice(from, from + most)
   }
 
+  /**
+   * The keys that were used last, with their holders.
+   * @param most highest number of keys
+   */
+  recent (most: number): readonly HolderNote[] {
+    const entries = [...this._holders].slice(-most)
+    return entries.flatMap(([key, holders]) => [...holders].reverse().map((endpointId) => ({ key, endpointId })))
+  }
+
   private _note (note: HolderNote): void {
     this._notes.push(note)
     if (this._notes.length <= MAXIMUM_NOTES) return
--- a/packages/gateway/src/membership/endpoint-listener.ts
+++ b/packages/gateway/src/membership/endpoint-listener.ts
@@ -9,8 +9,13 @@
    */
   endpointChanged (entry: EndpointEntry, previous: EndpointEntry | undefined): void
   /**
-   * An endpoint is gone.
+   * An endpoint is gone and gets no more work; its contexts can still be copied for a moment.
    * @param entry as it was
    */
   endpointGone (entry: EndpointEntry): void
+  /**
+   * An endpoint that is gone can't be reached any more.
+   * @param entry as it was
+   */
+  endpointForgotten (entry: EndpointEntry): void
 }
--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -4,6 +4,15 @@
 import type { TopicChange } from '../model/topic-change.js'
 import type { EndpointListener } from './endpoint-listener.js'
 
+/** How long an endpoint that left can still be asked for its contexts; afterwards its address may be another one's. */
+const DEPARTED_KEEP_MS = 1_800
+
+/** An endpoint that left. */
+interface DepartedEntry {
+  readonly entry: EndpointEntry
+  readonly until: number
+}
+
 /**
  * The endpoints that may get work. An entry that is removed while the store is sound is gone at once. One that
  * lapsed during an outage of the store stays for the time in which a live endpoint registers again.
@@ -12,6 +21,7 @@
   private readonly _entries = new Map<string, EndpointEntry>()
   /** Moments at which entries that vanished around an outage are dropped. */
   private readonly _lapsed = new Map<string, number>()
+  private readonly _departed = new Map<string, DepartedEntry>()
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private readonly _listeners: EndpointListener[] = []
@@ -53,6 +63,14 @@
     return this._entries.get(id)
   }
 
+  /**
+   * An entry from which contexts can be copied: also one that left a moment ago, as endpoints go on for a while.
+   * @param id identity of the endpoint
+   */
+  findSource (id: string): EndpointEntry | undefined {
+    return this._entries.get(id) ?? this._departed.get(id)?.entry
+  }
+
   /**
    * The endpoints of a service that take new work.
    * @param service name of the service
@@ -88,10 +106,13 @@
     for (const entry of entries) this._put(entry)
   }
 
-  /** Drops lapsed entries whose endpoints did not register again in time. */
+  /** Drops lapsed entries whose endpoints did not register again in time, and forgets those that left. */
   expireLapsed (): void {
-    if (this._lapsed.size === 0) return
+    if (this._lapsed.size === 0 && this._departed.size === 0) return
     const now = this._clock.now()
+    for (const [id, departed] of this._departed) {
+      if (now >= departed.until) this._forget(id, departed.entry)
+    }
     for (const [id, until] of this._lapsed) {
       if (now >= until) this._drop(id)
     }
@@ -99,6 +120,8 @@
 
   private _put (entry: EndpointEntry): void {
     const held = this._entries.get(entry.id)
+    const departed = this._departed.get(entry.id)
+    if (departed !== undefined) this._forget(entry.id, departed.entry)
     this._lapsed.delete(entry.id)
     if (held !== undefined && sameEntry(held, entry)) {
       this._entries.set(entry.id, entry)
@@ -134,11 +157,17 @@
     this._lapsed.delete(id)
     if (entry === undefined) return
     this._entries.delete(id)
+    this._departed.set(id, { entry, until: this._clock.now() + DEPARTED_KEEP_MS })
     this._changed()
     this._log.info('endpoint-gone', { endpoint: id, service: entry.service })
     for (const listener of this._listeners) listener.endpointGone(entry)
   }
 
+  private _forget (id: string, entry: EndpointEntry): void {
+    this._departed.delete(id)
+    for (const listener of this._listeners) listener.endpointForgotten(entry)
+  }
+
   private _changed (): void {
     this._revision += 1
     this._byService = undefined
--- a/packages/gateway/src/model/fleet-store.ts
+++ b/packages/gateway/src/model/fleet-store.ts
@@ -1,3 +1,4 @@
+import type { HolderNote } from '../choice/holder-note.js'
 import type { EndpointEntry } from './endpoint-entry.js'
 import type { GatewayConfiguration } from './gateway-configuration.js'
 import type { RouterEntry } from './router-entry.js'
@@ -17,4 +18,15 @@
    * @param signal ends the call
    */
   announce (entry: RouterEntry, signal: AbortSignal): Promise<void>
+  /**
+   * Keeps who holds which contexts, for routers that start.
+   * @param notes all that is to be kept; replaces what was kept before
+   * @param signal ends the call
+   */
+  saveHolders (notes: readonly HolderNote[], signal: AbortSignal): Promise<void>
+  /**
+   * What was kept last.
+   * @param signal ends the call
+   */
+  loadHolders (signal: AbortSignal): Promise<readonly HolderNote[]>
 }
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -72,7 +72,18 @@
 test('a new incarnation under the same identity is told as a new endpoint', () => {
   const { table } = createTable()
   const seen: (string | undefined)[] = []
-  table.listen({ endpointChanged: (_entry, previous) => seen.push(previous?.id), endpointGone: () => undefined })
+  table.listen({ endpointChanged: (_entry, previous) => seen.push(previous?.id), endpointGone: () => undefined, endpointForgotten: () => undefined })
   table.apply([{ key: '1', value: createEntry('1', { startedAt: 2 }) }], SOUND)
   expect(seen).toEqual([undefined])
 })
+
+test('the contexts of an endpoint that left can be copied until its address may be used again', () => {
+  const { clock, table } = createTable()
+  const forgotten: string[] = []
+  table.listen({ endpointChanged: () => undefined, endpointGone: () => undefined, endpointForgotten: (entry) => forgotten.push(entry.id) })
+  table.apply([{ key: '1', value: undefined }], SOUND)
+  expect([table.find('1'), table.findSource('1')?.id]).toEqual([undefined, '1'])
+  clock.ms += 1_900
+  table.expireLapsed()
+  expect([table.findSource('1'), forgotten]).toEqual([undefined, ['1']])
+})
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -6,6 +6,7 @@
 import { StartupGate } from '../caller/startup-gate.js'
 import { EndpointChoice } from '../choice/endpoint-choice.js'
 import { EndpointHealth } from '../choice/endpoint-health.js'
+import { HolderKeeper } from '../choice/holder-keeper.js'
 import { HolderTable } from '../choice/holder-table.js'
 import { LoadView } from '../choice/load-view.js'
 import { ConfigurationState } from '../configuration/configuration-state.js'
@@ -77,10 +78,8 @@
     }
     this._knowledge.endpoints.listen({
       endpointChanged: (entry, previous) => { if (previous === undefined) this._knowledge.holders.forget(entry.id) },
-      endpointGone: (entry) => {
-        this._knowledge.holders.forget(entry.id)
-        this._connections.close(entry.id)
-      }
+      endpointGone: (entry) => this._connections.close(entry.id),
+      endpointForgotten: (entry) => this._knowledge.holders.forget(entry.id)
     })
   }
 
@@ -154,7 +153,8 @@
       isStoreFailing: () => this._feeds.some((feed) => feed.isFailing)
     }, clock, log)
     const { signal } = this._ending
-    const tasks = [configurations.run(signal), registrations.run(signal), sync.run(signal), announceRouter(store, routers, log, signal)]
+    const keeper = new HolderKeeper({ store, holders: this._knowledge.holders, isSaving: () => sync.isReader }, log)
+    const tasks = [keeper.run(signal), configurations.run(signal), registrations.run(signal), sync.run(signal), announceRouter(store, routers, log, signal)]
     Promise.all(tasks).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
   }
 
