--- a/packages/gateway/src/choice/holder-keeper.ts
+++ b/packages/gateway/src/choice/holder-keeper.ts
@@ -6,7 +6,7 @@
 const SAVE_INTERVAL_MS = 2_000
 /** Longest time for one call. */
 const CALL_TIMEOUT_MS = 1_500
-/** Keys that are kept; with four holders each they fit into one record of the store. */
+/** Keys that are kept; with their holders they fit into one record of the store. */
 const MAXIMUM_KEYS = 4_000
 
 /**
@@ -42,7 +42,7 @@
   private async _load (signal: AbortSignal): Promise<void> {
     try {
       const notes = await this._options.store.loadHolders(limitOf(signal))
-      for (const note of notes) this._options.holders.add(note.key, note.endpointId)
+      for (const note of notes) this._options.holders.learn(note.key, note.endpointId)
       this._savedCursor = this._options.holders.cursor
       this._log.info('holders-loaded', { notes: notes.length })
     } catch (error) {
--- a/packages/gateway/src/choice/holder-table.ts
+++ b/packages/gateway/src/choice/holder-table.ts
@@ -3,7 +3,7 @@
 /** Keys that are remembered; at some 150 bytes each, 30 MB. */
 const MAXIMUM_KEYS = 200_000
 /** Holders remembered for a key; more copies than these save nothing. */
-const MAXIMUM_HOLDERS = 4
+const MAXIMUM_HOLDERS = 8
 
 /** Notes of the newest changes that other routers can ask for. */
 const MAXIMUM_NOTES = 8_192
@@ -35,17 +35,27 @@
   }
 
   /**
-   * Notes that an endpoint holds a key now.
+   * Notes that an endpoint holds a key now, for this router and for those that ask it.
    * @param key identity of the last shared part of the prompt
    * @param endpointId identity of the endpoint
    */
   add (key: string, endpointId: string): void {
+    if (this.learn(key, endpointId)) this._note({ key, endpointId })
+  }
+
+  /**
+   * Takes over what another router, or the store, told. It isn't passed on, so that nothing goes round in circles.
+   * @param key identity of the last shared part of the prompt
+   * @param endpointId identity of the endpoint
+   * @returns whether it was not known
+   */
+  learn (key: string, endpointId: string): boolean {
     const holders = this._holders.get(key)
-    if (holders?.includes(endpointId) === true) return
+    if (holders?.includes(endpointId) === true) return false
     this._holders.delete(key)
     this._holders.set(key, [endpointId, ...(holders ?? [])].slice(0, MAXIMUM_HOLDERS))
-    this._note({ key, endpointId })
     if (this._holders.size > MAXIMUM_KEYS) this._holders.delete(this._holders.keys().next().value as string)
+    return true
   }
 
   /**
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -65,7 +65,7 @@
     for (const [name, load] of Object.entries(answer.loads)) {
       if (name !== routers.self.name) loads.report(name, load)
     }
-    for (const note of answer.notes) holders.add(note.key, note.endpointId)
+    for (const note of answer.notes) holders.learn(note.key, note.endpointId)
     this._cursors.set(address, answer.notesCursor)
   }
 
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -56,6 +56,17 @@
   expect(routers[1]?.holders.holders('later')).toEqual(['e3'])
 })
 
+test('holders of a key that many endpoints hold do not go round in circles', async () => {
+  const { reader, routers, syncs } = createFleet()
+  for (let endpoint = 0; endpoint < 20; endpoint += 1) routers[endpoint % 2]?.holders.add('hot', `e${endpoint}`)
+  for (let round = 0; round < 5; round += 1) {
+    for (const sync of syncs) await sync.sync('reader')
+  }
+  const cursors = [reader, ...routers].map((knowledge) => knowledge.holders.cursor)
+  for (const sync of syncs) await sync.sync('reader')
+  expect([reader, ...routers].map((knowledge) => knowledge.holders.cursor)).toEqual(cursors)
+})
+
 test('configuration, endpoints and loads reach a router, with the age of the knowledge', async () => {
   const { clock, reader, routers, syncs } = createFleet()
   reader.configuration.adopt(CONFIGURATION, 'store')
