--- a/packages/gateway/src/membership/endpoint-listener.ts
+++ b/packages/gateway/src/membership/endpoint-listener.ts
@@ -1,13 +1,12 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 
-/** Learns of endpoints that came, changed or went. */
+/** Learns of endpoints that started again or went. */
 export interface EndpointListener {
   /**
-   * An endpoint came, or its entry changed.
+   * An endpoint started again under its identity, and holds nothing of before.
    * @param entry as it is now
-   * @param previous as it was; undefined for a new one or a new incarnation
    */
-  endpointChanged (entry: EndpointEntry, previous: EndpointEntry | undefined): void
+  endpointRestarted (entry: EndpointEntry): void
   /**
    * An endpoint is gone and gets no more work; its contexts can still be copied for a moment.
    * @param entry as it was
--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -137,7 +137,8 @@
       draining: entry.isDraining,
       restarted: isNewIncarnation
     })
-    for (const listener of this._listeners) listener.endpointChanged(entry, isNewIncarnation ? undefined : held)
+    if (!isNewIncarnation) return
+    for (const listener of this._listeners) listener.endpointRestarted(entry)
   }
 
   private _remove (id: string, lapsedUntil: number | undefined): void {
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -69,18 +69,19 @@
   expect(table.find('1')).toBeUndefined()
 })
 
-test('a new incarnation under the same identity is told as a new endpoint', () => {
+test('only a new incarnation under the same identity is told as a restart', () => {
   const { table } = createTable()
-  const seen: (string | undefined)[] = []
-  table.listen({ endpointChanged: (_entry, previous) => seen.push(previous?.id), endpointGone: () => undefined, endpointForgotten: () => undefined })
+  const restarted: string[] = []
+  table.listen({ endpointRestarted: (entry) => restarted.push(entry.id), endpointGone: () => undefined, endpointForgotten: () => undefined })
+  table.apply([{ key: '3', value: createEntry('3') }, { key: '2', value: createEntry('2', { reportSequence: 9 }) }], SOUND)
   table.apply([{ key: '1', value: createEntry('1', { startedAt: 2 }) }], SOUND)
-  expect(seen).toEqual([undefined])
+  expect(restarted).toEqual(['1'])
 })
 
 test('the contexts of an endpoint that left can be copied until its address may be used again', () => {
   const { clock, table } = createTable()
   const forgotten: string[] = []
-  table.listen({ endpointChanged: () => undefined, endpointGone: () => undefined, endpointForgotten: (entry) => forgotten.push(entry.id) })
+  table.listen({ endpointRestarted: () => undefined, endpointGone: () => undefined, endpointForgotten: (entry) => forgotten.push(entry.id) })
   table.apply([{ key: '1', value: undefined }], SOUND)
   expect([table.find('1'), table.findSource('1')?.id]).toEqual([undefined, '1'])
   clock.ms += 1_900
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -77,7 +77,7 @@
       loads: new LoadView(() => clock.now())
     }
     this._knowledge.endpoints.listen({
-      endpointChanged: (entry, previous) => { if (previous === undefined) this._knowledge.holders.forget(entry.id) },
+      endpointRestarted: (entry) => this._knowledge.holders.forget(entry.id),
       endpointGone: (entry) => this._connections.close(entry.id),
       endpointForgotten: (entry) => this._knowledge.holders.forget(entry.id)
     })
