--- a/packages/gateway/src/choice/endpoint-choice-options.ts
+++ b/packages/gateway/src/choice/endpoint-choice-options.ts
@@ -13,6 +13,8 @@
   readonly holders: HolderTable
   /** Who failed lately. */
   readonly health: EndpointHealth
+  /** Availability zone of this router; endpoints there cost no traffic between zones. */
+  readonly availabilityZone: string
   /** Promised bound of an endpoint's load, as a multiple of the mean. */
   readonly loadBoundFactor: number
 }
--- a/packages/gateway/src/choice/endpoint-choice.ts
+++ b/packages/gateway/src/choice/endpoint-choice.ts
@@ -11,6 +11,8 @@
 const BOUND_SLACK = 2
 /** How many endpoints of a key's order are tried before the least loaded one is taken. */
 const HOME_CANDIDATES = 3
+/** Requests in flight that an endpoint of this zone may have more than one of another zone and still be chosen. */
+const OTHER_ZONE_REQUESTS = 1
 const KEY_DIGITS = 16
 
 /** Member of a key's order. */
@@ -66,8 +68,10 @@
     const { loads } = this._options
     const holders = this._options.holders.holders(key)
     const holding = candidates.filter((endpoint) => holders.includes(endpoint.id))
-    const holder = this._lowest(holding)
-    if (holder !== undefined && loads.total(holder.id) < bound) {
+    const underBound = holding.filter((endpoint) => loads.total(endpoint.id) < bound)
+    const near = underBound.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
+    const holder = this._lowest(near.length > 0 ? near : underBound)
+    if (holder !== undefined) {
       return { endpoint: holder, contextHolder: undefined, reason: ChoiceReason.HOLDER, load: loads.total(holder.id), bound }
     }
     const source = this._source(holders)
@@ -91,7 +95,8 @@
     const start = candidates.length === 0 ? 0 : Math.floor(Math.random() * candidates.length)
     for (let step = 0; step < candidates.length; step += 1) {
       const candidate = candidates[(start + step) % candidates.length] as EndpointEntry
-      const load = this._options.loads.total(candidate.id) / Math.max(1, candidate.slots)
+      const distance = candidate.availabilityZone === this._options.availabilityZone ? 0 : OTHER_ZONE_REQUESTS
+      const load = (this._options.loads.total(candidate.id) + distance) / Math.max(1, candidate.slots)
       if (load >= lowestLoad) continue
       lowest = candidate
       lowestLoad = load
--- a/packages/gateway/src/choice/load-view.ts
+++ b/packages/gateway/src/choice/load-view.ts
@@ -50,7 +50,7 @@
   }
 
   /** What this router has in flight. */
-  own (): LoadByEndpoint {
+  own (): Record<string, number> {
     return Object.fromEntries(this._own)
   }
 
@@ -64,14 +64,18 @@
     this._sum()
   }
 
-  /** Reports of the other routers that still count, by router. */
-  reports (): Record<string, LoadByEndpoint> {
+  /**
+   * Requests in flight at each endpoint from all routers but one.
+   * @param router name of the router that is left out
+   */
+  withoutRouter (router: string): LoadByEndpoint {
     const now = this._now()
-    const reports: Record<string, LoadByEndpoint> = {}
-    for (const [router, foreign] of this._foreign) {
-      if (foreign.until > now) reports[router] = foreign.load
+    const sum: Record<string, number> = this.own()
+    for (const [name, foreign] of this._foreign) {
+      if (name === router || foreign.until <= now) continue
+      for (const [endpoint, count] of Object.entries(foreign.load)) sum[endpoint] = (sum[endpoint] ?? 0) + count
     }
-    return reports
+    return sum
   }
 
   private _sum (): void {
--- a/packages/gateway/src/membership/router-table.ts
+++ b/packages/gateway/src/membership/router-table.ts
@@ -68,7 +68,7 @@
   contacts (): RouterContact[] {
     this._forget()
     const now = this._clock.now()
-    const others = [...this._known.values()].map(({ entry, heardAt }) => ({ ...entry, heardAgoMs: now - heardAt }))
+    const others = [...this._known.values()].map(({ entry, heardAt }) => ({ ...entry, heardAgoMs: Math.ceil(now - heardAt) }))
     return [{ ...this._self, heardAgoMs: 0 }, ...others]
   }
 
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -20,12 +20,12 @@
   readonly endpointsRevision: string
   /** Milliseconds since the endpoints were read from the store; -1 if they never were. */
   readonly endpointsAgeMs: number
-  /** What the other routers have in flight, by their names. */
-  readonly loads: Readonly<Record<string, LoadByEndpoint>>
+  /** What all routers but the asking one have in flight. */
+  readonly load: LoadByEndpoint
   /** Contexts that came to be held. */
   readonly notes: readonly HolderNote[]
   /** Where the asking router stands in the notes now. */
   readonly notesCursor: string
-  /** The routers that it knows. */
-  readonly routers: readonly RouterContact[]
+  /** The routers that it knows; undefined if the asking one told none, since both tell them now and then only. */
+  readonly routers: readonly RouterContact[] | undefined
 }
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -5,6 +5,10 @@
 
 /** Most notes in one request; the rest follows with the next one. */
 const MAXIMUM_NOTES = 1_000
+/** One request in so many tells the routers. */
+const ROUTERS_EVERY = 8
+/** Stands for all other routers in the loads; each answer replaces what the last one told of them. */
+const FLEET = 'fleet'
 
 /** Asks other routers for news and takes their answers in. */
 export class SyncClient {
@@ -15,6 +19,7 @@
   private readonly _revisions = new Map<string, string>()
   private readonly _cursors = new Map<string, string>()
   private readonly _told = new Map<string, number>()
+  private readonly _asked = new Map<string, number>()
 
   /**
    * @param knowledge takes the news
@@ -41,7 +46,7 @@
     const sentAt = this._clock.now()
     const answer = await this._call(address, {
       router: routers.self,
-      routers: routers.contacts(),
+      routers: this._tellsRouters(address) ? routers.contacts() : undefined,
       configurationVersion: configuration.version,
       endpointsRevision: this._revisions.get(address),
       load: loads.own(),
@@ -54,17 +59,22 @@
     return answer
   }
 
+  /** The first request to a router, and then one in some, tells the routers; else they would be most of the traffic. */
+  private _tellsRouters (address: string): boolean {
+    const asked = this._asked.get(address) ?? 0
+    this._asked.set(address, asked + 1)
+    return asked % ROUTERS_EVERY === 0
+  }
+
   private _takeIn (address: string, answer: SyncAnswer, sentAt: number): void {
     const { configuration, routers, holders, loads } = this._knowledge
     const passed = this._clock.now() - sentAt
-    for (const router of answer.routers) routers.heard(router, router.heardAgoMs + passed)
+    for (const router of answer.routers ?? []) routers.heard(router, router.heardAgoMs + passed)
     if (answer.configuration !== undefined) configuration.adopt(answer.configuration, answer.name)
     // The answer was made after the request was sent, so an age in it counts from that moment at the latest.
     if (answer.configurationAgeMs >= 0) configuration.verified(sentAt - answer.configurationAgeMs)
     this._takeEndpoints(address, answer, sentAt)
-    for (const [name, load] of Object.entries(answer.loads)) {
-      if (name !== routers.self.name) loads.report(name, load)
-    }
+    loads.report(FLEET, answer.load)
     for (const note of answer.notes) holders.learn(note.key, note.endpointId)
     this._cursors.set(address, answer.notesCursor)
   }
@@ -73,8 +83,8 @@
     const { endpoints, endpointsFreshness } = this._knowledge
     const verifiedAt = sentAt - answer.endpointsAgeMs
     if (answer.endpointsAgeMs < 0 || verifiedAt < endpointsFreshness.verifiedAt) {
-      // Ours is newer: the whole list is asked for again next time.
-      this._revisions.delete(address)
+      // Ours is newer: a list that came is not taken, and asked for again next time.
+      if (answer.endpoints !== undefined) this._revisions.delete(address)
       return
     }
     endpointsFreshness.verifiedAt = verifiedAt
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -7,8 +7,8 @@
 export interface SyncRequest {
   /** Who asks. */
   readonly router: RouterEntry
-  /** The routers that it knows. */
-  readonly routers: readonly RouterContact[]
+  /** The routers that it knows; undefined in most requests, since they change rarely. */
+  readonly routers: readonly RouterContact[] | undefined
   /** Configuration version that it has. */
   readonly configurationVersion: number
   /** Revision of the answering router's endpoints that it has; undefined for none. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -33,7 +33,7 @@
     const { configuration, endpoints, routers, holders, loads } = this._knowledge
     endpoints.expireLapsed()
     routers.heard(request.router, 0)
-    for (const router of request.routers) routers.heard(router, router.heardAgoMs)
+    for (const router of request.routers ?? []) routers.heard(router, router.heardAgoMs)
     loads.report(request.router.name, request.load)
     const cursor = this._positionIn(request.notesCursor)
     const notes = holders.notesSince(cursor, MAXIMUM_NOTES)
@@ -49,15 +49,15 @@
       endpoints: revision === request.endpointsRevision ? undefined : [...endpoints.entries],
       endpointsRevision: revision,
       endpointsAgeMs: this._age(this._knowledge.endpointsFreshness.verifiedAt),
-      loads: { ...loads.reports(), [routers.self.name]: loads.own() },
+      load: loads.withoutRouter(request.router.name),
       notes,
       notesCursor: `${this._instance}:${nextCursor}`,
-      routers: routers.contacts()
+      routers: request.routers === undefined ? undefined : routers.contacts()
     }
   }
 
   private _age (verifiedAt: number): number {
-    return verifiedAt === -Infinity ? -1 : this._now() - verifiedAt
+    return verifiedAt === -Infinity ? -1 : Math.ceil(this._now() - verifiedAt)
   }
 
   private _positionIn (cursor: string | undefined): number {
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -171,7 +171,12 @@
       startup: this._startup,
       health: this._health,
       choice: new EndpointChoice({
-        endpoints, loads, holders, health: this._health, loadBoundFactor: settings.loadBoundFactor
+        endpoints,
+        loads,
+        holders,
+        health: this._health,
+        availabilityZone: settings.availabilityZone,
+        loadBoundFactor: settings.loadBoundFactor
       }),
       connections: this._connections,
       metrics: this._metrics,
