--- a/packages/gateway/src/choice/endpoint-choice.ts
+++ b/packages/gateway/src/choice/endpoint-choice.ts
@@ -6,7 +6,7 @@
 import type { EndpointChoiceOptions } from './endpoint-choice-options.js'
 
 /** Share of the promised bound at which an endpoint is passed over; the rest covers reports that are late. */
-const BOUND_SHARE = 0.85
+const BOUND_SHARE = 0.8
 /** Requests that an endpoint may hold beside the multiple of the mean. */
 const BOUND_SLACK = 2
 /** How many endpoints of a key's order are tried before the least loaded one is taken. */
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -76,7 +76,7 @@
       }
       if (this._isPassedOver(router.address)) continue
       const answer = await this._ask(router.address)
-      if (answer !== undefined && isFresh(answer)) return this._follow(router)
+      if (answer !== undefined && isFresh(answer)) return this._follow(router, answer)
       this._passOver(router, answer)
     }
   }
@@ -114,7 +114,8 @@
     })
   }
 
-  private _follow (router: RouterEntry): void {
+  private _follow (router: RouterEntry, answer: SyncAnswer): void {
+    this._client.takeLoad(answer)
     const order = this._routers.inReaderOrder()
     const isBetter = order.indexOf(router) < order.indexOf(this._routers.self)
     if (this._source === router.name && this._isReader !== isBetter) return
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -59,6 +59,15 @@
     return answer
   }
 
+  /**
+   * Takes the loads of all other routers. Only from the router that this one follows: others know a part of them, or
+   * what they heard from this one.
+   * @param answer of the router that is followed
+   */
+  takeLoad (answer: SyncAnswer): void {
+    this._knowledge.loads.report(FLEET, answer.load)
+  }
+
   /** The first request to a router, and then one in some, tells the routers; else they would be most of the traffic. */
   private _tellsRouters (address: string): boolean {
     const asked = this._asked.get(address) ?? 0
@@ -67,14 +76,13 @@
   }
 
   private _takeIn (address: string, answer: SyncAnswer, sentAt: number): void {
-    const { configuration, routers, holders, loads } = this._knowledge
+    const { configuration, routers, holders } = this._knowledge
     const passed = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.heard(router, router.heardAgoMs + passed)
     if (answer.configuration !== undefined) configuration.adopt(answer.configuration, answer.name)
     // The answer was made after the request was sent, so an age in it counts from that moment at the latest.
     if (answer.configurationAgeMs >= 0) configuration.verified(sentAt - answer.configurationAgeMs)
     this._takeEndpoints(address, answer, sentAt)
-    loads.report(FLEET, answer.load)
     for (const note of answer.notes) holders.learn(note.key, note.endpointId)
     this._cursors.set(address, answer.notesCursor)
   }
--- /dev/null
+++ b/packages/gateway/src/test/early-listener_test.ts
@@ -0,0 +1,29 @@
+import { once } from 'node:events'
+import { createServer, get } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { expect, test } from 'vitest'
+import { EarlyListener } from '@mimosarock/gateway/caller/early-listener.js'
+
+/** Status of the answer to a GET. */
+function statusOf (port: number): Promise<number | undefined> {
+  return new Promise((resolve, reject) => {
+    get({ host: '127.0.0.1', port, agent: false }, (response) => {
+      response.resume()
+      response.on('end', () => resolve(response.statusCode))
+    }).on('error', reject)
+  })
+}
+
+test('a connection that came before the hand-over is answered after it, and so are later ones', async () => {
+  const listener = new EarlyListener()
+  listener.listen('127.0.0.1:0')
+  await once(listener.server, 'listening')
+  const { port } = listener.server.address() as AddressInfo
+  const early = statusOf(port)
+  await once(listener.server, 'connection')
+  const server = createServer((_request, response) => response.writeHead(204).end())
+  await listener.handOver(server)
+  expect(await early).toBe(204)
+  expect(await statusOf(port)).toBe(204)
+  server.close()
+})
--- a/packages/gateway/src/wiring/gateway-options.ts
+++ b/packages/gateway/src/wiring/gateway-options.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { EarlyListener } from '../caller/early-listener.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { FleetStore } from '../model/fleet-store.js'
 import type { WireCodec } from '../model/wire-codec.js'
@@ -16,4 +17,6 @@
   readonly clock: ElapsedClock
   /** Takes the log lines. */
   readonly log: EventLog
+  /** Holds the callers' address already; undefined if the router is to listen there itself. */
+  readonly earlyListener?: EarlyListener
 }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -91,7 +91,7 @@
     const callerServer = createCallerListener(this._requestParts())
     this._callerServer = callerServer
     await Promise.all([
-      this._listen(callerServer, settings.callers),
+      this._listenForCallers(callerServer),
       this._listen(this._readinessServer(), settings.readiness),
       this._listen(createPeerRpcServer(sync), settings.peers),
       settings.metrics === undefined ? undefined : this._listen(this._metricsServer(), settings.metrics)
@@ -243,6 +243,13 @@
     })
   }
 
+  private async _listenForCallers (server: Server): Promise<void> {
+    const { earlyListener, settings } = this._options
+    if (earlyListener === undefined) return await this._listen(server, settings.callers)
+    this._servers.push(server)
+    await earlyListener.handOver(server)
+  }
+
   private async _listen (server: Server, address: string): Promise<void> {
     this._servers.push(server)
     await listenAt(server, address)
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -53,10 +53,12 @@
 }
 
 const bundle = await rolldown({
-  input: `${root}platform/main.ts`,
+  input: { router: `${root}platform/main.ts` },
   platform: 'node',
   plugins: [usedParts, withoutOptionalPackages, workspaceSources],
   resolve: { extensionAlias: { '.js': ['.ts', '.js'] } }
 })
-await bundle.write({ file: `${root}target/router.mjs`, format: 'esm', minify: true })
+await bundle.write({
+  dir: `${root}target`, entryFileNames: '[name].mjs', chunkFileNames: '[name].mjs', format: 'esm', minify: true
+})
 await bundle.close()
