--- /dev/null
+++ b/packages/gateway/src/test/event-splitter_test.ts
@@ -0,0 +1,26 @@
+import * as fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { EventSplitter } from '@mimosarock/gateway/answers/event-splitter.js'
+
+const STREAM = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n'
+
+test('however the bytes are cut, whole events come out in order', () => {
+  fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: STREAM.length - 1 }), { maxLength: 8 }), (cuts) => {
+    const splitter = new EventSplitter()
+    const points = [0, ...[...cuts].sort((left, right) => left - right), STREAM.length]
+    let out = ''
+    for (let index = 1; index < points.length; index += 1) {
+      const events = splitter.push(Buffer.from(STREAM.slice(points[index - 1], points[index]))).toString()
+      expect(events === '' || /\n\r?\n$/.test(events)).toBe(true)
+      out += events
+    }
+    expect([out, splitter.lastEventId, splitter.rest.length]).toEqual([STREAM, '3', 0])
+  }), { seed: 3, numRuns: 300 })
+})
+
+test('the beginning of an event that broke off is dropped', () => {
+  const splitter = new EventSplitter()
+  splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))
+  splitter.dropRest()
+  expect(splitter.push(Buffer.from('id: 2\ndata: b\n\n')).toString()).toBe('id: 2\ndata: b\n\n')
+})
--- /dev/null
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -0,0 +1,105 @@
+import { request as httpRequest } from 'node:http'
+import { createServer, type AddressInfo } from 'node:net'
+import { Gateway } from '@mimosarock/gateway/wiring/gateway.js'
+import type { CallerAnswer } from './caller-answer.js'
+import { createConfiguration } from './create-configuration.js'
+import { MemoryStore } from './memory-store.js'
+import { plainCodec } from './plain-codec.js'
+import { TestEndpoint } from './test-endpoint.js'
+
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return port
+}
+
+/** A router with endpoints whose answers a test decides. */
+export class GatewayFixture {
+  readonly store = new MemoryStore()
+  readonly endpoints: TestEndpoint[]
+  readonly lines: { readonly event: string, readonly fields: Readonly<Record<string, unknown>> }[] = []
+  readonly clock = { skewMs: 0, now (): number { return performance.now() + 1_000_000 + this.skewMs } }
+  private _gateway: Gateway | undefined
+  private _port = 0
+  private _readinessPort = 0
+
+  constructor (endpoints: number) {
+    this.endpoints = Array.from({ length: endpoints }, (_, index) => new TestEndpoint(`e${index}`))
+  }
+
+  async start (): Promise<void> {
+    for (const endpoint of this.endpoints) this.store.endpoints.put(endpoint.id, await endpoint.start())
+    this.store.configurations.put('config', createConfiguration(3))
+    const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()]
+    this._port = callers
+    this._readinessPort = readiness
+    const record = (event: string, fields: Readonly<Record<string, unknown>> = {}): void => { this.lines.push({ event, fields }) }
+    this._gateway = new Gateway({
+      settings: {
+        name: 'vm',
+        availabilityZone: 'z',
+        callers: `127.0.0.1:${callers}`,
+        readiness: `127.0.0.1:${readiness}`,
+        peers: `127.0.0.1:${peers}`,
+        metrics: undefined,
+        seeds: [],
+        store: '',
+        fileDescriptors: 4_000,
+        stopGraceMs: 1_000,
+        keyAgeLimitMs: 5_000,
+        retryRatio: 0.2,
+        retryAllowance: 50,
+        retryWindowMs: 10_000,
+        loadBoundFactor: 2
+      },
+      store: this.store,
+      codec: plainCodec,
+      clock: this.clock,
+      log: { info: record, warn: record }
+    })
+    await this._gateway.start()
+  }
+
+  /** Stops the router. */
+  async stop (): Promise<void> {
+    const gateway = this._gateway
+    this._gateway = undefined
+    await gateway?.stop()
+    for (const endpoint of this.endpoints) endpoint.close()
+  }
+
+  /** Status that the load balancer gets. */
+  async readiness (): Promise<number> {
+    return (await this._call(this._readinessPort, 'GET', '/ready', {}, '')).status
+  }
+
+  /** Sends a request as a caller. */
+  async call (method: string, path: string, headers: Record<string, string> = {}, body = ''): Promise<CallerAnswer> {
+    return await this._call(this._port, method, path, { host: 'h', 'request-id': 'r1', ...headers }, body)
+  }
+
+  /** Sends a request and leaves after a while. */
+  leaveAfter (ms: number, path: string): void {
+    const request = httpRequest({ port: this._port, host: '127.0.0.1', path, headers: { host: 'h', 'request-id': 'r1' }, agent: false })
+    request.on('error', () => undefined)
+    request.end()
+    setTimeout(() => request.destroy(), ms)
+  }
+
+  private _call (port: number, method: string, path: string, headers: Record<string, string>, body: string): Promise<CallerAnswer> {
+    return new Promise((resolve, reject) => {
+      const request = httpRequest({ port, host: '127.0.0.1', method, path, headers, agent: false }, (response) => {
+        let text = ''
+        response.on('data', (chunk: Buffer) => { text += chunk.toString() })
+        response.on('error', () => undefined)
+        response.on('close', () => resolve({
+          status: response.statusCode ?? 0, headers: response.headers, body: text, isWhole: response.complete
+        }))
+      })
+      request.on('error', reject)
+      request.end(body)
+    })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/test/test-endpoint.ts
@@ -0,0 +1,58 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
+import type { EndpointBehaviour } from './endpoint-behaviour.js'
+
+/** An endpoint whose answers a test decides. */
+export class TestEndpoint {
+  readonly id: string
+  readonly requests: { readonly headers: IncomingMessage['headers'], readonly url: string | undefined, readonly body: string }[] = []
+  behaviour: EndpointBehaviour = (request, response) => TestEndpoint.answer(request, response, `from ${this.id}`)
+  closedEarly = 0
+  private readonly _server: Server
+
+  constructor (id: string) {
+    this.id = id
+    this._server = createServer((request, response) => {
+      const chunks: Buffer[] = []
+      request.on('data', (chunk: Buffer) => chunks.push(chunk))
+      request.on('end', () => {
+        const body = Buffer.concat(chunks).toString()
+        this.requests.push({ headers: request.headers, url: request.url, body })
+        this.behaviour(request, response, body)
+      })
+      response.on('close', () => { if (!response.writableFinished) this.closedEarly += 1 })
+    })
+  }
+
+  /** Answers with a body, as endpoints do: signed, and with the request's identity. */
+  static answer (request: IncomingMessage, response: ServerResponse, body: string, status = 200): void {
+    response.writeHead(status, { 'request-id': request.headers['request-id'], signature: 'signed' }).end(body)
+  }
+
+  /** States that the request did not run. */
+  static reject (_request: IncomingMessage, response: ServerResponse): void {
+    response.writeHead(503, { 'not-run': '1' }).end()
+  }
+
+  async start (changes: Partial<EndpointEntry> = {}): Promise<EndpointEntry> {
+    await new Promise<void>((resolve) => this._server.listen(0, '127.0.0.1', resolve))
+    const { port } = this._server.address() as AddressInfo
+    return {
+      id: this.id,
+      service: 'app',
+      address: `127.0.0.1:${port}`,
+      availabilityZone: 'z',
+      slots: 4,
+      isDraining: false,
+      startedAt: 1,
+      reportSequence: 1,
+      ...changes
+    }
+  }
+
+  close (): void {
+    this._server.closeAllConnections()
+    this._server.close()
+  }
+}
