--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -32,6 +32,7 @@
   private readonly _request: IncomingMessage
   private readonly _response: ServerResponse
   private readonly _startedAt: number
+  private _requestId: string | undefined
   private _isCallerGone = false
   private _mayRepeat = true
   private _call: EndpointCall | undefined
@@ -75,13 +76,14 @@
   private _admit (): AdmittedRequest {
     const { codec, configuration, state, keyAgeLimitMs } = this._parts
     const { rawHeaders, headers, url } = this._request
+    const caller = codec.readCallerRequest(rawHeaders)
+    if (caller === undefined) throw new MimosarockError(ResultCode.INVALID_REQUEST, 'the request has no identity')
+    this._requestId = caller.id
     if (state.refusesRequests) throw notRun(ResultCode.ROUTER_STOPPING, 'the router is stopping', 0)
     const limits = configuration.inForce?.configuration.limits
     if (limits !== undefined && headBytes(rawHeaders) > limits.headerBytes) {
       throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the head is longer than ${limits.headerBytes} bytes`)
     }
-    const caller = codec.readCallerRequest(rawHeaders)
-    if (caller === undefined) throw new MimosarockError(ResultCode.INVALID_REQUEST, 'the request has no identity')
     return admitRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs)
   }
 
@@ -246,7 +248,7 @@
     metrics.requests.inc({ route, status, code })
     metrics.answerSeconds.observe({ route }, elapsedMs / MS_PER_SECOND)
     log.info('request', {
-      request: admitted?.caller.id,
+      request: this._requestId,
       route,
       service: admitted?.service,
       workspace: admitted?.workspace,
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -177,3 +177,9 @@
   const line = fixture.lines.find((candidate) => candidate.event === 'request')
   expect(line?.fields).toMatchObject({ request: 'r1', route: 'pay', service: 'app', configuration: 3, choice: 'least-loaded', tries: 1, status: 200, code: 0 })
 })
+
+test('a refused request leaves its identity and the reason', async () => {
+  await fixture.call('GET', '/keyed/', { key: 'wrong', 'request-id': 'r9' })
+  const line = fixture.lines.find((candidate) => candidate.event === 'request')
+  expect(line?.fields).toMatchObject({ request: 'r9', status: 401, tries: 0, problem: 'the key is not known' })
+})
--- a/packages/placement/src/hash.ts
+++ b/packages/placement/src/hash.ts
@@ -1,4 +1,6 @@
-import xxhash from 'xxhash-wasm'
+import { LoadableHash } from './loadable-hash.js'
 
 /** The 64 bit xxHash functions, loaded once for the process. */
-export const hash = await xxhash()
+export const hash = new LoadableHash()
+
+await hash.load()
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -43,6 +43,26 @@
   }
 }
 
+/** Endpoints speak HTTP/1.1; the client's other half would load the runtime's HTTP/2 at each start. */
+const withoutHttp2 = {
+  name: 'without-http2',
+  load (id) {
+    if (!id.endsWith('/undici/lib/dispatcher/client-h2.js')) return undefined
+    return 'module.exports = () => { throw new Error(\'HTTP/2 is not bundled\') }'
+  }
+}
+
+/**
+ * The runtime starts CommonJS modules sooner, and those can't wait at the top level. The router waits for the hash
+ * functions itself.
+ */
+const withoutTopLevelWait = {
+  name: 'without-top-level-wait',
+  transform (code, id) {
+    return id.endsWith('/placement/src/hash.ts') ? code.replace('await hash.load()', '') : undefined
+  }
+}
+
 /** Reads the sources of sibling packages, so that no build has to come first. */
 const workspaceSources = {
   name: 'workspace-sources',
@@ -55,10 +75,10 @@
 const bundle = await rolldown({
   input: { router: `${root}platform/main.ts` },
   platform: 'node',
-  plugins: [usedParts, withoutOptionalPackages, workspaceSources],
+  plugins: [usedParts, withoutOptionalPackages, withoutHttp2, withoutTopLevelWait, workspaceSources],
   resolve: { extensionAlias: { '.js': ['.ts', '.js'] } }
 })
 await bundle.write({
-  dir: `${root}target`, entryFileNames: '[name].mjs', chunkFileNames: '[name].mjs', format: 'esm', minify: true
+  dir: `${root}target`, entryFileNames: '[name].cjs', chunkFileNames: '[name].cjs', format: 'cjs', minify: true
 })
 await bundle.close()
