--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,10 +28,10 @@
 }
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'packages/schema/src/gen/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**', 'packages/schema/src/gen/**'] },
   ...neostandard({ ts: true }),
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/**/*.ts'],
     plugins: { jsdoc, local: { rules: { 'one-export': oneExport } } },
     rules: {
       'local/one-export': 'error',
@@ -56,7 +56,7 @@
     }
   },
   {
-    files: ['packages/*/src/test/**/*.ts'],
+    files: ['packages/*/src/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: { 'jsdoc/require-jsdoc': 'off', 'jsdoc/require-param': 'off', 'jsdoc/require-param-description': 'off' }
   }
 ]
--- a/packages/bench/src/fleet/fleet-options.ts
+++ b/packages/bench/src/fleet/fleet-options.ts
@@ -1,5 +1,5 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
-import type { RouterProcessOptions } from '@mimosarock/router/router-process-options.js'
+import type { RouterProcessOptions } from '@mimosarock/router/wiring/router-process-options.js'
 import type { ModelEngineOptions } from '@mimosarock/stand-ins/model-engine-options.js'
 import type { MessageInitShape } from '@bufbuild/protobuf'
 import type { PoolSchema, RouteSchema, WorkspaceSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
--- a/packages/bench/src/fleet/fleet-router.ts
+++ b/packages/bench/src/fleet/fleet-router.ts
@@ -1,5 +1,5 @@
-import type { RouterAddresses } from '@mimosarock/router/router-addresses.js'
-import type { RouterProcess } from '@mimosarock/router/router-process.js'
+import type { RouterAddresses } from '@mimosarock/router/wiring/router-addresses.js'
+import type { RouterProcess } from '@mimosarock/router/wiring/router-process.js'
 
 /** A started router of a fleet. */
 export interface FleetRouter {
--- a/packages/router/src/commands/router-context.ts
+++ b/packages/router/src/commands/router-context.ts
@@ -2,7 +2,7 @@
 import type { BaseContext } from 'clipanion'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { RouterSettings } from '../settings/router-settings.js'
-import type { StoppableRouter } from '../stoppable-router.js'
+import type { StoppableRouter } from '../wiring/stoppable-router.js'
 
 /** What the router's command line is run with. */
 export interface RouterContext extends BaseContext {
--- a/packages/router/src/commands/run-command.ts
+++ b/packages/router/src/commands/run-command.ts
@@ -1,7 +1,7 @@
 import { Command } from 'clipanion'
 import { BunyanEventLog } from '../logging/bunyan-event-log.js'
 import type { RouterSettings } from '../settings/router-settings.js'
-import { StopSignals } from '../stop-signals.js'
+import { StopSignals } from '../wiring/stop-signals.js'
 import { SettingsCommand } from './settings-command.js'
 
 /** Runs a router until a signal ends it. */
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { Cli } from 'clipanion'
-import { createRouter } from './create-router.js'
+import { createRouter } from './wiring/create-router.js'
 import { runRouterCli } from './run-router-cli.js'
 
 // A failed start may leave servers open, which would keep the process alive.
--- a/packages/router/src/test/admission-fleet.ts
+++ b/packages/router/src/test/admission-fleet.ts
@@ -13,9 +13,9 @@
 import { ConfiguredOwners } from '../owner/configured-owners.js'
 import type { EndpointWatching } from '../owner/endpoint-watching.js'
 import type { EndpointClients } from '../owner/endpoint-clients.js'
-import type { PlacementParts } from '../placement-parts.js'
+import type { PlacementParts } from '../wiring/placement-parts.js'
 import { RouterSettings } from '../settings/router-settings.js'
-import { wirePlacement } from '../wire-placement.js'
+import { wirePlacement } from '../wiring/wire-placement.js'
 import { SteppedClock } from './stepped-clock.js'
 
 interface FleetMember {
--- a/packages/router/src/test/event-log_test.ts
+++ b/packages/router/src/test/event-log_test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { BunyanEventLog } from '../logging/bunyan-event-log.js'
-import { StopSignals } from '../stop-signals.js'
+import { StopSignals } from '../wiring/stop-signals.js'
 
 test('an event is one line of key=value pairs, without secrets', () => {
   const lines: string[] = []
--- a/packages/router/src/test/router-fixture.ts
+++ b/packages/router/src/test/router-fixture.ts
@@ -8,8 +8,8 @@
 import { PlainServiceStandIn } from '@mimosarock/stand-ins/plain-service-stand-in.js'
 import { VmListStandIn } from '@mimosarock/stand-ins/vm-list-stand-in.js'
 import { RouterSettings } from '../settings/router-settings.js'
-import type { RouterAddresses } from '../router-addresses.js'
-import { RouterProcess } from '../router-process.js'
+import type { RouterAddresses } from '../wiring/router-addresses.js'
+import { RouterProcess } from '../wiring/router-process.js'
 
 const LOOPBACK = '127.0.0.1:0'
 const MODEL = 'assistant'
--- a/packages/router/src/create-router.ts
+++ b/packages/router/src/wiring/create-router.ts
@@ -4,7 +4,7 @@
 import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { SystemClock } from '@mimosarock/coordination/system-clock.js'
 import { RouterProcess } from './router-process.js'
-import type { RouterSettings } from './settings/router-settings.js'
+import type { RouterSettings } from '../settings/router-settings.js'
 import type { StoppableRouter } from './stoppable-router.js'
 
 /**
--- a/packages/router/src/router-process-options.ts
+++ b/packages/router/src/wiring/router-process-options.ts
@@ -4,7 +4,7 @@
 import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import type { PeerMessenger } from '@mimosarock/coordination/peer-messenger.js'
 import type { VmList } from '@mimosarock/coordination/vm-list.js'
-import type { RouterSettings } from './settings/router-settings.js'
+import type { RouterSettings } from '../settings/router-settings.js'
 
 /** What a router process is made of. */
 export interface RouterProcessOptions {
--- a/packages/router/src/wire-callers-options.ts
+++ b/packages/router/src/wiring/wire-callers-options.ts
@@ -1,11 +1,11 @@
-import type { KeyedCall } from './operations/keyed-call.js'
+import type { KeyedCall } from '../operations/keyed-call.js'
 import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
-import type { PoolOrder } from './entry/pool-order.js'
-import type { EndpointDispatch } from './forward/endpoint-dispatch.js'
+import type { PoolOrder } from '../entry/pool-order.js'
+import type { EndpointDispatch } from '../forward/endpoint-dispatch.js'
 import type { PlacementParts } from './placement-parts.js'
 import type { RouterProcessOptions } from './router-process-options.js'
-import type { Readiness } from './status/readiness.js'
-import type { RouterMetrics } from './status/router-metrics.js'
+import type { Readiness } from '../status/readiness.js'
+import type { RouterMetrics } from '../status/router-metrics.js'
 
 /** What the callers' side is wired to. */
 export interface WireCallersOptions {
--- a/packages/router/src/wire-callers.ts
+++ b/packages/router/src/wiring/wire-callers.ts
@@ -1,11 +1,11 @@
 import { RetryBudget } from '@mimosarock/placement/retry-budget.js'
-import { CallerServer } from './caller/caller-server.js'
-import { ChatHandler } from './caller/chat-handler.js'
-import { ModelsHandler } from './caller/models-handler.js'
-import { ServiceHandler } from './caller/service-handler.js'
-import { EntryPlacement } from './entry/entry-placement.js'
-import { RetryPolicy } from './retries/retry-policy.js'
-import { StatusHandler } from './status/status-handler.js'
+import { CallerServer } from '../caller/caller-server.js'
+import { ChatHandler } from '../caller/chat-handler.js'
+import { ModelsHandler } from '../caller/models-handler.js'
+import { ServiceHandler } from '../caller/service-handler.js'
+import { EntryPlacement } from '../entry/entry-placement.js'
+import { RetryPolicy } from '../retries/retry-policy.js'
+import { StatusHandler } from '../status/status-handler.js'
 import type { WireCallersOptions } from './wire-callers-options.js'
 
 const RETRY_SHARE = 0.1
--- a/packages/router/src/wire-configuration-options.ts
+++ b/packages/router/src/wiring/wire-configuration-options.ts
@@ -3,9 +3,9 @@
 import type { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
 import type { PeerMessenger } from '@mimosarock/coordination/peer-messenger.js'
 import type { EndpointStatus } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
-import type { OperationAdministration } from './operators/operation-administration.js'
+import type { OperationAdministration } from '../operators/operation-administration.js'
 import type { RouterStreams } from './router-streams.js'
-import type { RouterSettings } from './settings/router-settings.js'
+import type { RouterSettings } from '../settings/router-settings.js'
 
 /** What the parts around the configuration are wired from. */
 export interface WireConfigurationOptions {
--- a/packages/router/src/wire-configuration.ts
+++ b/packages/router/src/wiring/wire-configuration.ts
@@ -1,8 +1,8 @@
 import { CheckpointWriter } from '@mimosarock/coordination/checkpoints/checkpoint-writer.js'
 import { StreamSpreader } from '@mimosarock/coordination/spreading/stream-spreader.js'
 import type { ConfigurationParts } from './configuration-parts.js'
-import { MembershipFleetStatus } from './operators/membership-fleet-status.js'
-import { OperatorSide } from './operators/operator-side.js'
+import { MembershipFleetStatus } from '../operators/membership-fleet-status.js'
+import { OperatorSide } from '../operators/operator-side.js'
 import type { WireConfigurationOptions } from './wire-configuration-options.js'
 
 /** Bytes a second that a router gives to peers that are behind; a part of the budget of control traffic. */
--- a/packages/router/src/wire-ledger.ts
+++ b/packages/router/src/wiring/wire-ledger.ts
@@ -2,9 +2,9 @@
 import { LedgerPartitions } from '@mimosarock/coordination/ledger/ledger-partitions.js'
 import { LedgerWriters } from '@mimosarock/coordination/ledger/ledger-writers.js'
 import type { LedgerParts } from './ledger-parts.js'
-import { KeyedCall } from './operations/keyed-call.js'
-import { LedgerAdministration } from './operations/ledger-administration.js'
-import { OUTCOME_GRACE_MS } from './operations/outcome-grace.js'
+import { KeyedCall } from '../operations/keyed-call.js'
+import { LedgerAdministration } from '../operations/ledger-administration.js'
+import { OUTCOME_GRACE_MS } from '../operations/outcome-grace.js'
 import type { WireLedgerOptions } from './wire-ledger-options.js'
 
 const MINIMUM_REMAINING_MS = 20
--- a/packages/router/src/wire-orders.ts
+++ b/packages/router/src/wiring/wire-orders.ts
@@ -1,8 +1,8 @@
 import { LeaseHolder } from '@mimosarock/coordination/leases/lease-holder.js'
 import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import type { OrderParts } from './order-parts.js'
-import { HttpEngineOrderClient } from './orders/http-engine-order-client.js'
-import { OrderTask } from './orders/order-task.js'
+import { HttpEngineOrderClient } from '../orders/http-engine-order-client.js'
+import { OrderTask } from '../orders/order-task.js'
 import type { WireOrdersOptions } from './wire-orders-options.js'
 
 const LEASE = 'orders'
