--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -74,17 +74,24 @@
   }
 
   private _admit (): AdmittedRequest {
-    const { codec, configuration, state, keyAgeLimitMs } = this._parts
+    const { codec, configuration, keyAgeLimitMs } = this._parts
     const { rawHeaders, headers, url } = this._request
     const caller = codec.readCallerRequest(rawHeaders)
     if (caller === undefined) throw new MimosarockError(ResultCode.INVALID_REQUEST, 'the request has no identity')
     this._requestId = caller.id
-    if (state.refusesRequests) throw notRun(ResultCode.ROUTER_STOPPING, 'the router is stopping', 0)
     const limits = configuration.inForce?.configuration.limits
     if (limits !== undefined && headBytes(rawHeaders) > limits.headerBytes) {
       throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the head is longer than ${limits.headerBytes} bytes`)
     }
-    return admitRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs)
+    const admitted = admitRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs)
+    this._requireTimeToServe(admitted)
+    return admitted
+  }
+
+  private _requireTimeToServe (admitted: AdmittedRequest): void {
+    const { endsAt } = this._parts.state
+    if (endsAt === undefined || performance.now() + this._timeLeftMs(admitted) <= endsAt) return
+    throw notRun(ResultCode.ROUTER_STOPPING, 'the router stops before the request would end', 0)
   }
 
   private async _serve (admitted: AdmittedRequest, body: Buffer): Promise<void> {
--- a/packages/gateway/src/leaving/graceful-stop.ts
+++ b/packages/gateway/src/leaving/graceful-stop.ts
@@ -12,8 +12,8 @@
 
 /**
  * Stops a router without breaking a request off: it says that it is not ready, goes on serving what still arrives,
- * asks callers to close their connections with each answer, and refuses new requests, as not run, only once the load
- * balancer has had time to turn away and too little of the grace is left for them.
+ * asks callers to close their connections with each answer, and once the load balancer has had time to turn away
+ * refuses, as not run, those requests whose time would not fit into what is left of the grace.
  */
 export class GracefulStop {
   private readonly _server: Server
@@ -41,9 +41,9 @@
     this._state.isStopping = true
     this._log.info('stopping', { grace_ms: this._graceMs, in_work: this._state.requestsInWork })
     await pause(Math.min(BALANCER_NOTICE_MS, this._graceMs / 2), never)
-    this._state.refusesRequests = true
-    this._log.info('refusing-requests', { in_work: this._state.requestsInWork })
     const end = startedAt + this._graceMs - END_MARGIN_MS
+    this._state.endsAt = end
+    this._log.info('refusing-long-requests', { in_work: this._state.requestsInWork })
     while (performance.now() < end) {
       this._server.closeIdleConnections()
       if (this._state.requestsInWork === 0) break
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -22,10 +22,12 @@
   readonly lines: { readonly event: string, readonly fields: Readonly<Record<string, unknown>> }[] = []
   readonly clock = { skewMs: 0, now (): number { return performance.now() + 1_000_000 + this.skewMs } }
   private _gateway: Gateway | undefined
+  private readonly _stopGraceMs: number
   private _port = 0
   private _readinessPort = 0
 
-  constructor (endpoints: number) {
+  constructor (endpoints: number, stopGraceMs = 1_000) {
+    this._stopGraceMs = stopGraceMs
     this.endpoints = Array.from({ length: endpoints }, (_, index) => new TestEndpoint(`e${index}`))
   }
 
@@ -47,7 +49,7 @@
         seeds: [],
         store: '',
         fileDescriptors: 4_000,
-        stopGraceMs: 1_000,
+        stopGraceMs: this._stopGraceMs,
         keyAgeLimitMs: 5_000,
         retryRatio: 0.2,
         retryAllowance: 50,
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -161,13 +161,22 @@
   expect(fixture.endpoints.map((endpoint) => endpoint.requests.length).sort()).toEqual([0, 8])
 })
 
-test('a stopping router is not ready, serves what arrives, then refuses as not run', async () => {
+test('a stopping router is not ready, serves what fits into the grace, and refuses the rest as not run', async () => {
+  await fixture.stop()
+  fixture = new GatewayFixture(2, 4_000)
+  await fixture.start()
   expect(await fixture.readiness()).toBe(200)
+  const held: (() => void)[] = []
+  all((request, response) => held.push(() => TestEndpoint.answer(request, response, 'late')))
   const stopped = fixture.stop()
   expect(await fixture.readiness()).toBe(503)
-  const early = await fixture.call('GET', '/read/')
-  expect([early.status, early.headers.connection]).toEqual([200, 'close'])
-  await until(() => fixture.lines.some((line) => line.event === 'refusing-requests'))
+  const early = fixture.call('GET', '/read/')
+  await until(() => fixture.lines.some((line) => line.event === 'refusing-long-requests'))
+  const [long, short] = await Promise.all([fixture.call('GET', '/read/'), fixture.call('GET', '/short/')])
+  expect([long.status, JSON.parse(long.body).run, short.status]).toEqual([503, 'not-run', 504])
+  for (const answerNow of held) answerNow()
+  const answer = await early
+  expect([answer.status, answer.headers.connection]).toEqual([200, 'close'])
   await stopped
   expect(fixture.lines.map((line) => line.event)).toContain('stopped')
 })
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -49,7 +49,7 @@
 export class Gateway {
   private readonly _options: GatewayOptions
   private readonly _ending = new AbortController()
-  private readonly _state: GatewayState = { isStopping: false, refusesRequests: false, requestsInWork: 0 }
+  private readonly _state: GatewayState = { isStopping: false, endsAt: undefined, requestsInWork: 0 }
   private readonly _metrics = new GatewayMetrics()
   private readonly _connections = new EndpointConnections()
   private readonly _peerClient = new PeerRpcClient()
