--- a/packages/placement/src/displaced-chats.ts
+++ b/packages/placement/src/displaced-chats.ts
@@ -1,10 +1,5 @@
 import type { PlacementClock } from './placement-clock.js'
-
-/** Where a chat went and when it was last seen there. */
-interface Displacement {
-  endpoint: string
-  seenAt: number
-}
+import { RecentMap } from './recent-map.js'
 
 /**
  * Bounded directory of chats whose context lies elsewhere than at the first endpoint of their key's order.
@@ -12,11 +7,8 @@
  * recently are forgotten first; forgetting one costs a cache miss, never a wrong answer.
  */
 export class DisplacedChats {
-  private readonly _clock: PlacementClock
-  private readonly _maximum: number
-  private readonly _keepMs: number
-  /** In the order in which the chats were last seen. */
-  private readonly _chats = new Map<string, Displacement>()
+  /** Endpoints by affinity key. */
+  private readonly _endpoints: RecentMap<string>
 
   /**
    * @param maximum most chats kept
@@ -24,19 +16,17 @@
    * @param clock source of time
    */
   constructor (maximum: number, keepMs: number, clock: PlacementClock) {
-    this._maximum = maximum
-    this._keepMs = keepMs
-    this._clock = clock
+    this._endpoints = new RecentMap(maximum, keepMs, clock)
   }
 
   /** Number of chats kept. */
   get size (): number {
-    return this._chats.size
+    return this._endpoints.size
   }
 
   /** Keys and endpoints of the chats kept, those seen last first. */
   entries (): Array<readonly [affinityKey: string, endpoint: string]> {
-    return [...this._chats].map(([key, { endpoint }]) => [key, endpoint] as const).reverse()
+    return this._endpoints.entries()
   }
 
   /**
@@ -45,9 +35,7 @@
    * @param endpoint name of the endpoint
    */
   note (affinityKey: string, endpoint: string): void {
-    this._chats.delete(affinityKey)
-    this._chats.set(affinityKey, { endpoint, seenAt: this._clock.now() })
-    this._forgetOldest()
+    this._endpoints.set(affinityKey, endpoint)
   }
 
   /**
@@ -56,11 +44,7 @@
    * @returns undefined if the chat is not known to be displaced
    */
   endpointOf (affinityKey: string): string | undefined {
-    const found = this._chats.get(affinityKey)
-    if (found === undefined) return undefined
-    if (this._clock.now() - found.seenAt <= this._keepMs) return found.endpoint
-    this._chats.delete(affinityKey)
-    return undefined
+    return this._endpoints.get(affinityKey)
   }
 
   /**
@@ -68,7 +52,7 @@
    * @param affinityKey the chat's key
    */
   forget (affinityKey: string): void {
-    this._chats.delete(affinityKey)
+    this._endpoints.delete(affinityKey)
   }
 
   /**
@@ -76,14 +60,6 @@
    * @param endpoint name of the endpoint
    */
   forgetEndpoint (endpoint: string): void {
-    for (const [affinityKey, displacement] of this._chats) {
-      if (displacement.endpoint === endpoint) this._chats.delete(affinityKey)
-    }
-  }
-
-  private _forgetOldest (): void {
-    if (this._chats.size <= this._maximum) return
-    const oldest = this._chats.keys().next()
-    if (!oldest.done) this._chats.delete(oldest.value)
+    this._endpoints.deleteValue(endpoint)
   }
 }
