--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,4 @@
-// Bundles the router that runs on the users' platform into one file. A restart is charged in full there, so of the two
+// Bundles the router that runs on the users' platform into two files. A restart is charged in full there, so of the two
 // largest libraries only the parts that the router uses are taken in.
 import { fileURLToPath } from 'node:url'
 import { rolldown } from 'rolldown'
@@ -72,13 +72,22 @@
   }
 }
 
-const bundle = await rolldown({
-  input: { router: `${root}platform/main.ts` },
-  platform: 'node',
-  plugins: [usedParts, withoutOptionalPackages, withoutHttp2, withoutTopLevelWait, workspaceSources],
-  resolve: { extensionAlias: { '.js': ['.ts', '.js'] } }
-})
-await bundle.write({
-  dir: `${root}target`, entryFileNames: '[name].cjs', chunkFileNames: '[name].cjs', format: 'cjs', minify: true
-})
-await bundle.close()
+/** The two parts are bundled apart, so that loading the larger one never runs the entry. */
+const partsApart = {
+  name: 'parts-apart',
+  resolveId (id) {
+    return id === './start-router.js' ? { id: './start-router.cjs', external: true } : undefined
+  }
+}
+
+for (const name of ['main', 'start-router']) {
+  const bundle = await rolldown({
+    input: `${root}platform/${name}.ts`,
+    platform: 'node',
+    plugins: [usedParts, withoutOptionalPackages, withoutHttp2, withoutTopLevelWait, workspaceSources, partsApart],
+    resolve: { extensionAlias: { '.js': ['.ts', '.js'] } }
+  })
+  const file = `${root}target/${name === 'main' ? 'router' : name}.cjs`
+  await bundle.write({ file, format: 'cjs', minify: true, dynamicImportInCjs: false })
+  await bundle.close()
+}
