--- /dev/null
+++ b/packages/gateway/src/test/read-gateway-settings_test.ts
@@ -0,0 +1,63 @@
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect, test } from 'vitest'
+import { readGatewaySettings } from '@mimosarock/gateway/settings/read-gateway-settings.js'
+
+const folder = mkdtempSync(join(tmpdir(), 'gateway-settings-'))
+
+/** The deploy template with the platform's values in it. */
+function settingsText (): string {
+  const values: Record<string, string> = {
+    nodeName: 'vm-1',
+    zone: 'z-a',
+    ip: '10.1.0.40',
+    'limits.maxFds': '4200',
+    'listen.frontend': '10.1.0.40:8227',
+    'listen.readiness': '10.1.0.40:8220',
+    'listen.controlPlane': '10.1.0.40:8229',
+    'platform.address': '10.200.1.7:8223',
+    seeds: '10.1.0.40:8229,10.2.0.29:8229',
+    'bounds.graceS': '8',
+    'bounds.failClosed': 'true',
+    'bounds.revokeMs': '5000',
+    'bounds.retryRatio': '0.2',
+    'bounds.budgetSlack': '52',
+    'bounds.retryWindowS': '10',
+    'bounds.capFactor': '2'
+  }
+  const template = readFileSync(new URL('../../../../deploy/router.ini.template', import.meta.url), 'utf8')
+  return template.replace(/\{\{([^}]+)\}\}/g, (_, name: string) => values[name] ?? '')
+}
+
+function read (text: string): unknown {
+  const path = join(folder, 'router.ini')
+  writeFileSync(path, text)
+  try {
+    return readGatewaySettings(path)
+  } catch (error) {
+    const { code, field } = error as { code: number, field: string }
+    return { code, field }
+  }
+}
+
+test('the deploy template gives settings', () => {
+  expect(read(settingsText())).toMatchSnapshot()
+})
+
+test('unknown sections and keys are left alone', () => {
+  expect(read(`${settingsText()}\n[new]\nkey = 1\n`)).toEqual(read(settingsText()))
+})
+
+test.each([
+  ['a missing value', /^name = .*$/m, 'name =', { code: 1005, field: 'vm.name' }],
+  ['no number', /^ratio = .*$/m, 'ratio = much', { code: 1004, field: 'retries.ratio' }],
+  ['a negative number', /^allowance = .*$/m, 'allowance = -1', { code: 1004, field: 'retries.allowance' }],
+  ['no address', /^callers = .*$/m, 'callers = here', { code: 1004, field: 'listen.callers' }]
+])('%s is a numbered error that names the field', (_name, pattern, replacement, expected) => {
+  expect(read(settingsText().replace(pattern, replacement))).toEqual(expected)
+})
+
+test('a file that is not there is a numbered error', () => {
+  expect(() => readGatewaySettings(join(folder, 'none.ini'))).toThrow(expect.objectContaining({ code: 1001 }))
+})
