Give the owner's folder rooms, and turn the imports that ran back up

Admission, watch, retirement and contexts stand apart from ownership; bodies are read in http, the workspaces' gate is part of limits, and access is read from the settings where it is wired. No behaviour is changed.

--- a/packages/bench/src/membership/measure-endpoint-watch.ts
+++ b/packages/bench/src/membership/measure-endpoint-watch.ts
@@ -1,7 +1,7 @@
 import { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { SystemClock } from '@mimosarock/coordination/system-clock.js'
-import { EndpointWatch } from '@mimosarock/router/owner/endpoint-watch.js'
+import { EndpointWatch } from '@mimosarock/router/watch/endpoint-watch.js'
 import { ModelEngineStandIn } from '@mimosarock/stand-ins/model-engine-stand-in.js'
 
 const WINDOW_MS = 10_000
--- a/packages/router/src/owner/endpoint-admissions-options.ts
+++ b/packages/router/src/admission/endpoint-admissions-options.ts
@@ -2,8 +2,8 @@
 import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
 import type { DisplacedChats } from '@mimosarock/placement/displaced-chats.js'
 import type { OwnerLookup } from '../forward/owner-lookup.js'
-import type { CacheKnowledge } from './cache-knowledge.js'
-import type { ContextCarrier } from './context-carrier.js'
+import type { CacheKnowledge } from '../contexts/cache-knowledge.js'
+import type { ContextCarrier } from '../contexts/context-carrier.js'
 
 /** What admission at owned endpoints works with. */
 export interface EndpointAdmissionsOptions {
--- a/packages/router/src/owner/endpoint-admissions.ts
+++ b/packages/router/src/admission/endpoint-admissions.ts
@@ -5,7 +5,7 @@
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import type { DispatchCall } from '../forward/dispatch-call.js'
 import type { CallAdmission } from './call-admission.js'
-import { displacedKey } from './displaced-key.js'
+import { displacedKey } from '../contexts/displaced-key.js'
 import type { EndpointAdmissionsOptions } from './endpoint-admissions-options.js'
 import { PoolAdmissions } from './pool-admissions.js'
 
--- a/packages/router/src/caller/chat-handler-options.ts
+++ b/packages/router/src/caller/chat-handler-options.ts
@@ -5,7 +5,7 @@
 import type { PoolOrder } from '../entry/pool-order.js'
 import type { EndpointDispatch } from '../forward/endpoint-dispatch.js'
 import type { RouterMetrics } from '../status/router-metrics.js'
-import type { WorkspaceGate } from './workspace-gate.js'
+import type { WorkspaceGate } from '../limits/workspace-gate.js'
 
 /** What answering chats needs. */
 export interface ChatHandlerOptions {
--- a/packages/router/src/caller/chat-handler.ts
+++ b/packages/router/src/caller/chat-handler.ts
@@ -15,7 +15,7 @@
 import type { Exchange } from './exchange.js'
 import type { ExchangeHandler } from './exchange-handler.js'
 import { findWorkspace } from './find-workspace.js'
-import { readBody } from './read-body.js'
+import { readBody } from '../http/read-body.js'
 import { requireConfiguration } from './require-configuration.js'
 
 const DEFAULT_DEADLINE_MS = 600_000
--- a/packages/router/src/caller/service-handler-options.ts
+++ b/packages/router/src/caller/service-handler-options.ts
@@ -3,7 +3,7 @@
 import type { EntryPlacement } from '../entry/entry-placement.js'
 import type { PoolOrder } from '../entry/pool-order.js'
 import type { KeyedCall } from '../operations/keyed-call.js'
-import type { WorkspaceGate } from './workspace-gate.js'
+import type { WorkspaceGate } from '../limits/workspace-gate.js'
 
 /** What answering calls to plain services needs. */
 export interface ServiceHandlerOptions {
--- a/packages/router/src/caller/service-handler.ts
+++ b/packages/router/src/caller/service-handler.ts
@@ -12,10 +12,10 @@
 import type { Exchange } from './exchange.js'
 import type { ExchangeHandler } from './exchange-handler.js'
 import { findWorkspace } from './find-workspace.js'
-import { readBody } from './read-body.js'
+import { readBody } from '../http/read-body.js'
 import { requireConfiguration } from './require-configuration.js'
 import type { ServiceHandlerOptions } from './service-handler-options.js'
-import { StreamedBody } from './streamed-body.js'
+import { StreamedBody } from '../http/streamed-body.js'
 
 const DEFAULT_DEADLINE_MS = 30_000
 const PREFIX = '/services/'
--- a/packages/router/src/owner/context-carrier-options.ts
+++ b/packages/router/src/contexts/context-carrier-options.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { CarryCost } from '@mimosarock/placement/carry-cost.js'
 import type { TokenBucket } from '@mimosarock/placement/token-bucket.js'
-import type { EndpointClients } from './endpoint-clients.js'
+import type { EndpointClients } from '../watch/endpoint-clients.js'
 
 /** What carrying contexts works with. */
 export interface ContextCarrierOptions {
--- a/packages/router/src/entry/placement-walk.ts
+++ b/packages/router/src/entry/placement-walk.ts
@@ -1,7 +1,7 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
-import { StreamedBody } from '../caller/streamed-body.js'
+import { StreamedBody } from '../http/streamed-body.js'
 import type { CallPlan } from './call-plan.js'
 import type { EntryPlacementOptions } from './entry-placement-options.js'
 import type { PlacedCall } from './placed-call.js'
--- a/packages/router/src/operators/operator-side.ts
+++ b/packages/router/src/operators/operator-side.ts
@@ -1,6 +1,6 @@
 import { AuditTrail } from '@mimosarock/coordination/configuration/audit-trail.js'
 import { ConfigurationCommands } from '@mimosarock/coordination/configuration/configuration-commands.js'
-import { readOperatorAccess } from '../access/read-operator-access.js'
+import { readOperatorAccess } from '../wiring/read-operator-access.js'
 import { CommandService } from './command-service.js'
 import type { OperatorSideOptions } from './operator-side-options.js'
 import { OperatorServer } from './operator-server.js'
--- a/packages/router/src/owner/dispatch-owned-options.ts
+++ b/packages/router/src/owner/dispatch-owned-options.ts
@@ -1,7 +1,7 @@
 import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
-import type { CallAdmission } from './call-admission.js'
-import type { EndpointClients } from './endpoint-clients.js'
-import type { EndpointHealth } from './endpoint-health.js'
+import type { CallAdmission } from '../admission/call-admission.js'
+import type { EndpointClients } from '../watch/endpoint-clients.js'
+import type { EndpointHealth } from '../watch/endpoint-health.js'
 
 /** What running calls at this router's endpoints needs. */
 export interface DispatchOwnedOptions {
--- a/packages/router/src/owner/ownership-handover.ts
+++ b/packages/router/src/owner/ownership-handover.ts
@@ -1,7 +1,7 @@
 import type { RouterIdentity } from '@mimosarock/coordination/router-identity.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
-import { AFFINITY_KEY_DIGITS } from './affinity-key-digits.js'
+import { AFFINITY_KEY_DIGITS } from '../contexts/affinity-key-digits.js'
 import type { OwnershipHandoverOptions } from './ownership-handover-options.js'
 
 const LOADS_METHOD = 'owner.loads'
--- a/packages/router/src/owner/context-evacuation-options.ts
+++ b/packages/router/src/retirement/context-evacuation-options.ts
@@ -1,6 +1,6 @@
 import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
-import type { CacheKnowledge } from './cache-knowledge.js'
-import type { ContextCarrier } from './context-carrier.js'
+import type { CacheKnowledge } from '../contexts/cache-knowledge.js'
+import type { ContextCarrier } from '../contexts/context-carrier.js'
 
 /** What moving an endpoint's contexts works with. */
 export interface ContextEvacuationOptions {
--- a/packages/router/src/owner/retirements-options.ts
+++ b/packages/router/src/retirement/retirements-options.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@mimosarock/coordination/clock.js'
 import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
-import type { EndpointOwnership } from './endpoint-ownership.js'
+import type { EndpointOwnership } from '../owner/endpoint-ownership.js'
 import type { RetirementSteps } from './retirement-steps.js'
 
 /** What the retirements work with. */
--- a/packages/router/src/test/cache-knowledge_test.ts
+++ b/packages/router/src/test/cache-knowledge_test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import type { Clock } from '@mimosarock/coordination/clock.js'
-import type { CacheEventPage } from '../owner/cache-event-page.js'
-import { CacheKnowledge } from '../owner/cache-knowledge.js'
+import type { CacheEventPage } from '../contexts/cache-event-page.js'
+import { CacheKnowledge } from '../contexts/cache-knowledge.js'
 
 type CacheEvent = CacheEventPage['events'][number]
 
--- a/packages/router/src/test/endpoint-statuses_test.ts
+++ b/packages/router/src/test/endpoint-statuses_test.ts
@@ -3,8 +3,8 @@
 import { ConfigurationIndex } from '@mimosarock/coordination/configuration-index.js'
 import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import { ConfigurationSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
-import { EndpointStatuses } from '../owner/endpoint-statuses.js'
-import { RetirementState } from '../owner/retirement-state.js'
+import { EndpointStatuses } from '../watch/endpoint-statuses.js'
+import { RetirementState } from '../retirement/retirement-state.js'
 
 test('operators see owner, state and what runs; the state of a retirement goes first', () => {
   const endpoints = ['e0', 'e1', 'e2'].map((name) => ({ name, address: `${name}:80`, availabilityZone: 'a', capacity: 1 }))
--- a/packages/router/src/test/ownership-handover_test.ts
+++ b/packages/router/src/test/ownership-handover_test.ts
@@ -12,8 +12,8 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { ConfiguredOwners } from '../owner/configured-owners.js'
-import { displacedKey } from '../owner/displaced-key.js'
-import { DisplacementReports } from '../owner/displacement-reports.js'
+import { displacedKey } from '../contexts/displaced-key.js'
+import { DisplacementReports } from '../contexts/displacement-reports.js'
 import { OwnershipHandover } from '../owner/ownership-handover.js'
 
 const endpoints = Array.from({ length: 6 }, (_, index) => ({ name: `e${index}`, address: `10.0.0.${index}:80`, availabilityZone: 'a', capacity: 4 }))
--- a/packages/router/src/test/retirements_test.ts
+++ b/packages/router/src/test/retirements_test.ts
@@ -6,10 +6,10 @@
 import { ConfigurationSchema } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import type { DispatchAnswer } from '../forward/dispatch-answer.js'
 import type { DispatchCall } from '../forward/dispatch-call.js'
-import { ContextEvacuation } from '../owner/context-evacuation.js'
-import { CacheKnowledge } from '../owner/cache-knowledge.js'
-import { Retirements } from '../owner/retirements.js'
-import { TrackedDispatch } from '../owner/tracked-dispatch.js'
+import { ContextEvacuation } from '../retirement/context-evacuation.js'
+import { CacheKnowledge } from '../contexts/cache-knowledge.js'
+import { Retirements } from '../retirement/retirements.js'
+import { TrackedDispatch } from '../admission/tracked-dispatch.js'
 
 /** Sleeps end at once and move the time. */
 class JumpingClock implements Clock {
--- a/packages/router/src/test/watched-endpoints_test.ts
+++ b/packages/router/src/test/watched-endpoints_test.ts
@@ -15,7 +15,7 @@
 import type { Configuration } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { ModelEngineStandIn } from '@mimosarock/stand-ins/model-engine-stand-in.js'
 import { ConfiguredOwners } from '../owner/configured-owners.js'
-import { WatchedEndpoints } from '../owner/watched-endpoints.js'
+import { WatchedEndpoints } from '../watch/watched-endpoints.js'
 
 const closers: Array<() => unknown> = []
 afterEach(async () => {
--- a/packages/router/src/owner/endpoint-statuses-options.ts
+++ b/packages/router/src/watch/endpoint-statuses-options.ts
@@ -1,7 +1,7 @@
 import type { ConfigurationSource } from '@mimosarock/coordination/configuration-source.js'
 import type { EndpointHealth } from './endpoint-health.js'
-import type { EndpointOwnership } from './endpoint-ownership.js'
-import type { Retirements } from './retirements.js'
+import type { EndpointOwnership } from '../owner/endpoint-ownership.js'
+import type { Retirements } from '../retirement/retirements.js'
 
 /** What operators' view of the endpoints is made of. */
 export interface EndpointStatusesOptions {
--- a/packages/router/src/owner/endpoint-watch-options.ts
+++ b/packages/router/src/watch/endpoint-watch-options.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@mimosarock/coordination/clock.js'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
-import type { LoadReport } from './load-report.js'
+import type { LoadReport } from '../admission/load-report.js'
 
 /** What the watch of one endpoint works with. */
 export interface EndpointWatchOptions {
--- a/packages/router/src/owner/endpoint-watch.ts
+++ b/packages/router/src/watch/endpoint-watch.ts
@@ -1,9 +1,9 @@
-import { CacheEventPage } from './cache-event-page.js'
-import { CacheKnowledge } from './cache-knowledge.js'
+import { CacheEventPage } from '../contexts/cache-event-page.js'
+import { CacheKnowledge } from '../contexts/cache-knowledge.js'
 import { EndpointProbeClient } from './endpoint-probe-client.js'
 import type { EndpointWatchOptions } from './endpoint-watch-options.js'
-import type { LoadReport } from './load-report.js'
-import { readLoadReport } from './read-load-report.js'
+import type { LoadReport } from '../admission/load-report.js'
+import { readLoadReport } from '../admission/read-load-report.js'
 
 const PROBE_TIMEOUT_MS = 500
 /** Pause before a failed probe is repeated on a new connection. */
--- a/packages/router/src/owner/endpoint-watching.ts
+++ b/packages/router/src/watch/endpoint-watching.ts
@@ -1,6 +1,6 @@
-import type { CacheKnowledge } from './cache-knowledge.js'
+import type { CacheKnowledge } from '../contexts/cache-knowledge.js'
 import type { EndpointHealth } from './endpoint-health.js'
-import type { LoadReport } from './load-report.js'
+import type { LoadReport } from '../admission/load-report.js'
 
 /** What admission reads of the watch of endpoints. */
 export interface EndpointWatching extends Pick<EndpointHealth, 'availability'> {
--- a/packages/router/src/owner/watched-endpoints-options.ts
+++ b/packages/router/src/watch/watched-endpoints-options.ts
@@ -4,7 +4,7 @@
 import type { HeartbeatMembership } from '@mimosarock/coordination/membership/heartbeat-membership.js'
 import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import type { VmList } from '@mimosarock/coordination/vm-list.js'
-import type { EndpointOwnership } from './endpoint-ownership.js'
+import type { EndpointOwnership } from '../owner/endpoint-ownership.js'
 
 /** What the watch of all endpoints works with. */
 export interface WatchedEndpointsOptions {
--- a/packages/router/src/wiring/leaving-parts.ts
+++ b/packages/router/src/wiring/leaving-parts.ts
@@ -1,6 +1,6 @@
-import type { EndpointStatuses } from '../owner/endpoint-statuses.js'
+import type { EndpointStatuses } from '../watch/endpoint-statuses.js'
 import type { OwnershipHandover } from '../owner/ownership-handover.js'
-import type { Retirements } from '../owner/retirements.js'
+import type { Retirements } from '../retirement/retirements.js'
 
 /** The parts that take endpoints and this router out of service in order. */
 export interface LeavingParts {
--- a/packages/router/src/access/read-operator-access.ts
+++ b/packages/router/src/wiring/read-operator-access.ts
@@ -2,8 +2,8 @@
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { readSecret } from '../settings/read-secret.js'
 import type { RouterSettings } from '../settings/router-settings.js'
-import { AccessTokens } from './access-tokens.js'
-import type { OperatorAccess } from './operator-access.js'
+import { AccessTokens } from '../access/access-tokens.js'
+import type { OperatorAccess } from '../access/operator-access.js'
 
 function parseTokens (text: string): AccessTokens {
   try {
--- a/packages/router/src/wiring/router-parts.ts
+++ b/packages/router/src/wiring/router-parts.ts
@@ -8,7 +8,7 @@
 import type { OrderParts } from './order-parts.js'
 import type { LeavingParts } from './leaving-parts.js'
 import type { LedgerParts } from './ledger-parts.js'
-import type { EndpointClients } from '../owner/endpoint-clients.js'
+import type { EndpointClients } from '../watch/endpoint-clients.js'
 import type { PlacementParts } from './placement-parts.js'
 import type { RouterStreams } from './router-streams.js'
 
--- a/packages/router/src/wiring/wire-orders-options.ts
+++ b/packages/router/src/wiring/wire-orders-options.ts
@@ -1,5 +1,5 @@
 import type { AuditTrail } from '@mimosarock/coordination/configuration/audit-trail.js'
-import type { EndpointHealth } from '../owner/endpoint-health.js'
+import type { EndpointHealth } from '../watch/endpoint-health.js'
 import type { RouterProcessOptions } from './router-process-options.js'
 import type { RouterStreams } from './router-streams.js'
 
