Deliver a server error that is ready when the second try has no answer

Cause, seen when the code was read again: an idempotent request that was answered with a server error and tried once more in vain got the router's 502 in place of the error that was ready. The test failed first.

--- a/packages/gateway/src/answers/answer-relay.ts
+++ b/packages/gateway/src/answers/answer-relay.ts
@@ -17,6 +17,7 @@
   private _collected: Buffer[] = []
   private _collectedBytes = 0
   private _isStarted = false
+  private _isWhole = false
 
   /**
    * @param options who takes the answer, and how
@@ -36,6 +37,11 @@
     return this._head
   }
 
+  /** Whether a whole answer is kept that the caller has nothing of yet. */
+  get hasWholeAnswer (): boolean {
+    return this._isWhole && !this._isStarted
+  }
+
   /** Identity of the last event that the caller has; undefined if there is none. */
   get lastEventId (): string | undefined {
     return this._splitter?.lastEventId
@@ -48,6 +54,7 @@
   start (head: AnswerHead): boolean {
     if (this._isStarted) return head.status === this._head?.status
     this._head = head
+    this._isWhole = false
     this._collected = []
     this._collectedBytes = 0
     this._splitter?.dropRest()
@@ -83,6 +90,11 @@
     response.end(Buffer.concat(this._collected))
   }
 
+  /** Keeps the whole answer of a failure, in case no other endpoint has a better one. */
+  keepWholeAnswer (): void {
+    this._isWhole = true
+  }
+
   /** Forgets the beginning of an event that will come again from another endpoint. */
   prepareResumption (): void {
     this._splitter?.dropRest()
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -108,6 +108,9 @@
     const timer = setTimeout(() => this._call?.abort('time is up'), Math.max(0, this._timeLeftMs(admitted)))
     try {
       await this._tryEndpoints(admitted, body, relay)
+    } catch (error) {
+      if (!relay.hasWholeAnswer || this._isCallerGone) throw error
+      relay.finish()
     } finally {
       clearTimeout(timer)
     }
@@ -165,6 +168,7 @@
       (head !== undefined && head.status >= FIRST_SERVER_ERROR_STATUS && !relay.isStarted && admitted.route.kind === RouteKind.IDEMPOTENT)
     if (isFailure && this._takesRetry(admitted, outcome, relay)) {
       this._parts.metrics.retries.inc({ service: admitted.service, outcome })
+      if (outcome === CallOutcome.COMPLETE) relay.keepWholeAnswer()
       relay.prepareResumption()
       return false
     }
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -80,6 +80,12 @@
   expect((await fixture.call('GET', '/read/')).body).toBe('second')
 })
 
+test('a server error that is ready is delivered when the second try has no answer', async () => {
+  firstThen((request, response) => TestEndpoint.answer(request, response, 'kept', 500), (_request, response) => response.socket?.resetAndDestroy())
+  const answer = await fixture.call('GET', '/read/')
+  expect([answer.status, answer.body, answer.headers.signature, arrivals()]).toEqual([500, 'kept', 'signed', 2])
+})
+
 test('when every endpoint rejects, the caller learns that nothing ran and when to come back', async () => {
   all(TestEndpoint.reject)
   const answer = await fixture.call('POST', '/pay/')
