--- a/packages/coordination/src/stream-replica.ts
+++ b/packages/coordination/src/stream-replica.ts
@@ -4,6 +4,7 @@
 import type { AssembledCheckpoint } from './assembled-checkpoint.js'
 import type { ChainedRecord } from './chained-record.js'
 import { CheckpointAssembler } from './checkpoint-assembler.js'
+import { CheckpointSearch } from './checkpoint-search.js'
 import type { ReadResult } from './read-result.js'
 import { RecentRecords } from './recent-records.js'
 import type { RecordPosition } from './record-position.js'
@@ -34,11 +35,10 @@
   private readonly _provenListeners = new Set<() => void>()
   private readonly _replacedListeners = new Set<() => void>()
   private readonly _checkpointListeners = new Set<(position: RecordPosition, whole: boolean) => void>()
-  private _assembler = new CheckpointAssembler()
   /** Assembles the checkpoints that pass by, to tell when the stream last got a whole one. */
   private readonly _passing = new CheckpointAssembler()
-  /** Records read while the replica looks for a checkpoint to start from; undefined once it has started. */
-  private _heldBack: StoredRecord[] | undefined = []
+  /** The search for a place to start from; undefined once the replica has started. */
+  private _search: CheckpointSearch | undefined = new CheckpointSearch()
   private _appliedOffset = 0
   private _provenAt: number | undefined
   private _truncated = false
@@ -67,7 +67,7 @@
 
   /** Whether the state is that of the whole stream up to the applied offset. */
   get started (): boolean {
-    return this._heldBack === undefined
+    return this._search === undefined
   }
 
   /** Whether records are missing that neither the log nor a checkpoint holds; only a peer's state helps. */
@@ -247,13 +247,12 @@
   }
 
   private _nextReadOffset (): number {
-    const last = this._heldBack?.at(-1)
-    return (last?.offset ?? this._appliedOffset) + 1
+    return (this._search?.lastOffset ?? this._appliedOffset) + 1
   }
 
   /** A read that starts past the wanted offset means that unread records have expired. */
   private _noticeTruncation (from: number, result: ReadResult): void {
-    if (this._heldBack !== undefined) {
+    if (this._search !== undefined) {
       const readUpTo = from - 1
       const expired = result.oldestOffset > from && readUpTo > 0
       if (expired) this._startOver()
@@ -266,37 +265,24 @@
   }
 
   private _startOver (): void {
-    this._heldBack = []
-    this._assembler = new CheckpointAssembler()
+    this._search = new CheckpointSearch()
   }
 
   private _take (record: StoredRecord): void {
-    if (this._heldBack === undefined) {
+    if (this._search === undefined) {
       if (record.offset <= this._appliedOffset) return
       this._apply({ ...record, previousOffset: this._appliedOffset })
       return
     }
-    this._heldBack.push(record)
-    const oldest = this._heldBack[0]?.offset ?? 0
-    if (oldest === 1) {
-      this._startFrom(undefined)
-      return
-    }
-    for (const entry of this._decode(record).entries) {
-      if (entry.kind.case !== 'checkpoint') continue
-      const whole = this._assembler.add(entry.kind.value)
-      if (whole !== undefined && whole.coversOffset >= oldest - 1 && whole.coversOffset >= this._appliedOffset) {
-        this._startFrom(whole)
-        return
-      }
-    }
+    const found = this._search.add(record, this._decode(record).entries, this._appliedOffset)
+    if (found !== undefined) this._startFrom(found.checkpoint)
   }
 
   /** Leaves the search for a checkpoint: loads it, if one is needed, and applies what was held back. */
   private _startFrom (checkpoint: AssembledCheckpoint | undefined): void {
-    const held = this._heldBack ?? []
+    const held = this._search?.records ?? []
     if (checkpoint !== undefined) this._load(checkpoint)
-    this._heldBack = undefined
+    this._search = undefined
     this._truncated = false
     for (const record of held) {
       if (record.offset > this._appliedOffset) this._apply({ ...record, previousOffset: this._appliedOffset })
@@ -309,14 +295,14 @@
     this._writers.replace(state.writers)
     this._recent.clear()
     this._appliedOffset = checkpoint.coversOffset
-    this._heldBack = undefined
+    this._search = undefined
     this._truncated = false
     for (const listener of this._replacedListeners) listener()
   }
 
   private _reachEnd (result: ReadResult, askedAt: number): void {
-    if (this._heldBack !== undefined) {
-      const empty = this._heldBack.length === 0 && result.nextOffset <= 1
+    if (this._search !== undefined) {
+      const empty = this._search.lastOffset === undefined && result.nextOffset <= 1
       if (!empty) {
         if (!this._truncated) {
           this._options.eventLog.warn('log-state-lost', { stream: this.stream, oldest: result.oldestOffset })
@@ -325,7 +311,7 @@
         this._startOver()
         return
       }
-      this._heldBack = undefined
+      this._search = undefined
     }
     // The answer may be as old as the call, so the proof counts from the call's start.
     this.noteProof(askedAt)
--- /dev/null
+++ b/packages/gateway/src/test/holder-keeper_test.ts
@@ -0,0 +1,30 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect, test } from 'vitest'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { HolderKeeper } from '@mimosarock/gateway/choice/holder-keeper.js'
+import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
+import { MemoryStore } from './memory-store.js'
+
+test('a router that starts knows what the reader of the last life saved', async () => {
+  const store = new MemoryStore()
+  const before = new HolderTable()
+  before.add('a', 'e1')
+  before.add('a', 'e2')
+  await store.saveHolders(before.recent(10))
+  const after = new HolderTable()
+  const ending = new AbortController()
+  const running = new HolderKeeper({ store, holders: after, isSaving: () => false }, new SilentEventLog()).run(ending.signal)
+  while (after.holders('a').length < 2) await sleep(5)
+  ending.abort()
+  await running
+  expect(after.holders('a')).toEqual(['e2', 'e1'])
+  // What was loaded is nobody's news.
+  expect(after.cursor).toBe(0)
+})
+
+test('the keys that were used last are kept', () => {
+  const holders = new HolderTable()
+  for (const key of ['a', 'b', 'c']) holders.add(key, 'e1')
+  holders.holders('a')
+  expect(holders.recent(2).map((note) => note.key)).toEqual(['c', 'a'])
+})
