--- /dev/null
+++ b/packages/gateway/src/test/connection-faults_test.ts
@@ -0,0 +1,101 @@
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, expect, test } from 'vitest'
+import { EndpointCall } from '@mimosarock/gateway/sending/endpoint-call.js'
+import { EndpointConnections } from '@mimosarock/gateway/sending/endpoint-connections.js'
+import { CallOutcome } from '@mimosarock/gateway/sending/call-outcome.js'
+import { plainCodec } from './plain-codec.js'
+
+const connections = new EndpointConnections()
+const servers: Server[] = []
+
+afterEach(() => {
+  connections.closeAll()
+  for (const server of servers.splice(0)) server.close()
+})
+
+/** An endpoint that acts as told with each connection. */
+async function startEndpoint (act: (socket: Socket, connection: number) => void): Promise<{ address: string, count: () => number }> {
+  let count = 0
+  const server = createServer((socket) => {
+    count += 1
+    socket.on('error', () => undefined)
+    act(socket, count)
+  })
+  servers.push(server)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, count: () => count }
+}
+
+/** Calls the endpoint and returns how the call ended and the body. */
+async function call (address: string, id: string, body = Buffer.alloc(0)): Promise<[CallOutcome, string]> {
+  let text = ''
+  const request = { id, method: body.length > 0 ? 'POST' : 'GET', path: '/', headers: ['request-id', id], body }
+  const endpointCall = new EndpointCall(request, plainCodec, {
+    start: () => true,
+    data: (chunk) => {
+      text += chunk.toString()
+      return true
+    }
+  })
+  const endpoint = { id: address, service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, reportSequence: 0 }
+  endpointCall.send(connections.pool(endpoint, true, 1))
+  const { outcome } = await endpointCall.result
+  return [outcome, text]
+}
+
+const answer = (id: string, body: string): string => {
+  return `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nsignature: s\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+}
+
+test('an extra answer behind a whole one belongs to no request', async () => {
+  const endpoint = await startEndpoint((socket) => socket.on('data', (bytes) => {
+    const id = /request-id: (\S+)/.exec(bytes.toString())?.[1] ?? ''
+    socket.write(answer(id, `for ${id}`) + answer(id, 'extra'))
+  }))
+  expect(await call(endpoint.address, 'r1')).toEqual([CallOutcome.COMPLETE, 'for r1'])
+  await sleep(30)
+  expect(await call(endpoint.address, 'r2')).toEqual([CallOutcome.COMPLETE, 'for r2'])
+})
+
+test('a late answer to the request before is not taken for the answer', async () => {
+  let requests = 0
+  const endpoint = await startEndpoint((socket) => socket.on('data', (bytes) => {
+    const id = /request-id: (\S+)/.exec(bytes.toString())?.[1] ?? ''
+    requests += 1
+    if (requests === 1) socket.write(answer(id, 'first'))
+    else socket.write(answer('r1', 'late') + answer(id, 'second'))
+  }))
+  expect(await call(endpoint.address, 'r1')).toEqual([CallOutcome.COMPLETE, 'first'])
+  expect(await call(endpoint.address, 'r2')).toEqual([CallOutcome.INVALID, ''])
+})
+
+test('an answer before a long body was read is given on, and its connection gets no other request', async () => {
+  const endpoint = await startEndpoint((socket, connection) => {
+    if (connection > 1) {
+      socket.once('data', () => socket.write(answer('r2', 'second')))
+      return
+    }
+    socket.once('data', () => {
+      socket.pause()
+      socket.write('HTTP/1.1 413 Too Large\r\nrequest-id: r1\r\nsignature: s\r\nContent-Length: 5\r\n\r\nearly')
+    })
+  })
+  const [outcome] = await call(endpoint.address, 'r1', Buffer.alloc(8_000_000))
+  expect([CallOutcome.COMPLETE, CallOutcome.BROKEN]).toContain(outcome)
+  // The endpoint never reads on, so a call behind the unread body would wait for ever.
+  const second = await Promise.race([call(endpoint.address, 'r2'), sleep(1_000, 'waits behind the unread body')])
+  expect(second).toEqual([CallOutcome.COMPLETE, 'second'])
+  expect(endpoint.count()).toBe(2)
+})
+
+test('an answer that asks to close ends its connection', async () => {
+  const endpoint = await startEndpoint((socket, connection) => socket.on('data', () => {
+    socket.write(answer(`r${connection}`, 'x').replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'))
+  }))
+  expect(await call(endpoint.address, 'r1')).toEqual([CallOutcome.COMPLETE, 'x'])
+  expect(await call(endpoint.address, 'r2')).toEqual([CallOutcome.COMPLETE, 'x'])
+  expect(endpoint.count()).toBe(2)
+})
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -61,6 +61,11 @@
   expect([long.status, head.status, arrivals()]).toEqual([413, 431, 0])
 })
 
+test('a body in chunks arrives whole', async () => {
+  await fixture.call('POST', '/pay/', { 'transfer-encoding': 'chunked' }, 'in chunks')
+  expect(fixture.endpoints.flatMap((endpoint) => endpoint.requests).map((request) => request.body)).toEqual(['in chunks'])
+})
+
 test('a call that may run once is not repeated after a reset', async () => {
   all((_request, response) => response.socket?.resetAndDestroy())
   const answer = await fixture.call('POST', '/pay/')
