--- a/packages/gateway/src/sending/answer-receiver.ts
+++ b/packages/gateway/src/sending/answer-receiver.ts
@@ -5,7 +5,7 @@
   /**
    * The head of an answer that belongs to the request.
    * @param head of the answer
-   * @returns whether the answer is to be passed on; false drops its body
+   * @returns false if it can't be what is wanted, such as the rest of a stream; the call then counts as broken
    */
   start (head: AnswerHead): boolean
   /**
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -17,7 +17,6 @@
   private readonly _resolve: (result: CallResult) => void
   private _controller: Dispatcher.DispatchController | undefined
   private _head: AnswerHead | undefined
-  private _isPassedOn = false
   private _isEnded = false
 
   /** Resolves when the call has ended. */
@@ -90,7 +89,7 @@
     const problem = this._problemOf(head)
     if (problem !== undefined) return this._end(CallOutcome.INVALID, problem)
     if (head.isNotRun) return this._end(CallOutcome.REJECTED, `status ${status}`)
-    this._isPassedOn = this._receiver.start(head)
+    if (!this._receiver.start(head)) return this._end(CallOutcome.BROKEN, `status ${status} in place of the rest of a stream`)
   }
 
   /**
@@ -99,7 +98,7 @@
    * @param chunk the bytes
    */
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this._isEnded || !this._isPassedOn) return
+    if (this._isEnded) return
     if (!this._receiver.data(chunk)) controller.pause()
   }
 
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -126,6 +126,16 @@
   expect([answer.body, answer.isWhole, answer.headers.signature]).toEqual(['id: 1\ndata: a\n\nid: 2\ndata: after 1\n\n', true, 'first'])
 })
 
+test('a stream whose rest is answered with an error does not look complete', async () => {
+  firstThen((request, response) => {
+    response.writeHead(200, { 'request-id': request.headers['request-id'], signature: 'first' })
+    response.write('id: 1\ndata: a\n\n')
+    setTimeout(() => response.socket?.resetAndDestroy(), 30)
+  }, (request, response) => TestEndpoint.answer(request, response, 'failed', 500))
+  const answer = await fixture.call('POST', '/resume/')
+  expect([answer.body, answer.isWhole, arrivals()]).toEqual(['id: 1\ndata: a\n\n', false, 2])
+})
+
 test('a caller that leaves ends the work of a stream, and not that of a call that may run once', async () => {
   all(() => undefined)
   fixture.leaveAfter(50, '/stream/')
