--- a/packages/gateway/src/leaving/graceful-stop.ts
+++ b/packages/gateway/src/leaving/graceful-stop.ts
@@ -46,7 +46,12 @@
     this._log.info('refusing-long-requests', { in_work: this._state.requestsInWork })
     while (performance.now() < end) {
       this._server.closeIdleConnections()
-      if (this._state.requestsInWork === 0) break
+      if (this._state.requestsInWork === 0) {
+        // From here on everything is refused, so that nothing is taken while the process ends.
+        this._state.endsAt = -Infinity
+        await pause(CHECK_INTERVAL_MS, never)
+        if (this._state.requestsInWork === 0) break
+      }
       await pause(CHECK_INTERVAL_MS, never)
     }
     this._log.info('stopped', { in_work: this._state.requestsInWork, elapsed_ms: Math.round(performance.now() - startedAt) })
