Write long bodies in parts, so that an unread rest is noticed

Cause: the HTTP client takes a connection for idle at the end of an early answer, although the endpoint has not read the body that was written at once, and the next call waits behind the rest. Bodies over 16 KB go out as a stream, during which the client closes the connection at the end of an answer.

Also tell endpoints the rank of a request: the workspace's, else the route's. Engines admit by it and preempt by it; so far all requests had the default rank.

--- a/packages/gateway/src/caller/admit-request.ts
+++ b/packages/gateway/src/caller/admit-request.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationState } from '../configuration/configuration-state.js'
 import type { CallerRequest } from '../model/caller-request.js'
 import type { Route } from '../model/route.js'
+import type { Workspace } from '../model/workspace.js'
 import type { AdmittedRequest } from './admitted-request.js'
 import { notRun } from './not-run.js'
 import { pickShare } from './pick-share.js'
@@ -34,14 +35,15 @@
     caller,
     route,
     service: pickShare(route.shares, caller.id),
-    workspace,
+    workspace: workspace?.name,
+    priority: workspace?.priority ?? route.priority,
     configurationVersion: inForce.configuration.version
   }
 }
 
 function workspaceOf (
   caller: CallerRequest, route: Route, inForce: ConfigurationInForce, state: ConfigurationState, keyAgeLimitMs: number
-): string | undefined {
+): Workspace | undefined {
   if (!inForce.needsKeys || route.isPublic) return undefined
   // A key that was taken away while this router could not learn of it must not be honoured.
   if (keyAgeLimitMs > 0 && state.ageMs > keyAgeLimitMs) {
@@ -49,7 +51,7 @@
   }
   const workspace = caller.apiKey === undefined ? undefined : inForce.workspaceOf(caller.apiKey)
   if (workspace === undefined) throw new MimosarockError(ResultCode.UNAUTHENTICATED, 'the key is not known')
-  return workspace.name
+  return workspace
 }
 
 function pathOf (target: string): string {
--- a/packages/gateway/src/caller/admitted-request.ts
+++ b/packages/gateway/src/caller/admitted-request.ts
@@ -11,6 +11,8 @@
   readonly service: string
   /** Workspace of the caller; undefined on public routes. */
   readonly workspace: string | undefined
+  /** Rank, the workspace's before the route's; 0 is the most urgent. */
+  readonly priority: number
   /** Version of the configuration that allowed it. */
   readonly configurationVersion: number
 }
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -140,6 +140,7 @@
       endpointId: endpoint.id,
       deadlineMs: Math.floor(this._timeLeftMs(admitted)),
       workspace: admitted.workspace,
+      priority: admitted.priority,
       contextHolder: contextHolder?.address,
       lastEventId: relay.lastEventId
     })
@@ -263,6 +264,7 @@
       route,
       service: admitted?.service,
       workspace: admitted?.workspace,
+      priority: admitted?.priority,
       configuration: admitted?.configurationVersion,
       configuration_age_ms: Math.round(configuration.ageMs),
       key: admitted === undefined ? undefined : EndpointChoice.keyOf(admitted.caller.prompt),
--- a/packages/gateway/src/model/dispatch-headers.ts
+++ b/packages/gateway/src/model/dispatch-headers.ts
@@ -6,6 +6,8 @@
   readonly deadlineMs: number | undefined
   /** Workspace of the caller; undefined on public routes. */
   readonly workspace: string | undefined
+  /** Rank among the endpoint's requests; 0 is the most urgent. */
+  readonly priority: number
   /** Endpoint that holds parts of the prompt, host:port. */
   readonly contextHolder: string | undefined
   /** Last event that the caller has; set when a stream is resumed. */
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -1,3 +1,4 @@
+import { Readable } from 'node:stream'
 import type { Dispatcher, Pool } from 'undici'
 import type { AnswerHead } from '../model/answer-head.js'
 import type { WireCodec } from '../model/wire-codec.js'
@@ -6,6 +7,8 @@
 import type { CallResult } from './call-result.js'
 import type { EndpointCallRequest } from './endpoint-call-request.js'
 
+/** Longest body that is written at once, in bytes; what a socket buffers before it asks its writer to wait. */
+const LONGEST_WHOLE_BODY_BYTES = 16_384
 const FIRST_FINAL_STATUS = 200
 const FIRST_FAILURE_STATUS = 300
 
@@ -49,8 +52,8 @@
     pool.dispatch({
       method: this._request.method as Dispatcher.HttpMethod,
       path: this._request.path,
-      headers: this._request.headers,
-      body: this._request.body.length > 0 ? this._request.body : null
+      headers: this._headers(),
+      body: asDispatchBody(this._request.body)
     }, this)
   }
 
@@ -118,6 +121,11 @@
     this._end(this._head === undefined ? CallOutcome.NO_ANSWER : CallOutcome.BROKEN, problem)
   }
 
+  private _headers (): string[] {
+    const { headers, body } = this._request
+    return body.length > LONGEST_WHOLE_BODY_BYTES ? [...headers, 'Content-Length', String(body.length)] : headers
+  }
+
   /** Why an answer can't be the endpoint's answer to this request; undefined if it can. */
   private _problemOf (head: AnswerHead): string | undefined {
     if (head.requestId !== undefined && head.requestId !== this._request.id) return 'answer to another request'
@@ -138,6 +146,22 @@
   }
 }
 
+/**
+ * A long body goes out in parts, so that the HTTP client knows at the end of an early answer that the endpoint has not
+ * taken all of it, and uses the connection for nothing else.
+ * @param body the whole body
+ */
+function asDispatchBody (body: Buffer): Buffer | Readable | null {
+  if (body.length === 0) return null
+  return body.length > LONGEST_WHOLE_BODY_BYTES ? Readable.from(partsOf(body)) : body
+}
+
+function * partsOf (body: Buffer): Generator<Buffer> {
+  for (let start = 0; start < body.length; start += LONGEST_WHOLE_BODY_BYTES) {
+    yield body.subarray(start, start + LONGEST_WHOLE_BODY_BYTES)
+  }
+}
+
 function textHeaders (rawHeaders: unknown): string[] {
   return ((rawHeaders ?? []) as (Buffer | string)[]).map((value) => typeof value === 'string' ? value : value.toString('latin1'))
 }
--- a/packages/gateway/src/test/connection-faults_test.ts
+++ b/packages/gateway/src/test/connection-faults_test.ts
@@ -91,6 +91,16 @@
   expect(endpoint.count()).toBe(2)
 })
 
+test('a long body arrives whole, with its length', async () => {
+  let received = ''
+  const endpoint = await startEndpoint((socket) => socket.on('data', (bytes) => {
+    received += bytes.toString('latin1')
+    if (received.length > 100_000) socket.write(answer('r1', String(received.length - received.indexOf('\r\n\r\n') - 4)))
+  }))
+  expect(await call(endpoint.address, 'r1', Buffer.alloc(100_000, 'x'))).toEqual([CallOutcome.COMPLETE, '100000'])
+  expect(received).toMatch(/content-length: 100000\r\n/i)
+})
+
 test('an answer that asks to close ends its connection', async () => {
   const endpoint = await startEndpoint((socket, connection) => socket.on('data', () => {
     socket.write(answer(`r${connection}`, 'x').replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'))
--- a/packages/gateway/src/test/create-configuration.ts
+++ b/packages/gateway/src/test/create-configuration.ts
@@ -29,10 +29,10 @@
       route('stream', RouteKind.STREAM, { maximumAttempts: 1 }),
       route('resume', RouteKind.STREAM, { isResumable: true }),
       route('short', RouteKind.ONCE, { timeoutMs: 150 }),
-      route('keyed', RouteKind.IDEMPOTENT, { isPublic: false })
+      route('keyed', RouteKind.IDEMPOTENT, { isPublic: false, priority: 3 })
     ],
     services: [{ name: 'app', maximumConnections: 50, isEngine: false }],
     limits: { headerBytes: 2_000, bodyBytes: 1_000, headerTimeoutMs: 5_000, idleTimeoutMs: 15_000 },
-    workspaces: [{ name: 'w', apiKeys: ['k1'], priority: undefined }]
+    workspaces: [{ name: 'w', apiKeys: ['k1'], priority: undefined }, { name: 'urgent', apiKeys: ['k2'], priority: 1 }]
   }
 }
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -43,6 +43,12 @@
   expect(Number(seen?.headers.deadline)).toBeLessThanOrEqual(3_000)
 })
 
+test('an endpoint is told the rank of a request, the workspace\'s before the route\'s', async () => {
+  for (const [path, key] of [['/read/', 'none'], ['/keyed/', 'k1'], ['/keyed/', 'k2']] as const) await fixture.call('GET', path, { key })
+  const ranks = fixture.endpoints.flatMap((endpoint) => endpoint.requests).map(({ headers }) => headers.priority)
+  expect(ranks.sort()).toEqual(['0', '1', '3'])
+})
+
 test('what the configuration does not allow is refused without a signature', async () => {
   const statuses = []
   for (const [path, headers] of [
--- a/packages/gateway/src/test/plain-codec.ts
+++ b/packages/gateway/src/test/plain-codec.ts
@@ -28,6 +28,7 @@
     const id = rawHeaders[rawHeaders.findIndex((name) => name.toLowerCase() === 'request-id') + 1] as string
     const headers = ['request-id', id, 'endpoint', dispatch.endpointId, 'deadline', String(dispatch.deadlineMs)]
     if (dispatch.workspace !== undefined) headers.push('workspace', dispatch.workspace)
+    headers.push('priority', String(dispatch.priority))
     if (dispatch.contextHolder !== undefined) headers.push('copy-from', dispatch.contextHolder)
     if (dispatch.lastEventId !== undefined) headers.push('last-event', dispatch.lastEventId)
     return headers
