--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -9,6 +9,8 @@
 
 /** Longest body that is written at once, in bytes; what a socket buffers before it asks its writer to wait. */
 const LONGEST_WHOLE_BODY_BYTES = 16_384
+/** Longest time for the rest of a rejection to arrive, in milliseconds; it is in the same packet as its head as a rule. */
+const REJECTION_REST_MS = 500
 const FIRST_FINAL_STATUS = 200
 const FIRST_FAILURE_STATUS = 300
 
@@ -21,6 +23,7 @@
   private _controller: Dispatcher.DispatchController | undefined
   private _head: AnswerHead | undefined
   private _isEnded = false
+  private _dropTimer: NodeJS.Timeout | undefined
 
   /** Resolves when the call has ended. */
   readonly result: Promise<CallResult>
@@ -107,6 +110,7 @@
 
   /** The answer is whole. */
   onResponseEnd (): void {
+    clearTimeout(this._dropTimer)
     this._end(CallOutcome.COMPLETE, undefined)
   }
 
@@ -116,6 +120,7 @@
    * @param error what happened
    */
   onResponseError (_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+    clearTimeout(this._dropTimer)
     const problem = (error as NodeJS.ErrnoException).code ?? error.message
     if (!this.isSent) return this._end(CallOutcome.NOT_SENT, problem)
     this._end(this._head === undefined ? CallOutcome.NO_ANSWER : CallOutcome.BROKEN, problem)
@@ -140,9 +145,15 @@
     if (this._isEnded) return
     this._isEnded = true
     this._resolve({ outcome, head: this._head, problem })
-    if (outcome !== CallOutcome.COMPLETE && outcome !== CallOutcome.NOT_SENT) {
-      this._controller?.abort(new Error(problem ?? outcome))
-    }
+    if (outcome === CallOutcome.COMPLETE || outcome === CallOutcome.NOT_SENT) return
+    const error = new Error(problem ?? outcome)
+    if (outcome === CallOutcome.REJECTED) this._dropRest(error)
+    else this._controller?.abort(error)
+  }
+
+  /** Reads a rejection to its end unseen, so that its connection can be used again; there are many under load. */
+  private _dropRest (error: Error): void {
+    this._dropTimer = setTimeout(() => this._controller?.abort(error), REJECTION_REST_MS)
   }
 }
 
--- a/packages/gateway/src/test/connection-faults_test.ts
+++ b/packages/gateway/src/test/connection-faults_test.ts
@@ -101,6 +101,18 @@
   expect(received).toMatch(/content-length: 100000\r\n/i)
 })
 
+test('a rejection leaves its connection for the next call', async () => {
+  let requests = 0
+  const endpoint = await startEndpoint((socket) => socket.on('data', () => {
+    requests += 1
+    socket.write(requests > 1 ? answer('r2', 'second') : 'HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 4\r\n\r\nfull')
+  }))
+  expect(await call(endpoint.address, 'r1')).toEqual([CallOutcome.REJECTED, ''])
+  await sleep(30)
+  expect(await call(endpoint.address, 'r2')).toEqual([CallOutcome.COMPLETE, 'second'])
+  expect(endpoint.count()).toBe(1)
+})
+
 test('an answer that asks to close ends its connection', async () => {
   const endpoint = await startEndpoint((socket, connection) => socket.on('data', () => {
     socket.write(answer(`r${connection}`, 'x').replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'))
