--- a/packages/gateway/src/caller/request-parts.ts
+++ b/packages/gateway/src/caller/request-parts.ts
@@ -48,7 +48,7 @@
   /** Holds requests while the router starts. */
   readonly startup: StartupGate
   /** Age of the keys above which requests that need one are refused, in milliseconds; 0 for never. */
-  readonly keyAgeLimitMs: number
+  readonly keyAgeLimitMs: () => number
   /**
    * Retry budget of a service.
    * @param service name of the service
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -93,7 +93,7 @@
     if (limits !== undefined && headBytes(rawHeaders) > limits.headerBytes) {
       throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the head is longer than ${limits.headerBytes} bytes`)
     }
-    const admitted = admitRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs)
+    const admitted = admitRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs())
     this._requireTimeToServe(admitted)
     return admitted
   }
--- a/packages/gateway/src/choice/endpoint-choice-options.ts
+++ b/packages/gateway/src/choice/endpoint-choice-options.ts
@@ -16,5 +16,5 @@
   /** Availability zone of this router; endpoints there cost no traffic between zones. */
   readonly availabilityZone: string
   /** Promised bound of an endpoint's load, as a multiple of the mean. */
-  readonly loadBoundFactor: number
+  readonly loadBoundFactor: () => number
 }
--- a/packages/gateway/src/choice/endpoint-choice.ts
+++ b/packages/gateway/src/choice/endpoint-choice.ts
@@ -121,7 +121,7 @@
     const endpoints = this._options.endpoints.ready(service)
     const sum = endpoints.reduce((total, endpoint) => total + this._options.loads.total(endpoint.id), 0)
     const mean = sum / Math.max(1, endpoints.length)
-    return mean * this._options.loadBoundFactor * BOUND_SHARE + BOUND_SLACK
+    return mean * this._options.loadBoundFactor() * BOUND_SHARE + BOUND_SLACK
   }
 
   private _order (service: string): RendezvousOrder<OrderMember> {
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -1,5 +1,7 @@
+import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import type { CallerLimits } from '@mimosarock/gateway/model/caller-limits.js'
 import { createConfiguration } from './create-configuration.js'
 import { GatewayFixture } from './gateway-fixture.js'
 import { TestEndpoint } from './test-endpoint.js'
@@ -219,3 +221,37 @@
   const line = fixture.lines.find((candidate) => candidate.event === 'request')
   expect(line?.fields).toMatchObject({ request: 'r9', status: 401, tries: 0, problem: 'the key is not known' })
 })
+
+test('settings that are read anew are in force at once, while requests go on', async () => {
+  const held: (() => void)[] = []
+  all((request, response) => held.push(() => TestEndpoint.answer(request, response, 'done')))
+  const inFlight = fixture.call('GET', '/read/')
+  await until(() => held.length > 0)
+  fixture.clock.skewMs = 3_000
+  fixture.reload({ keyAgeLimitMs: 500, name: 'other', store: 'elsewhere:1' })
+  fixture.store.configurations.isDown = true
+  expect((await fixture.call('GET', '/keyed/', { key: 'k1' })).status).toBe(503)
+  for (const answerNow of held) answerNow()
+  expect((await inFlight).status).toBe(200)
+  const line = fixture.lines.find((candidate) => candidate.event === 'reloaded')
+  expect(line?.fields).toEqual({ applied: 'keyAgeLimitMs', at_next_start: 'name,store' })
+})
+
+test('an idle connection is kept as long as the configuration says, and then closed', async () => {
+  const configuration = createConfiguration(4)
+  const limit = (version: number, idleTimeoutMs: number): void => {
+    fixture.store.configurations.put('config', { ...configuration, version, limits: { ...configuration.limits as CallerLimits, idleTimeoutMs } })
+  }
+  const connection = fixture.connect()
+  const closed = once(connection, 'close')
+  const call = async (): Promise<string> => {
+    connection.write('GET /read/ HTTP/1.1\r\nHost: h\r\nRequest-Id: idle\r\n\r\n')
+    return String((await once(connection, 'data'))[0])
+  }
+  limit(4, 33_000)
+  await until(async () => (await call()).includes('Keep-Alive: timeout=33'))
+  limit(5, 100)
+  await until(() => fixture.lines.some(({ fields }) => fields.configuration === 5 || fields.version === 5))
+  await call()
+  await closed
+})
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -28,6 +28,8 @@
 import { SyncServer } from '../membership/sync-server.js'
 import { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import { EndpointConnections } from '../sending/endpoint-connections.js'
+import type { GatewaySettings } from '../settings/gateway-settings.js'
+import { LiveSettings } from '../settings/live-settings.js'
 import { GatewayMetrics } from '../status/gateway-metrics.js'
 import { announceRouter } from './announce-router.js'
 import type { GatewayOptions } from './gateway-options.js'
@@ -53,6 +55,7 @@
 /** A router: takes callers' requests and sends each straight to the endpoint that fits it. */
 export class Gateway {
   private readonly _options: GatewayOptions
+  private readonly _settings: LiveSettings
   private readonly _ending = new AbortController()
   private readonly _state: GatewayState = { isStopping: false, endsAt: undefined, requestsInWork: 0 }
   private readonly _metrics = new GatewayMetrics()
@@ -72,6 +75,7 @@
   constructor (options: GatewayOptions) {
     this._options = options
     const { clock, log, settings } = options
+    this._settings = new LiveSettings(settings)
     this._health = new EndpointHealth(clock)
     this._knowledge = {
       configuration: new ConfigurationState(clock, log),
@@ -108,14 +112,24 @@
 
   /** Stops as GracefulStop tells, and closes everything. */
   async stop (): Promise<void> {
-    const { settings, log } = this._options
-    await new GracefulStop(this._callerServer as Server, this._state, settings.stopGraceMs, log).run()
+    const { log } = this._options
+    await new GracefulStop(this._callerServer as Server, this._state, this._settings.current.stopGraceMs, log).run()
     this._ending.abort()
     for (const server of this._servers) server.close()
     this._connections.closeAll()
     await this._peerClient.close()
   }
 
+  /**
+   * Puts changed settings in force, as far as that is possible without a new start. Requests go on meanwhile.
+   * @param settings as the file has them now
+   */
+  reload (settings: GatewaySettings): void {
+    const { applied, atNextStart } = this._settings.replace(settings)
+    this._budgets.clear()
+    this._options.log.info('reloaded', { applied: applied.join(',') || 'none', at_next_start: atNextStart.join(',') || 'none' })
+  }
+
   private _learn (): void {
     const { store, clock, log, settings } = this._options
     const { configuration, endpoints, endpointsFreshness, routers } = this._knowledge
@@ -185,12 +199,12 @@
         holders,
         health: this._health,
         availabilityZone: settings.availabilityZone,
-        loadBoundFactor: settings.loadBoundFactor
+        loadBoundFactor: () => this._settings.current.loadBoundFactor
       }),
       connections: this._connections,
       metrics: this._metrics,
       state: this._state,
-      keyAgeLimitMs: Math.max(0, settings.keyAgeLimitMs - KEY_AGE_MARGIN_MS),
+      keyAgeLimitMs: () => Math.max(0, this._settings.current.keyAgeLimitMs - KEY_AGE_MARGIN_MS),
       budgetOf: (service) => this._budgetOf(service),
       connectionsOf: (service) => this._connectionsOf(service)
     }
@@ -218,7 +232,7 @@
   private _budgetOf (service: string): FleetRetryBudget {
     let budget = this._budgets.get(service)
     if (budget === undefined) {
-      const { retryRatio, retryAllowance, retryWindowMs } = this._options.settings
+      const { retryRatio, retryAllowance, retryWindowMs } = this._settings.current
       const options = { ratio: retryRatio, allowance: retryAllowance, windowMs: retryWindowMs }
       budget = new FleetRetryBudget(options, this._options.clock, () => this._knowledge.routers.size)
       this._budgets.set(service, budget)
