Tell loads as counts in the order of the endpoints

A router's answer to another named each endpoint in use: 80,650 bytes for 5,100 endpoints, 323 KB/s for a follower where 26 are allowed. A fleet of 64 routers or more asks every 0.5 s.

--- a/packages/gateway/src/choice/load-view.ts
+++ b/packages/gateway/src/choice/load-view.ts
@@ -14,7 +14,9 @@
   private readonly _own = new Map<string, number>()
   private readonly _foreign = new Map<string, ForeignLoad>()
   private readonly _now: () => number
-  private _foreignSum = new Map<string, number>()
+  private readonly _foreignSum = new Map<string, number>()
+  /** Moment at which the first report stops counting, or earlier. */
+  private _oldestUntil = Infinity
   private _reports = 0
   private _reported: () => void = () => undefined
 
@@ -83,36 +85,41 @@
    * @param load its requests in flight
    */
   report (router: string, load: LoadByEndpoint): void {
-    this._foreign.set(router, { load, until: this._now() + REPORT_KEEP_MS })
+    const now = this._now()
+    const until = now + REPORT_KEEP_MS
+    this._dropOld(now)
+    this._add(this.toldBy(router), -1)
+    this._foreign.set(router, { load, until })
+    this._add(load, 1)
+    this._oldestUntil = Math.min(this._oldestUntil, until)
     this._reports += 1
-    this._sum()
     this._reported()
   }
 
   /**
-   * Requests in flight at each endpoint from all routers but one.
-   * @param router name of the router that is left out
+   * What a router reported last, as far as it still counts.
+   * @param router name of the router
    */
-  withoutRouter (router: string): LoadByEndpoint {
-    const now = this._now()
-    const sum: Record<string, number> = this.own()
-    for (const [name, foreign] of this._foreign) {
-      if (name === router || foreign.until <= now) continue
-      for (const [endpoint, count] of Object.entries(foreign.load)) sum[endpoint] = (sum[endpoint] ?? 0) + count
+  toldBy (router: string): LoadByEndpoint {
+    return this._foreign.get(router)?.load ?? {}
+  }
+
+  private _add (load: LoadByEndpoint, sign: number): void {
+    for (const [endpoint, count] of Object.entries(load)) {
+      const sum = (this._foreignSum.get(endpoint) ?? 0) + sign * count
+      if (sum > 0) this._foreignSum.set(endpoint, sum)
+      else this._foreignSum.delete(endpoint)
     }
-    return sum
   }
 
-  private _sum (): void {
-    const now = this._now()
-    const sum = new Map<string, number>()
-    for (const [router, foreign] of this._foreign) {
-      if (foreign.until <= now) {
+  private _dropOld (now: number): void {
+    if (now < this._oldestUntil) return
+    this._oldestUntil = Infinity
+    for (const [router, { load, until }] of this._foreign) {
+      if (until <= now) {
         this._foreign.delete(router)
-        continue
-      }
-      for (const [endpoint, count] of Object.entries(foreign.load)) sum.set(endpoint, (sum.get(endpoint) ?? 0) + count)
+        this._add(load, -1)
+      } else this._oldestUntil = Math.min(this._oldestUntil, until)
     }
-    this._foreignSum = sum
   }
 }
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -9,6 +9,10 @@
 
 /** Pause between two questions; with the reader's own pauses it bounds how late a leaving endpoint is known. */
 const SYNC_INTERVAL_MS = 250
+/** The same in a large fleet, where each answer tells of thousands of endpoints. */
+const LARGE_FLEET_INTERVAL_MS = 500
+/** Routers from which on a fleet is large. */
+const LARGE_FLEET = 64
 /** Routers asked in one round; a router that finds none of so many fresh reads the store itself. */
 const MAXIMUM_ASKED = 4
 /** A reader asks another router in every so many rounds. */
@@ -64,7 +68,7 @@
     await Promise.all(this._seeds.map((seed) => this._ask(seed)))
     while (!signal.aborted) {
       await this._round(signal)
-      await pause(SYNC_INTERVAL_MS, signal)
+      await pause(this._routers.size < LARGE_FLEET ? SYNC_INTERVAL_MS : LARGE_FLEET_INTERVAL_MS, signal)
     }
   }
 
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -1,5 +1,4 @@
 import type { HolderNote } from '../choice/holder-note.js'
-import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { GatewayConfiguration } from '../model/gateway-configuration.js'
 import type { RouterContact } from './router-contact.js'
@@ -20,8 +19,8 @@
   readonly endpointsRevision: string
   /** Milliseconds since the endpoints were read from the store; -1 if they never were. */
   readonly endpointsAgeMs: number
-  /** What all routers but the asking one have in flight. */
-  readonly load: LoadByEndpoint
+  /** What all routers but the asking one have in flight, as `encodeLoads` writes it, in the order of the revision's endpoints. */
+  readonly load: string
   /** Contexts that came to be held. */
   readonly notes: readonly HolderNote[]
   /** Where the asking router stands in the notes now. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -1,4 +1,5 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
+import { decodeLoads } from './decode-loads.js'
 import type { FleetKnowledge } from './fleet-knowledge.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncCall } from './sync-call.js'
@@ -7,6 +8,8 @@
 const MAXIMUM_NOTES = 1_000
 /** One request in so many tells the routers. */
 const ROUTERS_EVERY = 8
+/** Lists of endpoints that are remembered: of the router that is followed, and of some that are asked beside it. */
+const ORDERS_KEPT = 4
 /** Stands for all other routers in the loads; each answer replaces what the last one told of them. */
 const FLEET = 'fleet'
 
@@ -20,6 +23,8 @@
   private readonly _cursors = new Map<string, string>()
   private readonly _told = new Map<string, number>()
   private readonly _asked = new Map<string, number>()
+  /** Identities of endpoints by the revision that lists them. */
+  private readonly _orders = new Map<string, readonly string[]>()
 
   /**
    * @param knowledge takes the news
@@ -65,7 +70,8 @@
    * @param answer of the router that is followed
    */
   takeLoad (answer: SyncAnswer): void {
-    this._knowledge.loads.report(FLEET, answer.load)
+    const order = this._orders.get(answer.endpointsRevision)
+    if (order !== undefined) this._knowledge.loads.report(FLEET, decodeLoads(answer.load, order))
   }
 
   /** The first request to a router, and then one in some, tells the routers; else they would be most of the traffic. */
@@ -87,9 +93,17 @@
     this._cursors.set(address, answer.notesCursor)
   }
 
+  /** Remembers in which order an answer counts the endpoints. */
+  private _noteOrder (answer: SyncAnswer): void {
+    if (answer.endpoints === undefined) return
+    this._orders.set(answer.endpointsRevision, answer.endpoints.map(({ id }) => id))
+    if (this._orders.size > ORDERS_KEPT) this._orders.delete(this._orders.keys().next().value as string)
+  }
+
   private _takeEndpoints (address: string, answer: SyncAnswer, sentAt: number): void {
     const { endpoints, endpointsFreshness } = this._knowledge
     const verifiedAt = sentAt - answer.endpointsAgeMs
+    this._noteOrder(answer)
     if (answer.endpointsAgeMs < 0 || verifiedAt < endpointsFreshness.verifiedAt) {
       // Ours is newer: a list that came is not taken, and asked for again next time.
       if (answer.endpoints !== undefined) this._revisions.delete(address)
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -1,3 +1,4 @@
+import { encodeLoads } from './encode-loads.js'
 import type { FleetKnowledge } from './fleet-knowledge.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
@@ -49,13 +50,21 @@
       endpoints: revision === request.endpointsRevision ? undefined : [...endpoints.entries],
       endpointsRevision: revision,
       endpointsAgeMs: this._age(this._knowledge.endpointsFreshness.verifiedAt),
-      load: loads.withoutRouter(request.router.name),
+      load: this._loadWithout(request.router.name),
       notes,
       notesCursor: `${this._instance}:${nextCursor}`,
       routers: request.routers === undefined ? undefined : routers.contacts()
     }
   }
 
+  private _loadWithout (router: string): string {
+    const { endpoints, loads } = this._knowledge
+    const told = loads.toldBy(router)
+    const counts: number[] = []
+    for (const { id } of endpoints.entries) counts.push(loads.total(id) - (told[id] ?? 0))
+    return encodeLoads(counts)
+  }
+
   private _age (verifiedAt: number): number {
     return verifiedAt === -Infinity ? -1 : Math.ceil(this._now() - verifiedAt)
   }
