A reader for each availability zone in a large fleet

Cause: at 800 routers one reader would answer 3,200 questions a second (6.4 cores, docs/CAPACITY.md). From 64 routers on, those of a zone ask the first of it, and only that one asks the fleet's reader, for its followers too: 28 zones and 28 followers each make some 170 questions a second. A router is followed only by those further from the store, so no two can wait for each other. A large fleet tells each other only of contexts that are not at the first home of their key; a displaced request copies from there. Test with 96 routers in memory, reader and a zone's first killed.

Also: a reader that asks another router to learn of it was counted twice there, by its own report and in the fleet's; it tells no load now (test). Fleets below 64 routers work as before.

--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -57,7 +57,7 @@
     configuration: new ConfigurationState(clock, log),
     endpoints: table,
     endpointsFreshness: { verifiedAt: clock.now() },
-    routers: new RouterTable({ name: 'self', address: 'self' }, clock),
+    routers: new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, clock),
     holders: new HolderTable(),
     loads: new LoadView(() => clock.now())
   }
@@ -66,7 +66,7 @@
 function decisionUs (size: number): number {
   const { endpoints, loads, holders } = knowledgeOf(size, 1)
   const choice = new EndpointChoice({
-    endpoints, loads, holders, health: new EndpointHealth(clock), availabilityZone: 'zone-0', loadBoundFactor: () => 2
+    endpoints, loads, holders, health: new EndpointHealth(clock), availabilityZone: 'zone-0', loadBoundFactor: () => 2, isFleetLarge: () => true
   })
   const none = new Set<string>()
   return measureProcessorUs(() => {
@@ -99,9 +99,9 @@
 function syncAnswer (endpoints: number): { microseconds: number, bytes: number } {
   const knowledge = knowledgeOf(endpoints, SERVICES)
   for (let index = 0; index < endpoints; index += 1) knowledge.loads.begin(`engine-${index}`)
-  const server = new SyncServer(knowledge, 'instance', () => clock.now(), () => true)
+  const server = new SyncServer(knowledge, 'instance', () => clock.now(), () => 0)
   const answer = (): string => JSON.stringify(server.answer({
-    router: { name: 'other', address: 'other' },
+    router: { name: 'other', availabilityZone: 'z', address: 'other' },
     routers: undefined,
     configurationVersion: 0,
     endpointsRevision: `instance:${knowledge.endpoints.revision}`,
--- a/packages/gateway/src/caller/request-parts.ts
+++ b/packages/gateway/src/caller/request-parts.ts
@@ -47,6 +47,8 @@
   readonly state: GatewayState
   /** Holds requests while the router starts. */
   readonly startup: StartupGate
+  /** Whether the fleet is so large that only displaced contexts are told. */
+  readonly isFleetLarge: () => boolean
   /** Age of the keys above which requests that need one are refused, in milliseconds; 0 for never. */
   readonly keyAgeLimitMs: () => number
   /**
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -7,6 +7,7 @@
 import { sendRefusal } from '../answers/send-refusal.js'
 import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
 import { EndpointChoice } from '../choice/endpoint-choice.js'
+import type { PromptPart } from '../model/prompt-part.js'
 import { RouteKind } from '../model/route-kind.js'
 import { mayTryAgain } from '../retries/may-try-again.js'
 import { CallOutcome } from '../sending/call-outcome.js'
@@ -186,8 +187,7 @@
     }, this._parts.codec, relay)
     this._call = call
     this._tries += 1
-    const key = EndpointChoice.keyOf(caller.prompt)
-    if (key !== undefined) this._parts.holders.add(key, endpoint.id)
+    this._noteHolder(caller.prompt, chosen)
     this._parts.loads.begin(endpoint.id)
     this._mayRepeat = route.kind !== RouteKind.ONCE
     call.send(this._parts.connections.pool(endpoint, this._mayRepeat, this._parts.connectionsOf(service)))
@@ -197,6 +197,15 @@
     return result
   }
 
+  private _noteHolder (prompt: readonly PromptPart[], { endpoint, isFirstHome }: ChosenEndpoint): void {
+    const { holders, isFleetLarge } = this._parts
+    const key = EndpointChoice.keyOf(prompt)
+    if (key === undefined) return
+    // All routers look for a key at its first home, so a large fleet is told of the others only.
+    if (isFirstHome && isFleetLarge()) holders.learn(key, endpoint.id)
+    else holders.add(key, endpoint.id)
+  }
+
   /** Whether the request has its answer; false if it goes to another endpoint. */
   private _isDone (admitted: AdmittedRequest, result: CallResult, relay: AnswerRelay): boolean {
     const { outcome, head } = result
--- a/packages/gateway/src/choice/chosen-endpoint.ts
+++ b/packages/gateway/src/choice/chosen-endpoint.ts
@@ -9,6 +9,8 @@
   readonly contextHolder: EndpointEntry | undefined
   /** What decided: `holder`, `home` or `least-loaded`. */
   readonly reason: ChoiceReason
+  /** Whether it was chosen as the first of the key's order, which any router finds without being told. */
+  readonly isFirstHome: boolean
   /** Requests in flight at the endpoint from the whole fleet, as far as known. */
   readonly load: number
   /** Load above which the endpoint is passed over. */
--- a/packages/gateway/src/choice/endpoint-choice-options.ts
+++ b/packages/gateway/src/choice/endpoint-choice-options.ts
@@ -17,4 +17,6 @@
   readonly availabilityZone: string
   /** Promised bound of an endpoint's load, as a multiple of the mean. */
   readonly loadBoundFactor: () => number
+  /** Whether routers don't tell each other of keys at their first homes. */
+  readonly isFleetLarge: () => boolean
 }
--- a/packages/gateway/src/choice/endpoint-choice.ts
+++ b/packages/gateway/src/choice/endpoint-choice.ts
@@ -51,7 +51,7 @@
     const candidates = this._options.health.preferSound(ready)
     const bound = this._bound(service)
     const key = EndpointChoice.keyOf(prompt)
-    if (key === undefined) return this._leastLoaded(candidates, bound)
+    if (key === undefined) return this._chosen(this._lowest(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, [], undefined, bound)
     return this._chooseFor(key, service, candidates, bound)
   }
 
@@ -64,23 +64,38 @@
   }
 
   private _chooseFor (key: string, service: string, candidates: readonly EndpointEntry[], bound: number): ChosenEndpoint {
-    const { loads } = this._options
     const holders = this._options.holders.holders(key)
     const holding = candidates.filter((endpoint) => holders.includes(endpoint.id))
     const underBound = holding.filter((endpoint) => this._takesMore(endpoint, bound))
     const near = underBound.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
     const holder = this._lowest(near.length > 0 ? near : underBound)
-    if (holder !== undefined) {
-      return { endpoint: holder, contextHolder: undefined, reason: ChoiceReason.HOLDER, load: loads.total(holder.id), bound }
-    }
-    const source = this._source(holders)
-    const home = this._order(service).first(key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS), HOME_CANDIDATES)
+    if (holder !== undefined) return this._chosen(holder, ChoiceReason.HOLDER, [], undefined, bound)
+    const homes = this._order(service).first(key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS), HOME_CANDIDATES)
       .map((member) => member.endpoint)
-      .find((endpoint) => candidates.includes(endpoint) && this._takesMore(endpoint, bound))
-    if (home !== undefined) {
-      return { endpoint: home, contextHolder: source, reason: ChoiceReason.HOME, load: loads.total(home.id), bound }
+    const source = this._source(holders) ?? this._assumedSource(homes)
+    const home = homes.find((endpoint) => candidates.includes(endpoint) && this._takesMore(endpoint, bound))
+    if (home !== undefined) return this._chosen(home, ChoiceReason.HOME, homes, source, bound)
+    return this._chosen(this._lowest(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, homes, source, bound)
+  }
+
+  private _chosen (
+    endpoint: EndpointEntry, reason: ChoiceReason, homes: readonly EndpointEntry[], source: EndpointEntry | undefined, bound: number
+  ): ChosenEndpoint {
+    return {
+      endpoint,
+      contextHolder: source === endpoint ? undefined : source,
+      reason,
+      isFirstHome: endpoint === homes[0],
+      load: this._options.loads.total(endpoint.id),
+      bound
     }
-    return { ...this._leastLoaded(candidates, bound), contextHolder: source }
+  }
+
+  /** In a large fleet nobody tells who holds a key at its first home, so that one is taken to hold it. */
+  private _assumedSource (homes: readonly EndpointEntry[]): EndpointEntry | undefined {
+    const [first] = homes
+    const isAssumed = this._options.isFleetLarge() && first !== undefined && !this._options.health.isUnreachable(first.id)
+    return isAssumed ? first : undefined
   }
 
   /** Beyond its slots an endpoint lets requests wait, however little it has against the others. */
@@ -88,11 +103,6 @@
     return this._options.loads.total(endpoint.id) < Math.min(bound, endpoint.slots)
   }
 
-  private _leastLoaded (candidates: readonly EndpointEntry[], bound: number): ChosenEndpoint {
-    const endpoint = this._lowest(candidates) as EndpointEntry
-    return { endpoint, contextHolder: undefined, reason: ChoiceReason.LEAST_LOADED, load: this._options.loads.total(endpoint.id), bound }
-  }
-
   private _lowest (candidates: readonly EndpointEntry[]): EndpointEntry | undefined {
     let lowest: EndpointEntry | undefined
     let lowestLoad = Infinity
--- a/packages/gateway/src/choice/holder-table.ts
+++ b/packages/gateway/src/choice/holder-table.ts
@@ -1,3 +1,4 @@
+import type { HolderNews } from './holder-news.js'
 import type { HolderNote } from './holder-note.js'
 
 /** Keys that are remembered; at some 150 bytes each, 30 MB. */
@@ -8,13 +9,19 @@
 /** Notes of the newest changes that other routers can ask for. */
 const MAXIMUM_NOTES = 8_192
 
+/** A note and where it came from. */
+interface LoggedNote extends HolderNote {
+  /** Whether it came from the router that this one follows, which need not be told. */
+  readonly isFromSource: boolean
+}
+
 /**
  * Which endpoints hold the context of a key. Learned from where requests were sent, by this router and by others;
  * forgotten with the incarnation of the endpoint, and least recently used first.
  */
 export class HolderTable {
   private readonly _holders = new Map<string, string[]>()
-  private readonly _notes: HolderNote[] = []
+  private readonly _notes: LoggedNote[] = []
   private _firstNote = 0
 
   /** Number of changes so far; readers of changes go on from here. */
@@ -40,7 +47,16 @@
    * @param endpointId identity of the endpoint
    */
   add (key: string, endpointId: string): void {
-    if (this.learn(key, endpointId)) this._note({ key, endpointId })
+    if (this.learn(key, endpointId)) this._note({ key, endpointId, isFromSource: false })
+  }
+
+  /**
+   * Takes over what the router told that this one follows, for those that follow this one.
+   * @param key identity of the last shared part of the prompt
+   * @param endpointId identity of the endpoint
+   */
+  relay (key: string, endpointId: string): void {
+    if (this.learn(key, endpointId)) this._note({ key, endpointId, isFromSource: true })
   }
 
   /**
@@ -76,9 +92,15 @@
    * @param cursor as it was at the last reading; 0 for all that is still kept
    * @param most highest number of notes
    */
-  notesSince (cursor: number, most: number): readonly HolderNote[] {
+  notesSince (cursor: number, most: number): HolderNews {
     const from = Math.max(0, cursor - this._firstNote)
-    return this._notes.slice(from, from + most)
+    const news = this._notes.slice(from, from + most)
+    const toNote = ({ key, endpointId }: HolderNote): HolderNote => ({ key, endpointId })
+    return {
+      notes: news.map(toNote),
+      ownNotes: news.filter((note) => !note.isFromSource).map(toNote),
+      cursor: Math.max(cursor, this._firstNote) + news.length
+    }
   }
 
   /**
@@ -90,7 +112,7 @@
     return entries.flatMap(([key, holders]) => [...holders].reverse().map((endpointId) => ({ key, endpointId })))
   }
 
-  private _note (note: HolderNote): void {
+  private _note (note: LoggedNote): void {
     this._notes.push(note)
     if (this._notes.length <= MAXIMUM_NOTES) return
     this._notes.splice(0, MAXIMUM_NOTES / 2)
--- a/packages/gateway/src/choice/load-view.ts
+++ b/packages/gateway/src/choice/load-view.ts
@@ -79,6 +79,18 @@
     return Object.fromEntries(this._own)
   }
 
+  /**
+   * What this router and others have in flight.
+   * @param routers names of the others
+   */
+  ownWith (routers: readonly string[]): Record<string, number> {
+    const load = this.own()
+    for (const router of routers) {
+      for (const [endpoint, count] of Object.entries(this.toldBy(router))) load[endpoint] = (load[endpoint] ?? 0) + count
+    }
+    return load
+  }
+
   /**
    * Takes another router's report.
    * @param router name of the router
--- a/packages/gateway/src/membership/router-contact.ts
+++ b/packages/gateway/src/membership/router-contact.ts
@@ -1,9 +1,7 @@
+import type { RouterEntry } from '../model/router-entry.js'
+
 /** What is known of another router. */
-export interface RouterContact {
-  /** Name of its VM. */
-  readonly name: string
-  /** Address for calls between routers, host:port. */
-  readonly address: string
+export interface RouterContact extends RouterEntry {
   /** Milliseconds since somebody heard of it last. */
   readonly heardAgoMs: number
 }
--- a/packages/gateway/src/membership/router-table.ts
+++ b/packages/gateway/src/membership/router-table.ts
@@ -5,6 +5,8 @@
 
 /** A router of which nothing was heard for so long is taken as gone. */
 const FORGET_AFTER_MS = 12_000
+/** Routers from which on a fleet is large: one that reads for all would answer 250 questions a second. */
+const LARGE_FLEET = 64
 /** Key of the order in which routers are preferred as readers of the store. */
 const READER_KEY = '00000000feed0001'
 
@@ -64,6 +66,16 @@
     return new RendezvousOrder(members).first(READER_KEY, members.length).map((member) => member.entry)
   }
 
+  /** Whether the fleet is so large that routers of an availability zone follow one of them instead of the fleet's reader. */
+  get isLarge (): boolean {
+    return this.size >= LARGE_FLEET
+  }
+
+  /** The routers of this one's availability zone, in the order in which they should ask the fleet's reader for the others. */
+  inZoneOrder (): readonly RouterEntry[] {
+    return this.inReaderOrder().filter(({ availabilityZone }) => availabilityZone === this._self.availabilityZone)
+  }
+
   /** The routers for another one to know. */
   contacts (): RouterContact[] {
     this._forget()
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -7,8 +7,11 @@
 export interface SyncAnswer {
   /** Name of the answering router. */
   readonly name: string
-  /** Whether it reads the store itself, with success; only such a router spares others the reading. */
-  readonly readsStore: boolean
+  /**
+   * Routers between the answering one and the store: 0 if it reads the store itself, with success; Infinity if it hears of
+   * the store from nobody. Only who is nearer to the store spares another router the reading.
+   */
+  readonly distance: number | null
   /** The configuration, if it is newer than the asking router's. */
   readonly configuration: GatewayConfiguration | undefined
   /** Milliseconds since the store held nothing newer; -1 if that was never so. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -3,6 +3,7 @@
 import type { FleetKnowledge } from './fleet-knowledge.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncCall } from './sync-call.js'
+import type { SyncPurpose } from './sync-purpose.js'
 
 /** Most notes in one request; the rest follows with the next one. */
 const MAXIMUM_NOTES = 1_000
@@ -42,24 +43,25 @@
   /**
    * Asks one router.
    * @param address of the router, host:port
+   * @param purpose as what this router asks
    * @returns its answer, which has been taken in
    */
-  async sync (address: string): Promise<SyncAnswer> {
+  async sync (address: string, { tellsLoad, followers }: SyncPurpose): Promise<SyncAnswer> {
     const { configuration, holders, loads, routers } = this._knowledge
     const told = this._told.get(address) ?? 0
-    const notes = holders.notesSince(told, MAXIMUM_NOTES)
+    const news = holders.notesSince(told, MAXIMUM_NOTES)
     const sentAt = this._clock.now()
     const answer = await this._call(address, {
       router: routers.self,
       routers: this._tellsRouters(address) ? routers.contacts() : undefined,
       configurationVersion: configuration.version,
       endpointsRevision: this._revisions.get(address),
-      load: loads.own(),
-      notes,
+      load: tellsLoad ? loads.ownWith(followers) : {},
+      notes: news.ownNotes,
       notesCursor: this._cursors.get(address)
     })
-    this._told.set(address, Math.max(told, holders.cursor - holders.notesSince(told, Infinity).length) + notes.length)
-    this._takeIn(address, answer, sentAt)
+    this._told.set(address, news.cursor)
+    this._takeIn(address, answer, sentAt, followers.length > 0)
     this._learned()
     return answer
   }
@@ -81,7 +83,7 @@
     return asked % ROUTERS_EVERY === 0
   }
 
-  private _takeIn (address: string, answer: SyncAnswer, sentAt: number): void {
+  private _takeIn (address: string, answer: SyncAnswer, sentAt: number, isRelaying: boolean): void {
     const { configuration, routers, holders } = this._knowledge
     const passed = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.heard(router, router.heardAgoMs + passed)
@@ -89,7 +91,10 @@
     // The answer was made after the request was sent, so an age in it counts from that moment at the latest.
     if (answer.configurationAgeMs >= 0) configuration.verified(sentAt - answer.configurationAgeMs)
     this._takeEndpoints(address, answer, sentAt)
-    for (const note of answer.notes) holders.learn(note.key, note.endpointId)
+    for (const { key, endpointId } of answer.notes) {
+      if (isRelaying) holders.relay(key, endpointId)
+      else holders.learn(key, endpointId)
+    }
     this._cursors.set(address, answer.notesCursor)
   }
 
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -11,19 +11,19 @@
   private readonly _knowledge: FleetKnowledge
   private readonly _instance: string
   private readonly _now: () => number
-  private readonly _readsStore: () => boolean
+  private readonly _distance: () => number
 
   /**
    * @param knowledge what is told
    * @param instance identity of this process, so that positions of an earlier one are not taken for its own
    * @param now the router's clock
-   * @param readsStore whether this router reads the store itself, with success
+   * @param distance of this router from the store, as `SyncAnswer.distance` says
    */
-  constructor (knowledge: FleetKnowledge, instance: string, now: () => number, readsStore: () => boolean) {
+  constructor (knowledge: FleetKnowledge, instance: string, now: () => number, distance: () => number) {
     this._knowledge = knowledge
     this._instance = instance
     this._now = now
-    this._readsStore = readsStore
+    this._distance = distance
   }
 
   /**
@@ -36,23 +36,21 @@
     routers.heard(request.router, 0)
     for (const router of request.routers ?? []) routers.heard(router, router.heardAgoMs)
     loads.report(request.router.name, request.load)
-    const cursor = this._positionIn(request.notesCursor)
-    const notes = holders.notesSince(cursor, MAXIMUM_NOTES)
-    const nextCursor = Math.max(cursor, holders.cursor - holders.notesSince(cursor, Infinity).length) + notes.length
+    const news = holders.notesSince(this._positionIn(request.notesCursor), MAXIMUM_NOTES)
     for (const note of request.notes) holders.add(note.key, note.endpointId)
     const revision = `${this._instance}:${endpoints.revision}`
     const known = configuration.inForce?.configuration
     return {
       name: routers.self.name,
-      readsStore: this._readsStore(),
+      distance: this._distance(),
       configuration: known !== undefined && known.version > request.configurationVersion ? known : undefined,
       configurationAgeMs: this._age(configuration.verifiedAt),
       endpoints: revision === request.endpointsRevision ? undefined : [...endpoints.entries],
       endpointsRevision: revision,
       endpointsAgeMs: this._age(this._knowledge.endpointsFreshness.verifiedAt),
       load: this._loadWithout(request.router.name),
-      notes,
-      notesCursor: `${this._instance}:${nextCursor}`,
+      notes: news.notes,
+      notesCursor: `${this._instance}:${news.cursor}`,
       routers: request.routers === undefined ? undefined : routers.contacts()
     }
   }
--- a/packages/gateway/src/test/endpoint-choice_test.ts
+++ b/packages/gateway/src/test/endpoint-choice_test.ts
@@ -9,7 +9,7 @@
 const ENDPOINTS = 8
 const NONE = new Set<string>()
 
-function createChoice () {
+function createChoice (isLarge = false) {
   const clock = { ms: 50_000, now (): number { return this.ms } }
   const endpoints = new EndpointTable(clock, new SilentEventLog())
   endpoints.apply(Array.from({ length: ENDPOINTS }, (_, index) => ({
@@ -27,7 +27,7 @@
   const loads = new LoadView(() => clock.now())
   const holders = new HolderTable()
   const health = new EndpointHealth(clock)
-  const choice = new EndpointChoice({ endpoints, loads, holders, health, availabilityZone: 'z0', loadBoundFactor: () => 2 })
+  const choice = new EndpointChoice({ endpoints, loads, holders, health, availabilityZone: 'z0', loadBoundFactor: () => 2, isFleetLarge: () => isLarge })
   return { clock, endpoints, loads, holders, health, choice }
 }
 
@@ -59,6 +59,15 @@
   expect(counts).toEqual(Array.from({ length: ENDPOINTS }, () => 64))
 })
 
+test('in a large fleet a key that was displaced is copied from its first home, although nobody told that it is there', () => {
+  const parts = createChoice(true)
+  const home = parts.choice.choose('s', promptOf('abc'), NONE)
+  expect([home?.isFirstHome, home?.contextHolder]).toEqual([true, undefined])
+  for (let count = 0; count < 64; count += 1) parts.loads.begin(home?.endpoint.id ?? '')
+  const displaced = parts.choice.choose('s', promptOf('abc'), NONE)
+  expect([displaced?.isFirstHome, displaced?.contextHolder?.id]).toEqual([false, home?.endpoint.id])
+})
+
 test('many keys: each stays at one endpoint while none is over the bound', () => {
   const parts = createChoice()
   const keys = Array.from({ length: 200 }, (_, index) => `${index}0a`)
--- a/packages/gateway/src/test/fleet-sync_test.ts
+++ b/packages/gateway/src/test/fleet-sync_test.ts
@@ -17,15 +17,15 @@
 
 /** Runs rounds of a router among others until something is so, and returns who was asked. */
 async function runUntil (others: Others, condition: (sync: FleetSync, asked: readonly string[]) => boolean): Promise<{ sync: FleetSync, asked: string[] }> {
-  const routers = new RouterTable({ name: 'self', address: 'self' }, clock)
-  for (let index = 0; index < others.count; index += 1) routers.heard({ name: `r${index}`, address: `r${index}` }, 0)
+  const routers = new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, clock)
+  for (let index = 0; index < others.count; index += 1) routers.heard({ name: `r${index}`, availabilityZone: 'z', address: `r${index}` }, 0)
   const asked: string[] = []
   const client = {
     sync: async (address: string) => {
       asked.push(address)
       const answer = others.answer(address)
       if (answer === undefined) throw new Error('no answer')
-      return { readsStore: true, configurationAgeMs: 10, endpointsAgeMs: 10, ...answer }
+      return { distance: 0, configurationAgeMs: 10, endpointsAgeMs: 10, ...answer }
     },
     takeLoad: () => undefined
   } as unknown as SyncClient
@@ -45,8 +45,8 @@
 
 test('of routers that all read with success, all but the first follow it', async () => {
   const order = (name: string): readonly string[] => {
-    const table = new RouterTable({ name, address: name }, clock)
-    for (let index = 0; index < 5; index += 1) table.heard({ name: `r${index}`, address: `r${index}` }, 0)
+    const table = new RouterTable({ name, availabilityZone: 'z', address: name }, clock)
+    for (let index = 0; index < 5; index += 1) table.heard({ name: `r${index}`, availabilityZone: 'z', address: `r${index}` }, 0)
     return table.inReaderOrder().map((router) => router.name)
   }
   const isFirst = order('self')[0] === 'self'
@@ -56,7 +56,7 @@
 })
 
 test('a router that is only fed by others spares nobody the reading', async () => {
-  const { sync } = await runUntil({ count: 3, answer: () => ({ readsStore: false }) }, (running) => running.isReader)
+  const { sync } = await runUntil({ count: 3, answer: () => ({ distance: 1 }) }, (running) => running.isReader)
   expect(sync.isReader).toBe(true)
 })
 
--- /dev/null
+++ b/packages/gateway/src/test/large-fleet_test.ts
@@ -0,0 +1,114 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, test } from 'vitest'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
+import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
+import { ConfigurationState } from '@mimosarock/gateway/configuration/configuration-state.js'
+import { EndpointTable } from '@mimosarock/gateway/membership/endpoint-table.js'
+import type { FleetKnowledge } from '@mimosarock/gateway/membership/fleet-knowledge.js'
+import { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
+import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
+import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
+import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
+
+const ROUTERS = 96
+const ZONES = 6
+const ENDPOINT = { id: 'e1', service: 's', address: '10.0.0.1:1', availabilityZone: 'z0', slots: 64, isDraining: false, startedAt: 1 }
+const clock = { now: () => performance.now() + 100_000 }
+const ending = new AbortController()
+
+afterEach(() => ending.abort())
+
+/** Routers that call each other in memory; what they read from the store is set by the test. */
+class Fleet {
+  readonly routers = new Map<string, { knowledge: FleetKnowledge, server: SyncServer, sync: FleetSync }>()
+  readonly dead = new Set<string>()
+  /** Who asked whom since the last reset. */
+  readonly questions = new Map<string, Set<string>>()
+  version = 1
+
+  constructor () {
+    for (let index = 0; index < ROUTERS; index += 1) this._add(`r${index}`, `z${index % ZONES}`)
+    for (const { sync } of this.routers.values()) sync.run(ending.signal).catch(() => undefined)
+    this._readStore().catch(() => undefined)
+  }
+
+  get live (): FleetKnowledge[] {
+    return [...this.routers].filter(([name]) => !this.dead.has(name)).map(([, { knowledge }]) => knowledge)
+  }
+
+  get readers (): string[] {
+    return [...this.routers].filter(([name, { sync }]) => !this.dead.has(name) && sync.isReader).map(([name]) => name)
+  }
+
+  private _add (name: string, availabilityZone: string): void {
+    const log = new SilentEventLog()
+    const knowledge: FleetKnowledge = {
+      configuration: new ConfigurationState(clock, log),
+      endpoints: new EndpointTable(clock, log),
+      endpointsFreshness: { verifiedAt: -Infinity },
+      routers: new RouterTable({ name, availabilityZone, address: name }, clock),
+      holders: new HolderTable(),
+      loads: new LoadView(() => clock.now())
+    }
+    for (let index = 0; index < ROUTERS; index += 1) {
+      knowledge.routers.heard({ name: `r${index}`, availabilityZone: `z${index % ZONES}`, address: `r${index}` }, 0)
+    }
+    const client = new SyncClient(knowledge, clock, async (address, request) => {
+      if (this.dead.has(address) || this.dead.has(name)) throw new Error('no answer')
+      this.questions.set(address, (this.questions.get(address) ?? new Set()).add(name))
+      return JSON.parse(JSON.stringify(this.routers.get(address)?.server.answer(JSON.parse(JSON.stringify(request)))))
+    }, () => undefined)
+    const sync: FleetSync = new FleetSync({ routers: knowledge.routers, client, seeds: [], isStoreFailing: () => false }, clock, log)
+    const server = new SyncServer(knowledge, name, () => clock.now(), () => {
+      return sync.isReader && knowledge.configuration.version > 0 ? 0 : sync.followingDistance
+    })
+    this.routers.set(name, { knowledge, server, sync })
+  }
+
+  /** Gives the readers what the store holds. */
+  private async _readStore (): Promise<void> {
+    while (!ending.signal.aborted) {
+      for (const name of this.readers) {
+        const { knowledge } = this.routers.get(name) as { knowledge: FleetKnowledge }
+        knowledge.configuration.adopt({ version: this.version, routes: [], services: [], limits: undefined, workspaces: undefined }, 'store')
+        knowledge.configuration.verified(clock.now())
+        knowledge.endpoints.replace([ENDPOINT], undefined)
+        knowledge.endpointsFreshness.verifiedAt = clock.now()
+      }
+      await sleep(100)
+    }
+  }
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(20)
+}
+
+test('a large fleet: one of each zone asks the reader; configuration, loads and holders reach all, also after both have died', async () => {
+  const fleet = new Fleet()
+  const allKnow = (): boolean => fleet.live.every(({ configuration }) => configuration.version === fleet.version)
+  const allCount = (): boolean => fleet.live.every(({ loads }) => loads.total('e1') === fleet.live.length)
+  const allHold = (key: string): boolean => fleet.live.every(({ holders }) => holders.holders(key).includes('e1'))
+  for (const { loads } of fleet.live) loads.begin('e1')
+  await until(() => fleet.readers.length === 1 && allKnow())
+  await until(allCount)
+  fleet.routers.get('r50')?.knowledge.holders.add('a1', 'e1')
+  await until(() => allHold('a1'))
+
+  const [reader] = fleet.readers as [string]
+  const askers = (): number => fleet.questions.get(reader)?.size ?? 0
+  // The first of each zone, and the followers of the reader's own zone; others may have asked before they found theirs.
+  do {
+    fleet.questions.clear()
+    await sleep(1_500)
+  } while (askers() === 0 || askers() > ZONES + ROUTERS / ZONES)
+
+  const zoneReader = [...fleet.questions.get(reader) as Set<string>].find((name) => (fleet.questions.get(name)?.size ?? 0) > 3) as string
+  fleet.dead.add(reader).add(zoneReader)
+  fleet.version = 2
+  await until(() => fleet.readers.length === 1 && allKnow())
+  await until(allCount)
+  fleet.live.at(-1)?.holders.add('b2', 'e1')
+  await until(() => allHold('b2'))
+}, 60_000)
--- a/packages/gateway/src/test/store-feed_test.ts
+++ b/packages/gateway/src/test/store-feed_test.ts
@@ -37,7 +37,7 @@
 test('the newest values are read first, then changes', async () => {
   const { routers, taken, end } = createFeed()
   await until(() => taken.length === 1)
-  routers.put('a', { name: 'a', address: 'a' })
+  routers.put('a', { name: 'a', availabilityZone: 'z', address: 'a' })
   await until(() => taken.length === 2)
   await end()
   expect(taken).toEqual([{ keys: [], isWhole: true }, { keys: ['a'], isWhole: false }])
@@ -49,7 +49,7 @@
   routers.isDown = true
   await until(() => feed.isFailing)
   expect(feed.isSound).toBe(false)
-  routers.put('a', { name: 'a', address: 'a' })
+  routers.put('a', { name: 'a', availabilityZone: 'z', address: 'a' })
   routers.isDown = false
   await until(() => feed.isSound)
   await end()
@@ -61,7 +61,7 @@
   await until(() => feed.isSound)
   state.isWanted = false
   await until(() => !feed.isSound)
-  routers.put('a', { name: 'a', address: 'a' })
+  routers.put('a', { name: 'a', availabilityZone: 'z', address: 'a' })
   state.isWanted = true
   await until(() => taken.length === 2)
   await end()
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -21,7 +21,7 @@
     configuration: new ConfigurationState(clock, log),
     endpoints: new EndpointTable(clock, log),
     endpointsFreshness: { verifiedAt: -Infinity },
-    routers: new RouterTable({ name, address: name }, clock),
+    routers: new RouterTable({ name, availabilityZone: 'z', address: name }, clock),
     holders: new HolderTable(),
     loads: new LoadView(() => clock.now())
   }
@@ -31,7 +31,7 @@
 function createFleet (): { clock: HandClock, reader: FleetKnowledge, routers: FleetKnowledge[], syncs: SyncClient[] } {
   const clock = new HandClock()
   const reader = createKnowledge('reader', clock)
-  const server = new SyncServer(reader, 'i1', () => clock.now(), () => true)
+  const server = new SyncServer(reader, 'i1', () => clock.now(), () => 0)
   const routers = ['a', 'b'].map((name) => createKnowledge(name, clock))
   const syncs = routers.map((knowledge) => new SyncClient(knowledge, clock, async (_address, request) => {
     return JSON.parse(JSON.stringify(server.answer(JSON.parse(JSON.stringify(request))))) as ReturnType<typeof server.answer>
@@ -39,6 +39,7 @@
   return { clock, reader, routers, syncs }
 }
 
+const FOLLOWING = { tellsLoad: true, followers: [] }
 const CONFIGURATION = { version: 3, routes: [], services: [], limits: undefined, workspaces: undefined }
 const ENDPOINT = {
   id: 'e1', service: 's', address: '10.0.0.1:1', availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1
@@ -48,12 +49,12 @@
   const { reader, routers, syncs } = createFleet()
   routers[0]?.holders.add('key', 'e1')
   reader.holders.add('other', 'e2')
-  for (const sync of [...syncs, ...syncs]) await sync.sync('reader')
+  for (const sync of [...syncs, ...syncs]) await sync.sync('reader', FOLLOWING)
   expect(routers[1]?.holders.holders('key')).toEqual(['e1'])
   expect(routers[1]?.holders.holders('other')).toEqual(['e2'])
   expect(reader.holders.holders('key')).toEqual(['e1'])
   routers[0]?.holders.add('later', 'e3')
-  for (const sync of syncs) await sync.sync('reader')
+  for (const sync of syncs) await sync.sync('reader', FOLLOWING)
   expect(routers[1]?.holders.holders('later')).toEqual(['e3'])
 })
 
@@ -61,10 +62,10 @@
   const { reader, routers, syncs } = createFleet()
   for (let endpoint = 0; endpoint < 20; endpoint += 1) routers[endpoint % 2]?.holders.add('hot', `e${endpoint}`)
   for (let round = 0; round < 5; round += 1) {
-    for (const sync of syncs) await sync.sync('reader')
+    for (const sync of syncs) await sync.sync('reader', FOLLOWING)
   }
   const cursors = [reader, ...routers].map((knowledge) => knowledge.holders.cursor)
-  for (const sync of syncs) await sync.sync('reader')
+  for (const sync of syncs) await sync.sync('reader', FOLLOWING)
   expect([reader, ...routers].map((knowledge) => knowledge.holders.cursor)).toEqual(cursors)
 })
 
@@ -76,7 +77,7 @@
   reader.endpointsFreshness.verifiedAt = clock.now()
   reader.loads.begin('e1')
   clock.ms += 500
-  const answer = await syncs[0]?.sync('reader')
+  const answer = await syncs[0]?.sync('reader', FOLLOWING)
   const router = routers[0] as FleetKnowledge
   expect(router.loads.total('e1')).toBe(0)
   syncs[0]?.takeLoad(answer as SyncAnswer)
@@ -95,20 +96,34 @@
   first.loads.begin('e1')
   second.loads.begin('e1')
   reader.loads.begin('e1')
-  for (const sync of [...syncs, ...syncs]) sync.takeLoad(await sync.sync('reader'))
+  for (const sync of [...syncs, ...syncs]) sync.takeLoad(await sync.sync('reader', FOLLOWING))
   expect([reader, first, second].map((knowledge) => knowledge.loads.total('e1'))).toEqual([3, 3, 3])
 })
 
+test('a reader that asks another router to learn of it is not counted twice there', async () => {
+  const { clock, reader, routers, syncs } = createFleet()
+  const [follower] = routers as [FleetKnowledge]
+  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], undefined)
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  reader.loads.begin('e1')
+  const [sync] = syncs as [SyncClient]
+  sync.takeLoad(await sync.sync('reader', FOLLOWING))
+  const server = new SyncServer(follower, 'i2', () => clock.now(), () => 1)
+  const asking = new SyncClient(reader, clock, async (_address, request) => server.answer(request), () => undefined)
+  await asking.sync('follower', { tellsLoad: false, followers: [] })
+  expect(follower.loads.total('e1')).toBe(1)
+})
+
 test('a router tells the routers that it knows', async () => {
   const { reader, routers, syncs } = createFleet()
-  routers[0]?.routers.heard({ name: 'b', address: 'b' }, 0)
-  await syncs[0]?.sync('reader')
+  routers[0]?.routers.heard({ name: 'b', availabilityZone: 'z', address: 'b' }, 0)
+  await syncs[0]?.sync('reader', FOLLOWING)
   expect(reader.routers.inReaderOrder().map((router) => router.name).sort()).toEqual(['a', 'b', 'reader'])
 })
 
 test('a reader that never read the store makes nobody fresh', async () => {
   const { routers, syncs } = createFleet()
-  await syncs[0]?.sync('reader')
+  await syncs[0]?.sync('reader', FOLLOWING)
   expect(routers[0]?.configuration.verifiedAt).toBe(-Infinity)
   expect(routers[0]?.endpointsFreshness.verifiedAt).toBe(-Infinity)
 })
@@ -117,9 +132,9 @@
   const { clock, reader, routers, syncs } = createFleet()
   reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], undefined)
   reader.endpointsFreshness.verifiedAt = clock.now()
-  await syncs[0]?.sync('reader')
+  await syncs[0]?.sync('reader', FOLLOWING)
   reader.endpoints.apply([{ key: 'e1', value: undefined }], undefined)
   reader.endpointsFreshness.verifiedAt = clock.now()
-  await syncs[0]?.sync('reader')
+  await syncs[0]?.sync('reader', FOLLOWING)
   expect(routers[0]?.endpoints.ready('s')).toEqual([])
 })
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -67,6 +67,7 @@
   private readonly _servers: Server[] = []
   private readonly _startup = new StartupGate()
   private _feeds: readonly { readonly isSound: boolean, readonly isFailing: boolean }[] = []
+  private _sync: FleetSync | undefined
   private _callerServer: Server | undefined
 
   /**
@@ -81,7 +82,7 @@
       configuration: new ConfigurationState(clock, log),
       endpoints: new EndpointTable(clock, log),
       endpointsFreshness: { verifiedAt: -Infinity },
-      routers: new RouterTable({ name: settings.name, address: settings.peers }, clock),
+      routers: new RouterTable({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, clock),
       holders: new HolderTable(),
       loads: new LoadView(() => clock.now())
     }
@@ -96,7 +97,7 @@
   async start (): Promise<void> {
     const { settings, log, clock } = this._options
     this._learn()
-    const sync = new SyncServer(this._knowledge, randomUUID(), () => clock.now(), () => this._readsStore())
+    const sync = new SyncServer(this._knowledge, randomUUID(), () => clock.now(), () => this._readsStore() ? 0 : this._sync?.followingDistance ?? Infinity)
     const callerServer = createCallerListener(this._requestParts())
     this._callerServer = callerServer
     await Promise.all([
@@ -171,6 +172,7 @@
       seeds: settings.seeds,
       isStoreFailing: () => this._feeds.some((feed) => feed.isFailing)
     }, clock, log)
+    this._sync = sync
     const { signal } = this._ending
     const keeper = new HolderKeeper({ store, holders: this._knowledge.holders, isSaving: () => sync.isReader }, log)
     const tasks = [keeper.run(signal), configurations.run(signal), registrations.run(signal), sync.run(signal), announceRouter(store, routers, log, signal)]
@@ -199,11 +201,13 @@
         holders,
         health: this._health,
         availabilityZone: settings.availabilityZone,
+        isFleetLarge: () => this._knowledge.routers.isLarge,
         loadBoundFactor: () => this._settings.current.loadBoundFactor
       }),
       connections: this._connections,
       metrics: this._metrics,
       state: this._state,
+      isFleetLarge: () => this._knowledge.routers.isLarge,
       keyAgeLimitMs: () => Math.max(0, this._settings.current.keyAgeLimitMs - KEY_AGE_MARGIN_MS),
       budgetOf: (service) => this._budgetOf(service),
       connectionsOf: (service) => this._connectionsOf(service)
