--- a/packages/gateway/src/choice/load-view.ts
+++ b/packages/gateway/src/choice/load-view.ts
@@ -116,6 +116,11 @@
     return this._foreign.get(router)?.load ?? {}
   }
 
+  /** What each router reported last, as it is now. */
+  allTold (): ReadonlyMap<string, LoadByEndpoint> {
+    return new Map([...this._foreign].map(([router, { load }]) => [router, load]))
+  }
+
   private _add (load: LoadByEndpoint, sign: number): void {
     for (const [endpoint, count] of Object.entries(load)) {
       const sum = (this._foreignSum.get(endpoint) ?? 0) + sign * count
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -1,5 +1,5 @@
-import { encodeLoads } from './encode-loads.js'
 import type { FleetKnowledge } from './fleet-knowledge.js'
+import { LoadSnapshot } from './load-snapshot.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
 
@@ -12,6 +12,7 @@
   private readonly _instance: string
   private readonly _now: () => number
   private readonly _distance: () => number
+  private readonly _loadSnapshot: LoadSnapshot
 
   /**
    * @param knowledge what is told
@@ -24,6 +25,7 @@
     this._instance = instance
     this._now = now
     this._distance = distance
+    this._loadSnapshot = new LoadSnapshot(knowledge.endpoints, knowledge.loads, { now })
   }
 
   /**
@@ -48,21 +50,13 @@
       endpoints: revision === request.endpointsRevision ? undefined : [...endpoints.entries],
       endpointsRevision: revision,
       endpointsAgeMs: this._age(this._knowledge.endpointsFreshness.verifiedAt),
-      load: this._loadWithout(request.router.name),
+      load: this._loadSnapshot.without(request.router.name),
       notes: news.notes,
       notesCursor: `${this._instance}:${news.cursor}`,
       routers: request.routers === undefined ? undefined : routers.contacts()
     }
   }
 
-  private _loadWithout (router: string): string {
-    const { endpoints, loads } = this._knowledge
-    const told = loads.toldBy(router)
-    const counts: number[] = []
-    for (const { id } of endpoints.entries) counts.push(loads.total(id) - (told[id] ?? 0))
-    return encodeLoads(counts)
-  }
-
   private _age (verifiedAt: number): number {
     return verifiedAt === -Infinity ? -1 : Math.ceil(this._now() - verifiedAt)
   }
