Tell changes of the endpoints instead of all of them

Now the last 2,048 changes are kept and told; a router keeps a mirror of the other's table in its order, by which loads are counted too. A large fleet also tells of its routers less often. Tests by random changes and by a long absence.

--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -2,11 +2,15 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { TopicChange } from '../model/topic-change.js'
+import type { EndpointChange } from './endpoint-change.js'
 import type { EndpointListener } from './endpoint-listener.js'
 
 /** How long an endpoint that left can still be asked for its contexts; afterwards its address may be another one's. */
 const DEPARTED_KEEP_MS = 1_800
 
+/** Changes that are kept for those that know the table as it was before; more have happened only after a long absence. */
+const CHANGES_KEPT = 2_048
+
 /** An endpoint that left. */
 interface DepartedEntry {
   readonly entry: EndpointEntry
@@ -26,6 +30,7 @@
   private readonly _log: EventLog
   private readonly _listeners: EndpointListener[] = []
   private _byService: Map<string, EndpointEntry[]> | undefined
+  private readonly _changes: EndpointChange[] = []
   private _revision = 0
 
   /**
@@ -42,6 +47,16 @@
     return this._revision
   }
 
+  /**
+   * Changes since a revision, in order; undefined if they are no longer known.
+   * @param revision of this table
+   */
+  changesSince (revision: number): readonly EndpointChange[] | undefined {
+    const count = this._revision - revision
+    if (count < 0 || count > this._changes.length) return undefined
+    return count === 0 ? [] : this._changes.slice(-count)
+  }
+
   /** All entries, also of those that are draining. */
   get entries (): Iterable<EndpointEntry> {
     return this._entries.values()
@@ -129,7 +144,7 @@
     }
     const isNewIncarnation = held !== undefined && held.startedAt !== entry.startedAt
     this._entries.set(entry.id, entry)
-    this._changed()
+    this._changed({ id: entry.id, entry })
     this._log.info('endpoint-registered', {
       endpoint: entry.id,
       service: entry.service,
@@ -159,7 +174,7 @@
     if (entry === undefined) return
     this._entries.delete(id)
     this._departed.set(id, { entry, until: this._clock.now() + DEPARTED_KEEP_MS })
-    this._changed()
+    this._changed({ id, entry: undefined })
     this._log.info('endpoint-gone', { endpoint: id, service: entry.service })
     for (const listener of this._listeners) listener.endpointGone(entry)
   }
@@ -169,8 +184,10 @@
     for (const listener of this._listeners) listener.endpointForgotten(entry)
   }
 
-  private _changed (): void {
+  private _changed (change: EndpointChange): void {
     this._revision += 1
+    this._changes.push(change)
+    if (this._changes.length > CHANGES_KEPT) this._changes.splice(0, CHANGES_KEPT / 2)
     this._byService = undefined
   }
 
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -161,7 +161,7 @@
   }
 
   private _follow (router: RouterEntry, answer: SyncAnswer): void {
-    this._client.takeLoad(answer)
+    this._client.takeLoad(router.address, answer)
     this._sourceDistance = answer.distance ?? Infinity
     this._followedAt = this._clock.now()
     const order = this._routers.inReaderOrder()
--- a/packages/gateway/src/membership/router-table.ts
+++ b/packages/gateway/src/membership/router-table.ts
@@ -5,6 +5,8 @@
 
 /** A router of which nothing was heard for so long is taken as gone. */
 const FORGET_AFTER_MS = 12_000
+/** The same in a large fleet, where routers tell each other of the others less often. */
+const LARGE_FLEET_FORGET_AFTER_MS = 60_000
 /** Routers from which on a fleet is large: one that reads for all would answer 250 questions a second. */
 const LARGE_FLEET = 64
 /** Key of the order in which routers are preferred as readers of the store. */
@@ -52,7 +54,7 @@
     const heardAt = this._clock.now() - agoMs
     const known = this._known.get(entry.name)
     if (known === undefined || (known.entry.address !== entry.address && heardAt > known.heardAt)) {
-      if (agoMs < FORGET_AFTER_MS) this._known.set(entry.name, { entry, heardAt })
+      if (agoMs < this._forgetAfterMs) this._known.set(entry.name, { entry, heardAt })
       return
     }
     known.heardAt = Math.max(known.heardAt, heardAt)
@@ -84,8 +86,12 @@
     return [{ ...this._self, heardAgoMs: 0 }, ...others]
   }
 
+  private get _forgetAfterMs (): number {
+    return this._known.size + 1 < LARGE_FLEET ? FORGET_AFTER_MS : LARGE_FLEET_FORGET_AFTER_MS
+  }
+
   private _forget (): void {
-    const oldest = this._clock.now() - FORGET_AFTER_MS
+    const oldest = this._clock.now() - this._forgetAfterMs
     for (const [name, known] of this._known) {
       if (known.heardAt < oldest) this._known.delete(name)
     }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -1,6 +1,7 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { GatewayConfiguration } from '../model/gateway-configuration.js'
+import type { EndpointChange } from './endpoint-change.js'
 import type { RouterContact } from './router-contact.js'
 
 /** What a router knows that the asking one does not. */
@@ -16,7 +17,9 @@
   readonly configuration: GatewayConfiguration | undefined
   /** Milliseconds since the store held nothing newer; -1 if that was never so. */
   readonly configurationAgeMs: number
-  /** All endpoints, if they changed since the revision that the asking router has. */
+  /** Changes of the endpoints since the revision that the asking router has; undefined if they are not known, or none happened. */
+  readonly endpointChanges: readonly EndpointChange[] | undefined
+  /** All endpoints, if the changes are not known. */
   readonly endpoints: readonly EndpointEntry[] | undefined
   /** Revision of the endpoints. */
   readonly endpointsRevision: string
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -1,6 +1,8 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import { decodeLoads } from './decode-loads.js'
+import { EndpointMirror } from './endpoint-mirror.js'
 import type { FleetKnowledge } from './fleet-knowledge.js'
+import type { RouterContact } from './router-contact.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncCall } from './sync-call.js'
 import type { SyncPurpose } from './sync-purpose.js'
@@ -9,8 +11,10 @@
 const MAXIMUM_NOTES = 1_000
 /** One request in so many tells the routers. */
 const ROUTERS_EVERY = 8
-/** Lists of endpoints that are remembered: of the router that is followed, and of some that are asked beside it. */
-const ORDERS_KEPT = 4
+/** The same in a large fleet, where they are many. */
+const LARGE_FLEET_ROUTERS_EVERY = 32
+/** Other routers whose endpoints are remembered: the one that is followed, and some that are asked beside it. */
+const MIRRORS_KEPT = 4
 /** Stands for all other routers in the loads; each answer replaces what the last one told of them. */
 const FLEET = 'fleet'
 
@@ -20,12 +24,13 @@
   private readonly _clock: ElapsedClock
   private readonly _call: SyncCall
   private readonly _learned: () => void
-  private readonly _revisions = new Map<string, string>()
   private readonly _cursors = new Map<string, string>()
   private readonly _told = new Map<string, number>()
   private readonly _asked = new Map<string, number>()
-  /** Identities of endpoints by the revision that lists them. */
-  private readonly _orders = new Map<string, readonly string[]>()
+  private readonly _mirrors = new Map<string, EndpointMirror>()
+  /** The other router's revision that was taken over last, and this router's own revision since. */
+  private _takenRevision: string | undefined
+  private _revisionAfterTaking = -1
 
   /**
    * @param knowledge takes the news
@@ -53,9 +58,9 @@
     const sentAt = this._clock.now()
     const answer = await this._call(address, {
       router: routers.self,
-      routers: this._tellsRouters(address) ? routers.contacts() : undefined,
+      routers: this._tellsRouters(address) ? this._contacts(followers) : undefined,
       configurationVersion: configuration.version,
-      endpointsRevision: this._revisions.get(address),
+      endpointsRevision: this._mirrors.get(address)?.revision,
       load: tellsLoad ? loads.ownWith(followers) : {},
       notes: news.ownNotes,
       notesCursor: this._cursors.get(address)
@@ -69,18 +74,26 @@
   /**
    * Takes the loads of all other routers. Only from the router that this one follows: others know a part of them, or
    * what they heard from this one.
-   * @param answer of the router that is followed
+   * @param address of the router that is followed
+   * @param answer of that router
    */
-  takeLoad (answer: SyncAnswer): void {
-    const order = this._orders.get(answer.endpointsRevision)
-    if (order !== undefined) this._knowledge.loads.report(FLEET, decodeLoads(answer.load, order))
+  takeLoad (address: string, answer: SyncAnswer): void {
+    const mirror = this._mirrors.get(address)
+    if (mirror?.revision === answer.endpointsRevision) this._knowledge.loads.report(FLEET, decodeLoads(answer.load, mirror.ids))
+  }
+
+  /** In a large fleet a router tells of those only for which it asks: whom it follows knows of the others. */
+  private _contacts (followers: readonly string[]): readonly RouterContact[] {
+    const { routers } = this._knowledge
+    const contacts = routers.contacts()
+    return routers.isLarge ? contacts.filter(({ name }) => followers.includes(name)) : contacts
   }
 
   /** The first request to a router, and then one in some, tells the routers; else they would be most of the traffic. */
   private _tellsRouters (address: string): boolean {
     const asked = this._asked.get(address) ?? 0
     this._asked.set(address, asked + 1)
-    return asked % ROUTERS_EVERY === 0
+    return asked % (this._knowledge.routers.isLarge ? LARGE_FLEET_ROUTERS_EVERY : ROUTERS_EVERY) === 0
   }
 
   private _takeIn (address: string, answer: SyncAnswer, sentAt: number, isRelaying: boolean): void {
@@ -98,25 +111,28 @@
     this._cursors.set(address, answer.notesCursor)
   }
 
-  /** Remembers in which order an answer counts the endpoints. */
-  private _noteOrder (answer: SyncAnswer): void {
-    if (answer.endpoints === undefined) return
-    this._orders.set(answer.endpointsRevision, answer.endpoints.map(({ id }) => id))
-    if (this._orders.size > ORDERS_KEPT) this._orders.delete(this._orders.keys().next().value as string)
-  }
-
   private _takeEndpoints (address: string, answer: SyncAnswer, sentAt: number): void {
     const { endpoints, endpointsFreshness } = this._knowledge
+    const mirror = this._mirror(address)
+    mirror.take(answer)
     const verifiedAt = sentAt - answer.endpointsAgeMs
-    this._noteOrder(answer)
-    if (answer.endpointsAgeMs < 0 || verifiedAt < endpointsFreshness.verifiedAt) {
-      // Ours is newer: a list that came is not taken, and asked for again next time.
-      if (answer.endpoints !== undefined) this._revisions.delete(address)
-      return
-    }
+    // Ours may be newer.
+    if (answer.endpointsAgeMs < 0 || verifiedAt < endpointsFreshness.verifiedAt) return
     endpointsFreshness.verifiedAt = verifiedAt
-    if (answer.endpoints !== undefined) endpoints.replace(answer.endpoints, undefined)
-    for (const other of this._revisions.keys()) if (other !== address) this._revisions.delete(other)
-    this._revisions.set(address, answer.endpointsRevision)
+    const isUnchanged = this._takenRevision === answer.endpointsRevision && this._revisionAfterTaking === endpoints.revision
+    if (isUnchanged) return
+    endpoints.replace(mirror.entries, undefined)
+    this._takenRevision = answer.endpointsRevision
+    this._revisionAfterTaking = endpoints.revision
+  }
+
+  private _mirror (address: string): EndpointMirror {
+    let mirror = this._mirrors.get(address)
+    if (mirror === undefined) {
+      mirror = new EndpointMirror()
+      this._mirrors.set(address, mirror)
+      if (this._mirrors.size > MIRRORS_KEPT) this._mirrors.delete(this._mirrors.keys().next().value as string)
+    }
+    return mirror
   }
 }
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -40,15 +40,14 @@
     loads.report(request.router.name, request.load)
     const news = holders.notesSince(this._positionIn(request.notesCursor), MAXIMUM_NOTES)
     for (const note of request.notes) holders.add(note.key, note.endpointId)
-    const revision = `${this._instance}:${endpoints.revision}`
     const known = configuration.inForce?.configuration
     return {
       name: routers.self.name,
       distance: this._distance(),
       configuration: known !== undefined && known.version > request.configurationVersion ? known : undefined,
       configurationAgeMs: this._age(configuration.verifiedAt),
-      endpoints: revision === request.endpointsRevision ? undefined : [...endpoints.entries],
-      endpointsRevision: revision,
+      ...this._endpointNews(request.endpointsRevision),
+      endpointsRevision: `${this._instance}:${endpoints.revision}`,
       endpointsAgeMs: this._age(this._knowledge.endpointsFreshness.verifiedAt),
       load: this._loadSnapshot.without(request.router.name),
       notes: news.notes,
@@ -57,6 +56,14 @@
     }
   }
 
+  private _endpointNews (known: string | undefined): Pick<SyncAnswer, 'endpoints' | 'endpointChanges'> {
+    const { endpoints } = this._knowledge
+    const [instance, revision] = (known ?? '').split(':')
+    const changes = instance === this._instance ? endpoints.changesSince(Number(revision)) : undefined
+    if (changes === undefined) return { endpoints: [...endpoints.entries], endpointChanges: undefined }
+    return { endpoints: undefined, endpointChanges: changes.length > 0 ? changes : undefined }
+  }
+
   private _age (verifiedAt: number): number {
     return verifiedAt === -Infinity ? -1 : Math.ceil(this._now() - verifiedAt)
   }
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
 import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
@@ -80,7 +81,7 @@
   const answer = await syncs[0]?.sync('reader', FOLLOWING)
   const router = routers[0] as FleetKnowledge
   expect(router.loads.total('e1')).toBe(0)
-  syncs[0]?.takeLoad(answer as SyncAnswer)
+  syncs[0]?.takeLoad('reader', answer as SyncAnswer)
   expect(router.configuration.version).toBe(3)
   expect(router.configuration.ageMs).toBe(500)
   expect(router.endpoints.ready('s').map((endpoint) => endpoint.id)).toEqual(['e1'])
@@ -96,7 +97,7 @@
   first.loads.begin('e1')
   second.loads.begin('e1')
   reader.loads.begin('e1')
-  for (const sync of [...syncs, ...syncs]) sync.takeLoad(await sync.sync('reader', FOLLOWING))
+  for (const sync of [...syncs, ...syncs]) sync.takeLoad('reader', await sync.sync('reader', FOLLOWING))
   expect([reader, first, second].map((knowledge) => knowledge.loads.total('e1'))).toEqual([3, 3, 3])
 })
 
@@ -107,7 +108,7 @@
   reader.endpointsFreshness.verifiedAt = clock.now()
   reader.loads.begin('e1')
   const [sync] = syncs as [SyncClient]
-  sync.takeLoad(await sync.sync('reader', FOLLOWING))
+  sync.takeLoad('reader', await sync.sync('reader', FOLLOWING))
   const server = new SyncServer(follower, 'i2', () => clock.now(), () => 1)
   const asking = new SyncClient(reader, clock, async (_address, request) => server.answer(request), () => undefined)
   await asking.sync('follower', { tellsLoad: false, followers: [] })
@@ -138,3 +139,46 @@
   await syncs[0]?.sync('reader', FOLLOWING)
   expect(routers[0]?.endpoints.ready('s')).toEqual([])
 })
+
+test('whatever endpoints come and go, and whoever is asked, a router ends with the endpoints of the one that it follows', async () => {
+  const change = fc.record({ id: fc.constantFrom('a', 'b', 'c', 'd', 'e'), isGone: fc.boolean(), slots: fc.integer({ min: 1, max: 3 }) })
+  const step = fc.record({ at: fc.constantFrom('reader', 'other'), changes: fc.array(change, { maxLength: 4 }), asked: fc.constantFrom('reader', 'other') })
+  await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 25 }), async (steps) => {
+    const clock = new HandClock()
+    const sources = { reader: createKnowledge('reader', clock), other: createKnowledge('other', clock) }
+    const servers = {
+      reader: new SyncServer(sources.reader, 'i1', () => clock.now(), () => 0),
+      other: new SyncServer(sources.other, 'i2', () => clock.now(), () => 0)
+    }
+    const follower = createKnowledge('follower', clock)
+    const sync = new SyncClient(follower, clock, async (address, request) => {
+      return JSON.parse(JSON.stringify(servers[address as 'reader' | 'other'].answer(JSON.parse(JSON.stringify(request)))))
+    }, () => undefined)
+    for (const { at, changes, asked } of steps) {
+      for (const { id, isGone, slots } of changes) {
+        sources[at].endpoints.apply([{ key: id, value: isGone ? undefined : { ...ENDPOINT, id, slots } }], undefined)
+        if (!isGone) sources[at].loads.begin(id)
+      }
+      clock.ms += 10
+      sources[asked].endpointsFreshness.verifiedAt = clock.now()
+      sync.takeLoad(asked, await sync.sync(asked, FOLLOWING))
+      const names = [...sources[asked].endpoints.entries].map(({ id, slots }) => `${id}${slots}`)
+      expect([...follower.endpoints.entries].map(({ id, slots }) => `${id}${slots}`).sort()).toEqual(names.sort())
+      for (const { id } of sources[asked].endpoints.entries) expect(follower.loads.total(id)).toBe(sources[asked].loads.total(id))
+    }
+  }), { seed: 9, numRuns: 200 })
+})
+
+test('a router that was away for more changes than are kept gets all endpoints', async () => {
+  const { clock, reader, routers, syncs } = createFleet()
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  await syncs[0]?.sync('reader', FOLLOWING)
+  for (let index = 0; index < 5_000; index += 1) {
+    reader.endpoints.apply([{ key: 'e1', value: { ...ENDPOINT, startedAt: index } }], undefined)
+  }
+  clock.ms += 10
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  const answer = await syncs[0]?.sync('reader', FOLLOWING)
+  expect([answer?.endpoints?.length, answer?.endpointChanges]).toEqual([1, undefined])
+  expect(routers[0]?.endpoints.find('e1')?.startedAt).toBe(4_999)
+})
