--- /dev/null
+++ b/packages/gateway/src/configuration/apply-patch.ts
@@ -0,0 +1,25 @@
+import type { GatewayConfiguration } from '../model/gateway-configuration.js'
+import type { ConfigurationPatch } from './configuration-patch.js'
+import type { ListPatch } from './list-patch.js'
+
+/**
+ * The version that a patch leads to.
+ * @param configuration the version that the patch changes
+ * @param patch what changes
+ */
+export function applyPatch (configuration: GatewayConfiguration, patch: ConfigurationPatch): GatewayConfiguration {
+  return {
+    version: patch.to,
+    routes: patchList(configuration.routes, patch.routes),
+    services: patchList(configuration.services, patch.services),
+    workspaces: patch.workspaces === undefined ? undefined : patchList(configuration.workspaces ?? [], patch.workspaces),
+    limits: patch.limits
+  }
+}
+
+function patchList<Item extends { readonly name: string }> (items: readonly Item[], { changed, removed }: ListPatch<Item>): Item[] {
+  const patched = new Map(items.map((item) => [item.name, item]))
+  for (const name of removed) patched.delete(name)
+  for (const item of changed) patched.set(item.name, item)
+  return [...patched.values()]
+}
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -1,5 +1,6 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { ConfigurationPatch } from '../configuration/configuration-patch.js'
 import type { GatewayConfiguration } from '../model/gateway-configuration.js'
 import type { EndpointChange } from './endpoint-change.js'
 import type { RouterContact } from './router-contact.js'
@@ -13,7 +14,9 @@
    * the store from nobody. Only who is nearer to the store spares another router the reading.
    */
   readonly distance: number | null
-  /** The configuration, if it is newer than the asking router's. */
+  /** Changes that lead to a newer configuration from the asking router's; undefined if there are none or they are not known. */
+  readonly configurationPatches: readonly ConfigurationPatch[] | undefined
+  /** The configuration, if it is newer than the asking router's and the changes are not known. */
   readonly configuration: GatewayConfiguration | undefined
   /** Milliseconds since the store held nothing newer; -1 if that was never so. */
   readonly configurationAgeMs: number
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -101,6 +101,7 @@
     const passed = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.heard(router, router.heardAgoMs + passed)
     if (answer.configuration !== undefined) configuration.adopt(answer.configuration, answer.name)
+    if (answer.configurationPatches !== undefined) configuration.adoptPatches(answer.configurationPatches, answer.name)
     // The answer was made after the request was sent, so an age in it counts from that moment at the latest.
     if (answer.configurationAgeMs >= 0) configuration.verified(sentAt - answer.configurationAgeMs)
     this._takeEndpoints(address, answer, sentAt)
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -40,11 +40,10 @@
     loads.report(request.router.name, request.load)
     const news = holders.notesSince(this._positionIn(request.notesCursor), MAXIMUM_NOTES)
     for (const note of request.notes) holders.add(note.key, note.endpointId)
-    const known = configuration.inForce?.configuration
     return {
       name: routers.self.name,
       distance: this._distance(),
-      configuration: known !== undefined && known.version > request.configurationVersion ? known : undefined,
+      ...this._configurationNews(request.configurationVersion),
       configurationAgeMs: this._age(configuration.verifiedAt),
       ...this._endpointNews(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
@@ -56,6 +55,13 @@
     }
   }
 
+  private _configurationNews (version: number): Pick<SyncAnswer, 'configuration' | 'configurationPatches'> {
+    const { configuration } = this._knowledge
+    if (version >= configuration.version) return { configuration: undefined, configurationPatches: undefined }
+    const patches = configuration.patchesSince(version)
+    return { configuration: patches === undefined ? configuration.inForce?.configuration : undefined, configurationPatches: patches }
+  }
+
   private _endpointNews (known: string | undefined): Pick<SyncAnswer, 'endpoints' | 'endpointChanges'> {
     const { endpoints } = this._knowledge
     const [instance, revision] = (known ?? '').split(':')
