--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -86,12 +86,12 @@
       }
       const expectedMs = this._queues.expectedWaitMs(waiting, this._times.serviceMs / Math.max(1, this._inFlight))
       if (expectedMs > waitMs) {
-        return reject(this._refusal(ResultCode.ENDPOINT_OVER_BOUND, `would take the request after about ${Math.round(expectedMs)} ms`))
+        return reject(this._refusal(`would take the request after about ${Math.round(expectedMs)} ms`))
       }
       this._queues.push(waiting)
       signal.addEventListener('abort', () => this._drop(waiting, () => callerGone()), { once: true, signal: timer.signal })
       this._options.clock.sleep(waitMs, timer.signal).then(() => {
-        this._drop(waiting, () => this._refusal(ResultCode.ENDPOINT_OVER_BOUND, 'had no room for the whole wait'))
+        this._drop(waiting, () => this._refusal('had no room for the whole wait'))
       }, (error: Error) => this._drop(waiting, () => error))
       this.recheck()
     })
@@ -130,10 +130,10 @@
     if (this._queues.remove(waiting)) waiting.end(error())
   }
 
-  private _refusal (code: ResultCode, what: string): MimosarockError {
+  private _refusal (what: string): MimosarockError {
     this._refused.add()
     const retryAfterMs = returnTime(this._refused.perSecond, this._served.perSecond, this._options.random())
-    return new MimosarockError(code, `service ${this._options.service} ${what}`, { run: RunState.NOT_RUN, retryAfterMs })
+    return new MimosarockError(ResultCode.OVERLOADED, `service ${this._options.service} ${what}`, { run: RunState.NOT_RUN, retryAfterMs })
   }
 }
 
