See an overloaded process by an event loop that never rests

Cause: at five times the traffic, eight times that of one workspace and callers that repeat at once, connections waited up to 1.7 s before they were accepted, one in each turn of the event loop; the turns were short, so pressure was not seen, and 149 requests were sent on after their callers had left (GONE).

--- a/packages/gateway/src/caller/turn-meter.ts
+++ b/packages/gateway/src/caller/turn-meter.ts
@@ -9,6 +9,7 @@
   private readonly _pressure: ProcessPressure
   private readonly _state: GatewayState
   private _startedAt: number | undefined
+  private _lastUtilization = performance.eventLoopUtilization()
 
   /**
    * @param pressure takes the turns
@@ -27,7 +28,13 @@
   }
 
   private _end (): void {
-    this._pressure.noteTurn(performance.now() - (this._startedAt as number), this._state.requestsInWork)
+    this._pressure.noteTurn(performance.now() - (this._startedAt as number), this._state.requestsInWork, () => this._utilization())
     this._startedAt = undefined
   }
+
+  private _utilization (): number {
+    const last = this._lastUtilization
+    this._lastUtilization = performance.eventLoopUtilization()
+    return performance.eventLoopUtilization(this._lastUtilization, last).utilization
+  }
 }
--- a/packages/gateway/src/test/process-pressure_test.ts
+++ b/packages/gateway/src/test/process-pressure_test.ts
@@ -4,10 +4,10 @@
 import { HandClock } from './hand-clock.js'
 
 /** Plays turns of given lengths, one after the other. */
-async function play (pressure: ProcessPressure, clock: HandClock, turns: readonly number[], inWork: number): Promise<void> {
+async function play (pressure: ProcessPressure, clock: HandClock, turns: readonly number[], inWork: number, utilization = 0.5): Promise<void> {
   for (const turnMs of turns) {
     await clock.advance(turnMs)
-    pressure.noteTurn(turnMs, inWork)
+    pressure.noteTurn(turnMs, inWork, () => utilization)
   }
 }
 
@@ -38,6 +38,21 @@
   expect(pressure.limit).toBe(Infinity)
 })
 
+test('a storm of connections: turns are short, but the loop never rests', async () => {
+  const { pressure, clock } = create()
+  await play(pressure, clock, times(300, [3]), 100, 1)
+  expect([pressure.isHigh, pressure.limit < 100]).toEqual([true, true])
+})
+
+test('a burst of connections for a third of a second is no pressure', async () => {
+  const { pressure, clock } = create()
+  for (let burst = 0; burst < 5; burst += 1) {
+    await play(pressure, clock, times(100, [3]), 100, 1)
+    await play(pressure, clock, times(100, [3]), 100, 0.9)
+  }
+  expect(pressure.limit).toBe(Infinity)
+})
+
 test('after the overload the limit grows again until it is of no use', async () => {
   const { pressure, clock } = create()
   await play(pressure, clock, times(10, [200]), 100)
