--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -18,6 +18,7 @@
 import { nextTurn } from './next-turn.js'
 import { notRun } from './not-run.js'
 import { readRequestBody } from './read-request-body.js'
+import { reportRequest } from './report-request.js'
 import type { RequestParts } from './request-parts.js'
 
 /** Longest body where no configuration sets a bound, in bytes. */
@@ -301,33 +302,16 @@
   }
 
   private _report (admitted: AdmittedRequest | undefined, code: ResultCode): void {
-    const { log, metrics, configuration, clock } = this._parts
-    const elapsedMs = clock.now() - this._startedAt
-    const status = this._response.headersSent ? this._response.statusCode : 0
-    const route = admitted?.route.name ?? 'none'
-    metrics.requests.inc({ route, status, code })
-    metrics.answerSeconds.observe({ route }, elapsedMs / MS_PER_SECOND)
-    log.info('request', {
-      request: this._requestId,
-      route,
-      service: admitted?.service,
-      workspace: admitted?.workspace,
-      priority: admitted?.priority,
-      configuration: admitted?.configurationVersion,
-      configuration_age_ms: Math.round(configuration.ageMs),
-      key: admitted === undefined ? undefined : EndpointChoice.keyOf(admitted.caller.prompt),
-      prompt_tokens: admitted?.caller.promptTokens,
-      endpoint: this._chosen?.endpoint.id,
-      choice: this._chosen?.reason,
-      context_from: this._chosen?.contextHolder?.id,
-      load: this._chosen?.load,
-      bound: this._chosen === undefined ? undefined : Math.round(this._chosen.bound),
-      waited_ms: Math.round(this._waitedMs),
+    reportRequest(this._parts, {
+      requestId: this._requestId,
+      admitted,
+      chosen: this._chosen,
+      waitedMs: this._waitedMs,
       tries: this._tries,
-      status,
+      status: this._response.headersSent ? this._response.statusCode : 0,
       code,
-      first_byte_ms: this._firstByteMs === undefined ? undefined : Math.round(this._firstByteMs),
-      elapsed_ms: Math.round(elapsedMs),
+      firstByteMs: this._firstByteMs,
+      elapsedMs: this._parts.clock.now() - this._startedAt,
       problem: this._problem
     })
   }
--- a/packages/gateway/src/test/many-routers_test.ts
+++ b/packages/gateway/src/test/many-routers_test.ts
@@ -3,7 +3,7 @@
 import { ServiceAdmission } from '@mimosarock/gateway/admission/service-admission.js'
 import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
 import { drawsOf } from './draws.js'
-import { HandClock } from './hand-clock.js'
+import { SteppedClock } from '../../../router/src/test/stepped-clock.js'
 
 const ROUTERS = 78
 const SERVICE_MS = 86
@@ -17,7 +17,7 @@
 
 /** Plays requests at a rate, so many at a time at one router, through many routers before few endpoints, and returns what part was refused. */
 async function play (perSecond: number, clump: number, seconds: number): Promise<{ refusedShare: number, mostInFlight: number }> {
-  const clock = new HandClock()
+  const clock = new SteppedClock()
   const draws = drawsOf(7)
   const routers = Array.from({ length: ROUTERS }, () => {
     const loads = new LoadView(() => clock.now())
--- a/packages/gateway/src/test/process-pressure_test.ts
+++ b/packages/gateway/src/test/process-pressure_test.ts
@@ -1,18 +1,18 @@
 import { expect, test } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { ProcessPressure } from '@mimosarock/gateway/admission/process-pressure.js'
-import { HandClock } from './hand-clock.js'
+import { SteppedClock } from '../../../router/src/test/stepped-clock.js'
 
 /** Plays turns of given lengths, one after the other. */
-async function play (pressure: ProcessPressure, clock: HandClock, turns: readonly number[], inWork: number, utilization = 0.5): Promise<void> {
+async function play (pressure: ProcessPressure, clock: SteppedClock, turns: readonly number[], inWork: number, utilization = 0.5): Promise<void> {
   for (const turnMs of turns) {
     await clock.advance(turnMs)
     pressure.noteTurn(turnMs, inWork, () => utilization)
   }
 }
 
-function create (): { pressure: ProcessPressure, clock: HandClock } {
-  const clock = new HandClock()
+function create (): { pressure: ProcessPressure, clock: SteppedClock } {
+  const clock = new SteppedClock()
   return { clock, pressure: new ProcessPressure(clock, new SilentEventLog()) }
 }
 
--- a/packages/gateway/src/test/service-admission_test.ts
+++ b/packages/gateway/src/test/service-admission_test.ts
@@ -4,7 +4,7 @@
 import { ServiceAdmission } from '@mimosarock/gateway/admission/service-admission.js'
 import type { ServiceRequest } from '@mimosarock/gateway/admission/service-request.js'
 import { drawsOf } from './draws.js'
-import { HandClock } from './hand-clock.js'
+import { SteppedClock } from '../../../router/src/test/stepped-clock.js'
 
 const SERVICE_MS = 100
 const STEP_MS = 10
@@ -31,7 +31,7 @@
 
 /** A service that runs so many requests at once, each for a tenth of a second. */
 class Load {
-  readonly clock = new HandClock()
+  readonly clock = new SteppedClock()
   readonly admission: ServiceAdmission
   private readonly _random: () => number
 
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from 'node:crypto'
-import { createServer, type Server } from 'node:http'
+import type { Server } from 'node:http'
 import { FleetShare } from '../admission/fleet-share.js'
 import { ProcessPressure } from '../admission/process-pressure.js'
 import { ServiceAdmissions } from '../admission/service-admissions.js'
 import { createCallerListener } from '../caller/caller-listener.js'
+import { createReadinessServer } from '../caller/create-readiness-server.js'
 import type { GatewayState } from '../caller/gateway-state.js'
 import type { RequestParts } from '../caller/request-parts.js'
 import { StartupGate } from '../caller/startup-gate.js'
@@ -30,6 +31,7 @@
 import { EndpointConnections } from '../sending/endpoint-connections.js'
 import type { GatewaySettings } from '../settings/gateway-settings.js'
 import { LiveSettings } from '../settings/live-settings.js'
+import { createMetricsServer } from '../status/create-metrics-server.js'
 import { GatewayMetrics } from '../status/gateway-metrics.js'
 import { announceRouter } from './announce-router.js'
 import type { GatewayOptions } from './gateway-options.js'
@@ -49,8 +51,6 @@
 const RESERVED_DESCRIPTORS = 1_000
 /** Connections to an endpoint where its service says nothing. */
 const DEFAULT_CONNECTIONS = 64
-const OK = 200
-const NOT_READY = 503
 
 /** A router: takes callers' requests and sends each straight to the endpoint that fits it. */
 export class Gateway {
@@ -102,9 +102,9 @@
     this._callerServer = callerServer
     await Promise.all([
       this._listenForCallers(callerServer),
-      this._listen(this._readinessServer(), settings.readiness),
+      this._listen(createReadinessServer(this._options.codec.readinessPath, () => this._isReady), settings.readiness),
       this._listen(createPeerRpcServer(sync), settings.peers),
-      settings.metrics === undefined ? undefined : this._listen(this._metricsServer(), settings.metrics)
+      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._knowledge.configuration, this._state), settings.metrics)
     ])
     log.info('started', {
       vm: settings.name, callers: settings.callers, peers: settings.peers, since_process_start_ms: Math.round(performance.now())
@@ -268,27 +268,6 @@
     return !this._state.isStopping && this._startup.isOpen
   }
 
-  private _readinessServer (): Server {
-    const { readinessPath } = this._options.codec
-    return createServer((request, response) => {
-      const isReady = request.url === readinessPath && this._isReady
-      response.writeHead(isReady ? OK : NOT_READY, { 'content-length': 0 }).end()
-    })
-  }
-
-  private _metricsServer (): Server {
-    return createServer((_request, response) => {
-      const { configuration } = this._knowledge
-      this._metrics.configurationVersion.set(configuration.version)
-      this._metrics.configurationAgeSeconds.set(configuration.ageMs / 1_000)
-      this._metrics.requestsInWork.set(this._state.requestsInWork)
-      this._metrics.registry.metrics().then(
-        (text) => response.writeHead(OK, { 'content-type': this._metrics.registry.contentType }).end(text),
-        (error: Error) => response.writeHead(NOT_READY).end(error.message)
-      )
-    })
-  }
-
   private async _listenForCallers (server: Server): Promise<void> {
     const { earlyListener, settings } = this._options
     if (earlyListener === undefined) return await this._listen(server, settings.callers)
