--- a/packages/gateway/src/admission/rank-queues.ts
+++ b/packages/gateway/src/admission/rank-queues.ts
@@ -20,7 +20,7 @@
 }
 
 /**
- * Who is next, and who has the least claim to wait. Of the ranks, the one whose served share of requests is furthest
+ * Who is next. Of the ranks, the one whose served share of requests is furthest
  * below its due; so urgent requests are served more often than others, whatever their numbers, and none are left out. In
  * a rank, turns go round the workspaces, so that a surge of one waits for itself.
  */
