--- a/packages/gateway/src/admission/fleet-share.ts
+++ b/packages/gateway/src/admission/fleet-share.ts
@@ -1,4 +1,3 @@
-import type { LoadView } from '../choice/load-view.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { FleetShareOptions } from './fleet-share-options.js'
 
@@ -78,6 +77,6 @@
   return equalPart >= LEAST_WITH_ROOM ? Math.floor(equalPart) : equalPart * SMALL_PART_MULTIPLE
 }
 
-function sumOf (endpoints: readonly EndpointEntry[], count: (id: string) => ReturnType<LoadView['total']>): number {
+function sumOf (endpoints: readonly EndpointEntry[], count: (id: string) => number): number {
   return endpoints.reduce((sum, endpoint) => sum + count(endpoint.id), 0)
 }
--- a/packages/gateway/src/admission/rank-queues.ts
+++ b/packages/gateway/src/admission/rank-queues.ts
@@ -20,9 +20,9 @@
 }
 
 /**
- * Who is next. Of the ranks, the one whose served share of requests is furthest
- * below its due; so urgent requests are served more often than others, whatever their numbers, and none are left out. In
- * a rank, turns go round the workspaces, so that a surge of one waits for itself.
+ * Who is next. Of the ranks, the one whose served share of requests is furthest below its due; so urgent requests are
+ * served more often than others, whatever their numbers, and none are left out. In a rank, turns go round the
+ * workspaces, so that a surge of one waits for itself.
  */
 export class RankQueues {
   private readonly _clock: ElapsedClock
@@ -41,6 +41,11 @@
     return this._size
   }
 
+  /** Requests of all ranks that are served a second. */
+  get servedPerSecond (): number {
+    return this._sumServed(({ perSecond }) => perSecond)
+  }
+
   /**
    * Counts a request that comes.
    * @param rank of the request
@@ -64,8 +69,7 @@
    */
   expectedWaitMs (request: WaitingRequest, turnMs: number): number {
     const { waiting, served } = this._of(request)
-    let all = 0
-    for (const rank of this._ranks.values()) all += rank.served.value
+    const all = this._sumServed(({ value }) => value)
     // The rank gets about as many of the places as it got lately, and at least one of each round.
     const share = Math.max(served.value / Math.max(1, all), 1 / this._ranks.size)
     return (waiting.loadBefore(request) + 1) * turnMs / share
@@ -102,6 +106,12 @@
     return wasThere
   }
 
+  private _sumServed (read: (served: FadingCount) => number): number {
+    let sum = 0
+    for (const { served } of this._ranks.values()) sum += read(served)
+    return sum
+  }
+
   private _of ({ rank, routeRank }: RequestRank): RankQueue {
     const key = `${rank}/${routeRank}`
     let queue = this._ranks.get(key)
--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -23,7 +23,6 @@
 export class ServiceAdmission {
   private readonly _options: ServiceAdmissionOptions
   private readonly _queues: RankQueues
-  private readonly _served: FadingCount
   private readonly _refused: FadingCount
   private readonly _times = new ServiceTimes()
   private _inFlight = 0
@@ -34,7 +33,6 @@
   constructor (options: ServiceAdmissionOptions) {
     this._options = options
     this._queues = new RankQueues(options.clock)
-    this._served = new FadingCount(options.clock)
     this._refused = new FadingCount(options.clock)
   }
 
@@ -123,7 +121,6 @@
   private _countAdmitted (rank: RequestRank): void {
     this._inFlight += 1
     this._queues.countServed(rank)
-    this._served.add()
   }
 
   private _drop (waiting: WaitingRequest, error: () => Error): void {
@@ -132,7 +129,7 @@
 
   private _refusal (what: string): MimosarockError {
     this._refused.add()
-    const retryAfterMs = returnTime(this._refused.perSecond, this._served.perSecond, this._options.random())
+    const retryAfterMs = returnTime(this._refused.perSecond, this._queues.servedPerSecond, this._options.random())
     return new MimosarockError(ResultCode.OVERLOADED, `service ${this._options.service} ${what}`, { run: RunState.NOT_RUN, retryAfterMs })
   }
 }
--- a/packages/gateway/src/caller/request-parts.ts
+++ b/packages/gateway/src/caller/request-parts.ts
@@ -11,7 +11,7 @@
 import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
-import type { GatewayState } from './gateway-state.js'
+import type { GatewayState } from '../model/gateway-state.js'
 import type { StartupGate } from './startup-gate.js'
 import type { TurnMeter } from './turn-meter.js'
 
--- a/packages/gateway/src/caller/turn-meter.ts
+++ b/packages/gateway/src/caller/turn-meter.ts
@@ -1,5 +1,5 @@
 import type { ProcessPressure } from '../admission/process-pressure.js'
-import type { GatewayState } from './gateway-state.js'
+import type { GatewayState } from '../model/gateway-state.js'
 
 /**
  * Measures turns of the event loop in which requests arrive: from the first of them to the end of the turn. It costs
--- a/packages/gateway/src/leaving/graceful-stop.ts
+++ b/packages/gateway/src/leaving/graceful-stop.ts
@@ -1,6 +1,6 @@
 import type { Server } from 'node:http'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
-import type { GatewayState } from '../caller/gateway-state.js'
+import type { GatewayState } from '../model/gateway-state.js'
 import { pause } from '../membership/pause.js'
 
 /** The load balancer asks once a second and needs two refusals; new connections may come for so long. */
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http'
-import type { GatewayState } from '../caller/gateway-state.js'
+import type { GatewayState } from '../model/gateway-state.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 
