Observability of calls between routers: bytes and time of failed calls, indexing time, age of endpoints

Cause: the incident's logs can't tell a transfer that does not fit its time limit from a busy or silent router. Change: peer-unreachable states elapsed_ms, received_bytes and expected_bytes; configuration-in-force states indexing_ms; metrics for the age of the endpoints and for the bytes between routers.

--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -56,11 +56,16 @@
    */
   adopt (configuration: GatewayConfiguration, source: string): void {
     if (configuration.version <= this.version) return
+    const startedAt = performance.now()
     const replaced = this.version
     this._recordPatch(configuration)
     this._inForce = new ConfigurationInForce(configuration)
     this._log.info('configuration-in-force', {
-      version: configuration.version, replaced, source, routes: configuration.routes.length
+      version: configuration.version,
+      replaced,
+      source,
+      routes: configuration.routes.length,
+      indexing_ms: Math.round(performance.now() - startedAt)
     })
   }
 
--- a/packages/gateway/src/membership/create-peer-rpc-server.ts
+++ b/packages/gateway/src/membership/create-peer-rpc-server.ts
@@ -9,8 +9,9 @@
 /**
  * Creates the HTTP server for JSON-RPC 2.0 requests of other routers.
  * @param sync handles sync requests
+ * @param onBytes called with the length of each response, in bytes
  */
-export function createPeerRpcServer (sync: SyncServer): Server {
+export function createPeerRpcServer (sync: SyncServer, onBytes: (bytes: number) => void): Server {
   const rpc = new JSONRPCServer()
   rpc.addMethod('fleet.sync', (params) => sync.answer(params as SyncRequest))
   return createServer((request, response) => {
@@ -18,16 +19,17 @@
       response.writeHead(METHOD_NOT_ALLOWED).end()
       return
     }
-    answer(rpc, request, response).catch((error: Error) => {
+    answer(rpc, request, response).then(onBytes).catch((error: Error) => {
       response.writeHead(BAD_REQUEST).end(error.message)
     })
   })
 }
 
-async function answer (rpc: JSONRPCServer, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function answer (rpc: JSONRPCServer, request: IncomingMessage, response: ServerResponse): Promise<number> {
   const chunks: Buffer[] = []
   for await (const chunk of request) chunks.push(chunk as Buffer)
   const message = JSON.parse(Buffer.concat(chunks).toString()) as JSONRPCRequest
-  const result = JSON.stringify(await rpc.receive(message))
-  response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(result) }).end(result)
+  const result = Buffer.from(JSON.stringify(await rpc.receive(message)))
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': result.length }).end(result)
+  return result.length
 }
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -2,6 +2,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import { pause } from './pause.js'
+import { PeerCallError } from './peer-call-error.js'
 import type { FleetSyncOptions } from './fleet-sync-options.js'
 import type { RouterTable } from './router-table.js'
 import type { SyncAnswer } from './sync-answer.js'
@@ -155,7 +156,7 @@
     try {
       return await this._client.sync(address, options)
     } catch (error) {
-      this._log.info('peer-unreachable', { address, problem: (error as Error).message })
+      this._log.info('peer-unreachable', { address, problem: (error as Error).message, ...callFields(error) })
       return undefined
     }
   }
@@ -195,6 +196,11 @@
   }
 }
 
+function callFields (error: unknown): Readonly<Record<string, number | undefined>> {
+  if (!(error instanceof PeerCallError)) return {}
+  return { elapsed_ms: Math.round(error.elapsedMs), received_bytes: error.receivedBytes, expected_bytes: error.expectedBytes }
+}
+
 function isFresh (answer: SyncAnswer, maximumDistance: number): boolean {
   // The source must be closer to the store than this router. Two routers that follow each other would both stop reading
   // the store.
--- a/packages/gateway/src/membership/peer-rpc-client.ts
+++ b/packages/gateway/src/membership/peer-rpc-client.ts
@@ -1,5 +1,6 @@
-import { JSONRPCClient } from 'json-rpc-2.0'
+import { JSONRPCClient, type JSONRPCResponse } from 'json-rpc-2.0'
 import { Agent, request } from 'undici'
+import { PeerCallError } from './peer-call-error.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
 
@@ -14,22 +15,24 @@
     connections: 1, pipelining: 1, connectTimeout: CALL_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_MS
   })
 
+  private readonly _onBytes: (bytes: number) => void
+
+  /**
+   * @param onBytes called with the number of bytes of each received part of a response
+   */
+  constructor (onBytes: (bytes: number) => void) {
+    this._onBytes = onBytes
+  }
+
   /**
    * Sends a sync request to a router.
    * @param address address of the router, host:port
    * @param params state and positions of this router
-   * @throws Error if the router can't be reached or does not answer in time
+   * @throws PeerCallError if the router can't be reached or does not answer in time
    */
   async sync (address: string, params: SyncRequest): Promise<SyncAnswer> {
     const client = new JSONRPCClient(async (message) => {
-      const answer = await request(`http://${address}/rpc`, {
-        method: 'POST',
-        dispatcher: this._agent,
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(message),
-        signal: AbortSignal.timeout(CALL_TIMEOUT_MS)
-      })
-      client.receive(await answer.body.json() as Parameters<typeof client.receive>[0])
+      client.receive(await this._post(address, JSON.stringify(message)))
     })
     return await client.request('fleet.sync', params) as SyncAnswer
   }
@@ -38,4 +41,29 @@
   async close (): Promise<void> {
     await this._agent.destroy()
   }
+
+  private async _post (address: string, message: string): Promise<JSONRPCResponse> {
+    const startedAt = performance.now()
+    const chunks: Buffer[] = []
+    let receivedBytes = 0
+    let expectedBytes: number | undefined
+    try {
+      const response = await request(`http://${address}/rpc`, {
+        method: 'POST',
+        dispatcher: this._agent,
+        headers: { 'content-type': 'application/json' },
+        body: message,
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS)
+      })
+      expectedBytes = Number(response.headers['content-length'])
+      for await (const chunk of response.body) {
+        chunks.push(chunk as Buffer)
+        receivedBytes += (chunk as Buffer).length
+        this._onBytes((chunk as Buffer).length)
+      }
+      return JSON.parse(Buffer.concat(chunks).toString()) as JSONRPCResponse
+    } catch (error) {
+      throw new PeerCallError(error as Error, performance.now() - startedAt, receivedBytes, expectedBytes)
+    }
+  }
 }
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http'
+import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { GatewayState } from '../model/gateway-state.js'
-import type { ConfigurationState } from '../configuration/configuration-state.js'
+import type { FleetState } from '../membership/fleet-state.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 
 const OK = 200
@@ -10,13 +11,16 @@
 /**
  * Creates an HTTP server that exposes the metrics in the Prometheus text format.
  * @param metrics metrics to expose
- * @param configuration source of the configuration gauges, which are updated at each request
+ * @param fleetState source of the gauges of the configuration and the endpoints, which are updated at each request
+ * @param clock clock by which the endpoints were verified
  * @param state source of the gauge of requests in flight, which is updated at each request
  */
-export function createMetricsServer (metrics: GatewayMetrics, configuration: ConfigurationState, state: GatewayState): Server {
+export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState): Server {
   return createServer((_request, response) => {
+    const { configuration, endpointsFreshness } = fleetState
     metrics.configurationVersion.set(configuration.version)
     metrics.configurationAgeSeconds.set(configuration.ageMs / MS_PER_SECOND)
+    metrics.endpointsAgeSeconds.set((clock.now() - endpointsFreshness.verifiedAt) / MS_PER_SECOND)
     metrics.requestsInFlight.set(state.requestsInFlight)
     metrics.registry.metrics().then(
       (text) => response.writeHead(OK, { 'content-type': metrics.registry.contentType }).end(text),
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -55,6 +55,27 @@
     registers: [this.registry]
   })
 
+  /** Staleness of the endpoints: time since they were last verified against the store. */
+  readonly endpointsAgeSeconds = new Gauge({
+    name: 'mimosarock_endpoints_age_seconds',
+    help: 'Time since the registered endpoints were last verified against the store.',
+    registers: [this.registry]
+  })
+
+  /** Bytes of the responses of other routers to this router's calls. */
+  readonly peerBytesReceived = new Counter({
+    name: 'mimosarock_peer_bytes_received_total',
+    help: 'Bytes received from other routers in response to calls of this router.',
+    registers: [this.registry]
+  })
+
+  /** Bytes of the responses of this router to calls of other routers. */
+  readonly peerBytesSent = new Counter({
+    name: 'mimosarock_peer_bytes_sent_total',
+    help: 'Bytes sent to other routers in response to their calls.',
+    registers: [this.registry]
+  })
+
   /** Requests in flight, queued ones included. */
   readonly requestsInFlight = new Gauge({
     name: 'mimosarock_requests_in_work',
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -63,7 +63,7 @@
   private readonly _state: GatewayState = { isStopping: false, stopDeadline: undefined, requestsInFlight: 0 }
   private readonly _metrics = new GatewayMetrics()
   private readonly _connections = new EndpointConnections()
-  private readonly _peerClient = new PeerRpcClient()
+  private readonly _peerClient = new PeerRpcClient((bytes) => this._metrics.peerBytesReceived.inc(bytes))
   private readonly _fleetState: FleetState
   private readonly _health: EndpointHealth
   private readonly _budgets = new Map<string, FleetRetryBudget>()
@@ -106,8 +106,8 @@
     await Promise.all([
       this._listenForCallers(callerServer),
       this._listen(createReadinessServer(this._options.codec.readinessPath, () => this._isReady), settings.readiness),
-      this._listen(createPeerRpcServer(sync), settings.peers),
-      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState.configuration, this._state), settings.metrics)
+      this._listen(createPeerRpcServer(sync, (bytes) => this._metrics.peerBytesSent.inc(bytes)), settings.peers),
+      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state), settings.metrics)
     ])
     log.info('started', {
       vm: settings.name, callers: settings.callers, peers: settings.peers, since_process_start_ms: Math.round(performance.now())
