A router that only lost touch with the others does not keep endpoints that left

Cause: the outage detector took any gap of 2.2 s in a router's own knowledge for an outage of the store. Change: an outage counts only if this router tried to read the endpoints and failed since they were last verified. Result: the new test fails without the change; tests of outages now record the failure that makes them one.

--- a/packages/gateway/src/membership/outage-detector.ts
+++ b/packages/gateway/src/membership/outage-detector.ts
@@ -11,11 +11,12 @@
 /**
  * Detects whether removed entries may have expired only because the store was unavailable. This requires that no router
  * of the fleet could read the store: if the store refuses only one router, that router still receives updates from
- * other routers.
+ * other routers. A router that only lost touch with the others, or was suspended, has not seen the store fail.
  */
 export class OutageDetector {
   private readonly _clock: ElapsedClock
   private _outageEndedAt = -Infinity
+  private _failedAt = -Infinity
 
   /**
    * @param clock clock that includes suspensions, during which this router could not read the store either
@@ -24,12 +25,18 @@
     this._clock = clock
   }
 
+  /** Records that this router tried to read the endpoints and failed. */
+  recordFailure (): void {
+    this._failedAt = this._clock.now()
+  }
+
   /**
    * Records a successful read of the endpoints.
    * @param previouslyVerifiedAt time at which the endpoints were last verified before this read; -Infinity if never
    */
   recordRead (previouslyVerifiedAt: number): void {
     if (previouslyVerifiedAt === -Infinity) return
+    if (this._failedAt < previouslyVerifiedAt) return
     if (this._clock.now() - previouslyVerifiedAt > OUTAGE_THRESHOLD_MS) this._outageEndedAt = this._clock.now()
   }
 
--- a/packages/gateway/src/membership/store-feed-options.ts
+++ b/packages/gateway/src/membership/store-feed-options.ts
@@ -19,4 +19,6 @@
    * @param verifiedAt time at which the read was sent, as of which the page is complete
    */
   readonly onPage: (page: TopicPage<Value>, verifiedAt: number) => void
+  /** Called after each failed read. */
+  readonly onFailure?: () => void
 }
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -70,6 +70,7 @@
     } catch (error) {
       if (signal.aborted) return
       this._failures += 1
+      this._options.onFailure?.()
       if (this._failures === 1) {
         this._log.warn('store-lost', { topic: this._options.topic, problem: (error as Error).message })
       }
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -36,6 +36,7 @@
 
 test('entries that lapsed during an outage are retained until the grace period for registration ends', () => {
   const { clock, table, outageDetector } = createTable()
+  outageDetector.recordFailure()
   outageDetector.recordRead(clock.now() - 5_000)
   table.apply([{ key: '1', value: undefined }, { key: '2', value: undefined }], outageDetector.gracePeriodEnd)
   expect(readyIds(table)).toEqual(['1', '2'])
@@ -47,6 +48,7 @@
 
 test('an endpoint that leaves after the recovery of the store is deleted at the end of the grace period', () => {
   const { clock, table, outageDetector } = createTable()
+  outageDetector.recordFailure()
   outageDetector.recordRead(clock.now() - 5_000)
   clock.ms += 300
   table.apply([{ key: '1', value: undefined }], outageDetector.gracePeriodEnd)
@@ -56,14 +58,25 @@
 
 test('removals are applied immediately if only this router was refused by the store', () => {
   const { clock, outageDetector } = createTable()
+  outageDetector.recordFailure()
   // Updates from other routers had verified the endpoints 600 ms ago.
   outageDetector.recordRead(clock.now() - 600)
   expect(outageDetector.gracePeriodEnd).toBeUndefined()
 })
 
+// Guards against the incident tor-mimosa-grown of 2026-08-27: a router that had lost touch with the others kept endpoints that had left.
+test('removals are applied immediately if the store never failed while this router knew nothing', () => {
+  const { clock, outageDetector } = createTable()
+  outageDetector.recordFailure()
+  clock.ms += 10_000
+  outageDetector.recordRead(clock.now() - 5_000)
+  expect(outageDetector.gracePeriodEnd).toBeUndefined()
+})
+
 test('a draining endpoint whose entry lapses is deleted immediately', () => {
   const { clock, table, outageDetector } = createTable()
   table.apply([{ key: '1', value: createEntry('1', { isDraining: true }) }], NO_OUTAGE)
+  outageDetector.recordFailure()
   outageDetector.recordRead(clock.now() - 5_000)
   table.apply([{ key: '1', value: undefined }], outageDetector.gracePeriodEnd)
   expect(table.find('1')).toBeUndefined()
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -164,7 +164,8 @@
         else endpoints.apply(page.changes, outageDetector.gracePeriodEnd)
         endpointsFreshness.verifiedAt = verifiedAt
         this._openGateWhenReady()
-      }
+      },
+      onFailure: () => outageDetector.recordFailure()
     }, clock, log)
     this._feeds = [configurationFeed, endpointFeed]
     const transfer = new ConfigurationTransfer(configuration, async (address, fromVersion) => {
