Reads of the store last as long as their answer keeps arriving

A read ended 1.2 s after its wait, whatever had arrived. A record of 1 MB and more does not cross a link of 7 Mbit/s in that time, and each try would start again, so the reader would never have such a configuration. Change: a read ends after 1.2 s beyond its wait without any part of the answer, or after 15 s. Result: the new test (an answer that takes 1.6 s) fails without the change.

--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import { pause } from './pause.js'
+import { ProgressTimeout } from './progress-timeout.js'
 import type { StoreFeedOptions } from './store-feed-options.js'
 
 /** Delay before the first retry after a failed read. */
@@ -9,8 +10,10 @@
 const MAXIMUM_RETRY_MS = 600
 /** Interval at which a router that does not read checks whether it has to. */
 const CHECK_INTERVAL_MS = 50
-/** Margin on top of the requested wait time after which a read is aborted. */
-const CALL_TIMEOUT_MARGIN_MS = 1_200
+/** Margin on top of the requested wait time without any part of the answer after which a read is aborted. */
+const PROGRESS_MARGIN_MS = 1_200
+/** Maximum duration of a read; a large record takes seconds on a slow link. */
+const MAXIMUM_READ_MS = 15_000
 
 /** Reads one topic of the store continuously while this router has to read it. */
 export class StoreFeed<Value> {
@@ -61,9 +64,10 @@
 
   private async _read (signal: AbortSignal): Promise<void> {
     const sentAt = this._clock.now()
-    const callSignal = AbortSignal.any([signal, AbortSignal.timeout(this._options.waitMs + CALL_TIMEOUT_MARGIN_MS)])
+    const timeout = new ProgressTimeout({ progressMs: this._options.waitMs + PROGRESS_MARGIN_MS, totalMs: MAXIMUM_READ_MS })
+    const callSignal = AbortSignal.any([signal, timeout.signal])
     try {
-      const page = await this._options.reader.read(this._offset, this._options.waitMs, callSignal)
+      const page = await this._options.reader.read(this._offset, this._options.waitMs, callSignal, () => timeout.recordProgress())
       this._recordSuccess()
       this._offset = page.nextOffset
       this._options.onPage(page, sentAt)
@@ -74,6 +78,8 @@
       if (this._failures === 1) {
         this._log.warn('store-lost', { topic: this._options.topic, problem: (error as Error).message })
       }
+    } finally {
+      timeout.stop()
     }
   }
 
--- a/packages/gateway/src/model/topic-reader.ts
+++ b/packages/gateway/src/model/topic-reader.ts
@@ -7,7 +7,8 @@
    * @param offset offset to start at; undefined for a snapshot of every key's newest value
    * @param waitMs maximum time that the store waits for a change (long polling), in milliseconds
    * @param signal aborts the call
+   * @param onProgress called for each received part of the answer, which can be long
    * @throws MimosarockError if the store is unreachable or rejects the call
    */
-  read (offset: number | undefined, waitMs: number, signal: AbortSignal): Promise<TopicPage<Value>>
+  read (offset: number | undefined, waitMs: number, signal: AbortSignal, onProgress?: () => void): Promise<TopicPage<Value>>
 }
--- a/packages/gateway/src/test/store-feed_test.ts
+++ b/packages/gateway/src/test/store-feed_test.ts
@@ -2,6 +2,7 @@
 import { expect, test } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { StoreFeed } from '@mimosarock/gateway/membership/store-feed.js'
+import type { TopicReader } from '@mimosarock/gateway/model/topic-reader.js'
 import { MemoryStore } from './memory-store.js'
 
 const clock = { now: () => performance.now() }
@@ -67,3 +68,27 @@
   await stop()
   expect(pages[1]).toEqual({ keys: ['a'], isSnapshot: true })
 })
+
+test('a long read goes on while its answer keeps arriving', async () => {
+  const partMs = 100
+  const parts = 16
+  const reader: TopicReader<string> = {
+    read: async (_offset, _waitMs, signal, onProgress) => {
+      for (let part = 0; part < parts; part += 1) {
+        await sleep(partMs, undefined, { signal })
+        onProgress?.()
+      }
+      return { changes: [{ key: 'a', value: 'large' }], nextOffset: 1, isSnapshot: true }
+    }
+  }
+  const values: unknown[] = []
+  const abortController = new AbortController()
+  const feed = new StoreFeed({
+    topic: 'large', reader, waitMs: 0, pauseMs: 5, shouldRead: () => true, onPage: ({ changes }) => values.push(changes[0]?.value)
+  }, clock, new SilentEventLog())
+  const running = feed.run(abortController.signal)
+  await waitUntil(() => values.length > 0 || feed.isFailing)
+  abortController.abort()
+  await running
+  expect(values).toEqual(['large'])
+})
