The early listener reports an address that was in use before the handover

Cause: the error event came while the rest of the router was being loaded; handOver then waited for a second event for ever.

--- a/packages/gateway/src/caller/early-listener.ts
+++ b/packages/gateway/src/caller/early-listener.ts
@@ -1,6 +1,8 @@
 import { once } from 'node:events'
 import { createServer, type Server as NetworkServer, type Socket } from 'node:net'
 import type { Server } from 'node:http'
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
 
 /** Backlog of connections to be accepted; larger than what a burst opens within one iteration of the event loop. */
 const BACKLOG = 1_024
@@ -16,29 +18,34 @@
     (socket) => this._acceptedSockets.push(socket)
   )
 
+  private _address = ''
+  private _listening: Promise<unknown> = Promise.resolve()
+
   /** Network server that listens at the callers' address. */
   get server (): NetworkServer {
     return this._server
   }
 
   /**
-   * Starts to listen and returns at once. A failure to listen is reported by `handOver`, if it occurs while that method waits.
+   * Starts to listen and returns at once. A failure to listen is reported by `handOver`.
    * @param address address to listen on, host:port
    */
   listen (address: string): void {
     const colon = address.lastIndexOf(':')
-    // Without a handler the error would end the process; handOver() reports a failure that occurs while it waits.
-    this._server.on('error', () => undefined)
+    this._address = address
+    this._listening = once(this._server, 'listening')
+    // handOver() reports the error, and may be called long after it.
+    this._listening.catch(() => undefined)
     this._server.listen({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), backlog: BACKLOG })
   }
 
   /**
    * Hands the listening socket and the connections accepted so far over to an HTTP server.
    * @param server HTTP server that does not listen yet
-   * @throws Error if listening at the address fails while this method waits for it
+   * @throws MimosarockError if listening at the address failed
    */
   async handOver (server: Server): Promise<void> {
-    if (!this._server.listening) await once(this._server, 'listening')
+    await this._waitUntilListening()
     server.listen(this._server, BACKLOG)
     await once(server, 'listening')
     for (const socket of this._acceptedSockets.splice(0)) {
@@ -46,4 +53,12 @@
       socket.resume()
     }
   }
+
+  private async _waitUntilListening (): Promise<void> {
+    try {
+      await this._listening
+    } catch (error) {
+      throw new MimosarockError(ResultCode.ADDRESS_IN_USE, `cannot listen on ${this._address}`, { cause: error, field: this._address })
+    }
+  }
 }
