The reader order is computed once for each change of the members

Cause: each sync round computed it three times; at 800 routers that is 800 hashes and a sort each. Change: kept until a router joins, leaves or changes its address.

--- a/packages/gateway/src/membership/router-table.ts
+++ b/packages/gateway/src/membership/router-table.ts
@@ -23,6 +23,8 @@
   private readonly _self: RouterEntry
   private readonly _clock: ElapsedClock
   private readonly _known = new Map<string, KnownRouter>()
+  /** All live routers in reader order; undefined after a change of the members. */
+  private _readerOrder: readonly RouterEntry[] | undefined
 
   /**
    * @param self entry of this router
@@ -54,7 +56,9 @@
     const heardAt = this._clock.now() - agoMs
     const known = this._known.get(entry.name)
     if (known === undefined || (known.entry.address !== entry.address && heardAt > known.heardAt)) {
-      if (agoMs < this._routerTimeoutMs) this._known.set(entry.name, { entry, heardAt })
+      if (agoMs >= this._routerTimeoutMs) return
+      this._known.set(entry.name, { entry, heardAt })
+      this._readerOrder = undefined
       return
     }
     known.heardAt = Math.max(known.heardAt, heardAt)
@@ -63,9 +67,8 @@
   /** Returns all live routers, including this one, in their order of preference as the reader of the store. */
   inReaderOrder (): readonly RouterEntry[] {
     this._removeExpired()
-    const entries = [this._self, ...[...this._known.values()].map((known) => known.entry)]
-    const members = entries.map((entry) => ({ name: entry.name, capacity: 1, entry }))
-    return new RendezvousOrder(members).first(READER_ORDER_KEY, members.length).map((member) => member.entry)
+    this._readerOrder ??= this._computeReaderOrder()
+    return this._readerOrder
   }
 
   /**
@@ -92,6 +95,12 @@
     return [{ ...this._self, heardAgoMs: 0 }, ...peers]
   }
 
+  private _computeReaderOrder (): readonly RouterEntry[] {
+    const entries = [this._self, ...[...this._known.values()].map((known) => known.entry)]
+    const members = entries.map((entry) => ({ name: entry.name, capacity: 1, entry }))
+    return new RendezvousOrder(members).first(READER_ORDER_KEY, members.length).map((member) => member.entry)
+  }
+
   private get _routerTimeoutMs (): number {
     return this._known.size + 1 < LARGE_FLEET_ROUTERS ? ROUTER_TIMEOUT_MS : LARGE_FLEET_ROUTER_TIMEOUT_MS
   }
@@ -99,7 +108,9 @@
   private _removeExpired (): void {
     const minimumHeardAt = this._clock.now() - this._routerTimeoutMs
     for (const [name, known] of this._known) {
-      if (known.heardAt < minimumHeardAt) this._known.delete(name)
+      if (known.heardAt >= minimumHeardAt) continue
+      this._known.delete(name)
+      this._readerOrder = undefined
     }
   }
 }
