A request whose caller disconnected before it was read is not sent

Cause: data and the end of a connection that wait together are read in two iterations of the event loop; a request was sent in the first one unless the process was known to be under pressure. Change: each request waits for one iteration before it is admitted, and an ended connection counts as a caller that left. Result: the new test fails without the change.

--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -1,5 +1,4 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
-import type { ProcessPressure } from '../admission/process-pressure.js'
 import type { ServiceAdmissions } from '../admission/service-admissions.js'
 import type { EndpointSelector } from '../choice/endpoint-selector.js'
 import type { EndpointHealth } from '../choice/endpoint-health.js'
@@ -27,8 +26,6 @@
   readonly configuration: ConfigurationState
   /** Admission control of each service: admits, queues or rejects requests. */
   readonly admissions: ServiceAdmissions
-  /** Detects overload of this process. */
-  readonly pressure: ProcessPressure
   /** Measures iterations of the event loop. */
   readonly eventLoopMeter: EventLoopMeter
   /** Chooses the endpoint of a request. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -111,10 +111,10 @@
 
   /** Admits the request to its service; queues it while the service has no capacity. */
   private async _waitForAdmission (authorized: AuthorizedRequest): Promise<ServiceAdmission> {
-    const { admissions, pressure, clock } = this._dependencies
-    // Under overload the caller may have disconnected before its request was read; the disconnect is read in the next iteration.
-    if (pressure.isHigh) await nextEventLoopIteration()
-    if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+    const { admissions, clock } = this._dependencies
+    // The caller may have disconnected before its request was read; the disconnect is read in the next iteration.
+    await nextEventLoopIteration()
+    if (this._isCallerDisconnected || this._request.socket.readableEnded) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     const request = {
       workspace: authorized.workspace,
       rank: authorized.priority,
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import type { CallerLimits } from '@mimosarock/gateway/model/caller-limits.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { createConfiguration } from './create-configuration.js'
 import { GatewayFixture } from './gateway-fixture.js'
 import { TestEndpoint } from './test-endpoint.js'
@@ -154,6 +155,16 @@
   expect(fixture.endpoints.reduce((sum, endpoint) => sum + endpoint.closedEarly, 0)).toBe(1)
 })
 
+test('sends no request whose caller had disconnected before the request was read', async () => {
+  const socket = fixture.connect()
+  await once(socket, 'connect')
+  socket.resume()
+  socket.end('GET /read/ HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n\r\n')
+  await once(socket, 'close')
+  await waitUntil(() => fixture.lines.some(({ event, fields }) => event === 'request' && fields.code === ResultCode.CALLER_GONE))
+  expect(arrivals()).toBe(0)
+})
+
 test('responds with run state unknown at the timeout of the route', async () => {
   setBehavior(() => undefined)
   const callerResponse = await fixture.call('POST', '/short/')
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -194,7 +194,6 @@
     const pressure = new ProcessPressure(clock, log)
     return {
       admissions: this._createAdmissions(pressure),
-      pressure,
       eventLoopMeter: new EventLoopMeter(pressure, this._state),
       clock,
       log,
