Loading the saved holders lasts as long as the answer keeps arriving

Change: 1.5 s without any part of the answer, 15 s in all. Result: the new test (1.8 s) fails without the change.

--- a/packages/gateway/src/choice/holder-persistence.ts
+++ b/packages/gateway/src/choice/holder-persistence.ts
@@ -1,11 +1,14 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import { pause } from '../membership/pause.js'
+import { ProgressTimeout } from '../membership/progress-timeout.js'
 import type { HolderPersistenceOptions } from './holder-persistence-options.js'
 
 /** Interval between two saves, in milliseconds; changes of the last interval are lost if all routers stop at the same time. */
 const SAVE_INTERVAL_MS = 2_000
-/** Timeout of one call to the store, in milliseconds. */
-const CALL_TIMEOUT_MS = 1_500
+/** Timeout of a save, in milliseconds. */
+const SAVE_TIMEOUT_MS = 1_500
+/** Limits of a load, which reads a long record while the router also loads everything else. */
+const LOAD_LIMITS = { progressMs: 1_500, totalMs: 15_000 }
 /** Maximum number of saved keys; with their holders they fit into one record of the store. */
 const MAXIMUM_KEYS = 4_000
 
@@ -41,13 +44,16 @@
   }
 
   private async _load (signal: AbortSignal): Promise<void> {
+    const timeout = new ProgressTimeout(LOAD_LIMITS)
     try {
-      const notes = await this._options.store.loadHolders(withTimeout(signal))
+      const notes = await this._options.store.loadHolders(AbortSignal.any([signal, timeout.signal]), () => timeout.recordProgress())
       for (const note of notes) this._options.holders.learn(note.key, note.endpointId)
       this._lastSavedCursor = this._options.holders.cursor
       this._log.info('holders-loaded', { notes: notes.length })
     } catch (error) {
       this._log.info('holders-not-loaded', { problem: (error as Error).message })
+    } finally {
+      timeout.stop()
     }
   }
 
@@ -56,14 +62,10 @@
     const { cursor } = holders
     if (cursor === this._lastSavedCursor) return
     try {
-      await store.saveHolders(holders.recent(MAXIMUM_KEYS), withTimeout(signal))
+      await store.saveHolders(holders.recent(MAXIMUM_KEYS), AbortSignal.any([signal, AbortSignal.timeout(SAVE_TIMEOUT_MS)]))
       this._lastSavedCursor = cursor
     } catch (error) {
       this._log.info('holders-not-saved', { problem: (error as Error).message })
     }
   }
 }
-
-function withTimeout (signal: AbortSignal): AbortSignal {
-  return AbortSignal.any([signal, AbortSignal.timeout(CALL_TIMEOUT_MS)])
-}
--- a/packages/gateway/src/model/fleet-store.ts
+++ b/packages/gateway/src/model/fleet-store.ts
@@ -27,6 +27,7 @@
   /**
    * Loads the cache index that was saved last.
    * @param signal aborts the call
+   * @param onProgress called for each received part of the answer
    */
-  loadHolders (signal: AbortSignal): Promise<readonly HolderNote[]>
+  loadHolders (signal: AbortSignal, onProgress?: () => void): Promise<readonly HolderNote[]>
 }
--- a/packages/gateway/src/test/holder-persistence_test.ts
+++ b/packages/gateway/src/test/holder-persistence_test.ts
@@ -22,6 +22,29 @@
   expect(after.cursor).toBe(0)
 })
 
+test('a load goes on while its answer keeps arriving', async () => {
+  const partMs = 100
+  const parts = 18
+  const store = new MemoryStore()
+  store.loadHolders = async (signal, onProgress) => {
+    for (let part = 0; part < parts; part += 1) {
+      await sleep(partMs, undefined, { signal })
+      onProgress?.()
+    }
+    return [{ key: 'a', endpointId: 'e1' }]
+  }
+  const holders = new HolderTable()
+  const abortController = new AbortController()
+  const events: string[] = []
+  const record = (event: string): void => { events.push(event) }
+  const running = new HolderPersistence({ store, holders, isSaving: () => false }, { info: record, warn: record }).run(abortController.signal)
+  while (events.length === 0) await sleep(5)
+  abortController.abort()
+  await running
+  expect(events).toEqual(['holders-loaded'])
+  expect(holders.holders('a')).toEqual(['e1'])
+})
+
 test('the most recently used keys are saved', () => {
   const holders = new HolderTable()
   for (const key of ['a', 'b', 'c']) holders.add(key, 'e1')
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -46,7 +46,7 @@
     this.holders = notes
   }
 
-  async loadHolders (): Promise<readonly HolderNote[]> {
+  async loadHolders (_signal?: AbortSignal, _onProgress?: () => void): Promise<readonly HolderNote[]> {
     return this.holders
   }
 }
