--- a/packages/gateway/src/membership/transfer-sources.ts
+++ b/packages/gateway/src/membership/transfer-sources.ts
@@ -57,13 +57,20 @@
   assign (requester: string, hasChange: (version: number) => boolean): RouterEntry | undefined {
     this._removeExpired()
     const assigned = this._assignments.get(requester)
-    if (assigned !== undefined) return assigned.source
+    if (assigned !== undefined && this._canSend(assigned.source, hasChange)) return assigned.source
     const source = this._leastBusy(requester, hasChange)
     if (source === undefined) return undefined
     this._assignments.set(requester, { source, expiresAt: this._clock.now() + ASSIGNMENT_LIFETIME_MS })
     return source
   }
 
+  /** A source may have lost the change by a restart. */
+  private _canSend (source: RouterEntry, hasChange: (version: number) => boolean): boolean {
+    if (source.name === this._self.name) return true
+    const requester = this._requesters.get(source.name)
+    return requester !== undefined && hasChange(requester.version)
+  }
+
   private _leastBusy (requester: string, hasChange: (version: number) => boolean): RouterEntry | undefined {
     const others = [...this._requesters.values()].filter(({ entry, version }) => entry.name !== requester && hasChange(version))
     const transfers = this._transfersBySource()
