--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -15,6 +15,9 @@
 import { EndpointCall } from '../sending/endpoint-call.js'
 import { authorizeRequest } from './authorize-request.js'
 import type { AuthorizedRequest } from './authorized-request.js'
+import { createCallError } from './create-call-error.js'
+import { createDeadlineError } from './create-deadline-error.js'
+import { createNoEndpointError } from './create-no-endpoint-error.js'
 import { nextEventLoopIteration } from './next-event-loop-iteration.js'
 import { notRunError } from './not-run-error.js'
 import { readRequestBody } from './read-request-body.js'
@@ -162,9 +165,9 @@
     const excluded = new Set<string>()
     for (;;) {
       if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
-      if (this._timeLeftMs(authorized) < MINIMUM_CALL_MS) throw this._deadlineError()
+      if (this._timeLeftMs(authorized) < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
       const chosen = this._dependencies.endpointSelector.choose(authorized.service, authorized.caller.prompt, excluded)
-      if (chosen === undefined) throw this._noEndpointError()
+      if (chosen === undefined) throw createNoEndpointError(this._runs)
       this._chosen = chosen
       excluded.add(chosen.endpoint.id)
       const result = await this._callEndpoint(authorized, body, relay, chosen)
@@ -228,7 +231,8 @@
       relay.finish()
       return true
     }
-    throw this._errorOf(result)
+    if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+    throw createCallError(result, this._runs)
   }
 
   private _takeRetry (authorized: AuthorizedRequest, outcome: CallOutcome, relay: ResponseRelay): boolean {
@@ -245,27 +249,6 @@
     health.recordFailure(endpointId, result.outcome === CallOutcome.NOT_SENT)
   }
 
-  private _errorOf (result: CallResult): MimosarockError {
-    const problem = result.problem ?? result.outcome
-    if (this._isCallerDisconnected) return new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
-    if (this._runs === 0) {
-      const code = result.outcome === CallOutcome.REJECTED ? ResultCode.OVERLOADED : ResultCode.NO_ENDPOINT
-      return notRunError(code, `no endpoint accepted the request: ${problem}`)
-    }
-    if (result.outcome === CallOutcome.ABORTED) return this._deadlineError()
-    return new MimosarockError(ResultCode.ENDPOINT_FAILED, `the endpoint failed: ${problem}`, { run: RunState.UNKNOWN })
-  }
-
-  private _noEndpointError (): MimosarockError {
-    if (this._runs === 0) return notRunError(ResultCode.NO_ENDPOINT, 'the service has no available endpoint')
-    return new MimosarockError(ResultCode.ENDPOINT_FAILED, 'no other endpoint is available', { run: RunState.UNKNOWN })
-  }
-
-  private _deadlineError (): MimosarockError {
-    if (this._runs === 0) return notRunError(ResultCode.DEADLINE_CANNOT_BE_MET, 'the deadline passed before the request was sent')
-    return new MimosarockError(ResultCode.DEADLINE_EXCEEDED, 'the deadline passed before the response was complete', { run: RunState.UNKNOWN })
-  }
-
   /** Milliseconds until the caller's deadline or the route's timeout, whichever is earlier, less the response margin. */
   private _timeLeftMs (authorized: AuthorizedRequest): number {
     const limit = Math.min(authorized.caller.deadlineMs ?? Infinity, authorized.route.timeoutMs)
