--- /dev/null
+++ b/packages/gateway/src/test/create-sync.ts
@@ -0,0 +1,30 @@
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
+import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
+import { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
+import type { SyncCall } from '@mimosarock/gateway/membership/sync-call.js'
+import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
+import type { TransferCall } from '@mimosarock/gateway/membership/transfer-call.js'
+import type { ElapsedClock } from '@mimosarock/gateway/model/elapsed-clock.js'
+
+/** How a router of a test reaches the others and the store. */
+interface Surroundings {
+  readonly sync: SyncCall
+  readonly transfer: TransferCall
+  readonly isStoreFailing: boolean
+}
+
+/**
+ * Creates the sync of a router, which does not run yet.
+ * @param state state of the router
+ * @param clock clock of the router
+ * @param surroundings calls to other routers, and whether the router fails to read the store
+ */
+export function createSync (state: FleetState, clock: ElapsedClock, { sync: call, transfer: transferCall, isStoreFailing }: Surroundings): FleetSync {
+  const log = new SilentEventLog()
+  const transfer = new ConfigurationTransfer(state.configuration, transferCall, clock, log)
+  const client = new SyncClient(state, clock, call, transfer, () => undefined)
+  const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => isStoreFailing }, clock, log)
+  transfer.onAdopted(() => sync.syncSoon())
+  return sync
+}
--- a/packages/gateway/src/test/large-change-at-scale_test.ts
+++ b/packages/gateway/src/test/large-change-at-scale_test.ts
@@ -1,16 +1,14 @@
 import { setMaxListeners } from 'node:events'
 import { gzipSync } from 'node:zlib'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
-import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
-import { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
+import type { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
 import { pause } from '@mimosarock/gateway/membership/pause.js'
-import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
 import { createLargeConfiguration } from './create-large-configuration.js'
+import { createSync } from './create-sync.js'
 import { SimulatedNetwork } from './simulated-network.js'
 
 const ZONES = 4
@@ -62,15 +60,13 @@
     state.configuration.markVerified(clock.now())
     this._readEndpoints(state)
     this.states.set(name, state)
-    const log = new SilentEventLog()
-    const transfer = new ConfigurationTransfer(state.configuration, async (address, fromVersion) => {
-      return await this._call(name, address, fromVersion, (server) => server.configurationUpdate(fromVersion))
-    }, clock, log)
-    const client = new SyncClient(state, clock, async (address, request) => {
-      return await this._call(name, address, request, (server) => server.answer(request))
-    }, transfer, () => undefined)
-    const sync: FleetSync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => false }, clock, log)
-    transfer.onAdopted(() => sync.syncSoon())
+    const sync = createSync(state, clock, {
+      sync: async (address, request) => await this._call(name, address, request, (server) => server.answer(request)),
+      transfer: async (address, fromVersion) => {
+        return await this._call(name, address, fromVersion, (server) => server.configurationUpdate(fromVersion))
+      },
+      isStoreFailing: false
+    })
     this._servers.set(name, new SyncServer(state, name, () => clock.now(), () => sync.isReader ? 0 : sync.followingDistance))
     for (const task of [sync.run(aborting.signal), this._feed(state, sync), this._observe(state)]) task.catch(() => undefined)
   }
--- a/packages/gateway/src/test/large-change_test.ts
+++ b/packages/gateway/src/test/large-change_test.ts
@@ -2,17 +2,14 @@
 import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
-import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
-import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
 import { createPeerRpcServer } from '@mimosarock/gateway/membership/create-peer-rpc-server.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
-import { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
 import { PeerRpcClient } from '@mimosarock/gateway/membership/peer-rpc-client.js'
-import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { createConfiguration } from './create-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
 import { createLargeConfiguration } from './create-large-configuration.js'
+import { createSync } from './create-sync.js'
 import { SlowLink } from './slow-link.js'
 
 const ADDED_ROUTES = 1_480
@@ -40,13 +37,12 @@
 /** Lets a router that can't read the store follow the router at an address. */
 function follow (follower: FleetState, address: string): void {
   const peers = new PeerRpcClient(() => undefined)
-  const transfer = new ConfigurationTransfer(follower.configuration, async (peer, fromVersion) => {
-    return await peers.configurationUpdate(peer, fromVersion)
-  }, clock, new SilentEventLog())
-  const client = new SyncClient(follower, clock, async (peer, request) => await peers.sync(peer, request), transfer, () => undefined)
   follower.routers.recordContact({ name: 'reader', availabilityZone: 'z', address }, 0)
-  const sync = new FleetSync({ routers: follower.routers, client, seeds: [], isStoreFailing: () => true }, clock, new SilentEventLog())
-  transfer.onAdopted(() => sync.syncSoon())
+  const sync = createSync(follower, clock, {
+    sync: async (peer, request) => await peers.sync(peer, request),
+    transfer: async (peer, fromVersion) => await peers.configurationUpdate(peer, fromVersion),
+    isStoreFailing: true
+  })
   const abortController = new AbortController()
   const running = sync.run(abortController.signal)
   closing.push(async () => {
--- a/packages/gateway/src/test/large-fleet_test.ts
+++ b/packages/gateway/src/test/large-fleet_test.ts
@@ -1,12 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, test } from 'vitest'
-import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
-import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
-import { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
-import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
+import type { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { createFleetState } from './create-fleet-state.js'
+import { createSync } from './create-sync.js'
 
 const ROUTERS = 96
 const ZONES = 6
@@ -39,22 +37,23 @@
   }
 
   private _add (name: string, availabilityZone: string): void {
-    const log = new SilentEventLog()
     const state = createFleetState(name, clock, { availabilityZone })
     for (let index = 0; index < ROUTERS; index += 1) {
       state.routers.recordContact({ name: `r${index}`, availabilityZone: `z${index % ZONES}`, address: `r${index}` }, 0)
     }
-    const transfer = new ConfigurationTransfer(state.configuration, async (address, fromVersion) => {
-      if (this.dead.has(address) || this.dead.has(name)) throw new Error('no answer')
-      return JSON.parse(JSON.stringify(this.routers.get(address)?.server.configurationUpdate(fromVersion)))
-    }, clock, log)
-    const client = new SyncClient(state, clock, async (address, request) => {
-      if (this.dead.has(address) || this.dead.has(name)) throw new Error('no answer')
-      this.queries.set(address, (this.queries.get(address) ?? new Set()).add(name))
-      return JSON.parse(JSON.stringify(this.routers.get(address)?.server.answer(JSON.parse(JSON.stringify(request)))))
-    }, transfer, () => undefined)
-    const sync: FleetSync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => false }, clock, log)
-    transfer.onAdopted(() => sync.syncSoon())
+    const isCut = (address: string): boolean => this.dead.has(address) || this.dead.has(name)
+    const sync = createSync(state, clock, {
+      sync: async (address, request) => {
+        if (isCut(address)) throw new Error('no answer')
+        this.queries.set(address, (this.queries.get(address) ?? new Set()).add(name))
+        return JSON.parse(JSON.stringify(this.routers.get(address)?.server.answer(JSON.parse(JSON.stringify(request)))))
+      },
+      transfer: async (address, fromVersion) => {
+        if (isCut(address)) throw new Error('no answer')
+        return JSON.parse(JSON.stringify(this.routers.get(address)?.server.configurationUpdate(fromVersion)))
+      },
+      isStoreFailing: false
+    })
     const server = new SyncServer(state, name, () => clock.now(), () => {
       return sync.isReader && state.configuration.version > 0 ? 0 : sync.followingDistance
     })
