--- a/packages/gateway/src/caller/early-listener.ts
+++ b/packages/gateway/src/caller/early-listener.ts
@@ -36,6 +36,8 @@
     this._listening = once(this._server, 'listening')
     // handOver() reports the error, and may be called long after it.
     this._listening.catch(() => undefined)
+    // A failed accept must not end the process.
+    this._server.on('error', () => undefined)
     this._server.listen({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), backlog: BACKLOG })
   }
 
