--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -9,6 +9,7 @@
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
+import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
 import { fitSlope } from '../capacity/fit-slope.js'
 import { retainedBytes } from '../capacity/retained-bytes.js'
 import { measureShortestUs } from '../capacity/measure-shortest-us.js'
@@ -50,10 +51,12 @@
       availabilityZone: `zone-${index % 28}`,
       slots: 64,
       isDraining: false,
-      startedAt: 1
+      startedAt: 1,
+      revision: 1
     }
   })), undefined)
   return {
+    storeEra: new StoreEra(clock, log),
     configuration: new ConfigurationState(clock, log),
     endpoints: table,
     endpointsFreshness: { verifiedAt: clock.now() },
@@ -102,6 +105,7 @@
   const server = new SyncServer(state, 'instance', () => clock.now(), () => 0)
   const respond = (): string => JSON.stringify(server.answer({
     router: { name: 'other', availabilityZone: 'z', address: 'other' },
+    storeEra: state.storeEra.news,
     routers: undefined,
     configurationVersion: 0,
     endpointsRevision: `instance:${state.endpoints.revision}`,
--- a/packages/gateway/src/choice/holder-persistence.ts
+++ b/packages/gateway/src/choice/holder-persistence.ts
@@ -21,6 +21,8 @@
   private readonly _options: HolderPersistenceOptions
   private readonly _log: EventLog
   private _lastSavedCursor = 0
+  /** Era of the store in which the last save or load was acknowledged. A later era may lack it. */
+  private _savedEra: number | undefined
 
   /**
    * @param options store, table and role of this router
@@ -48,7 +50,7 @@
     try {
       const notes = await this._options.store.loadHolders(AbortSignal.any([signal, timeout.signal]), () => timeout.recordProgress())
       for (const note of notes) this._options.holders.learn(note.key, note.endpointId)
-      this._lastSavedCursor = this._options.holders.cursor
+      this._savedEra = this._options.store.era.number
       this._log.info('holders-loaded', { notes: notes.length })
     } catch (error) {
       this._log.info('holders-not-loaded', { problem: (error as Error).message })
@@ -60,10 +62,11 @@
   private async _save (signal: AbortSignal): Promise<void> {
     const { holders, store } = this._options
     const { cursor } = holders
-    if (cursor === this._lastSavedCursor) return
+    if (cursor === this._lastSavedCursor && store.era.number === this._savedEra) return
     try {
       await store.saveHolders(holders.recent(MAXIMUM_KEYS), AbortSignal.any([signal, AbortSignal.timeout(SAVE_TIMEOUT_MS)]))
       this._lastSavedCursor = cursor
+      this._savedEra = store.era.number
     } catch (error) {
       this._log.info('holders-not-saved', { problem: (error as Error).message })
     }
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -18,6 +18,7 @@
   private readonly _log: EventLog
   private _inForce: ConfigurationInForce | undefined
   private _verifiedAt = -Infinity
+  private _readAt = -Infinity
   private readonly _patches: ConfigurationPatch[] = []
 
   /**
@@ -44,6 +45,14 @@
     return this._verifiedAt
   }
 
+  /**
+   * Latest clock time at which the store was read, by this router or another one, whether or not what it held verified
+   * the version in force; -Infinity if never.
+   */
+  get readAt (): number {
+    return this._readAt
+  }
+
   /** Milliseconds since the version in force was last verified to be the newest in the store. */
   get ageMs (): number {
     return this._clock.now() - this._verifiedAt
@@ -96,9 +105,26 @@
    * @param verifiedAt time of the check, by the clock
    */
   markVerified (verifiedAt: number): void {
+    this.markRead(verifiedAt)
     if (verifiedAt > this._verifiedAt) this._verifiedAt = verifiedAt
   }
 
+  /**
+   * Records that the store was read at a given time.
+   * @param readAt time of the reading, by the clock
+   */
+  markRead (readAt: number): void {
+    if (readAt > this._readAt) this._readAt = readAt
+  }
+
+  /**
+   * Drops the verification if it was made at or after a given time, because what was read then was an older copy.
+   * @param time the time, by the clock
+   */
+  dropVerificationSince (time: number): void {
+    if (this._verifiedAt >= time) this._verifiedAt = -Infinity
+  }
+
   private _putInForce (configuration: GatewayConfiguration, source: string, startedAt: number): void {
     const replaced = this.version
     this._inForce = new ConfigurationInForce(configuration)
--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -4,6 +4,7 @@
 import type { TopicChange } from '../model/topic-change.js'
 import type { EndpointChange } from './endpoint-change.js'
 import type { EndpointListener } from './endpoint-listener.js'
+import { RemovedEndpoints } from './removed-endpoints.js'
 
 /** How long contexts can be copied from an endpoint after its removal. Its address may be reassigned afterwards. */
 const DEPARTED_RETENTION_MS = 1_800
@@ -11,6 +12,12 @@
 /** Maximum number of changes retained for routers with an older revision. A router misses more only after a long absence. */
 const MAXIMUM_CHANGES = 2_048
 
+/**
+ * How long after a change of the store's era a registration from before a removal is withheld. By then the store has removed
+ * an endpoint that does not register again: it does so after three heartbeats, which come once a second.
+ */
+const WITHHOLDING_MS = 4_500
+
 /** An endpoint that was removed and can still be a source of contexts. */
 interface DepartedEntry {
   readonly entry: EndpointEntry
@@ -21,12 +28,19 @@
  * Registered endpoints. An entry that is removed while the store is available is deleted immediately. An entry that
  * expires during an outage of the store is retained for a grace period, in which a live endpoint registers again. An
  * entry of a draining endpoint is deleted immediately in both cases.
+ *
+ * After the store has come back from an older copy, that copy may list endpoints that have been removed since. They are
+ * withheld until they register again, or until the store would have removed them.
  */
 export class EndpointTable {
   private readonly _entries = new Map<string, EndpointEntry>()
   /** Ends of the grace periods of entries that the store removed during or shortly after an outage, by endpoint id. */
   private readonly _lapsed = new Map<string, number>()
   private readonly _departed = new Map<string, DepartedEntry>()
+  private readonly _removed: RemovedEndpoints
+  /** Registrations from before a removal, by endpoint id. */
+  private readonly _withheld = new Map<string, EndpointEntry>()
+  private _withholdingEnd = -Infinity
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private readonly _listeners: EndpointListener[] = []
@@ -41,6 +55,7 @@
   constructor (clock: ElapsedClock, log: EventLog) {
     this._clock = clock
     this._log = log
+    this._removed = new RemovedEndpoints(clock)
   }
 
   /** Revision number; incremented by each change that other routers need. */
@@ -63,6 +78,11 @@
     return this._entries.values()
   }
 
+  /** Prepares for content of the store that is older than what it held before. */
+  storeEraChanged (): void {
+    this._withholdingEnd = this._clock.now() + WITHHOLDING_MS
+  }
+
   /**
    * Adds a listener.
    * @param listener listener to call after each restart, removal and expiry
@@ -119,16 +139,21 @@
    */
   replace (entries: readonly EndpointEntry[], gracePeriodEnd: number | undefined): void {
     const registeredIds = new Set(entries.map((entry) => entry.id))
+    for (const id of this._withheld.keys()) if (!registeredIds.has(id)) this._withheld.delete(id)
     for (const id of [...this._entries.keys()]) {
       if (!registeredIds.has(id) && !this._lapsed.has(id)) this._remove(id, gracePeriodEnd)
     }
     for (const entry of entries) this._put(entry)
   }
 
-  /** Deletes lapsed entries whose grace period is over, and departed endpoints after their retention time. */
+  /**
+   * Deletes lapsed entries whose grace period is over, and departed endpoints after their retention time. Adds entries
+   * that are no longer withheld.
+   */
   removeExpired (): void {
-    if (this._lapsed.size === 0 && this._departed.size === 0) return
+    if (this._lapsed.size === 0 && this._departed.size === 0 && this._withheld.size === 0) return
     const now = this._clock.now()
+    if (now >= this._withholdingEnd) this._addWithheld()
     for (const [id, departed] of this._departed) {
       if (now >= departed.expiresAt) this._expireDeparted(id, departed.entry)
     }
@@ -139,6 +164,8 @@
 
   private _put (entry: EndpointEntry): void {
     const current = this._entries.get(entry.id)
+    if (this._isOutdated(entry, current)) return
+    this._withheld.delete(entry.id)
     const departed = this._departed.get(entry.id)
     if (departed !== undefined) this._expireDeparted(entry.id, departed.entry)
     this._lapsed.delete(entry.id)
@@ -160,7 +187,23 @@
     for (const listener of this._listeners) listener.endpointRestarted(entry)
   }
 
+  /** Whether an entry is older than what is known of the endpoint. Withholds it if the endpoint was removed since. */
+  private _isOutdated (entry: EndpointEntry, current: EndpointEntry | undefined): boolean {
+    if (current !== undefined) return entry.startedAt === current.startedAt && entry.revision < current.revision
+    if (this._clock.now() >= this._withholdingEnd || !this._removed.precedesRemoval(entry)) return false
+    if (!this._withheld.has(entry.id)) this._log.info('endpoint-withheld', { endpoint: entry.id, service: entry.service })
+    this._withheld.set(entry.id, entry)
+    return true
+  }
+
+  private _addWithheld (): void {
+    const entries = [...this._withheld.values()]
+    this._withheld.clear()
+    for (const entry of entries) this._put(entry)
+  }
+
   private _remove (id: string, gracePeriodEnd: number | undefined): void {
+    this._withheld.delete(id)
     const entry = this._entries.get(id)
     if (entry === undefined) return
     if (gracePeriodEnd === undefined || entry.isDraining) {
@@ -177,6 +220,7 @@
     this._lapsed.delete(id)
     if (entry === undefined) return
     this._entries.delete(id)
+    this._removed.add(entry)
     this._departed.set(id, { entry, expiresAt: this._clock.now() + DEPARTED_RETENTION_MS })
     this._recordChange({ id, entry: undefined })
     this._log.info('endpoint-gone', { endpoint: id, service: entry.service })
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -1,12 +1,15 @@
 import type { HolderTable } from '../choice/holder-table.js'
 import type { LoadView } from '../choice/load-view.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
+import type { StoreEra } from '../model/store-era.js'
 import type { EndpointTable } from './endpoint-table.js'
 import type { Freshness } from './freshness.js'
 import type { RouterTable } from './router-table.js'
 
 /** State that routers exchange with each other. */
 export interface FleetState {
+  /** Era of the store. */
+  readonly storeEra: StoreEra
   /** The configuration in force. */
   readonly configuration: ConfigurationState
   /** Registered endpoints. */
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -33,6 +33,8 @@
 const MAXIMUM_PEERS_PER_ROUND = 4
 /** Number of rounds between two sync requests of a reader. */
 const ROUNDS_PER_READER_SYNC = 4
+/** How long a router that starts waits for an answer of a seed before it serves with what the store holds. */
+const MAXIMUM_SEED_WAIT_MS = 250
 /** Backoff after a router did not answer or its state was stale, during which it is not contacted. */
 const PEER_BACKOFF_MS = 1_500
 /** Maximum age of the configuration of a router that is followed. */
@@ -61,6 +63,8 @@
   private _sourceDistance = Infinity
   private _lastFollowedAt = -Infinity
   private _pausing = new AbortController()
+  private _hasAskedSeeds = false
+  private _onSeedsAsked: () => void = () => undefined
 
   /**
    * @param options dependencies
@@ -89,12 +93,28 @@
     return this._clock.now() - this._lastFollowedAt < FOLLOWING_TIMEOUT_MS ? this._sourceDistance + 1 : Infinity
   }
 
+  /**
+   * Whether a seed has answered since the start, or none is expected to. Before, other routers may know that the store has come
+   * back from an older copy, and a newer configuration than the one it holds.
+   */
+  get hasAskedSeeds (): boolean {
+    return this._hasAskedSeeds
+  }
+
+  /**
+   * Sets the listener that is called when `hasAskedSeeds` becomes true; it replaces the previous one.
+   * @param onSeedsAsked listener; it is called without arguments
+   */
+  onSeedsAsked (onSeedsAsked: () => void): void {
+    this._onSeedsAsked = onSeedsAsked
+  }
+
   /**
    * Requests updates from other routers until aborted.
    * @param signal aborts the loop
    */
   async run (signal: AbortSignal): Promise<void> {
-    await Promise.all(this._seeds.map((seed) => this._syncWith(seed, DISCOVERY_OPTIONS)))
+    await this._askSeeds(signal)
     signal.addEventListener('abort', () => this._pausing.abort(), { once: true })
     while (!signal.aborted) {
       this._pausing = new AbortController()
@@ -108,6 +128,18 @@
     this._pausing.abort()
   }
 
+  private async _askSeeds (signal: AbortSignal): Promise<void> {
+    const answers = this._seeds.map((seed) => this._syncWith(seed, DISCOVERY_OPTIONS))
+    const allAsked = Promise.all(answers)
+    const firstAnswer = new Promise<void>((resolve) => {
+      for (const answer of answers) answer.then((received) => { if (received !== undefined) resolve() }, () => undefined)
+    })
+    await Promise.race([firstAnswer, allAsked, pause(MAXIMUM_SEED_WAIT_MS, signal)])
+    this._hasAskedSeeds = true
+    this._onSeedsAsked()
+    await allAsked
+  }
+
   private get _intervalMs (): number {
     if (this._client.isAwaitingSource) return AWAITING_SOURCE_INTERVAL_MS
     return this._followsZonePeer ? ZONE_FOLLOWER_INTERVAL_MS : SYNC_INTERVAL_MS
@@ -186,7 +218,8 @@
     this._log.info('peer-not-fresh', {
       peer: router.name,
       distance: answer.distance ?? undefined,
-      configuration_age_ms: Math.round(answer.configurationAgeMs),
+      store_era: answer.storeEra.era,
+      configuration_age_ms: Math.round(answer.configurationReadAgeMs),
       endpoints_age_ms: Math.round(answer.endpointsAgeMs)
     })
   }
@@ -214,6 +247,6 @@
 function isFresh (answer: SyncAnswer, maximumDistance: number): boolean {
   // The source must be closer to the store than this router. Two routers that follow each other would both stop reading
   // the store.
-  return answer.distance !== null && answer.distance <= maximumDistance && answer.configurationAgeMs >= 0 && answer.configurationAgeMs < MAXIMUM_CONFIGURATION_AGE_MS &&
+  return answer.distance !== null && answer.distance <= maximumDistance && answer.configurationReadAgeMs >= 0 && answer.configurationReadAgeMs < MAXIMUM_CONFIGURATION_AGE_MS &&
     answer.endpointsAgeMs >= 0 && answer.endpointsAgeMs < MAXIMUM_ENDPOINTS_AGE_MS
 }
--- a/packages/gateway/src/membership/store-feed-options.ts
+++ b/packages/gateway/src/membership/store-feed-options.ts
@@ -16,9 +16,9 @@
   /**
    * Called with each page that was read.
    * @param page changes, or the newest value of each key
-   * @param verifiedAt time at which the read was sent, as of which the page is complete
+   * @param readAt time at which the read was sent, as of which the page is complete
    */
-  readonly onPage: (page: TopicPage<Value>, verifiedAt: number) => void
+  readonly onPage: (page: TopicPage<Value>, readAt: number) => void
   /** Called after each failed read. */
   readonly onFailure?: () => void
 }
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -1,5 +1,6 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
+import type { StorePosition } from '../model/store-position.js'
 import { pause } from './pause.js'
 import { ProgressTimeout } from './progress-timeout.js'
 import type { StoreFeedOptions } from './store-feed-options.js'
@@ -20,7 +21,7 @@
   private readonly _options: StoreFeedOptions<Value>
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
-  private _offset: number | undefined
+  private _position: StorePosition | undefined
   private _failures = 0
   private _isReading = false
 
@@ -42,7 +43,7 @@
 
   /** Whether this router is reading the topic and the last read succeeded. */
   get isUpToDate (): boolean {
-    return this._isReading && this._offset !== undefined && this._failures === 0
+    return this._isReading && this._position !== undefined && this._failures === 0
   }
 
   /**
@@ -57,7 +58,7 @@
         this._isReading = shouldRead
       }
       if (shouldRead) await this._read(signal)
-      else this._offset = undefined
+      else this._position = undefined
       await pause(this._pauseMs(shouldRead), signal)
     }
   }
@@ -67,9 +68,9 @@
     const timeout = new ProgressTimeout({ progressMs: this._options.waitMs + PROGRESS_MARGIN_MS, totalMs: MAXIMUM_READ_MS })
     const callSignal = AbortSignal.any([signal, timeout.signal])
     try {
-      const page = await this._options.reader.read(this._offset, this._options.waitMs, callSignal, () => timeout.recordProgress())
+      const page = await this._options.reader.read(this._position, this._options.waitMs, callSignal, () => timeout.recordProgress())
       this._recordSuccess()
-      this._offset = page.nextOffset
+      this._position = page.nextPosition
       this._options.onPage(page, sentAt)
     } catch (error) {
       if (signal.aborted) return
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -1,5 +1,6 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { EraNews } from '../model/era-news.js'
 import type { ConfigurationPatch } from '../configuration/configuration-patch.js'
 import type { EndpointChange } from './endpoint-change.js'
 import type { RouterContact } from './router-contact.js'
@@ -11,6 +12,8 @@
 export interface SyncAnswer {
   /** Name of the answering router. */
   readonly name: string
+  /** Era of the store that the answering router knows; its ages and endpoints are of this era. */
+  readonly storeEra: EraNews
   /**
    * Number of routers between the answering router and the store: 0 if it reads the store itself without errors;
    * Infinity, null in JSON, if it has no current source. A router stops reading the store only if its source is closer
@@ -28,6 +31,8 @@
   readonly configurationSource: string | undefined
   /** Milliseconds since the configuration was last verified to be the newest in the store; -1 if never. */
   readonly configurationAgeMs: number
+  /** Milliseconds since the configuration in the store was last read; -1 if never. */
+  readonly configurationReadAgeMs: number
   /** Endpoint changes since the requester's revision; undefined if there are none or they are not retained. */
   readonly endpointChanges: readonly EndpointChange[] | undefined
   /** All endpoints, if the changes are not retained. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -71,6 +71,7 @@
     const sentAt = this._clock.now()
     const answer = await this._call(address, {
       router: routers.self,
+      storeEra: this._state.storeEra.news,
       routers: this._includesRouters(address) ? this._contacts(followers) : undefined,
       configurationVersion: configuration.version,
       endpointsRevision: this._mirrors.get(address)?.revision,
@@ -116,14 +117,16 @@
   }
 
   private _applyAnswer (address: string, answer: SyncAnswer, sentAt: number, isRelaying: boolean): void {
-    const { configuration, routers, holders } = this._state
+    const { storeEra, routers, holders } = this._state
+    storeEra.learn(answer.storeEra, answer.name)
     const elapsedMs = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.recordContact(router, router.heardAgoMs + elapsedMs)
     this._applyConfiguration(address, answer)
-    // The answer was created after the request was sent. Counting its ages from the time of sending can only
-    // overestimate them.
-    if (answer.configurationAgeMs >= 0 && configuration.version >= answer.configurationVersion) configuration.markVerified(sentAt - answer.configurationAgeMs)
-    this._applyEndpoints(address, answer, sentAt)
+    // Ages and endpoints of an earlier era say nothing about what the store holds now.
+    if (storeEra.isSame(answer.storeEra)) {
+      this._applyConfigurationAges(answer, sentAt)
+      this._applyEndpoints(address, answer, sentAt)
+    }
     for (const { key, endpointId } of answer.notes) {
       if (isRelaying) holders.relay(key, endpointId)
       else holders.learn(key, endpointId)
@@ -131,6 +134,17 @@
     this._receivedCursors.set(address, answer.notesCursor)
   }
 
+  /**
+   * The answer was created after the request was sent. Counting its ages from the time of sending can only overestimate
+   * them.
+   */
+  private _applyConfigurationAges (answer: SyncAnswer, sentAt: number): void {
+    const { configuration } = this._state
+    if (configuration.version < answer.configurationVersion) return
+    if (answer.configurationReadAgeMs >= 0) configuration.markRead(sentAt - answer.configurationReadAgeMs)
+    if (answer.configurationAgeMs >= 0) configuration.markVerified(sentAt - answer.configurationAgeMs)
+  }
+
   private _applyConfiguration (address: string, answer: SyncAnswer): void {
     const { configuration } = this._state
     if (answer.configurationPatches !== undefined) configuration.adoptPatches(answer.configurationPatches, answer.name)
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -1,5 +1,6 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
+import type { EraNews } from '../model/era-news.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import type { RouterContact } from './router-contact.js'
 
@@ -7,6 +8,8 @@
 export interface SyncRequest {
   /** The requesting router. */
   readonly router: RouterEntry
+  /** Era of the store that the requester knows. */
+  readonly storeEra: EraNews
   /** Routers known to the requester; undefined in most requests, since they change rarely. */
   readonly routers: readonly RouterContact[] | undefined
   /** Version of the requester's configuration. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -41,6 +41,7 @@
    */
   answer (request: SyncRequest): SyncAnswer {
     const { configuration, endpoints, routers, holders, loads } = this._state
+    this._state.storeEra.learn(request.storeEra, request.router.name)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
     for (const router of request.routers ?? []) routers.recordContact(router, router.heardAgoMs)
@@ -49,9 +50,11 @@
     for (const note of request.notes) holders.add(note.key, note.endpointId)
     return {
       name: routers.self.name,
+      storeEra: this._state.storeEra.news,
       distance: this._distance(),
       ...this._configurationChange(request),
       configurationAgeMs: this._ageMs(configuration.verifiedAt),
+      configurationReadAgeMs: this._ageMs(configuration.readAt),
       ...this._endpointUpdate(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
       endpointsAgeMs: this._ageMs(this._state.endpointsFreshness.verifiedAt),
--- a/packages/gateway/src/model/endpoint-entry.ts
+++ b/packages/gateway/src/model/endpoint-entry.ts
@@ -14,4 +14,6 @@
   readonly isDraining: boolean
   /** Start time of this incarnation in Unix milliseconds; 0 if unknown. */
   readonly startedAt: number
+  /** Counter that rises with each registration of this incarnation; 0 if unknown. */
+  readonly revision: number
 }
--- a/packages/gateway/src/model/fleet-store.ts
+++ b/packages/gateway/src/model/fleet-store.ts
@@ -2,10 +2,13 @@
 import type { EndpointEntry } from './endpoint-entry.js'
 import type { GatewayConfiguration } from './gateway-configuration.js'
 import type { RouterEntry } from './router-entry.js'
+import type { StoreEra } from './store-era.js'
 import type { TopicReader } from './topic-reader.js'
 
 /** Client of the platform's store, which holds configurations, registrations and the cache index. */
 export interface FleetStore {
+  /** Era of the store, which each of its answers states. */
+  readonly era: StoreEra
   /** Accepted configurations. */
   readonly configurations: TopicReader<GatewayConfiguration>
   /** Registered endpoints. */
@@ -13,11 +16,11 @@
   /** Announced routers. */
   readonly routers: TopicReader<RouterEntry>
   /**
-   * Announces a router to the fleet.
-   * @param entry router to announce
+   * Announces routers to the fleet.
+   * @param entries routers to announce
    * @param signal aborts the call
    */
-  announce (entry: RouterEntry, signal: AbortSignal): Promise<void>
+  announce (entries: readonly RouterEntry[], signal: AbortSignal): Promise<void>
   /**
    * Saves the cache index for routers that start later; replaces the saved one.
    * @param notes holders of contexts, the whole index to save
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -62,6 +62,13 @@
     registers: [this.registry]
   })
 
+  /** Era of the store, which rises each time it comes back from an older copy. */
+  readonly storeEra = new Gauge({
+    name: 'mimosarock_store_era',
+    help: 'Era of the store, which rises each time it comes back from an older copy.',
+    registers: [this.registry]
+  })
+
   /** Bytes of the responses of other routers to this router's calls. */
   readonly peerBytesReceived = new Counter({
     name: 'mimosarock_peer_bytes_received_total',
--- a/packages/gateway/src/test/connection-faults_test.ts
+++ b/packages/gateway/src/test/connection-faults_test.ts
@@ -40,7 +40,7 @@
       return true
     }
   })
-  const endpoint = { id: address, service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0 }
+  const endpoint = { id: address, service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }
   endpointCall.send(connections.pool(endpoint, true, 1))
   const { outcome } = await endpointCall.result
   return [outcome, text]
--- a/packages/gateway/src/test/create-fleet-state.ts
+++ b/packages/gateway/src/test/create-fleet-state.ts
@@ -6,6 +6,7 @@
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
 import type { ElapsedClock } from '@mimosarock/gateway/model/elapsed-clock.js'
+import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
 
 /**
  * Creates the state of a router that knows nothing yet.
@@ -16,6 +17,7 @@
 export function createFleetState (name: string, clock: ElapsedClock, location: { readonly availabilityZone?: string, readonly address?: string } = {}): FleetState {
   const log = new SilentEventLog()
   return {
+    storeEra: new StoreEra(clock, log),
     configuration: new ConfigurationState(clock, log),
     endpoints: new EndpointTable(clock, log),
     endpointsFreshness: { verifiedAt: -Infinity },
--- a/packages/gateway/src/test/endpoint-call_test.ts
+++ b/packages/gateway/src/test/endpoint-call_test.ts
@@ -28,7 +28,7 @@
   let body = ''
   const receiver = { start: () => true, data: (chunk: Buffer) => { body += chunk.toString(); return true } }
   const call = new EndpointCall({ id: ID, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }, headerCodec as WireCodec, receiver)
-  const endpoint = { id: 'e', service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0 }
+  const endpoint = { id: 'e', service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }
   call.send(connections.pool(endpoint, false, 1))
   const result = await call.result
   return { result, body }
@@ -99,7 +99,7 @@
   const call = new EndpointCall({ id: ID, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }, headerCodec as WireCodec, {
     start: () => true, data: () => true
   })
-  const endpoint = { id: 'gone', service: 's', address: '127.0.0.1:1', availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0 }
+  const endpoint = { id: 'gone', service: 's', address: '127.0.0.1:1', availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }
   call.send(connections.pool(endpoint, false, 1))
   expect((await call.result).outcome).toBe(CallOutcome.NOT_SENT)
 })
--- a/packages/gateway/src/test/endpoint-selector_test.ts
+++ b/packages/gateway/src/test/endpoint-selector_test.ts
@@ -21,7 +21,8 @@
       availabilityZone: `z${index % 2}`,
       slots: 64,
       isDraining: false,
-      startedAt: 1
+      startedAt: 1,
+      revision: 0
     }
   })), undefined)
   const loads = new LoadView(() => clock.now())
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -8,7 +8,7 @@
 
 function createEntry (id: string, changes: Partial<EndpointEntry> = {}): EndpointEntry {
   return {
-    id, service: 's', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1, ...changes
+    id, service: 's', address: `10.0.0.1:${id}`, availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1, revision: 0, ...changes
   }
 }
 
@@ -101,3 +101,59 @@
   table.removeExpired()
   expect([table.findContextSource('1'), expired]).toEqual([undefined, ['1']])
 })
+
+function restart (table: EndpointTable, copy: readonly EndpointEntry[], clock: { readonly ms: number }): void {
+  table.storeEraChanged()
+  table.replace(copy, clock.ms + 2_100)
+}
+
+test('an endpoint that an older copy of the store still lists is not brought back until it registers again', () => {
+  const { table, clock } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { revision: 5 }) }], NO_OUTAGE)
+  table.apply([{ key: '1', value: undefined }], NO_OUTAGE)
+  restart(table, [createEntry('1', { revision: 4 }), createEntry('2')], clock)
+  expect(readyIds(table)).toEqual(['2'])
+  table.apply([{ key: '1', value: createEntry('1', { revision: 6 }) }], NO_OUTAGE)
+  expect(readyIds(table).sort()).toEqual(['1', '2'])
+})
+
+test('an endpoint that an older copy of the store lists is used again once the store would have removed it', () => {
+  const { table, clock } = createTable()
+  table.apply([{ key: '1', value: undefined }], NO_OUTAGE)
+  restart(table, [createEntry('1'), createEntry('2')], clock)
+  clock.ms += 4_000
+  expect(readyIds(table)).toEqual(['2'])
+  clock.ms += 600
+  expect(readyIds(table).sort()).toEqual(['1', '2'])
+})
+
+test('an endpoint that the store removes from the older copy does not come back', () => {
+  const { table, clock } = createTable()
+  table.apply([{ key: '1', value: undefined }], NO_OUTAGE)
+  restart(table, [createEntry('1'), createEntry('2')], clock)
+  table.apply([{ key: '1', value: undefined }], NO_OUTAGE)
+  clock.ms += 5_000
+  expect(readyIds(table)).toEqual(['2'])
+})
+
+test('a draining endpoint stays draining if an older copy of the store shows it as ready', () => {
+  const { table, clock } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { isDraining: true, revision: 5 }) }], NO_OUTAGE)
+  restart(table, [createEntry('1', { revision: 4 }), createEntry('2')], clock)
+  expect([readyIds(table), table.find('1')?.isDraining]).toEqual([['2'], true])
+})
+
+test('an endpoint that an older copy of the store lacks is kept until it had time to register again', () => {
+  const { table, clock } = createTable()
+  restart(table, [createEntry('2')], clock)
+  expect(readyIds(table)).toEqual(['1', '2'])
+  clock.ms += 2_200
+  expect(readyIds(table)).toEqual(['2'])
+})
+
+test('a new incarnation under the id of a removed endpoint is used at once', () => {
+  const { table, clock } = createTable()
+  table.apply([{ key: '1', value: undefined }], NO_OUTAGE)
+  restart(table, [createEntry('1', { startedAt: 2 }), createEntry('2')], clock)
+  expect(readyIds(table).sort()).toEqual(['1', '2'])
+})
--- a/packages/gateway/src/test/fleet-concurrency-limit_test.ts
+++ b/packages/gateway/src/test/fleet-concurrency-limit_test.ts
@@ -4,7 +4,7 @@
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
 
 const endpoint = (id: string, slots: number): EndpointEntry => {
-  return { id, service: 's', address: `${id}:1`, availabilityZone: 'z', slots, isDraining: false, startedAt: 1 }
+  return { id, service: 's', address: `${id}:1`, availabilityZone: 'z', slots, isDraining: false, startedAt: 1, revision: 0 }
 }
 
 /** Creates routers that share a service, each with its own load view. */
--- a/packages/gateway/src/test/fleet-sync_test.ts
+++ b/packages/gateway/src/test/fleet-sync_test.ts
@@ -25,7 +25,7 @@
       requestedAddresses.push(address)
       const answer = peers.answer(address)
       if (answer === undefined) throw new Error('no answer')
-      return { distance: 0, configurationAgeMs: 10, endpointsAgeMs: 10, ...answer }
+      return { distance: 0, storeEra: { era: 1, changedAgoMs: undefined }, configurationReadAgeMs: 10, endpointsAgeMs: 10, ...answer }
     },
     applyLoad: () => undefined
   } as unknown as SyncClient
@@ -69,3 +69,33 @@
   const { requestedAddresses } = await runUntil({ count: 3, answer: () => ({}), isStoreFailing: true }, (_running, addresses) => addresses.length > 0)
   expect(requestedAddresses.length).toBeGreaterThan(0)
 })
+
+/** Starts the sync of a router with seeds that behave as given; returns it before any of them has answered. */
+function startSync (seeds: Readonly<Record<string, () => Promise<SyncAnswer>>>) {
+  const routers = new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, clock)
+  const client = { sync: async (address: string) => await (seeds[address] as () => Promise<SyncAnswer>)(), applyLoad: () => undefined } as unknown as SyncClient
+  const sync = new FleetSync({ routers, client, seeds: Object.keys(seeds), isStoreFailing: () => false }, clock, new SilentEventLog())
+  const abortController = new AbortController()
+  const running = sync.run(abortController.signal)
+  return { sync, abortController, running }
+}
+
+const never = async (): Promise<SyncAnswer> => await new Promise(() => undefined)
+const fail = async (): Promise<SyncAnswer> => { throw new Error('refused') }
+
+test('a router that starts has asked its seeds once one of them has answered, or all have failed', async () => {
+  const answered = startSync({ dark: never, live: async () => ({ distance: 0 } as unknown as SyncAnswer) })
+  const failed = startSync({ a: fail, b: fail })
+  expect([answered.sync.hasAskedSeeds, failed.sync.hasAskedSeeds]).toEqual([false, false])
+  await sleep(20)
+  expect([answered.sync.hasAskedSeeds, failed.sync.hasAskedSeeds]).toEqual([true, true])
+  answered.abortController.abort()
+  failed.abortController.abort()
+  await failed.running
+})
+
+test('a router that starts does not wait longer for seeds that do not answer', async () => {
+  const { sync } = startSync({ dark: never })
+  await new Promise<void>((resolve) => sync.onSeedsAsked(resolve))
+  expect(sync.hasAskedSeeds).toBe(true)
+})
--- a/packages/gateway/src/test/holder-persistence_test.ts
+++ b/packages/gateway/src/test/holder-persistence_test.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import { expect, test } from 'vitest'
+import { expect, test, vi } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { HolderPersistence } from '@mimosarock/gateway/choice/holder-persistence.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
@@ -51,3 +51,18 @@
   holders.holders('a')
   expect(holders.recent(2).map((note) => note.key)).toEqual(['c', 'a'])
 })
+
+test('holders are saved again, though they have not changed, after the store came back from an older copy', async () => {
+  const store = new MemoryStore()
+  store.era.observe(1)
+  const holders = new HolderTable()
+  const abortController = new AbortController()
+  const running = new HolderPersistence({ store, holders, isSaving: () => true }, new SilentEventLog()).run(abortController.signal)
+  holders.add('a', 'e1')
+  await vi.waitUntil(() => store.holders.length === 1, { timeout: 10_000 })
+  store.holders = []
+  store.era.observe(2)
+  await vi.waitUntil(() => store.holders.length === 1, { timeout: 10_000 })
+  abortController.abort()
+  await running
+})
--- a/packages/gateway/src/test/large-change-at-scale_test.ts
+++ b/packages/gateway/src/test/large-change-at-scale_test.ts
@@ -111,7 +111,7 @@
 
   private _readEndpoints ({ endpoints, endpointsFreshness }: FleetState): void {
     const entries = Array.from({ length: ENDPOINTS }, (_, index) => ({
-      id: `e${index}`, service: 'app', address: `10.0.0.${index}:1`, availabilityZone: 'z', slots: 16, isDraining: this.isLeaving && index === 0, startedAt: 1
+      id: `e${index}`, service: 'app', address: `10.0.0.${index}:1`, availabilityZone: 'z', slots: 16, isDraining: this.isLeaving && index === 0, startedAt: 1, revision: 0
     }))
     endpoints.replace(entries, undefined)
     endpointsFreshness.verifiedAt = clock.now()
--- a/packages/gateway/src/test/large-change_test.ts
+++ b/packages/gateway/src/test/large-change_test.ts
@@ -15,7 +15,7 @@
 const ADDED_ROUTES = 1_480
 /** A change of this many routes takes seconds on the link; a message without it takes some milliseconds. */
 const LINK_BYTES_PER_SECOND = 60_000
-const ENDPOINT = { id: 'e1', service: 'app', address: '10.0.0.1:1', availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1 }
+const ENDPOINT = { id: 'e1', service: 'app', address: '10.0.0.1:1', availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1, revision: 0 }
 const clock = { now: () => performance.now() + 100_000 }
 const closing: Array<() => unknown> = []
 
--- a/packages/gateway/src/test/large-fleet_test.ts
+++ b/packages/gateway/src/test/large-fleet_test.ts
@@ -8,7 +8,7 @@
 
 const ROUTERS = 96
 const ZONES = 6
-const ENDPOINT = { id: 'e1', service: 's', address: '10.0.0.1:1', availabilityZone: 'z0', slots: 64, isDraining: false, startedAt: 1 }
+const ENDPOINT = { id: 'e1', service: 's', address: '10.0.0.1:1', availabilityZone: 'z0', slots: 64, isDraining: false, startedAt: 1, revision: 0 }
 const clock = { now: () => performance.now() + 100_000 }
 const abortController = new AbortController()
 
--- a/packages/gateway/src/test/load-snapshot_test.ts
+++ b/packages/gateway/src/test/load-snapshot_test.ts
@@ -11,7 +11,7 @@
   const table = new EndpointTable(clock, new SilentEventLog())
   const ids = Array.from({ length: endpoints }, (_, index) => `e${index}`)
   const put = (id: string): void => {
-    const value = { id, service: 's', address: `${id}:1`, availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1 }
+    const value = { id, service: 's', address: `${id}:1`, availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1, revision: 0 }
     table.apply([{ key: id, value }], undefined)
   }
   for (const id of ids) put(id)
--- a/packages/gateway/src/test/many-routers_test.ts
+++ b/packages/gateway/src/test/many-routers_test.ts
@@ -10,7 +10,7 @@
 const STEP_MS = 10
 const REPORT_INTERVAL_STEPS = 50
 const ENDPOINTS = Array.from({ length: 7 }, (_, index) => {
-  return { id: `e${index}`, service: 's', address: `e${index}:1`, availabilityZone: 'z', slots: 6, isDraining: false, startedAt: 1 }
+  return { id: `e${index}`, service: 's', address: `e${index}:1`, availabilityZone: 'z', slots: 6, isDraining: false, startedAt: 1, revision: 0 }
 })
 const SLOTS = 42
 const SURGE_KNOWN_MS = 1_500
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -1,8 +1,11 @@
 import type { HolderNote } from '@mimosarock/gateway/choice/holder-note.js'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
 import type { FleetStore } from '@mimosarock/gateway/model/fleet-store.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
 import type { RouterEntry } from '@mimosarock/gateway/model/router-entry.js'
+import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
+import type { StorePosition } from '@mimosarock/gateway/model/store-position.js'
 import type { TopicChange } from '@mimosarock/gateway/model/topic-change.js'
 import type { TopicPage } from '@mimosarock/gateway/model/topic-page.js'
 import type { TopicReader } from '@mimosarock/gateway/model/topic-reader.js'
@@ -13,33 +16,44 @@
 class MemoryTopic<Value> implements TopicReader<Value> {
   readonly changes: TopicChange<Value>[] = []
   isDown = false
+  private readonly _era: StoreEra
+
+  constructor (era: StoreEra) {
+    this._era = era
+  }
 
   put (key: string, value: Value | undefined): void {
     this.changes.push({ key, value })
   }
 
-  async read (offset: number | undefined, waitMs: number, signal: AbortSignal): Promise<TopicPage<Value>> {
+  async read (position: StorePosition | undefined, waitMs: number, signal: AbortSignal): Promise<TopicPage<Value>> {
     const until = performance.now() + waitMs
-    while (!this.isDown && offset === this.changes.length && performance.now() < until && !signal.aborted) {
+    while (!this.isDown && position?.offset === this.changes.length && performance.now() < until && !signal.aborted) {
       await new Promise((resolve) => setTimeout(resolve, POLL_MS))
     }
     if (this.isDown) throw new Error('the store is down')
-    const nextOffset = this.changes.length
-    if (offset !== undefined) return { changes: this.changes.slice(offset), nextOffset, isSnapshot: false }
+    const nextPosition = { era: this._era.number, offset: this.changes.length }
+    if (position !== undefined && position.era === this._era.number) return { changes: this.changes.slice(position.offset), nextPosition, isSnapshot: false }
     const newest = new Map(this.changes.map((change) => [change.key, change]))
-    return { changes: [...newest.values()].filter((change) => change.value !== undefined), nextOffset, isSnapshot: true }
+    return { changes: [...newest.values()].filter((change) => change.value !== undefined), nextPosition, isSnapshot: true }
+  }
+
+  /** Drops all but the oldest changes, as a store does that comes back from an older copy. */
+  restore (count: number): void {
+    this.changes.length = count
   }
 }
 
 /** In-memory implementation of the store, for tests. */
 export class MemoryStore implements FleetStore {
-  readonly configurations = new MemoryTopic<GatewayConfiguration>()
-  readonly endpoints = new MemoryTopic<EndpointEntry>()
-  readonly routers = new MemoryTopic<RouterEntry>()
+  readonly era = new StoreEra({ now: () => performance.now() }, new SilentEventLog())
+  readonly configurations = new MemoryTopic<GatewayConfiguration>(this.era)
+  readonly endpoints = new MemoryTopic<EndpointEntry>(this.era)
+  readonly routers = new MemoryTopic<RouterEntry>(this.era)
   holders: readonly HolderNote[] = []
 
-  async announce (entry: RouterEntry): Promise<void> {
-    this.routers.put(entry.name, entry)
+  async announce (entries: readonly RouterEntry[]): Promise<void> {
+    for (const entry of entries) this.routers.put(entry.name, entry)
   }
 
   async saveHolders (notes: readonly HolderNote[]): Promise<void> {
--- /dev/null
+++ b/packages/gateway/src/test/router-announcer_test.ts
@@ -0,0 +1,38 @@
+import { expect, test, vi } from 'vitest'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { RouterAnnouncer } from '@mimosarock/gateway/membership/router-announcer.js'
+import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
+import { MemoryStore } from './memory-store.js'
+
+const ERA = 1
+
+/** Starts the announcers of three routers that know each other; the first one is the reader. */
+function startAnnouncers () {
+  const store = new MemoryStore()
+  store.era.observe(ERA)
+  const clock = { now: () => performance.now() }
+  const entries = ['a', 'b', 'c'].map((name) => ({ name, availabilityZone: 'z', address: `${name}:1` }))
+  const abortController = new AbortController()
+  const running = entries.map(async (self) => {
+    const routers = new RouterTable(self, clock)
+    for (const entry of entries) routers.recordContact(entry, 0)
+    await new RouterAnnouncer(store, routers, () => self.name === 'a', new SilentEventLog()).run(abortController.signal)
+  })
+  const stop = async (): Promise<void> => {
+    abortController.abort()
+    await Promise.all(running)
+  }
+  return { store, stop }
+}
+
+test('the reader announces again, in one call, the routers that an older copy of the store lacks', async () => {
+  const { store, stop } = startAnnouncers()
+  await vi.waitUntil(() => store.routers.changes.length === 3)
+  store.routers.restore(1)
+  const announce = vi.spyOn(store, 'announce')
+  store.era.observe(ERA + 1)
+  await vi.waitUntil(() => store.routers.changes.length === 3, { timeout: 10_000 })
+  await stop()
+  expect(store.routers.changes.map(({ key }) => key).sort()).toEqual(['a', 'b', 'c'])
+  expect(announce).toHaveBeenCalledTimes(1)
+})
--- a/packages/gateway/src/test/store-feed_test.ts
+++ b/packages/gateway/src/test/store-feed_test.ts
@@ -78,7 +78,7 @@
         await sleep(partMs, undefined, { signal })
         onProgress?.()
       }
-      return { changes: [{ key: 'a', value: 'large' }], nextOffset: 1, isSnapshot: true }
+      return { changes: [{ key: 'a', value: 'large' }], nextPosition: { era: 1, offset: 1 }, isSnapshot: true }
     }
   }
   const values: unknown[] = []
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -43,7 +43,7 @@
 const FOLLOWER_OPTIONS = { reportsLoad: true, followers: [] }
 const CONFIGURATION = { version: 3, routes: [], services: [], limits: undefined, workspaces: undefined }
 const ENDPOINT = {
-  id: 'e1', service: 's', address: '10.0.0.1:1', availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1
+  id: 'e1', service: 's', address: '10.0.0.1:1', availabilityZone: 'z', slots: 4, isDraining: false, startedAt: 1, revision: 0
 }
 
 test('holders reach the other routers through the reader', async () => {
@@ -210,3 +210,59 @@
   await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
   expect(routers[0]?.configuration.version).toBe(2)
 })
+
+test('the era of the store reaches the other routers with the endpoints of that era', async () => {
+  const { clock, reader, routers, clients } = createFleet()
+  const [router] = routers as [FleetState]
+  for (const state of [reader, router]) state.storeEra.observe(1)
+  reader.storeEra.observe(2)
+  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], undefined)
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  clock.ms += 400
+  await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
+  expect([router.storeEra.number, router.storeEra.changedAt]).toEqual([2, clock.ms - 400])
+  expect(router.endpoints.find('e1')).toEqual(ENDPOINT)
+})
+
+test('a router that answers learns a newer era from the request', async () => {
+  const { reader, routers, clients } = createFleet()
+  for (const state of [reader, ...routers]) state.storeEra.observe(1)
+  routers[0]?.storeEra.observe(2)
+  await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
+  expect(reader.storeEra.number).toBe(2)
+})
+
+test('ages and endpoints of an earlier era are not applied', async () => {
+  const clock = new ManualClock()
+  const [reader, router] = ['reader', 'router'].map((name) => createFleetState(name, clock)) as [FleetState, FleetState]
+  const server = new SyncServer(reader, 'i1', () => clock.now(), () => 0)
+  for (const state of [reader, router]) state.storeEra.observe(1)
+  reader.configuration.markVerified(clock.now())
+  reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], undefined)
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  const transfer = new ConfigurationTransfer(router.configuration, async () => ({ patches: undefined, configuration: undefined }), clock, new SilentEventLog())
+  const client = new SyncClient(router, clock, async (_address, request) => {
+    const answer = copy(server.answer(copy(request)))
+    // The router reads the store itself while the answer is on its way.
+    router.storeEra.observe(2)
+    return answer
+  }, transfer, () => undefined)
+  await client.sync('reader', FOLLOWER_OPTIONS)
+  expect([router.configuration.verifiedAt, router.endpointsFreshness.verifiedAt, router.endpoints.find('e1')]).toEqual([-Infinity, -Infinity, undefined])
+})
+
+test('a router that starts after the store came back takes over the newer version that another router has', async () => {
+  const { clock, reader, routers, clients } = createFleet()
+  const [router] = routers as [FleetState]
+  router.storeEra.observe(2)
+  reader.storeEra.observe(1)
+  reader.configuration.adopt({ ...CONFIGURATION, version: 10 }, 'store')
+  reader.configuration.markVerified(clock.now())
+  reader.storeEra.observe(2)
+  clock.ms += 100
+  router.configuration.adopt({ ...CONFIGURATION, version: 9 }, 'store')
+  await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
+  await vi.waitUntil(() => router.configuration.version === 10)
+  await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
+  expect(router.configuration.ageMs).toBe(100)
+})
--- a/packages/gateway/src/test/test-endpoint.ts
+++ b/packages/gateway/src/test/test-endpoint.ts
@@ -47,6 +47,7 @@
       slots: 4,
       isDraining: false,
       startedAt: 1,
+      revision: 0,
       ...changes
     }
   }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -14,9 +14,11 @@
 import { HolderPersistence } from '../choice/holder-persistence.js'
 import { HolderTable } from '../choice/holder-table.js'
 import { LoadView } from '../choice/load-view.js'
+import { ConfigurationReadings } from '../configuration/configuration-readings.js'
 import { ConfigurationState } from '../configuration/configuration-state.js'
 import { GracefulShutdown } from '../shutdown/graceful-shutdown.js'
 import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
+import { EndpointReadings } from '../membership/endpoint-readings.js'
 import { EndpointTable } from '../membership/endpoint-table.js'
 import type { FleetState } from '../membership/fleet-state.js'
 import { FleetSync } from '../membership/fleet-sync.js'
@@ -24,6 +26,7 @@
 import { pause } from '../membership/pause.js'
 import { PeerRpcClient } from '../membership/peer-rpc-client.js'
 import { createPeerRpcServer } from '../membership/create-peer-rpc-server.js'
+import { RouterAnnouncer } from '../membership/router-announcer.js'
 import { RouterTable } from '../membership/router-table.js'
 import { StoreFeed } from '../membership/store-feed.js'
 import { SyncClient } from '../membership/sync-client.js'
@@ -34,7 +37,6 @@
 import { LiveSettings } from '../settings/live-settings.js'
 import { createMetricsServer } from '../status/create-metrics-server.js'
 import { GatewayMetrics } from '../status/gateway-metrics.js'
-import { announceRouter } from './announce-router.js'
 import type { GatewayOptions } from './gateway-options.js'
 import { listenAt } from './listen-at.js'
 
@@ -83,6 +85,7 @@
     this._settings = new LiveSettings(settings)
     this._health = new EndpointHealth(clock)
     this._fleetState = {
+      storeEra: options.store.era,
       configuration: new ConfigurationState(clock, log),
       endpoints: new EndpointTable(clock, log),
       endpointsFreshness: { verifiedAt: -Infinity },
@@ -139,15 +142,16 @@
     const { store, clock, log, settings } = this._options
     const { configuration, endpoints, endpointsFreshness, routers } = this._fleetState
     const outageDetector = new OutageDetector(clock)
+    const configurationReadings = new ConfigurationReadings(configuration, store.era)
+    const endpointReadings = new EndpointReadings(endpoints, endpointsFreshness, outageDetector, store.era)
     const configurationFeed = new StoreFeed({
       topic: 'configuration',
       reader: store.configurations,
       waitMs: CONFIGURATION_WAIT_MS,
       pauseMs: CONFIGURATION_PAUSE_MS,
-      shouldRead: (): boolean => sync.isReader || configuration.verifiedAt === -Infinity,
-      onPage: (page, verifiedAt) => {
-        for (const change of page.changes) if (change.value !== undefined) configuration.adopt(change.value, 'store')
-        configuration.markVerified(verifiedAt)
+      shouldRead: (): boolean => sync.isReader || configuration.readAt === -Infinity,
+      onPage: (page, readAt) => {
+        configurationReadings.apply(page, readAt)
         this._openGateWhenReady()
       }
     }, clock, log)
@@ -157,12 +161,8 @@
       waitMs: ENDPOINTS_WAIT_MS,
       pauseMs: ENDPOINTS_PAUSE_MS,
       shouldRead: (): boolean => sync.isReader || endpointsFreshness.verifiedAt === -Infinity,
-      onPage: (page, verifiedAt) => {
-        outageDetector.recordRead(endpointsFreshness.verifiedAt)
-        const registered = page.changes.flatMap((change) => change.value ?? [])
-        if (page.isSnapshot) endpoints.replace(registered, outageDetector.gracePeriodEnd)
-        else endpoints.apply(page.changes, outageDetector.gracePeriodEnd)
-        endpointsFreshness.verifiedAt = verifiedAt
+      onPage: (page, readAt) => {
+        endpointReadings.apply(page, readAt)
         this._openGateWhenReady()
       },
       onFailure: () => outageDetector.recordFailure()
@@ -182,9 +182,11 @@
     }, clock, log)
     this._sync = sync
     transfer.onAdopted(() => sync.syncSoon())
+    sync.onSeedsAsked(() => this._openGateWhenReady())
     const { signal } = this._stopping
     const holderPersistence = new HolderPersistence({ store, holders: this._fleetState.holders, isSaving: () => sync.isReader }, log)
-    const tasks = [holderPersistence.run(signal), configurationFeed.run(signal), endpointFeed.run(signal), sync.run(signal), announceRouter(store, routers, log, signal)]
+    const announcer = new RouterAnnouncer(store, routers, () => sync.isReader, log)
+    const tasks = [holderPersistence, configurationFeed, endpointFeed, sync, announcer].map((task) => task.run(signal))
     Promise.all(tasks).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
   }
 
@@ -270,7 +272,8 @@
 
   private _openGateWhenReady (): void {
     const { configuration, endpointsFreshness } = this._fleetState
-    if (this._startupGate.isOpen || configuration.inForce === undefined || endpointsFreshness.verifiedAt === -Infinity) return
+    if (this._startupGate.isOpen || this._sync?.hasAskedSeeds !== true) return
+    if (configuration.inForce === undefined || endpointsFreshness.verifiedAt === -Infinity) return
     this._startupGate.open()
     this._options.log.info('ready', { version: configuration.version })
   }
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -441,6 +441,18 @@
     ran: 'no',
     action: 'Check that all routers run compatible versions.'
   },
+  STORE_ERA_INVALID: {
+    meaning: 'An answer of the store does not state its era, or states something that is not a whole number; the newest era known stays in force.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'Check the store: without its era, routers do not notice that it has come back from an older copy.'
+  },
+  STORE_ANSWER_OUTDATED: {
+    meaning: 'An answer of the store is of an earlier era than the newest one known and is ignored, because it was delayed or comes from an older copy.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'None if it occurs once after the store came back. Otherwise check which copy of the store answers.'
+  },
   LEASE_NOT_HELD: {
     meaning: 'The router does not hold the lease required for the action.',
     httpStatus: 409,
