An era that the store states only after answers without one counts as a change

Cause: the first stated era was taken as the start of knowledge, also by a router that had already read answers without it; a store that states its era only once it has come back would not be noticed. Test: store-era_test, failing before.

--- a/packages/gateway/src/model/store-era.ts
+++ b/packages/gateway/src/model/store-era.ts
@@ -21,6 +21,7 @@
   private readonly _listeners: (() => void)[] = []
   private _number: number | undefined
   private _changedAt = -Infinity
+  private _hasMissed = false
 
   /**
    * @param clock clock for the settling time
@@ -66,12 +67,18 @@
   }
 
   /**
-   * Records an era that the store stated. The first one is not a change: there is nothing yet that it could invalidate.
+   * Records an era that the store stated. The first one is not a change if there is nothing yet that it could invalidate.
    * @param era era of the store
    */
   observe (era: number): void {
-    if (this._number === undefined) this._number = era
-    else if (era > this._number) this._change(era, this._clock.now(), 'store')
+    const isFirst = this._number === undefined && !this._hasMissed
+    if (isFirst) this._number = era
+    else if (this._number === undefined || era > this._number) this._change(era, this._clock.now(), 'store')
+  }
+
+  /** Records that the store gave an answer without its era, so that the first era it states may be a newer one. */
+  observeMissing (): void {
+    this._hasMissed = true
   }
 
   /**
--- a/packages/gateway/src/test/store-era_test.ts
+++ b/packages/gateway/src/test/store-era_test.ts
@@ -61,3 +61,12 @@
   era.learn({ era: 4, changedAgoMs: undefined }, 'other')
   expect([era.number, era.isSame({ era: 4, changedAgoMs: 7 }), changes]).toEqual([4, true, []])
 })
+
+test('an era that is stated only after answers without one is a change, since the store may have come back in between', () => {
+  const { era, changes } = createEra()
+  era.observeMissing()
+  era.observe(1)
+  era.observeMissing()
+  era.observe(1)
+  expect(changes).toEqual([1])
+})
