A statement that a call did not run needs the id of the call

Cause: a rejection without a request id was believed. A late second copy of the response to the previous request on the connection would state that the present one, which runs, had not: it would be sent again, or its caller be told that it had not run. Change: without the id the response is invalid, like one of another request.

--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -163,6 +163,8 @@
 /**
  * Returns the body in the form in which it is dispatched. A long body is streamed in chunks. If the endpoint responds
  * early, the HTTP client can then tell that the body was not fully sent, and does not reuse the connection.
+    // It may be a late copy of the response to the previous request on the connection.
+    if (head.isNotRun && head.requestId === undefined) return 'statement without a request id that the request did not run'
  * @param body complete body
  */
 function asDispatchBody (body: Buffer): Buffer | Readable | null {
