--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -30,6 +30,10 @@
 const RESPONSE_MARGIN_MS = 15
 /** Minimum time left to call an endpoint; no response arrives in less. */
 const MINIMUM_CALL_MS = 5
+/** Minimum time left for which a call without progress is given up. */
+const MINIMUM_RETRY_MS = 250
+/** Time after the head of a request arrived, from which it is authorized again before it is sent. */
+const AUTHORIZATION_LIFETIME_MS = 1_000
 const FIRST_SERVER_ERROR_STATUS = 500
 const MS_PER_SECOND = 1_000
 
@@ -83,6 +87,7 @@
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
       admission = await this._waitForAdmission(authorized)
       await this._serve(authorized, body)
+      this._authorizeAgainAfterDelay()
     } catch (error) {
       code = this._handleError(error as Error)
     }
@@ -107,6 +112,14 @@
   }
 
   private _requireTimeBeforeStop (authorized: AuthorizedRequest): void {
+  /**
+   * Authorizes a request again that was delayed: a long body, a queue, or a pause of the process may have outlasted what the API
+   * keys were known by.
+   */
+  private _authorizeAgainAfterDelay (): void {
+    if (this._dependencies.clock.now() - this._startedAt >= AUTHORIZATION_LIFETIME_MS) this._authorize()
+  }
+
     const { stopDeadline } = this._dependencies.state
     if (stopDeadline === undefined || performance.now() + this._timeLeftMs(authorized) <= stopDeadline) return
     throw notRunError(ResultCode.ROUTER_STOPPING, 'the router is stopping and cannot finish the request in time', 0)
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -80,6 +80,11 @@
     for (const endpoint of this.endpoints) endpoint.close()
   }
 
+  /** Port for callers. */
+  get port (): number {
+    return this._port
+  }
+
   /** Returns the status of a readiness probe. */
   async readiness (): Promise<number> {
     return (await this._call(this._readinessPort, 'GET', '/ready', {}, '')).status
