A reader that was paused writes to the store only after it has contacted the others again

Cause: whether a router may write holders and announcements for the fleet was decided by its last round, however long ago. After a pause, or around a change of the reader, two routers wrote, and the older state could replace the newer. Test: fleet-sync_test, failing before (no such permission).

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -62,6 +62,7 @@
   private _followsZonePeer = false
   private _sourceDistance = Infinity
   private _lastFollowedAt = -Infinity
+  private _roundEndedAt = -Infinity
   private _pausing = new AbortController()
   private _hasAskedSeeds = false
   private _onSeedsAsked: () => void = () => undefined
@@ -85,6 +86,14 @@
     return this._isReader
   }
 
+  /**
+   * Whether this router is the reader and has contacted the others a moment ago. A router that was paused is not until its
+   * next round: another one may have become the reader meanwhile, and writing to the store is left to that one.
+   */
+  get isConfirmedReader (): boolean {
+    return this._isReader && this._clock.now() - this._roundEndedAt < FOLLOWING_TIMEOUT_MS
+  }
+
   /**
    * Number of routers between this router and the store by way of the router that it follows; Infinity if it follows
    * none.
@@ -119,6 +128,7 @@
     while (!signal.aborted) {
       this._pausing = new AbortController()
       await this._runRound(signal)
+      this._roundEndedAt = this._clock.now()
       await pause(this._intervalMs, this._pausing.signal)
     }
   }
--- a/packages/gateway/src/test/fleet-sync_test.ts
+++ b/packages/gateway/src/test/fleet-sync_test.ts
@@ -99,3 +99,18 @@
   await new Promise<void>((resolve) => sync.onSeedsAsked(resolve))
   expect(sync.hasAskedSeeds).toBe(true)
 })
+
+test('a reader that was paused does not write to the store on the permission it had before', async () => {
+  const pausable = { skewMs: 0, now (): number { return performance.now() + 100_000 + this.skewMs } }
+  const routers = new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, pausable)
+  const sync = new FleetSync({ routers, client: {} as SyncClient, seeds: [], isStoreFailing: () => false }, pausable, new SilentEventLog())
+  const abortController = new AbortController()
+  const running = sync.run(abortController.signal)
+  while (!sync.isConfirmedReader) await sleep(5)
+  // The next round comes only after the pause.
+  pausable.skewMs = 5_000
+  expect([sync.isReader, sync.isConfirmedReader]).toEqual([true, false])
+  while (!sync.isConfirmedReader) await sleep(5)
+  abortController.abort()
+  await running
+})
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -184,8 +184,8 @@
     transfer.onAdopted(() => sync.syncSoon())
     sync.onSeedsAsked(() => this._openGateWhenReady())
     const { signal } = this._stopping
-    const holderPersistence = new HolderPersistence({ store, holders: this._fleetState.holders, isSaving: () => sync.isReader }, log)
-    const announcer = new RouterAnnouncer(store, routers, () => sync.isReader, log)
+    const holderPersistence = new HolderPersistence({ store, holders: this._fleetState.holders, isSaving: () => sync.isConfirmedReader }, log)
+    const announcer = new RouterAnnouncer(store, routers, () => sync.isConfirmedReader, log)
     const tasks = [holderPersistence, configurationFeed, endpointFeed, sync, announcer].map((task) => task.run(signal))
     Promise.all(tasks).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
   }
