Calls that make no progress are given up where the request can go on elsewhere

Cause: a call to an endpoint that had crashed without closing its connections, or that sent a byte now and then without ever completing an event, ended only with the caller's deadline; new requests went on to the same endpoint over connections that were kept. Change: StallWatch counts checks without progress. An endpoint that sends nothing for 0.7 s while calls to it are in progress is passed over. After 1.2 s of that, or 2 s without a whole event or a byte at an endpoint that sends to others, an idempotent request or a resumable stream goes on at another endpoint within the retry budget. Checks are counted, not time, so that a paused process does not blame endpoints. Calls that may run once, and other streams, wait as before: silence is no reason to end an answer sooner.

--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -9,6 +9,7 @@
 import type { WireCodec } from '../model/wire-codec.js'
 import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
+import type { StallWatch } from '../sending/stall-watch.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { StartupGate } from './startup-gate.js'
@@ -36,6 +37,8 @@
   readonly holders: HolderTable
   /** Requests in flight at each endpoint. */
   readonly loads: LoadView
+  /** Watches calls to endpoints for a lack of progress. */
+  readonly stallWatch: StallWatch
   /** Connection pools of the endpoints. */
   readonly connections: EndpointConnections
   /** Metrics of this router. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -59,6 +59,7 @@
   private _firstByteMs: number | undefined
   private _attempts = 0
   private _runs = 0
+  private _hasTakenRetry = false
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -86,8 +87,8 @@
       authorized = this._authorize()
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
       admission = await this._waitForAdmission(authorized)
-      await this._serve(authorized, body)
       this._authorizeAgainAfterDelay()
+      await this._serve(authorized, body)
     } catch (error) {
       code = this._handleError(error as Error)
     }
@@ -111,7 +112,6 @@
     return authorized
   }
 
-  private _requireTimeBeforeStop (authorized: AuthorizedRequest): void {
   /**
    * Authorizes a request again that was delayed: a long body, a queue, or a pause of the process may have outlasted what the API
    * keys were known by.
@@ -120,6 +120,7 @@
     if (this._dependencies.clock.now() - this._startedAt >= AUTHORIZATION_LIFETIME_MS) this._authorize()
   }
 
+  private _requireTimeBeforeStop (authorized: AuthorizedRequest): void {
     const { stopDeadline } = this._dependencies.state
     if (stopDeadline === undefined || performance.now() + this._timeLeftMs(authorized) <= stopDeadline) return
     throw notRunError(ResultCode.ROUTER_STOPPING, 'the router is stopping and cannot finish the request in time', 0)
@@ -211,12 +212,32 @@
     this._dependencies.loads.begin(endpoint.id)
     this._mayRepeat = route.kind !== RouteKind.ONCE
     call.send(this._dependencies.connections.pool(endpoint, this._mayRepeat, this._dependencies.maximumConnectionsOf(service)))
+    const watched = {
+      endpointId: endpoint.id,
+      get isPaused () { return call.isPaused },
+      get receivedParts () { return call.receivedParts },
+      get usableBytes () { return relay.usableBytes },
+      onStalled: (isEndpointSilent: boolean) => this._giveUpIfRetriable(authorized, call, relay, isEndpointSilent)
+    }
+    this._dependencies.stallWatch.add(watched)
     const result = await call.result
+    this._dependencies.stallWatch.remove(watched)
     this._dependencies.loads.end(endpoint.id)
     this._recordHealth(endpoint.id, result)
     return result
   }
 
+  /** Gives up a call that makes no progress, if the request can go on elsewhere. Otherwise waiting is all that is left. */
+  private _giveUpIfRetriable (authorized: AuthorizedRequest, call: EndpointCall, relay: ResponseRelay, isEndpointSilent: boolean): void {
+    const { route, service } = authorized
+    const outcome = call.receivedParts > 0 ? CallOutcome.BROKEN : CallOutcome.NO_ANSWER
+    const attempts = { total: this._attempts, runs: this._runs + 1 }
+    if (this._timeLeftMs(authorized) < MINIMUM_RETRY_MS || !mayRetry(route, outcome, attempts, relay.isStarted)) return
+    if (!this._dependencies.retryBudgetOf(service).take()) return
+    this._hasTakenRetry = true
+    call.giveUp(isEndpointSilent ? 'the endpoint is silent' : 'no progress')
+  }
+
   private _recordHolder (prompt: readonly PromptPart[], { endpoint, isChosenAsPrimary }: ChosenEndpoint): void {
     const { holders, isFleetLarge } = this._dependencies
     const key = EndpointSelector.keyOf(prompt)
@@ -250,16 +271,22 @@
 
   private _takeRetry (authorized: AuthorizedRequest, outcome: CallOutcome, relay: ResponseRelay): boolean {
     if (this._isCallerDisconnected) return false
+    if (this._hasTakenRetry) {
+      this._hasTakenRetry = false
+      return true
+    }
     const attempts = { total: this._attempts, runs: this._runs }
     if (!mayRetry(authorized.route, outcome, attempts, relay.isStarted)) return false
     return outcome === CallOutcome.NOT_SENT || this._dependencies.retryBudgetOf(authorized.service).take()
   }
 
-  private _recordHealth (endpointId: string, result: CallResult): void {
-    const { health } = this._dependencies
-    if (result.outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
-    if (result.outcome === CallOutcome.ABORTED || result.outcome === CallOutcome.REJECTED) return
-    health.recordFailure(endpointId, result.outcome === CallOutcome.NOT_SENT)
+  private _recordHealth (endpointId: string, { outcome }: CallResult): void {
+    const { health, stallWatch } = this._dependencies
+    if (outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
+    if (outcome === CallOutcome.REJECTED) return
+    const isSilent = stallWatch.isSilent(endpointId)
+    if (outcome === CallOutcome.ABORTED && !isSilent) return
+    health.recordFailure(endpointId, isSilent || outcome === CallOutcome.NOT_SENT)
   }
 
   /** Milliseconds until the caller's deadline or the route's timeout, whichever is earlier, less the response margin. */
--- a/packages/gateway/src/choice/endpoint-health.ts
+++ b/packages/gateway/src/choice/endpoint-health.ts
@@ -20,19 +20,23 @@
 export class EndpointHealth {
   private readonly _failures = new Map<string, FailureRecord>()
   private readonly _clock: ElapsedClock
+  private readonly _isSilent: (endpointId: string) => boolean
 
   /**
    * @param clock measures the backoff
+   * @param isSilent returns whether an endpoint sends nothing although calls to it are in progress
    */
-  constructor (clock: ElapsedClock) {
+  constructor (clock: ElapsedClock, isSilent: (endpointId: string) => boolean = () => false) {
     this._clock = clock
+    this._isSilent = isSilent
   }
 
   /**
-   * Returns whether recent failures make an endpoint suspect: a failed connection or several consecutive failures of any kind.
+   * Returns whether an endpoint is suspect: it is silent, a connection has failed recently or several consecutive calls have.
    * @param endpointId id of the endpoint
    */
   isSuspect (endpointId: string): boolean {
+    if (this._isSilent(endpointId)) return true
     const failures = this._recentFailures(endpointId)
     return failures !== undefined && (failures.isUnreachable || failures.count >= SUSPECT_FAILURE_COUNT)
   }
--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -18,6 +18,7 @@
   private _bufferedBytes = 0
   private _isStarted = false
   private _isComplete = false
+  private _usableBytes = 0
 
   /**
    * @param options response to the caller and how to forward to it
@@ -32,6 +33,11 @@
     return this._isStarted
   }
 
+  /** Number of bytes received so far that can be forwarded: whole events of a resumable stream, else all bytes. */
+  get usableBytes (): number {
+    return this._usableBytes
+  }
+
   /** Head of the response that is being forwarded. */
   get head (): ResponseHead | undefined {
     return this._head
@@ -70,8 +76,10 @@
   data (chunk: Buffer): boolean {
     if (this._isPassedThrough()) {
       const ready = this._splitter === undefined ? chunk : this._splitter.push(chunk)
+      this._usableBytes += ready.length
       return ready.length === 0 || this._write(ready)
     }
+    this._usableBytes += chunk.length
     this._buffered.push(chunk)
     this._bufferedBytes += chunk.length
     if (this._bufferedBytes <= MAXIMUM_BUFFERED_BYTES) return true
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -23,6 +23,8 @@
   private _controller: Dispatcher.DispatchController | undefined
   private _head: ResponseHead | undefined
   private _isEnded = false
+  private _receivedParts = 0
+  private _isPaused = false
   private _discardTimer: NodeJS.Timeout | undefined
 
   /** Resolves when the call has ended; never rejects. */
@@ -47,6 +49,16 @@
     return this._controller !== undefined
   }
 
+  /** Whether reading is paused because the receiver applied back pressure. */
+  get isPaused (): boolean {
+    return this._isPaused
+  }
+
+  /** Number of parts of the response received so far; the head is one. */
+  get receivedParts (): number {
+    return this._receivedParts
+  }
+
   /**
    * Sends the request over a connection of a pool.
    * @param pool connection pool of the endpoint
@@ -68,8 +80,18 @@
     this._end(this.isSent ? CallOutcome.ABORTED : CallOutcome.NOT_SENT, problem)
   }
 
+  /**
+   * Gives up the call because of a lack of progress, as if its connection had failed, and closes its connection.
+   * @param problem reason, for the log
+   */
+  giveUp (problem: string): void {
+    if (!this.isSent) return this._end(CallOutcome.NOT_SENT, problem)
+    this._end(this._head === undefined ? CallOutcome.NO_ANSWER : CallOutcome.BROKEN, problem)
+  }
+
   /** Resumes the response after the receiver applied back pressure. */
   resume (): void {
+    this._isPaused = false
     if (!this._isEnded) this._controller?.resume()
   }
 
@@ -90,6 +112,7 @@
    */
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
     if (this._isEnded || status < FIRST_FINAL_STATUS) return
+    this._receivedParts += 1
     const head = this._codec.readResponseHead(status, textHeaders(controller.rawHeaders))
     this._head = head
     const problem = this._problemOf(head)
@@ -105,7 +128,10 @@
    */
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this._isEnded) return
-    if (!this._receiver.data(chunk)) controller.pause()
+    this._receivedParts += 1
+    if (this._receiver.data(chunk)) return
+    this._isPaused = true
+    controller.pause()
   }
 
   /** Called by the HTTP client when the response is complete. */
@@ -137,6 +163,8 @@
     const isSuccess = head.status < FIRST_FAILURE_STATUS
     if (isSuccess && !head.isSigned) return 'successful response without a signature'
     if (isSuccess && head.requestId === undefined) return 'successful response without a request id'
+    // It may be a late copy of the response to the previous request on the connection.
+    if (head.isNotRun && head.requestId === undefined) return 'statement without a request id that the request did not run'
     if (head.isEncoded) return 'unexpected content encoding'
     return undefined
   }
@@ -163,8 +191,6 @@
 /**
  * Returns the body in the form in which it is dispatched. A long body is streamed in chunks. If the endpoint responds
  * early, the HTTP client can then tell that the body was not fully sent, and does not reuse the connection.
-    // It may be a late copy of the response to the previous request on the connection.
-    if (head.isNotRun && head.requestId === undefined) return 'statement without a request id that the request did not run'
  * @param body complete body
  */
 function asDispatchBody (body: Buffer): Buffer | Readable | null {
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -33,6 +33,7 @@
 import { SyncServer } from '../membership/sync-server.js'
 import { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import { EndpointConnections } from '../sending/endpoint-connections.js'
+import { StallWatch } from '../sending/stall-watch.js'
 import type { GatewaySettings } from '../settings/gateway-settings.js'
 import { LiveSettings } from '../settings/live-settings.js'
 import { createMetricsServer } from '../status/create-metrics-server.js'
@@ -68,6 +69,7 @@
   private readonly _connections = new EndpointConnections()
   private readonly _peerClient = new PeerRpcClient((bytes) => this._metrics.peerBytesReceived.inc(bytes))
   private readonly _fleetState: FleetState
+  private readonly _stallWatch = new StallWatch()
   private readonly _health: EndpointHealth
   private readonly _budgets = new Map<string, FleetRetryBudget>()
   private readonly _servers: Server[] = []
@@ -83,7 +85,7 @@
     this._options = options
     const { clock, log, settings } = options
     this._settings = new LiveSettings(settings)
-    this._health = new EndpointHealth(clock)
+    this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId))
     this._fleetState = {
       storeEra: options.store.era,
       configuration: new ConfigurationState(clock, log),
@@ -205,6 +207,7 @@
       holders,
       startupGate: this._startupGate,
       health: this._health,
+      stallWatch: this._stallWatch,
       endpointSelector: new EndpointSelector({
         endpoints,
         loads,
