--- a/packages/gateway/src/test/reported-failures_test.ts
+++ b/packages/gateway/src/test/reported-failures_test.ts
@@ -1,6 +1,7 @@
 import { Agent, request as httpRequest } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { createConfiguration } from './create-configuration.js'
 import { GatewayFixture } from './gateway-fixture.js'
 import { TestEndpoint } from './test-endpoint.js'
 
@@ -104,6 +105,9 @@
 })
 
 test('a request that was delayed is not sent with a key that may have been taken away meanwhile', async () => {
+  const { routes, ...configuration } = createConfiguration(4)
+  fixture.store.configurations.put('config', { ...configuration, routes: routes.map((route) => ({ ...route, timeoutMs: 20_000 })) })
+  while (!fixture.lines.some(({ event, fields }) => event === 'configuration-in-force' && fields.version === 4)) await sleep(10)
   const socket = fixture.connect()
   const received: Buffer[] = []
   socket.on('data', (bytes: Buffer) => received.push(bytes))
