Routers that choose by the same load reports compare a random sample of the endpoints

Cause: requests without a prompt went to the least loaded endpoint of all. Reports are as old as several such requests take, so the routers of a large fleet all chose the same endpoint and overloaded it, then the next. Change: each compares 6/n of the endpoints in a fleet of n routers, at least two; up to 6 routers compare all as before.

--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -69,7 +69,7 @@
 function measureDecisionUs (size: number): number {
   const { endpoints, loads, holders } = createFleetState(size, 1)
   const selector = new EndpointSelector({
-    endpoints, loads, holders, health: new EndpointHealth(clock), availabilityZone: 'zone-0', loadBoundFactor: () => 2, isFleetLarge: () => true
+    endpoints, loads, holders, health: new EndpointHealth(clock), availabilityZone: 'zone-0', loadBoundFactor: () => 2, routerCount: () => 800, random: Math.random, isFleetLarge: () => true
   })
   const excluded = new Set<string>()
   return measureShortestUs(() => {
--- a/packages/gateway/src/choice/endpoint-selector-options.ts
+++ b/packages/gateway/src/choice/endpoint-selector-options.ts
@@ -15,6 +15,10 @@
   readonly health: EndpointHealth
   /** Availability zone of this router; requests to endpoints in it cause no traffic between zones. */
   readonly availabilityZone: string
+  /** Returns the number of live routers, which all choose by the same load reports. */
+  readonly routerCount: () => number
+  /** Returns a random number from 0 to 1, exclusive; spreads the choices of routers that know the same loads. */
+  readonly random: () => number
   /** Returns the promised upper bound on an endpoint's load, as a multiple of the mean load. */
   readonly loadBoundFactor: () => number
   /**
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -13,6 +13,10 @@
 const RENDEZVOUS_CANDIDATES = 3
 /** Requests added to the load of an endpoint in another availability zone, which favors the zone of the router. */
 const OTHER_ZONE_PENALTY_REQUESTS = 1
+/** Number of routers up to which each one compares the loads of all endpoints. */
+const ROUTERS_THAT_COMPARE_ALL = 6
+/** Minimum number of endpoints whose loads are compared. */
+const MINIMUM_SAMPLE = 2
 /** Number of hexadecimal digits of a key of the rendezvous order. */
 const KEY_DIGITS = 16
 
@@ -109,12 +113,17 @@
     return this._options.loads.total(endpoint.id) < Math.min(bound, endpoint.slots)
   }
 
+  /**
+   * Returns the least loaded of a random sample of the candidates. All routers choose by the same reports, which are as
+   * old as several requests take: if each chose the least loaded endpoint of all, they would overload it together. The
+   * more routers there are, the fewer endpoints each one compares, down to two (Mitzenmacher, "How useful is old
+   * information?", 2000).
+   */
   private _leastLoaded (candidates: readonly EndpointEntry[]): EndpointEntry | undefined {
+    const sampleSize = Math.max(MINIMUM_SAMPLE, Math.ceil(candidates.length * ROUTERS_THAT_COMPARE_ALL / this._options.routerCount()))
     let leastLoaded: EndpointEntry | undefined
     let lowestLoad = Infinity
-    const start = candidates.length === 0 ? 0 : Math.floor(Math.random() * candidates.length)
-    for (let step = 0; step < candidates.length; step += 1) {
-      const candidate = candidates[(start + step) % candidates.length] as EndpointEntry
+    for (const candidate of this._sample(candidates, sampleSize)) {
       const penalty = candidate.availabilityZone === this._options.availabilityZone ? 0 : OTHER_ZONE_PENALTY_REQUESTS
       const load = (this._options.loads.total(candidate.id) + penalty) / Math.max(1, candidate.slots)
       if (load >= lowestLoad) continue
@@ -124,6 +133,19 @@
     return leastLoaded
   }
 
+  /** Returns a random sample, in random order. */
+  private _sample (candidates: readonly EndpointEntry[], size: number): readonly EndpointEntry[] {
+    const shuffled = [...candidates]
+    const count = Math.min(size, shuffled.length)
+    for (let index = 0; index < count; index += 1) {
+      const other = index + Math.floor(this._options.random() * (shuffled.length - index))
+      const chosen = shuffled[other] as EndpointEntry
+      shuffled[other] = shuffled[index] as EndpointEntry
+      shuffled[index] = chosen
+    }
+    return shuffled.slice(0, count)
+  }
+
   /** Returns a holder from which the context can be copied; an endpoint that is draining or has just left can still export it. */
   private _contextSource (holders: readonly string[]): EndpointEntry | undefined {
     for (const id of holders) {
--- a/packages/gateway/src/test/endpoint-selector_test.ts
+++ b/packages/gateway/src/test/endpoint-selector_test.ts
@@ -28,7 +28,7 @@
   const loads = new LoadView(() => clock.now())
   const holders = new HolderTable()
   const health = new EndpointHealth(clock)
-  const selector = new EndpointSelector({ endpoints, loads, holders, health, availabilityZone: 'z0', loadBoundFactor: () => 2, isFleetLarge: () => isLarge })
+  const selector = new EndpointSelector({ endpoints, loads, holders, health, availabilityZone: 'z0', loadBoundFactor: () => 2, routerCount: () => 1, random: Math.random, isFleetLarge: () => isLarge })
   return { clock, endpoints, loads, holders, health, selector }
 }
 
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -215,6 +215,8 @@
         health: this._health,
         availabilityZone: settings.availabilityZone,
         isFleetLarge: () => this._fleetState.routers.isLarge,
+        routerCount: () => this._fleetState.routers.size,
+        random: Math.random,
         loadBoundFactor: () => this._settings.current.loadBoundFactor
       }),
       connections: this._connections,
