Holders are taken only from the router that is followed

Cause: the answer of any router that was contacted told its new holders, and they were learned without being passed on. A router that relays to others, or the reader in its sync with a peer, then counted them as known when they came the usual way, and the routers behind it never heard of them. Change: holders are applied where loads are, for the followed router only; positions advance with them.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -172,7 +172,7 @@
       if (attempts === MAXIMUM_PEERS_PER_ROUND) return this._becomeReader()
       attempts += 1
       const answer = await this._syncWith(router.address, { reportsLoad: true, followers })
-      if (answer !== undefined && isFresh(answer, 0)) return this._follow(router, answer)
+      if (answer !== undefined && isFresh(answer, 0)) return this._follow(router, answer, followers)
       this._backOff(router, answer)
     }
   }
@@ -189,7 +189,7 @@
       attempts += 1
       const answer = await this._syncWith(router.address, FOLLOWER_OPTIONS)
       if (answer !== undefined && isFresh(answer, MAXIMUM_SOURCE_DISTANCE)) {
-        this._follow(router, answer)
+        this._follow(router, answer, FOLLOWER_OPTIONS.followers)
         return true
       }
       this._backOff(router, answer)
@@ -234,8 +234,8 @@
     })
   }
 
-  private _follow (router: RouterEntry, answer: SyncAnswer): void {
-    this._client.applyLoad(router.address, answer)
+  private _follow (router: RouterEntry, answer: SyncAnswer, followers: readonly string[]): void {
+    this._client.applyFollowed(router.address, answer, followers.length > 0)
     this._sourceDistance = answer.distance ?? Infinity
     this._lastFollowedAt = this._clock.now()
     const order = this._routers.inReaderOrder()
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -59,7 +59,7 @@
   }
 
   /**
-   * Sends a sync request to one router and applies its answer, except for the loads.
+   * Sends a sync request to one router and applies its answer, except for what `applyFollowed` applies.
    * @param address address of the router, host:port
    * @param options what the request includes
    * @returns the applied answer
@@ -80,20 +80,28 @@
       notesCursor: this._receivedCursors.get(address)
     })
     this._sentCursors.set(address, holderChanges.cursor)
-    this._applyAnswer(address, answer, sentAt, followers.length > 0)
+    this._applyAnswer(address, answer, sentAt)
     this._onAnswer()
     return answer
   }
 
   /**
-   * Applies the loads of all other routers from an answer. To be called only for the router that this one follows:
-   * other routers know the loads of a part of the fleet, or loads that they received from this router.
+   * Applies the loads and the new holders of an answer. To be called only for the router that this one follows: other
+   * routers know the loads of a part of the fleet, or loads that they received from this router. Holders that were learned
+   * aside of the way by which they spread would not be passed on by it.
    * @param address address of the followed router
    * @param answer answer of that router
+   * @param isRelaying whether this router passes on the holders to followers of its own
    */
-  applyLoad (address: string, answer: SyncAnswer): void {
+  applyFollowed (address: string, answer: SyncAnswer, isRelaying: boolean): void {
+    const { holders, loads } = this._state
     const mirror = this._mirrors.get(address)
-    if (mirror?.revision === answer.endpointsRevision) this._state.loads.report(FLEET_LOAD_KEY, decodeLoads(answer.load, mirror.ids))
+    if (mirror?.revision === answer.endpointsRevision) loads.report(FLEET_LOAD_KEY, decodeLoads(answer.load, mirror.ids))
+    for (const { key, endpointId } of answer.notes) {
+      if (isRelaying) holders.relay(key, endpointId)
+      else holders.learn(key, endpointId)
+    }
+    this._receivedCursors.set(address, answer.notesCursor)
   }
 
   /**
@@ -116,8 +124,8 @@
     return requestCount % (this._state.routers.isLarge ? LARGE_FLEET_REQUESTS_PER_ROUTER_LIST : REQUESTS_PER_ROUTER_LIST) === 0
   }
 
-  private _applyAnswer (address: string, answer: SyncAnswer, sentAt: number, isRelaying: boolean): void {
-    const { storeEra, routers, holders } = this._state
+  private _applyAnswer (address: string, answer: SyncAnswer, sentAt: number): void {
+    const { storeEra, routers } = this._state
     storeEra.learn(answer.storeEra, answer.name)
     const elapsedMs = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.recordContact(router, router.heardAgoMs + elapsedMs)
@@ -127,11 +135,6 @@
       this._applyConfigurationAges(answer, sentAt)
       this._applyEndpoints(address, answer, sentAt)
     }
-    for (const { key, endpointId } of answer.notes) {
-      if (isRelaying) holders.relay(key, endpointId)
-      else holders.learn(key, endpointId)
-    }
-    this._receivedCursors.set(address, answer.notesCursor)
   }
 
   /**
--- a/packages/gateway/src/test/fleet-sync_test.ts
+++ b/packages/gateway/src/test/fleet-sync_test.ts
@@ -27,7 +27,7 @@
       if (answer === undefined) throw new Error('no answer')
       return { distance: 0, storeEra: { era: 1, changedAgoMs: undefined }, configurationReadAgeMs: 10, endpointsAgeMs: 10, ...answer }
     },
-    applyLoad: () => undefined
+    applyFollowed: () => undefined
   } as unknown as SyncClient
   const sync = new FleetSync({ routers, client, seeds: [], isStoreFailing: () => peers.isStoreFailing === true }, clock, new SilentEventLog())
   const abortController = new AbortController()
@@ -73,7 +73,7 @@
 /** Starts the sync of a router with seeds that behave as given; returns it before any of them has answered. */
 function startSync (seeds: Readonly<Record<string, () => Promise<SyncAnswer>>>) {
   const routers = new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, clock)
-  const client = { sync: async (address: string) => await (seeds[address] as () => Promise<SyncAnswer>)(), applyLoad: () => undefined } as unknown as SyncClient
+  const client = { sync: async (address: string) => await (seeds[address] as () => Promise<SyncAnswer>)(), applyFollowed: () => undefined } as unknown as SyncClient
   const sync = new FleetSync({ routers, client, seeds: Object.keys(seeds), isStoreFailing: () => false }, clock, new SilentEventLog())
   const abortController = new AbortController()
   const running = sync.run(abortController.signal)
@@ -114,3 +114,58 @@
   abortController.abort()
   await running
 })
+
+/** Starts a router of a rank in a fleet of 200, which follows the first of the order until `state.isOutage` is set. */
+async function startFollower (rank: number) {
+  const manual = { ms: 100_000, now (): number { return this.ms } }
+  const entries = Array.from({ length: 200 }, (_, index) => ({ name: `r${index}`, availabilityZone: `z${index % 5}`, address: `r${index}` }))
+  const tableOf = (self: typeof entries[number]): RouterTable => {
+    const table = new RouterTable(self, manual)
+    for (const entry of entries) table.recordContact(entry, 0)
+    return table
+  }
+  const order = tableOf(entries[0] as typeof entries[number]).inReaderOrder()
+  const routers = tableOf(order[rank] as typeof entries[number])
+  const state = { isOutage: false, requests: 0 }
+  const client = {
+    sync: async () => {
+      state.requests += 1
+      return { distance: state.isOutage ? null : 0, storeEra: { era: 1, changedAgoMs: undefined }, configurationReadAgeMs: 10, endpointsAgeMs: 10 }
+    },
+    applyFollowed: () => undefined
+  } as unknown as SyncClient
+  const sync = new FleetSync({ routers, client, seeds: [], isStoreFailing: () => false }, manual, new SilentEventLog())
+  const abortController = new AbortController()
+  const running = sync.run(abortController.signal)
+  while (sync.followingDistance !== 1) await sleep(5)
+  state.isOutage = true
+  const rounds = async (): Promise<void> => {
+    const until = state.requests + 6
+    while (state.requests < until && !sync.isReader) {
+      // The backoff of the routers that were contacted passes.
+      manual.ms += 1
+      await sleep(1)
+    }
+  }
+  const stop = async (): Promise<void> => {
+    abortController.abort()
+    await running
+  }
+  return { sync, manual, rounds, stop }
+}
+
+// Pattern: the store is down, and each router of a large fleet finds all others without fresh state.
+test.each([[1, true], [40, false], [199, false]])('when all routers that can be reached are stale, router %i of the order reads the store at once: %s', async (rank, isReader) => {
+  const { sync, rounds, stop } = await startFollower(rank)
+  await rounds()
+  await stop()
+  expect(sync.isReader).toBe(isReader)
+})
+
+test.each([40, 199])('router %i of the order reads the store after some time, in case it refuses only the first ones', async (rank) => {
+  const { sync, manual, rounds, stop } = await startFollower(rank)
+  manual.ms += 2_500
+  await rounds()
+  await stop()
+  expect(sync.isReader).toBe(true)
+})
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -40,6 +40,11 @@
   return { clock, reader, routers, clients }
 }
 
+/** Syncs with the reader as a router does that follows it. */
+async function follow (client: SyncClient | undefined): Promise<void> {
+  client?.applyFollowed('reader', await client.sync('reader', FOLLOWER_OPTIONS), false)
+}
+
 const FOLLOWER_OPTIONS = { reportsLoad: true, followers: [] }
 const CONFIGURATION = { version: 3, routes: [], services: [], limits: undefined, workspaces: undefined }
 const ENDPOINT = {
@@ -50,23 +55,33 @@
   const { reader, routers, clients } = createFleet()
   routers[0]?.holders.add('key', 'e1')
   reader.holders.add('other', 'e2')
-  for (const client of [...clients, ...clients]) await client.sync('reader', FOLLOWER_OPTIONS)
+  for (const client of [...clients, ...clients]) await follow(client)
   expect(routers[1]?.holders.holders('key')).toEqual(['e1'])
   expect(routers[1]?.holders.holders('other')).toEqual(['e2'])
   expect(reader.holders.holders('key')).toEqual(['e1'])
   routers[0]?.holders.add('later', 'e3')
-  for (const client of clients) await client.sync('reader', FOLLOWER_OPTIONS)
+  for (const client of clients) await follow(client)
   expect(routers[1]?.holders.holders('later')).toEqual(['e3'])
 })
 
+test('holders that the reader hears of aside, when it looks for another reader, still reach the other routers', async () => {
+  const { clock, reader, routers, clients } = createFleet()
+  const [first, second] = routers as [FleetState, FleetState]
+  first.holders.add('key', 'e1')
+  const server = new SyncServer(first, 'i2', () => clock.now(), () => 1)
+  await createClient(reader, clock, () => server).sync('a', { reportsLoad: false, followers: [] })
+  for (const client of [...clients, ...clients]) await follow(client)
+  expect(second.holders.holders('key')).toEqual(['e1'])
+})
+
 test('holders of a key on many endpoints are not exchanged indefinitely', async () => {
   const { reader, routers, clients } = createFleet()
   for (let endpoint = 0; endpoint < 20; endpoint += 1) routers[endpoint % 2]?.holders.add('hot', `e${endpoint}`)
   for (let round = 0; round < 5; round += 1) {
-    for (const client of clients) await client.sync('reader', FOLLOWER_OPTIONS)
+    for (const client of clients) await follow(client)
   }
   const cursors = [reader, ...routers].map((state) => state.holders.cursor)
-  for (const client of clients) await client.sync('reader', FOLLOWER_OPTIONS)
+  for (const client of clients) await follow(client)
   expect([reader, ...routers].map((state) => state.holders.cursor)).toEqual(cursors)
 })
 
@@ -83,7 +98,7 @@
   await vi.waitUntil(() => router.configuration.version === 3)
   const answer = await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
   expect(router.loads.total('e1')).toBe(0)
-  clients[0]?.applyLoad('reader', answer as SyncAnswer)
+  clients[0]?.applyFollowed('reader', answer as SyncAnswer, false)
   expect(router.configuration.version).toBe(3)
   expect(router.configuration.ageMs).toBe(500)
   expect(router.endpoints.ready('s').map((endpoint) => endpoint.id)).toEqual(['e1'])
@@ -99,7 +114,7 @@
   first.loads.begin('e1')
   second.loads.begin('e1')
   reader.loads.begin('e1')
-  for (const client of [...clients, ...clients]) client.applyLoad('reader', await client.sync('reader', FOLLOWER_OPTIONS))
+  for (const client of [...clients, ...clients]) client.applyFollowed('reader', await client.sync('reader', FOLLOWER_OPTIONS), false)
   expect([reader, first, second].map((state) => state.loads.total('e1'))).toEqual([3, 3, 3])
 })
 
@@ -110,7 +125,7 @@
   reader.endpointsFreshness.verifiedAt = clock.now()
   reader.loads.begin('e1')
   const [client] = clients as [SyncClient]
-  client.applyLoad('reader', await client.sync('reader', FOLLOWER_OPTIONS))
+  client.applyFollowed('reader', await client.sync('reader', FOLLOWER_OPTIONS), false)
   const server = new SyncServer(follower, 'i2', () => clock.now(), () => 1)
   const readerClient = createClient(reader, clock, () => server)
   await readerClient.sync('follower', { reportsLoad: false, followers: [] })
@@ -161,7 +176,7 @@
       }
       clock.ms += 10
       sources[followedSource].endpointsFreshness.verifiedAt = clock.now()
-      client.applyLoad(followedSource, await client.sync(followedSource, FOLLOWER_OPTIONS))
+      client.applyFollowed(followedSource, await client.sync(followedSource, FOLLOWER_OPTIONS), false)
       const names = [...sources[followedSource].endpoints.entries].map(({ id, slots }) => `${id}${slots}`)
       expect([...follower.endpoints.entries].map(({ id, slots }) => `${id}${slots}`).sort()).toEqual(names.sort())
       for (const { id } of sources[followedSource].endpoints.entries) expect(follower.loads.total(id)).toBe(sources[followedSource].loads.total(id))
