When no router knows anything fresh, few routers of a large fleet turn to the store

Cause: a router that found no fresh router read the store itself. Change: if the others can be reached and are stale too, the first 4 of the order read at once, the others after 1 to 2.5 s, four times as many with each step, in case the store refuses just the first ones. Within a zone only the first two look outside of it. Stale routers are asked again after 0.3 s instead of 1.5 s, so that their recovery is not missed. A router that reaches nobody reads at once, as before.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -31,12 +31,21 @@
 const MAXIMUM_SOURCE_DISTANCE = 1
 /** Maximum number of routers contacted in one round. A router that finds none of them fresh reads the store itself. */
 const MAXIMUM_PEERS_PER_ROUND = 4
+/** Number of routers that read the store at once when none is fresh, and factor by which more of them do with each step. */
+const FIRST_READERS = 4
+/** Delay of the other routers, and what each step adds to it. */
+const READING_DELAY_MS = 500
+const READING_DELAY_STEP_MS = 500
 /** Number of rounds between two sync requests of a reader. */
 const ROUNDS_PER_READER_SYNC = 4
 /** How long a router that starts waits for an answer of a seed before it serves with what the store holds. */
 const MAXIMUM_SEED_WAIT_MS = 250
-/** Backoff after a router did not answer or its state was stale, during which it is not contacted. */
-const PEER_BACKOFF_MS = 1_500
+/** Backoff after a router did not answer, during which it is not contacted. */
+const UNREACHABLE_BACKOFF_MS = 1_500
+/** Backoff after the state of a router was stale; it is short, since that router may follow another one soon. */
+const STALE_BACKOFF_MS = 300
+/** Number of the first routers of the zone order that look for a fresh router outside of their zone. */
+const ZONE_ROUTERS_THAT_LOOK_OUTSIDE = 2
 /** Maximum age of the configuration of a router that is followed. */
 const MAXIMUM_CONFIGURATION_AGE_MS = 3_200
 /** Maximum age of the endpoints of a router that is followed; they are read more often than the configuration. */
@@ -65,6 +74,8 @@
   private _roundEndedAt = -Infinity
   private _pausing = new AbortController()
   private _hasAskedSeeds = false
+  /** Whether a router that was contacted in this round answered with stale state. */
+  private _hasMetStale = false
   private _onSeedsAsked: () => void = () => undefined
 
   /**
@@ -156,20 +167,21 @@
   }
 
   private async _runRound (signal: AbortSignal): Promise<void> {
+    this._hasMetStale = false
     this._followsZonePeer = this._routers.isLarge && await this._followZonePeer(signal)
-    if (this._followsZonePeer) return
+    if (this._followsZonePeer || this._waitsForZonePeers()) return
     // The first router of a zone also syncs on behalf of the other routers of its zone.
     const followers = this._routers.isLarge ? this._routers.inZoneOrder().map(({ name }) => name) : []
     let attempts = 0
     for (const router of this._routers.inReaderOrder()) {
       if (signal.aborted) return
       if (router.name === this._routers.self.name) {
-        this._becomeReader()
+        this._readIfDue()
         if (!this._isStoreFailing()) return await this._syncWithNextPeer()
         continue
       }
       if (this._isBackingOff(router.address)) continue
-      if (attempts === MAXIMUM_PEERS_PER_ROUND) return this._becomeReader()
+      if (attempts === MAXIMUM_PEERS_PER_ROUND) return this._readIfDue()
       attempts += 1
       const answer = await this._syncWith(router.address, { reportsLoad: true, followers })
       if (answer !== undefined && isFresh(answer, 0)) return this._follow(router, answer, followers)
@@ -197,6 +209,28 @@
     return false
   }
 
+  /** Whether to leave the search for a fresh router to the first routers of the zone, which can be reached. */
+  private _waitsForZonePeers (): boolean {
+    if (!this._routers.isLarge || !this._hasMetStale || this._isReadingDue()) return false
+    const zoneRank = this._routers.inZoneOrder().findIndex(({ name }) => name === this._routers.self.name)
+    return zoneRank >= ZONE_ROUTERS_THAT_LOOK_OUTSIDE
+  }
+
+  private _readIfDue (): void {
+    if (this._isReadingDue()) this._becomeReader()
+  }
+
+  /**
+   * Whether this router has to read the store since no router ahead of it is fresh. If the others can be reached and know
+   * nothing fresh either, the store is probably unavailable to all; then the first of the order try at once, and more of them
+   * the longer it lasts, in case the store refuses just the first ones.
+   */
+  private _isReadingDue (): boolean {
+    if (!this._hasMetStale || this._isReader) return true
+    const rank = this._routers.inReaderOrder().findIndex(({ name }) => name === this._routers.self.name)
+    return this._clock.now() - this._lastFollowedAt >= readingDelayMs(rank)
+  }
+
   /**
    * Every few rounds, syncs with one of the other routers in round-robin order. Followers contact a reader by
    * themselves; this request lets two concurrent readers discover each other.
@@ -223,8 +257,10 @@
   }
 
   private _backOff (router: RouterEntry, answer: SyncAnswer | undefined): void {
-    this._backoffUntil.set(router.address, this._clock.now() + PEER_BACKOFF_MS)
+    const backoffMs = answer === undefined ? UNREACHABLE_BACKOFF_MS : STALE_BACKOFF_MS
+    this._backoffUntil.set(router.address, this._clock.now() + backoffMs)
     if (answer === undefined) return
+    this._hasMetStale = true
     this._log.info('peer-not-fresh', {
       peer: router.name,
       distance: answer.distance ?? undefined,
@@ -254,6 +290,16 @@
   }
 }
 
+/**
+ * Returns how long a router of a rank waits, after it last followed a fresh router, until it reads the store itself. Each step lets
+ * four times as many routers read.
+ * @param rank position of the router in the reader order, starting at 0
+ */
+function readingDelayMs (rank: number): number {
+  if (rank < FIRST_READERS) return 0
+  return READING_DELAY_MS + READING_DELAY_STEP_MS * Math.floor(Math.log(rank) / Math.log(FIRST_READERS))
+}
+
 function isFresh (answer: SyncAnswer, maximumDistance: number): boolean {
   // The source must be closer to the store than this router. Two routers that follow each other would both stop reading
   // the store.
