The reader announces all routers in one call, instead of each router itself

Change: only a reader announces, what it knows and the store lacks; a router that reaches nobody is a reader. Tests: router-announcer_test, sync_test ('knows fewer routers'), failing before.

--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -107,6 +107,7 @@
     router: { name: 'other', availabilityZone: 'z', address: 'other' },
     storeEra: state.storeEra.news,
     routers: undefined,
+    routerCount: 2,
     configurationVersion: 0,
     endpointsRevision: `instance:${state.endpoints.revision}`,
     load: {},
--- a/packages/gateway/src/membership/router-announcer.ts
+++ b/packages/gateway/src/membership/router-announcer.ts
@@ -1,11 +1,12 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { FleetStore } from '../model/fleet-store.js'
+import type { RouterEntry } from '../model/router-entry.js'
 import { pause } from './pause.js'
 import type { RouterTable } from './router-table.js'
 
 /** Timeout of one attempt, its two calls together. */
 const CALL_TIMEOUT_MS = 2_000
-/** Delay after a failed attempt, and between two checks for a change of the store's era. */
+/** Interval at which the reader checks for routers to announce; a router that starts finds the reader within it. */
 const CHECK_INTERVAL_MS = 1_000
 /**
  * Age assumed for announcements read from the store, which do not state their time. Announcements of routers that
@@ -14,8 +15,9 @@
 const ANNOUNCEMENT_AGE_MS = 0
 
 /**
- * Keeps the announcements of routers in the store, where routers that start later find them. Each router announces itself once. When the
- * store has come back from an older copy, the reader announces again, in one call, all routers that the copy lacks.
+ * Keeps the announcements of routers in the store, where a router finds others that its seeds do not lead it to. The reader
+ * announces, in one call, all routers it knows that are not announced: after a change of the members, and after the store has
+ * come back from an older copy. A router that reaches no other one is a reader too, and announces itself.
  */
 export class RouterAnnouncer {
   private readonly _store: FleetStore
@@ -23,12 +25,13 @@
   private readonly _isReader: () => boolean
   private readonly _log: EventLog
   private _announcedEra: number | undefined
+  private _announcedOrder: readonly RouterEntry[] | undefined
 
   /**
    * @param store store of the platform
-   * @param routers router table, which provides this router's entry and receives the other routers
+   * @param routers router table, which provides the known routers and receives announced ones
    * @param isReader returns whether this router reads the store for the others
-   * @param log logs failed attempts and repeated announcements
+   * @param log logs announcements and failed attempts
    */
   constructor (store: FleetStore, routers: RouterTable, isReader: () => boolean, log: EventLog) {
     this._store = store
@@ -38,41 +41,42 @@
   }
 
   /**
-   * Announces this router, then watches the era of the store.
+   * Announces routers while this router is the reader.
    * @param signal stops the task
    */
   async run (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !await this._attempt((callSignal) => this._announceSelf(callSignal), signal)) await pause(CHECK_INTERVAL_MS, signal)
     while (!signal.aborted) {
       await pause(CHECK_INTERVAL_MS, signal)
-      if (this._store.era.number === this._announcedEra || !this._isReader()) continue
-      await this._attempt((callSignal) => this._announceMissing(callSignal), signal)
+      if (!signal.aborted && this._isReader() && !this._isAnnounced()) await this._announce(signal)
     }
   }
 
-  private async _announceSelf (signal: AbortSignal): Promise<void> {
-    await this._store.announce([this._routers.self], signal)
-    const page = await this._store.routers.read(undefined, 0, signal)
-    for (const change of page.changes) if (change.value !== undefined) this._routers.recordContact(change.value, ANNOUNCEMENT_AGE_MS)
-    this._announcedEra = page.nextPosition.era
+  private _isAnnounced (): boolean {
+    return this._announcedOrder === this._routers.inReaderOrder() && this._announcedEra === this._store.era.number
+  }
+
+  private async _announce (signal: AbortSignal): Promise<void> {
+    try {
+      await this._announceMissing(AbortSignal.any([signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]))
+    } catch (error) {
+      this._log.info('announcement-failed', { problem: (error as Error).message })
+    }
   }
 
   private async _announceMissing (signal: AbortSignal): Promise<void> {
     const page = await this._store.routers.read(undefined, 0, signal)
-    const addresses = new Map(page.changes.map((change) => [change.key, change.value?.address]))
-    const missing = this._routers.inReaderOrder().filter(({ name, address }) => addresses.get(name) !== address)
+    const announced = new Map(page.changes.map((change) => [change.key, change.value]))
+    if (this._announcedOrder === undefined) this._learn(announced.values())
+    const order = this._routers.inReaderOrder()
+    const missing = order.filter(({ name, address }) => announced.get(name)?.address !== address)
     if (missing.length > 0) await this._store.announce(missing, signal)
     this._announcedEra = page.nextPosition.era
-    this._log.info('routers-announced-again', { count: missing.length, era: page.nextPosition.era })
+    this._announcedOrder = order
+    this._log.info('routers-announced', { announced: missing.length, known: order.length, era: page.nextPosition.era })
   }
 
-  private async _attempt (action: (signal: AbortSignal) => Promise<void>, signal: AbortSignal): Promise<boolean> {
-    try {
-      await action(AbortSignal.any([signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]))
-      return true
-    } catch (error) {
-      this._log.info('announcement-failed', { problem: (error as Error).message })
-      return false
-    }
+  /** Later readings add no routers: those that stopped would be taken for live ones again. */
+  private _learn (entries: Iterable<RouterEntry | undefined>): void {
+    for (const entry of entries) if (entry !== undefined) this._routers.recordContact(entry, ANNOUNCEMENT_AGE_MS)
   }
 }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -51,8 +51,8 @@
   /** The requester's new position in the notes, as `instance:number`. */
   readonly notesCursor: string
   /**
-   * Routers known to the answering router; undefined if the request lists none, since most requests and answers omit
-   * them.
+   * Routers known to the answering router; undefined if the request lists none and its sender knows as many, which holds for most
+   * requests.
    */
   readonly routers: readonly RouterContact[] | undefined
 }
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -73,6 +73,7 @@
       router: routers.self,
       storeEra: this._state.storeEra.news,
       routers: this._includesRouters(address) ? this._contacts(followers) : undefined,
+      routerCount: routers.size,
       configurationVersion: configuration.version,
       endpointsRevision: this._mirrors.get(address)?.revision,
       load: reportsLoad ? loads.localLoadsWith(followers) : {},
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -12,6 +12,8 @@
   readonly storeEra: EraNews
   /** Routers known to the requester; undefined in most requests, since they change rarely. */
   readonly routers: readonly RouterContact[] | undefined
+  /** Number of live routers known to the requester, itself included. */
+  readonly routerCount: number
   /** Version of the requester's configuration. */
   readonly configurationVersion: number
   /** Last received revision of the answering router's endpoints; undefined for none. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -61,7 +61,7 @@
       load: this._loadSnapshot.without(request.router.name),
       notes: holderChanges.notes,
       notesCursor: `${this._instance}:${holderChanges.cursor}`,
-      routers: request.routers === undefined ? undefined : routers.contacts()
+      routers: request.routers === undefined && request.routerCount >= routers.size ? undefined : routers.contacts()
     }
   }
 
--- a/packages/gateway/src/test/router-announcer_test.ts
+++ b/packages/gateway/src/test/router-announcer_test.ts
@@ -25,9 +25,18 @@
   return { store, stop }
 }
 
+test('the reader announces all routers in one call', async () => {
+  const { store, stop } = startAnnouncers()
+  const announce = vi.spyOn(store, 'announce')
+  await vi.waitUntil(() => store.routers.changes.length > 0, { timeout: 10_000 })
+  await stop()
+  expect(store.routers.changes.map(({ key }) => key).sort()).toEqual(['a', 'b', 'c'])
+  expect(announce).toHaveBeenCalledTimes(1)
+})
+
 test('the reader announces again, in one call, the routers that an older copy of the store lacks', async () => {
   const { store, stop } = startAnnouncers()
-  await vi.waitUntil(() => store.routers.changes.length === 3)
+  await vi.waitUntil(() => store.routers.changes.length === 3, { timeout: 10_000 })
   store.routers.restore(1)
   const announce = vi.spyOn(store, 'announce')
   store.era.observe(ERA + 1)
@@ -36,3 +45,15 @@
   expect(store.routers.changes.map(({ key }) => key).sort()).toEqual(['a', 'b', 'c'])
   expect(announce).toHaveBeenCalledTimes(1)
 })
+
+test('a router that reaches no other one announces itself and finds the announced ones', async () => {
+  const store = new MemoryStore()
+  store.routers.put('other', { name: 'other', availabilityZone: 'z', address: 'other:1' })
+  const routers = new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self:1' }, { now: () => performance.now() })
+  const abortController = new AbortController()
+  const running = new RouterAnnouncer(store, routers, () => true, new SilentEventLog()).run(abortController.signal)
+  await vi.waitUntil(() => routers.size === 2, { timeout: 10_000 })
+  await vi.waitUntil(() => store.routers.changes.some(({ key }) => key === 'self'), { timeout: 10_000 })
+  abortController.abort()
+  await running
+})
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -139,6 +139,14 @@
   expect(reader.routers.inReaderOrder().map((router) => router.name).sort()).toEqual(['a', 'b', 'reader'])
 })
 
+test('a router that knows fewer routers than the one it asks gets their list with the next answer', async () => {
+  const { reader, routers, clients } = createFleet()
+  await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
+  reader.routers.recordContact({ name: 'late', availabilityZone: 'z', address: 'late' }, 0)
+  await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
+  expect(routers[0]?.routers.inReaderOrder().map(({ name }) => name).sort()).toEqual(['a', 'late', 'reader'])
+})
+
 test('state of a reader that never read the store does not count as verified', async () => {
   const { routers, clients } = createFleet()
   await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
