The operators' command line shows the store's era, the reader and the ages of what routers know

Cause: a one-hop router told these only in its log and metrics, router by router. Change: a JSON-RPC method of the routers' addresses, and 'mimosarock fleet knowledge ADDRESS...'.

--- a/packages/gateway/src/membership/create-peer-rpc-server.ts
+++ b/packages/gateway/src/membership/create-peer-rpc-server.ts
@@ -2,6 +2,7 @@
 import { promisify } from 'node:util'
 import { constants, gzip } from 'node:zlib'
 import { JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0'
+import type { RouterKnowledge } from './router-knowledge.js'
 import type { SyncRequest } from './sync-request.js'
 import type { SyncServer } from './sync-server.js'
 
@@ -13,14 +14,16 @@
 const compress = promisify(gzip)
 
 /**
- * Creates the HTTP server for JSON-RPC 2.0 requests of other routers.
+ * Creates the HTTP server for JSON-RPC 2.0 requests of other routers and operators.
  * @param sync handles sync requests
+ * @param knowledge returns what this router knows, for operators
  * @param onBytes called with the length of each response, in bytes
  */
-export function createPeerRpcServer (sync: SyncServer, onBytes: (bytes: number) => void): Server {
+export function createPeerRpcServer (sync: SyncServer, knowledge: () => RouterKnowledge, onBytes: (bytes: number) => void): Server {
   const rpc = new JSONRPCServer()
   rpc.addMethod('fleet.sync', (params) => sync.answer(params as SyncRequest))
   rpc.addMethod('fleet.configuration', ({ fromVersion }: { readonly fromVersion: number }) => sync.configurationUpdate(fromVersion))
+  rpc.addMethod('fleet.knowledge', () => knowledge())
   return createServer((request, response) => {
     if (request.method !== 'POST') {
       response.writeHead(METHOD_NOT_ALLOWED).end()
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -105,6 +105,11 @@
     return this._isReader && this._clock.now() - this._roundEndedAt < FOLLOWING_TIMEOUT_MS
   }
 
+  /** Name of the router that this one follows; undefined if it reads the store itself and follows none. */
+  get source (): string | undefined {
+    return this._source
+  }
+
   /**
    * Number of routers between this router and the store by way of the router that it follows; Infinity if it follows
    * none.
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationUpdate } from './configuration-update.js'
 import type { FleetState } from './fleet-state.js'
 import { LoadSnapshot } from './load-snapshot.js'
+import type { RouterKnowledge } from './router-knowledge.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
 import { TransferSources } from './transfer-sources.js'
@@ -73,6 +74,23 @@
     return this._updates.since(fromVersion)
   }
 
+  /**
+   * Returns what this router knows of the fleet, for operators.
+   * @param role what its sync says about its place in the fleet
+   */
+  knowledge (role: Pick<RouterKnowledge, 'isReader' | 'source'>): RouterKnowledge {
+    const { configuration, endpointsFreshness, routers, storeEra } = this._state
+    return {
+      router: routers.self.name,
+      ...role,
+      storeEra: storeEra.number ?? null,
+      configurationVersion: configuration.version,
+      configurationAgeMs: this._ageMs(configuration.verifiedAt),
+      endpointsAgeMs: this._ageMs(endpointsFreshness.verifiedAt),
+      routerCount: routers.size
+    }
+  }
+
   private _configurationChange (
     { router, configurationVersion: version }: SyncRequest
   ): Pick<SyncAnswer, 'configurationVersion' | 'configurationPatches' | 'configurationSource'> {
--- a/packages/gateway/src/test/large-change_test.ts
+++ b/packages/gateway/src/test/large-change_test.ts
@@ -27,7 +27,8 @@
 async function createReader (): Promise<FleetState> {
   const link = new SlowLink(() => (server.address() as AddressInfo).port, LINK_BYTES_PER_SECOND)
   const reader = createFleetState('reader', clock, { address: await link.start() })
-  const server = createPeerRpcServer(new SyncServer(reader, 'i1', () => clock.now(), () => 0), () => undefined)
+  const sync = new SyncServer(reader, 'i1', () => clock.now(), () => 0)
+  const server = createPeerRpcServer(sync, () => sync.knowledge({ isReader: true, source: null }), () => undefined)
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   closing.push(() => link.close(), () => server.close())
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -27,6 +27,7 @@
 import { PeerRpcClient } from '../membership/peer-rpc-client.js'
 import { createPeerRpcServer } from '../membership/create-peer-rpc-server.js'
 import { RouterAnnouncer } from '../membership/router-announcer.js'
+import type { RouterKnowledge } from '../membership/router-knowledge.js'
 import { RouterTable } from '../membership/router-table.js'
 import { StoreFeed } from '../membership/store-feed.js'
 import { SyncClient } from '../membership/sync-client.js'
@@ -112,7 +113,7 @@
     await Promise.all([
       this._listenForCallers(callerServer),
       this._listen(createReadinessServer(this._options.codec.readinessPath, () => this._isReady), settings.readiness),
-      this._listen(createPeerRpcServer(sync, (bytes) => this._metrics.peerBytesSent.inc(bytes)), settings.peers),
+      this._listen(createPeerRpcServer(sync, () => this._knowledgeOf(sync), (bytes) => this._metrics.peerBytesSent.inc(bytes)), settings.peers),
       settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state), settings.metrics)
     ])
     log.info('started', {
@@ -273,6 +274,10 @@
 
   private _readsStore (): boolean {
     return this._feeds.length > 0 && this._feeds.every((feed) => feed.isUpToDate)
+  private _knowledgeOf (server: SyncServer): RouterKnowledge {
+    return server.knowledge({ isReader: this._sync?.isReader ?? false, source: this._sync?.source ?? null })
+  }
+
   }
 
   private _openGateWhenReady (): void {
--- a/packages/operator/src/create-operator-cli.ts
+++ b/packages/operator/src/create-operator-cli.ts
@@ -18,6 +18,7 @@
 import { SettleOperationCommand } from './commands/settle-operation-command.js'
 import { ShowConfigurationCommand } from './commands/show-configuration-command.js'
 import { ShowFleetCommand } from './commands/show-fleet-command.js'
+import { ShowKnowledgeCommand } from './commands/show-knowledge-command.js'
 import { ShowOperationCommand } from './commands/show-operation-command.js'
 import { ShowPartCommand } from './commands/show-part-command.js'
 import { StartRetirementCommand } from './commands/start-retirement-command.js'
@@ -33,7 +34,7 @@
     ListPartsCommand, ListRevisionsCommand, RecoverConfigurationCommand, RemoveEndpointCommand,
     RemovePartCommand, RollBackConfigurationCommand, SetEndpointCommand, SetPoolCommand,
     SetRetirementRuleCommand, SetRouteCommand, SetWorkspaceCommand, SettleOperationCommand,
-    ShowConfigurationCommand, ShowFleetCommand, ShowOperationCommand, ShowPartCommand,
+    ShowConfigurationCommand, ShowFleetCommand, ShowKnowledgeCommand, ShowOperationCommand, ShowPartCommand,
     StartRetirementCommand, WaitForRevisionCommand
   ]
   for (const command of commands) cli.register(command)
--- /dev/null
+++ b/packages/operator/src/router-knowledge.ts
@@ -0,0 +1,13 @@
+import { z } from 'zod'
+
+/** Answer of a router to `fleet.knowledge`. */
+export const routerKnowledge = z.object({
+  router: z.string(),
+  isReader: z.boolean(),
+  source: z.string().nullable(),
+  storeEra: z.number().nullable(),
+  configurationVersion: z.number(),
+  configurationAgeMs: z.number(),
+  endpointsAgeMs: z.number(),
+  routerCount: z.number()
+})
