Routers forecast the load of others at services with short requests, instead of taking the last report for it

Change: LoadForecast, what the last report exceeds the mean of the last second by decays with the time a request takes. For streams of seconds the last report still counts.

--- a/packages/gateway/src/admission/fleet-concurrency-limit-options.ts
+++ b/packages/gateway/src/admission/fleet-concurrency-limit-options.ts
@@ -14,4 +14,11 @@
    * @param service name of the service
    */
   readonly availableEndpoints: (service: string) => readonly EndpointEntry[]
+  /** Returns the time of a monotonic clock, in milliseconds. */
+  readonly now: () => number
+  /**
+   * Returns the mean time that a request of a service takes, in milliseconds; undefined if it is not known.
+   * @param service name of the service
+   */
+  readonly serviceMs: (service: string) => number | undefined
 }
--- a/packages/gateway/src/admission/fleet-concurrency-limit.ts
+++ b/packages/gateway/src/admission/fleet-concurrency-limit.ts
@@ -1,4 +1,5 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import { LoadForecast } from './load-forecast.js'
 import type { FleetConcurrencyLimitOptions } from './fleet-concurrency-limit-options.js'
 
 /** Requests that may queue at each endpoint beyond its slots; the endpoint starts one as soon as a slot becomes free. */
@@ -18,7 +19,7 @@
   readonly reportCount: number
   /** Requests of this router in flight. */
   readonly local: number
-  /** Requests of all other routers in flight. */
+  /** Requests of all other routers in flight, by the forecast. */
   readonly remote: number
   /** Random number that decides whether the fractional part of the limit is rounded up. */
   readonly roundingOffset: number
@@ -28,6 +29,8 @@
  * Concurrency limit of this router for each service. The sum over the fleet stays close to the slots of the service,
  * although each router learns the load of the other routers with a delay.
  *
+ * The load of the others is forecast, since many short requests come and go between two reports.
+ *
  * In addition to its own requests at the last load report, a router may take an equal share of the capacity that was
  * spare then, or several times that share while much of it is spare. The limit is never below an equal share of the
  * whole service, or twice that share if it is only a few requests. Fractions are rounded at random, with a new random
@@ -36,6 +39,7 @@
 export class FleetConcurrencyLimit {
   private readonly _options: FleetConcurrencyLimitOptions
   private readonly _snapshots = new Map<string, ReportSnapshot>()
+  private readonly _forecasts = new Map<string, LoadForecast>()
 
   /**
    * @param options sources of the loads, the fleet size and the endpoints from which the limits are computed
@@ -66,10 +70,21 @@
     const cached = this._snapshots.get(service)
     if (cached?.reportCount === loads.reportCount) return cached
     const local = sumOf(endpoints, (id) => loads.localLoad(id))
-    const snapshot = { reportCount: loads.reportCount, local, remote: sumOf(endpoints, (id) => loads.total(id)) - local, roundingOffset: this._options.random() }
+    const remote = this._forecastRemote(service, sumOf(endpoints, (id) => loads.total(id)) - local)
+    const snapshot = { reportCount: loads.reportCount, local, remote, roundingOffset: this._options.random() }
     this._snapshots.set(service, snapshot)
     return snapshot
   }
+
+  private _forecastRemote (service: string, reported: number): number {
+    let forecast = this._forecasts.get(service)
+    if (forecast === undefined) {
+      forecast = new LoadForecast()
+      this._forecasts.set(service, forecast)
+    }
+    forecast.record(reported, this._options.now())
+    return forecast.requests(this._options.serviceMs(service))
+  }
 }
 
 // Returns this router's share of the spare capacity. If the service is over capacity, the result is negative: the part
--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -41,6 +41,11 @@
     return this._inFlight
   }
 
+  /** Mean time from the admission of a request to its release, in milliseconds; undefined before the first one. */
+  get serviceMs (): number | undefined {
+    return this._times.serviceMs === 0 ? undefined : this._times.serviceMs
+  }
+
   /** Number of queued requests. */
   get queued (): number {
     return this._queues.size
--- a/packages/gateway/src/test/fleet-concurrency-limit_test.ts
+++ b/packages/gateway/src/test/fleet-concurrency-limit_test.ts
@@ -11,7 +11,7 @@
 function createFleet (routers: number, endpoints: readonly EndpointEntry[], random: () => number) {
   return Array.from({ length: routers }, () => {
     const loads = new LoadView(() => 0)
-    return { loads, concurrencyLimit: new FleetConcurrencyLimit({ loads, random, routerCount: () => routers, availableEndpoints: () => endpoints }) }
+    return { loads, concurrencyLimit: new FleetConcurrencyLimit({ loads, random, routerCount: () => routers, availableEndpoints: () => endpoints, now: () => 0, serviceMs: () => undefined }) }
   })
 }
 
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -237,9 +237,11 @@
       loads,
       random: Math.random,
       routerCount: () => routers.size,
-      availableEndpoints: (service) => this._health.preferHealthy(endpoints.ready(service))
+      availableEndpoints: (service) => this._health.preferHealthy(endpoints.ready(service)),
+      now: () => clock.now(),
+      serviceMs: (service) => admissions.get(service).serviceMs
     })
-    const admissions = new ServiceAdmissions({
+    const admissions: ServiceAdmissions = new ServiceAdmissions({
       clock: { now: () => clock.now(), sleep: pause },
       limitOf: (service) => concurrencyLimit.limit(service),
       processLimit: () => pressure.limit,
@@ -272,12 +274,12 @@
     return Math.max(2, Math.min(Math.floor(maximum / routers.size), descriptorsPerPool))
   }
 
-  private _readsStore (): boolean {
-    return this._feeds.length > 0 && this._feeds.every((feed) => feed.isUpToDate)
   private _knowledgeOf (server: SyncServer): RouterKnowledge {
     return server.knowledge({ isReader: this._sync?.isReader ?? false, source: this._sync?.source ?? null })
   }
 
+  private _readsStore (): boolean {
+    return this._feeds.length > 0 && this._feeds.every((feed) => feed.isUpToDate)
   }
 
   private _openGateWhenReady (): void {
