--- /dev/null
+++ b/packages/gateway/src/caller/endpoint-attempts-options.ts
@@ -0,0 +1,17 @@
+import type { IncomingMessage } from 'node:http'
+import type { ResponseRelay } from '../responses/response-relay.js'
+import type { AuthorizedRequest } from './authorized-request.js'
+
+/** One request to be sent to endpoints. */
+export interface EndpointAttemptsOptions {
+  /** The request, with its route and service. */
+  readonly authorized: AuthorizedRequest
+  /** The caller's request, for its method, target and headers. */
+  readonly request: IncomingMessage
+  /** Its whole body. */
+  readonly body: Buffer
+  /** Receives the response. */
+  readonly relay: ResponseRelay
+  /** Returns the milliseconds left for the request. */
+  readonly timeLeftMs: () => number
+}
--- /dev/null
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -0,0 +1,196 @@
+import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
+import { EndpointSelector } from '../choice/endpoint-selector.js'
+import type { PromptPart } from '../model/prompt-part.js'
+import { RouteKind } from '../model/route-kind.js'
+import { mayRetry } from '../retries/may-retry.js'
+import { CallOutcome } from '../sending/call-outcome.js'
+import type { CallResult } from '../sending/call-result.js'
+import { EndpointCall } from '../sending/endpoint-call.js'
+import { createCallError } from './create-call-error.js'
+import { createDeadlineError } from './create-deadline-error.js'
+import { createNoEndpointError } from './create-no-endpoint-error.js'
+import type { EndpointAttemptsOptions } from './endpoint-attempts-options.js'
+import type { RequestDependencies } from './request-dependencies.js'
+
+/** Minimum time left to call an endpoint; no response arrives in less. */
+const MINIMUM_CALL_MS = 5
+/** Minimum time left for which a call without progress is given up. */
+const MINIMUM_RETRY_MS = 250
+const FIRST_SERVER_ERROR_STATUS = 500
+
+/** Sends one request to endpoints, as often as its route and the retry budget allow, and relays the response. */
+export class EndpointAttempts {
+  private readonly _dependencies: RequestDependencies
+  private readonly _options: EndpointAttemptsOptions
+  private _isCallerDisconnected = false
+  private _mayRepeat = true
+  private _call: EndpointCall | undefined
+  private _chosen: ChosenEndpoint | undefined
+  private _problem: string | undefined
+  private _attempts = 0
+  private _runs = 0
+  private _hasTakenRetry = false
+
+  /**
+   * @param dependencies components of the router, shared by all requests
+   * @param options the request and where its response goes
+   */
+  constructor (dependencies: RequestDependencies, options: EndpointAttemptsOptions) {
+    this._dependencies = dependencies
+    this._options = options
+  }
+
+  /** Number of endpoints to which the request was sent. */
+  get count (): number {
+    return this._attempts
+  }
+
+  /** Endpoint chosen last; undefined if none was. */
+  get chosen (): ChosenEndpoint | undefined {
+    return this._chosen
+  }
+
+  /** Why the last attempt that failed did so; undefined if none failed. */
+  get problem (): string | undefined {
+    return this._problem
+  }
+
+  /**
+   * Sends the request to one endpoint after another until one has answered it. Resolves when the response is complete.
+   * @throws MimosarockError if no endpoint answers it, or the caller disconnects
+   */
+  async run (): Promise<void> {
+    const { authorized } = this._options
+    const excluded = new Set<string>()
+    for (;;) {
+      if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+      if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
+      const chosen = this._dependencies.endpointSelector.choose(authorized.service, authorized.caller.prompt, excluded)
+      if (chosen === undefined) throw createNoEndpointError(this._runs)
+      this._chosen = chosen
+      excluded.add(chosen.endpoint.id)
+      const result = await this._callEndpoint(chosen)
+      if (result.outcome !== CallOutcome.COMPLETE) this._problem = `${result.outcome}: ${result.problem}`
+      if (this._finishOrRetry(result)) return
+    }
+  }
+
+  private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
+    const { authorized, request, body, relay } = this._options
+    const { caller, service, route } = authorized
+    const { endpoint, contextHolder } = chosen
+    const headers = this._dependencies.codec.writeDispatchHeaders(request.rawHeaders, {
+      endpointId: endpoint.id,
+      deadlineMs: Math.floor(this._options.timeLeftMs()),
+      workspace: authorized.workspace,
+      priority: authorized.priority,
+      contextHolder: contextHolder?.address,
+      lastEventId: relay.lastEventId
+    })
+    const call = new EndpointCall({
+      id: caller.id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body
+    }, this._dependencies.codec, relay)
+    this._call = call
+    this._attempts += 1
+    this._recordHolder(caller.prompt, chosen)
+    this._dependencies.loads.begin(endpoint.id)
+    this._mayRepeat = route.kind !== RouteKind.ONCE
+    call.send(this._dependencies.connections.pool(endpoint, this._mayRepeat, this._dependencies.maximumConnectionsOf(service)))
+    const watched = {
+      endpointId: endpoint.id,
+      get isPaused () { return call.isPaused },
+      get receivedParts () { return call.receivedParts },
+      get usableBytes () { return relay.usableBytes },
+      onStalled: (isEndpointSilent: boolean) => this._giveUpIfRetriable(call, isEndpointSilent)
+    }
+    this._dependencies.stallWatch.add(watched)
+    const result = await call.result
+    this._dependencies.stallWatch.remove(watched)
+    this._dependencies.loads.end(endpoint.id)
+    this._recordHealth(endpoint.id, result)
+    return result
+  }
+
+  /** Gives up a call that makes no progress, if the request can go on elsewhere. Otherwise waiting is all that is left. */
+  private _giveUpIfRetriable (call: EndpointCall, isEndpointSilent: boolean): void {
+    const { authorized: { route, service }, relay } = this._options
+    const outcome = call.receivedParts > 0 ? CallOutcome.BROKEN : CallOutcome.NO_ANSWER
+    const attempts = { total: this._attempts, runs: this._runs + 1 }
+    if (this._options.timeLeftMs() < MINIMUM_RETRY_MS || !mayRetry(route, outcome, attempts, relay.isStarted)) return
+    if (!this._dependencies.retryBudgetOf(service).take()) return
+    this._hasTakenRetry = true
+    call.giveUp(isEndpointSilent ? 'the endpoint is silent' : 'no progress')
+  }
+
+  private _recordHolder (prompt: readonly PromptPart[], { endpoint, isChosenAsPrimary }: ChosenEndpoint): void {
+    const { holders, isFleetLarge } = this._dependencies
+    const key = EndpointSelector.keyOf(prompt)
+    if (key === undefined) return
+    // Every router can compute the primary of a key. To limit traffic, a large fleet announces only contexts that are held by
+    // other endpoints.
+    if (isChosenAsPrimary && isFleetLarge()) holders.learn(key, endpoint.id)
+    else holders.add(key, endpoint.id)
+  }
+
+  /** Finishes the response, or prepares a retry. Returns false if the request is to be sent to another endpoint. */
+  private _finishOrRetry (result: CallResult): boolean {
+    const { authorized, relay } = this._options
+    const { outcome, head } = result
+    const isNotRun = outcome === CallOutcome.NOT_SENT || outcome === CallOutcome.REJECTED
+    if (!isNotRun) this._runs += 1
+    const isFailure = outcome !== CallOutcome.COMPLETE ||
+      (head !== undefined && head.status >= FIRST_SERVER_ERROR_STATUS && !relay.isStarted && authorized.route.kind === RouteKind.IDEMPOTENT)
+    if (isFailure && this._takeRetry(outcome)) {
+      this._dependencies.metrics.retries.inc({ service: authorized.service, outcome })
+      if (outcome === CallOutcome.COMPLETE) relay.keepBufferedResponse()
+      relay.prepareResumption()
+      return false
+    }
+    if (outcome === CallOutcome.COMPLETE) {
+      relay.finish()
+      return true
+    }
+    if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+    throw createCallError(result, this._runs)
+  }
+
+  private _takeRetry (outcome: CallOutcome): boolean {
+    const { authorized, relay } = this._options
+    if (this._isCallerDisconnected) return false
+    if (this._hasTakenRetry) {
+      this._hasTakenRetry = false
+      return true
+    }
+    const attempts = { total: this._attempts, runs: this._runs }
+    if (!mayRetry(authorized.route, outcome, attempts, relay.isStarted)) return false
+    return outcome === CallOutcome.NOT_SENT || this._dependencies.retryBudgetOf(authorized.service).take()
+  }
+
+  private _recordHealth (endpointId: string, { outcome }: CallResult): void {
+    const { health, stallWatch } = this._dependencies
+    if (outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
+    if (outcome === CallOutcome.REJECTED) return
+    const isSilent = stallWatch.isSilent(endpointId)
+    if (outcome === CallOutcome.ABORTED && !isSilent) return
+    health.recordFailure(endpointId, isSilent || outcome === CallOutcome.NOT_SENT)
+  }
+
+  /** Resumes the endpoint's response after the caller has caught up. */
+  resume (): void {
+    this._call?.resume()
+  }
+
+  /** Ends the attempt in progress because the time of the request is over. */
+  endAtDeadline (): void {
+    this._call?.abort('the deadline passed')
+  }
+
+  /** Ends the attempt in progress because the caller has disconnected, unless the call may run at most once. */
+  endForCaller (): void {
+    this._isCallerDisconnected = true
+    // Aborting a call that may run at most once would not undo its effects.
+    if (this._mayRepeat || this._call?.isSent === false) this._call?.abort('the caller disconnected')
+  }
+}
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -5,19 +5,10 @@
 import type { ServiceAdmission } from '../admission/service-admission.js'
 import { ResponseRelay } from '../responses/response-relay.js'
 import { sendErrorResponse } from '../responses/send-error-response.js'
-import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
-import { EndpointSelector } from '../choice/endpoint-selector.js'
-import type { PromptPart } from '../model/prompt-part.js'
 import { RouteKind } from '../model/route-kind.js'
-import { mayRetry } from '../retries/may-retry.js'
-import { CallOutcome } from '../sending/call-outcome.js'
-import type { CallResult } from '../sending/call-result.js'
-import { EndpointCall } from '../sending/endpoint-call.js'
 import { authorizeRequest } from './authorize-request.js'
 import type { AuthorizedRequest } from './authorized-request.js'
-import { createCallError } from './create-call-error.js'
-import { createDeadlineError } from './create-deadline-error.js'
-import { createNoEndpointError } from './create-no-endpoint-error.js'
+import { EndpointAttempts } from './endpoint-attempts.js'
 import { nextEventLoopIteration } from './next-event-loop-iteration.js'
 import { notRunError } from './not-run-error.js'
 import { readRequestBody } from './read-request-body.js'
@@ -28,18 +19,13 @@
 const DEFAULT_MAXIMUM_BODY_BYTES = 4_194_304
 /** Subtracted from the time limit of a request, which leaves time for the router's own response to reach the caller. */
 const RESPONSE_MARGIN_MS = 15
-/** Minimum time left to call an endpoint; no response arrives in less. */
-const MINIMUM_CALL_MS = 5
-/** Minimum time left for which a call without progress is given up. */
-const MINIMUM_RETRY_MS = 250
 /** Time after the head of a request arrived, from which it is authorized again before it is sent. */
 const AUTHORIZATION_LIFETIME_MS = 1_000
-const FIRST_SERVER_ERROR_STATUS = 500
 const MS_PER_SECOND = 1_000
 
 /**
- * Serves one request of a caller, from its head to the end of its response: authorization, admission, choice of an
- * endpoint, retries and error responses.
+ * Serves one request of a caller, from its head to the end of its response: authorization, admission, the attempts at
+ * endpoints and error responses.
  */
 export class RequestTask {
   private readonly _dependencies: RequestDependencies
@@ -48,18 +34,13 @@
   private readonly _startedAt: number
   private _requestId: string | undefined
   private _isCallerDisconnected = false
-  private _mayRepeat = true
-  private _call: EndpointCall | undefined
   private _relay: ResponseRelay | undefined
-  private _chosen: ChosenEndpoint | undefined
   private _problem: string | undefined
   private _admissionWait: AbortController | undefined
   private _admittedAt = 0
   private _waitedMs = 0
   private _firstByteMs: number | undefined
-  private _attempts = 0
-  private _runs = 0
-  private _hasTakenRetry = false
+  private _attempts: EndpointAttempts | undefined
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -78,7 +59,7 @@
     this._dependencies.state.requestsInFlight += 1
     this._dependencies.eventLoopMeter.recordArrival()
     this._response.on('close', () => this._onClose())
-    this._response.on('drain', () => this._call?.resume())
+    this._response.on('drain', () => this._attempts?.resume())
     let authorized: AuthorizedRequest | undefined
     let admission: ServiceAdmission | undefined
     let code: ResultCode = ResultCode.OK
@@ -155,6 +136,7 @@
 
   private async _serve (authorized: AuthorizedRequest, body: Buffer): Promise<void> {
     const { route } = authorized
+    if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
     const relay = new ResponseRelay({
       response: this._response,
@@ -164,9 +146,13 @@
       onStart: () => this._observeFirstByte(route.name)
     })
     this._relay = relay
-    const timer = setTimeout(() => this._call?.abort('the deadline passed'), Math.max(0, this._timeLeftMs(authorized)))
+    const attempts = new EndpointAttempts(this._dependencies, {
+      authorized, request: this._request, body, relay, timeLeftMs: () => this._timeLeftMs(authorized)
+    })
+    this._attempts = attempts
+    const timer = setTimeout(() => attempts.endAtDeadline(), Math.max(0, this._timeLeftMs(authorized)))
     try {
-      await this._tryEndpoints(authorized, body, relay)
+      await attempts.run()
     } catch (error) {
       if (!relay.hasBufferedResponse || this._isCallerDisconnected) throw error
       relay.finish()
@@ -175,120 +161,6 @@
     }
   }
 
-  private async _tryEndpoints (authorized: AuthorizedRequest, body: Buffer, relay: ResponseRelay): Promise<void> {
-    const excluded = new Set<string>()
-    for (;;) {
-      if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
-      if (this._timeLeftMs(authorized) < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
-      const chosen = this._dependencies.endpointSelector.choose(authorized.service, authorized.caller.prompt, excluded)
-      if (chosen === undefined) throw createNoEndpointError(this._runs)
-      this._chosen = chosen
-      excluded.add(chosen.endpoint.id)
-      const result = await this._callEndpoint(authorized, body, relay, chosen)
-      if (result.outcome !== CallOutcome.COMPLETE) this._problem = `${result.outcome}: ${result.problem}`
-      if (this._finishOrRetry(authorized, result, relay)) return
-    }
-  }
-
-  private async _callEndpoint (
-    authorized: AuthorizedRequest, body: Buffer, relay: ResponseRelay, chosen: ChosenEndpoint
-  ): Promise<CallResult> {
-    const { caller, service, route } = authorized
-    const { endpoint, contextHolder } = chosen
-    const headers = this._dependencies.codec.writeDispatchHeaders(this._request.rawHeaders, {
-      endpointId: endpoint.id,
-      deadlineMs: Math.floor(this._timeLeftMs(authorized)),
-      workspace: authorized.workspace,
-      priority: authorized.priority,
-      contextHolder: contextHolder?.address,
-      lastEventId: relay.lastEventId
-    })
-    const call = new EndpointCall({
-      id: caller.id, method: this._request.method ?? 'GET', path: this._request.url ?? '/', headers, body
-    }, this._dependencies.codec, relay)
-    this._call = call
-    this._attempts += 1
-    this._recordHolder(caller.prompt, chosen)
-    this._dependencies.loads.begin(endpoint.id)
-    this._mayRepeat = route.kind !== RouteKind.ONCE
-    call.send(this._dependencies.connections.pool(endpoint, this._mayRepeat, this._dependencies.maximumConnectionsOf(service)))
-    const watched = {
-      endpointId: endpoint.id,
-      get isPaused () { return call.isPaused },
-      get receivedParts () { return call.receivedParts },
-      get usableBytes () { return relay.usableBytes },
-      onStalled: (isEndpointSilent: boolean) => this._giveUpIfRetriable(authorized, call, relay, isEndpointSilent)
-    }
-    this._dependencies.stallWatch.add(watched)
-    const result = await call.result
-    this._dependencies.stallWatch.remove(watched)
-    this._dependencies.loads.end(endpoint.id)
-    this._recordHealth(endpoint.id, result)
-    return result
-  }
-
-  /** Gives up a call that makes no progress, if the request can go on elsewhere. Otherwise waiting is all that is left. */
-  private _giveUpIfRetriable (authorized: AuthorizedRequest, call: EndpointCall, relay: ResponseRelay, isEndpointSilent: boolean): void {
-    const { route, service } = authorized
-    const outcome = call.receivedParts > 0 ? CallOutcome.BROKEN : CallOutcome.NO_ANSWER
-    const attempts = { total: this._attempts, runs: this._runs + 1 }
-    if (this._timeLeftMs(authorized) < MINIMUM_RETRY_MS || !mayRetry(route, outcome, attempts, relay.isStarted)) return
-    if (!this._dependencies.retryBudgetOf(service).take()) return
-    this._hasTakenRetry = true
-    call.giveUp(isEndpointSilent ? 'the endpoint is silent' : 'no progress')
-  }
-
-  private _recordHolder (prompt: readonly PromptPart[], { endpoint, isChosenAsPrimary }: ChosenEndpoint): void {
-    const { holders, isFleetLarge } = this._dependencies
-    const key = EndpointSelector.keyOf(prompt)
-    if (key === undefined) return
-    // Every router can compute the primary of a key. To limit traffic, a large fleet announces only contexts that are held by
-    // other endpoints.
-    if (isChosenAsPrimary && isFleetLarge()) holders.learn(key, endpoint.id)
-    else holders.add(key, endpoint.id)
-  }
-
-  /** Finishes the response, or prepares a retry. Returns false if the request is to be sent to another endpoint. */
-  private _finishOrRetry (authorized: AuthorizedRequest, result: CallResult, relay: ResponseRelay): boolean {
-    const { outcome, head } = result
-    const isNotRun = outcome === CallOutcome.NOT_SENT || outcome === CallOutcome.REJECTED
-    if (!isNotRun) this._runs += 1
-    const isFailure = outcome !== CallOutcome.COMPLETE ||
-      (head !== undefined && head.status >= FIRST_SERVER_ERROR_STATUS && !relay.isStarted && authorized.route.kind === RouteKind.IDEMPOTENT)
-    if (isFailure && this._takeRetry(authorized, outcome, relay)) {
-      this._dependencies.metrics.retries.inc({ service: authorized.service, outcome })
-      if (outcome === CallOutcome.COMPLETE) relay.keepBufferedResponse()
-      relay.prepareResumption()
-      return false
-    }
-    if (outcome === CallOutcome.COMPLETE) {
-      relay.finish()
-      return true
-    }
-    if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
-    throw createCallError(result, this._runs)
-  }
-
-  private _takeRetry (authorized: AuthorizedRequest, outcome: CallOutcome, relay: ResponseRelay): boolean {
-    if (this._isCallerDisconnected) return false
-    if (this._hasTakenRetry) {
-      this._hasTakenRetry = false
-      return true
-    }
-    const attempts = { total: this._attempts, runs: this._runs }
-    if (!mayRetry(authorized.route, outcome, attempts, relay.isStarted)) return false
-    return outcome === CallOutcome.NOT_SENT || this._dependencies.retryBudgetOf(authorized.service).take()
-  }
-
-  private _recordHealth (endpointId: string, { outcome }: CallResult): void {
-    const { health, stallWatch } = this._dependencies
-    if (outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
-    if (outcome === CallOutcome.REJECTED) return
-    const isSilent = stallWatch.isSilent(endpointId)
-    if (outcome === CallOutcome.ABORTED && !isSilent) return
-    health.recordFailure(endpointId, isSilent || outcome === CallOutcome.NOT_SENT)
-  }
-
   /** Milliseconds until the caller's deadline or the route's timeout, whichever is earlier, less the response margin. */
   private _timeLeftMs (authorized: AuthorizedRequest): number {
     const limit = Math.min(authorized.caller.deadlineMs ?? Infinity, authorized.route.timeoutMs)
@@ -303,8 +175,7 @@
     if (this._response.writableFinished) return
     this._isCallerDisconnected = true
     this._admissionWait?.abort()
-    // A call that may run at most once continues, because aborting it would not undo its effects.
-    if (this._mayRepeat || this._call?.isSent === false) this._call?.abort('the caller disconnected')
+    this._attempts?.endForCaller()
   }
 
   /** Sends an error response, or aborts a response that has begun. Returns the result code of the request. */
@@ -312,7 +183,7 @@
     const failure = error instanceof MimosarockError
       ? error
       : new MimosarockError(ResultCode.UNEXPECTED_FAILURE, error.message, { cause: error, run: RunState.UNKNOWN })
-    this._problem ??= failure.message
+    this._problem = this._attempts?.problem ?? failure.message
     if (this._isCallerDisconnected || this._response.destroyed) return ResultCode.CALLER_GONE
     if (this._response.headersSent) this._relay?.abortResponse()
     else sendErrorResponse(this._response, failure, this._closesConnection(failure))
@@ -336,14 +207,14 @@
     reportRequest(this._dependencies, {
       requestId: this._requestId,
       authorized,
-      chosen: this._chosen,
+      chosen: this._attempts?.chosen,
       waitedMs: this._waitedMs,
-      attempts: this._attempts,
+      attempts: this._attempts?.count ?? 0,
       status: this._response.headersSent ? this._response.statusCode : 0,
       code,
       firstByteMs: this._firstByteMs,
       elapsedMs: this._dependencies.clock.now() - this._startedAt,
-      problem: this._problem
+      problem: this._problem ?? this._attempts?.problem
     })
   }
 }
