--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -4,6 +4,8 @@
 import { pause } from './pause.js'
 import { peerCallFields } from './peer-call-fields.js'
 import type { FleetSyncOptions } from './fleet-sync-options.js'
+import { isFresh } from './is-fresh.js'
+import { readingDelayMs } from './reading-delay-ms.js'
 import type { RouterTable } from './router-table.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncClient } from './sync-client.js'
@@ -31,11 +33,6 @@
 const MAXIMUM_SOURCE_DISTANCE = 1
 /** Maximum number of routers contacted in one round. A router that finds none of them fresh reads the store itself. */
 const MAXIMUM_PEERS_PER_ROUND = 4
-/** Number of routers that read the store at once when none is fresh, and factor by which more of them do with each step. */
-const FIRST_READERS = 4
-/** Delay of the other routers, and what each step adds to it. */
-const READING_DELAY_MS = 500
-const READING_DELAY_STEP_MS = 500
 /** Number of rounds between two sync requests of a reader. */
 const ROUNDS_PER_READER_SYNC = 4
 /** How long a router that starts waits for an answer of a seed before it serves with what the store holds. */
@@ -46,11 +43,6 @@
 const STALE_BACKOFF_MS = 300
 /** Number of the first routers of the zone order that look for a fresh router outside of their zone. */
 const ZONE_ROUTERS_THAT_LOOK_OUTSIDE = 2
-/** Maximum age of the configuration of a router that is followed. */
-const MAXIMUM_CONFIGURATION_AGE_MS = 3_200
-/** Maximum age of the endpoints of a router that is followed; they are read more often than the configuration. */
-const MAXIMUM_ENDPOINTS_AGE_MS = 1_700
-
 /**
  * Keeps the state of this router up to date by following another one. All routers rank the routers in the same order.
  * The first live router that can read the store is the reader, and the other routers request its state. A router that finds no
@@ -294,20 +286,3 @@
     this._log.info('knowledge-source', { source: 'store' })
   }
 }
-
-/**
- * Returns how long a router of a rank waits, after it last followed a fresh router, until it reads the store itself. Each step lets
- * four times as many routers read.
- * @param rank position of the router in the reader order, starting at 0
- */
-function readingDelayMs (rank: number): number {
-  if (rank < FIRST_READERS) return 0
-  return READING_DELAY_MS + READING_DELAY_STEP_MS * Math.floor(Math.log(rank) / Math.log(FIRST_READERS))
-}
-
-function isFresh (answer: SyncAnswer, maximumDistance: number): boolean {
-  // The source must be closer to the store than this router. Two routers that follow each other would both stop reading
-  // the store.
-  return answer.distance !== null && answer.distance <= maximumDistance && answer.configurationReadAgeMs >= 0 && answer.configurationReadAgeMs < MAXIMUM_CONFIGURATION_AGE_MS &&
-    answer.endpointsAgeMs >= 0 && answer.endpointsAgeMs < MAXIMUM_ENDPOINTS_AGE_MS
-}
