In an outage of the store a few routers go on asking it for as long as it lasts

Only a reader that the store answers announces and saves. Announcements wait 3 s after a start, unless nobody is reached. Announced routers are learned only by a router that knows no other one, since those that have stopped are announced too.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -208,9 +208,7 @@
 
   /** Whether to leave the search for a fresh router to the first routers of the zone, which can be reached. */
   private _waitsForZonePeers (): boolean {
-    if (!this._routers.isLarge || !this._hasMetStale || this._isReadingDue()) return false
-    const zoneRank = this._routers.inZoneOrder().findIndex(({ name }) => name === this._routers.self.name)
-    return zoneRank >= ZONE_ROUTERS_THAT_LOOK_OUTSIDE
+    return this._routers.isLarge && this._hasMetStale && !this._isReadingDue() && !this._isFirstOfZone()
   }
 
   private _readIfDue (): void {
@@ -225,7 +223,12 @@
   private _isReadingDue (): boolean {
     if (!this._hasMetStale || this._isReader) return true
     const rank = this._routers.inReaderOrder().findIndex(({ name }) => name === this._routers.self.name)
-    return this._clock.now() - this._lastFollowedAt >= readingDelayMs(rank)
+    return this._clock.now() - this._lastFollowedAt >= readingDelayMs(rank, this._isFirstOfZone())
+  }
+
+  private _isFirstOfZone (): boolean {
+    const first = this._routers.inZoneOrder().slice(0, ZONE_ROUTERS_THAT_LOOK_OUTSIDE)
+    return first.some(({ name }) => name === this._routers.self.name)
   }
 
   /**
--- a/packages/gateway/src/membership/router-announcer.ts
+++ b/packages/gateway/src/membership/router-announcer.ts
@@ -6,8 +6,10 @@
 
 /** Timeout of one attempt, its two calls together. */
 const CALL_TIMEOUT_MS = 2_000
-/** Interval at which the reader checks for routers to announce; a router that starts finds the reader within it. */
-const CHECK_INTERVAL_MS = 1_000
+/** Interval at which the reader checks for routers to announce. */
+const CHECK_INTERVAL_MS = 500
+/** Time after the start of a router in which it finds the reader, unless it reaches nobody. */
+const SETTLING_MS = 3_000
 /**
  * Age assumed for announcements read from the store, which do not state their time. Announcements of routers that
  * stopped long ago stay there; those routers expire from the router table because no peer reports them.
@@ -26,11 +28,12 @@
   private readonly _log: EventLog
   private _announcedEra: number | undefined
   private _announcedOrder: readonly RouterEntry[] | undefined
+  private _checks = 0
 
   /**
    * @param store store of the platform
    * @param routers router table, which provides the known routers and receives announced ones
-   * @param isReader returns whether this router reads the store for the others
+   * @param isReader returns whether this router reads the store for the others, and the store answers
    * @param log logs announcements and failed attempts
    */
   constructor (store: FleetStore, routers: RouterTable, isReader: () => boolean, log: EventLog) {
@@ -47,10 +50,16 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await pause(CHECK_INTERVAL_MS, signal)
-      if (!signal.aborted && this._isReader() && !this._isAnnounced()) await this._announce(signal)
+      this._checks += 1
+      if (!signal.aborted && this._isDue()) await this._announce(signal)
     }
   }
 
+  private _isDue (): boolean {
+    const hasSettled = this._checks * CHECK_INTERVAL_MS >= SETTLING_MS || this._routers.size === 1
+    return hasSettled && this._isReader() && !this._isAnnounced()
+  }
+
   private _isAnnounced (): boolean {
     return this._announcedOrder === this._routers.inReaderOrder() && this._announcedEra === this._store.era.number
   }
@@ -66,7 +75,7 @@
   private async _announceMissing (signal: AbortSignal): Promise<void> {
     const page = await this._store.routers.read(undefined, 0, signal)
     const announced = new Map(page.changes.map((change) => [change.key, change.value]))
-    if (this._announcedOrder === undefined) this._learn(announced.values())
+    if (this._routers.size === 1) this._learn(announced.values())
     const order = this._routers.inReaderOrder()
     const missing = order.filter(({ name, address }) => announced.get(name)?.address !== address)
     if (missing.length > 0) await this._store.announce(missing, signal)
@@ -75,7 +84,7 @@
     this._log.info('routers-announced', { announced: missing.length, known: order.length, era: page.nextPosition.era })
   }
 
-  /** Later readings add no routers: those that stopped would be taken for live ones again. */
+  /** Only for a router that knows no other one: those that have stopped are announced as well. */
   private _learn (entries: Iterable<RouterEntry | undefined>): void {
     for (const entry of entries) if (entry !== undefined) this._routers.recordContact(entry, ANNOUNCEMENT_AGE_MS)
   }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -187,8 +187,8 @@
     transfer.onAdopted(() => sync.syncSoon())
     sync.onSeedsAsked(() => this._openGateWhenReady())
     const { signal } = this._stopping
-    const holderPersistence = new HolderPersistence({ store, holders: this._fleetState.holders, isSaving: () => sync.isConfirmedReader }, log)
-    const announcer = new RouterAnnouncer(store, routers, () => sync.isConfirmedReader, log)
+    const holderPersistence = new HolderPersistence({ store, holders: this._fleetState.holders, isSaving: () => this._mayWriteToStore() }, log)
+    const announcer = new RouterAnnouncer(store, routers, () => this._mayWriteToStore(), log)
     const tasks = [holderPersistence, configurationFeed, endpointFeed, sync, announcer].map((task) => task.run(signal))
     Promise.all(tasks).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
   }
@@ -282,6 +282,10 @@
     return this._feeds.length > 0 && this._feeds.every((feed) => feed.isUpToDate)
   }
 
+  private _mayWriteToStore (): boolean {
+    return this._sync?.isConfirmedReader === true && this._readsStore()
+  }
+
   private _openGateWhenReady (): void {
     const { configuration, endpointsFreshness } = this._fleetState
     if (this._startupGate.isOpen || this._sync?.hasAskedSeeds !== true) return
