Groups of routers that do not know each other find each other by their announcements again

Change: the first announcement of a reader is followed by a reading, from which all announced routers are learned. Test: router-announcer_test, two groups at the same time, failing before.

--- a/packages/gateway/src/membership/router-announcer.ts
+++ b/packages/gateway/src/membership/router-announcer.ts
@@ -9,7 +9,7 @@
 /** Interval at which the reader checks for routers to announce. */
 const CHECK_INTERVAL_MS = 500
 /** Time after the start of a router in which it finds the reader, unless it reaches nobody. */
-const SETTLING_MS = 3_000
+const SETTLING_MS = 1_500
 /**
  * Age assumed for announcements read from the store, which do not state their time. Announcements of routers that
  * stopped long ago stay there; those routers expire from the router table because no peer reports them.
@@ -74,18 +74,23 @@
 
   private async _announceMissing (signal: AbortSignal): Promise<void> {
     const page = await this._store.routers.read(undefined, 0, signal)
-    const announced = new Map(page.changes.map((change) => [change.key, change.value]))
-    if (this._routers.size === 1) this._learn(announced.values())
+    const announced = new Map(page.changes.map((change) => [change.key, change.value?.address]))
     const order = this._routers.inReaderOrder()
-    const missing = order.filter(({ name, address }) => announced.get(name)?.address !== address)
+    const missing = order.filter(({ name, address }) => announced.get(name) !== address)
     if (missing.length > 0) await this._store.announce(missing, signal)
+    if (this._announcedOrder === undefined) await this._learnAnnounced(signal)
     this._announcedEra = page.nextPosition.era
     this._announcedOrder = order
     this._log.info('routers-announced', { announced: missing.length, known: order.length, era: page.nextPosition.era })
   }
 
-  /** Only for a router that knows no other one: those that have stopped are announced as well. */
-  private _learn (entries: Iterable<RouterEntry | undefined>): void {
-    for (const entry of entries) if (entry !== undefined) this._routers.recordContact(entry, ANNOUNCEMENT_AGE_MS)
+  /**
+   * Learns the announced routers, once. It is read after this router's own announcement: of two groups of routers that do not know
+   * each other, the one that reads later finds the other one. Later readings add no routers, since those that have stopped are
+   * announced as well.
+   */
+  private async _learnAnnounced (signal: AbortSignal): Promise<void> {
+    const page = await this._store.routers.read(undefined, 0, signal)
+    for (const change of page.changes) if (change.value !== undefined) this._routers.recordContact(change.value, ANNOUNCEMENT_AGE_MS)
   }
 }
--- a/packages/gateway/src/test/router-announcer_test.ts
+++ b/packages/gateway/src/test/router-announcer_test.ts
@@ -1,6 +1,7 @@
 import { expect, test, vi } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { RouterAnnouncer } from '@mimosarock/gateway/membership/router-announcer.js'
+import type { RouterEntry } from '@mimosarock/gateway/model/router-entry.js'
 import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
 import { MemoryStore } from './memory-store.js'
 
@@ -57,3 +58,17 @@
   abortController.abort()
   await running
 })
+
+test('two groups of routers that do not know each other, whose readers announce at the same time, find each other', async () => {
+  const store = new MemoryStore()
+  const abortController = new AbortController()
+  const groups = [['a', 'b'], ['c', 'd']].map((names) => {
+    const [self, ...others] = names.map((name) => ({ name, availabilityZone: 'z', address: `${name}:1` }))
+    const routers = new RouterTable(self as RouterEntry, { now: () => performance.now() })
+    for (const entry of others) routers.recordContact(entry, 0)
+    return { routers, running: new RouterAnnouncer(store, routers, () => true, new SilentEventLog()).run(abortController.signal) }
+  })
+  await vi.waitUntil(() => groups.some(({ routers }) => routers.size === 4), { timeout: 10_000 })
+  abortController.abort()
+  await Promise.all(groups.map(({ running }) => running))
+})
