--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -31,7 +31,7 @@
  * and the store.
  */
 const MAXIMUM_SOURCE_DISTANCE = 1
-/** Maximum number of routers contacted in one round. A router that finds none of them fresh reads the store itself. */
+/** Maximum number of routers contacted in one round. */
 const MAXIMUM_PEERS_PER_ROUND = 4
 /** Number of rounds between two sync requests of a reader. */
 const ROUNDS_PER_READER_SYNC = 4
@@ -43,10 +43,11 @@
 const STALE_BACKOFF_MS = 300
 /** Number of the first routers of the zone order that look for a fresh router outside of their zone. */
 const ZONE_ROUTERS_THAT_LOOK_OUTSIDE = 2
+
 /**
  * Keeps the state of this router up to date by following another one. All routers rank the routers in the same order.
  * The first live router that can read the store is the reader, and the other routers request its state. A router that finds no
- * fresh router ahead of itself becomes the reader. In a large fleet only the first router of each availability zone
+ * fresh router ahead of itself becomes the reader, after a delay if it finds only stale ones (`readingDelayMs`). In a large fleet only the first router of each availability zone
  * follows the reader, and the other routers of the zone follow that one.
  */
 export class FleetSync {
--- a/packages/gateway/src/model/store-era.ts
+++ b/packages/gateway/src/model/store-era.ts
@@ -21,7 +21,8 @@
   private readonly _listeners: (() => void)[] = []
   private _number: number | undefined
   private _changedAt = -Infinity
-  private _hasMissed = false
+  /** Whether the store has given answers without its era, from which something may have been derived. */
+  private _hasAnsweredWithout = false
 
   /**
    * @param clock clock for the settling time
@@ -71,14 +72,14 @@
    * @param era era of the store
    */
   observe (era: number): void {
-    const isFirst = this._number === undefined && !this._hasMissed
+    const isFirst = this._number === undefined && !this._hasAnsweredWithout
     if (isFirst) this._number = era
     else if (this._number === undefined || era > this._number) this._change(era, this._clock.now(), 'store')
   }
 
   /** Records that the store gave an answer without its era, so that the first era it states may be a newer one. */
   observeMissing (): void {
-    this._hasMissed = true
+    this._hasAnsweredWithout = true
   }
 
   /**
