--- a/packages/gateway/src/membership/router-announcer.ts
+++ b/packages/gateway/src/membership/router-announcer.ts
@@ -4,7 +4,7 @@
 import { pause } from './pause.js'
 import type { RouterTable } from './router-table.js'
 
-/** Timeout of one attempt, its two calls together. */
+/** Timeout of one attempt, its calls together. */
 const CALL_TIMEOUT_MS = 2_000
 /** Interval at which the reader checks for routers to announce. */
 const CHECK_INTERVAL_MS = 500
