--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -12,6 +12,7 @@
 import { createDeadlineError } from './create-deadline-error.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
 import type { EndpointAttemptsOptions } from './endpoint-attempts-options.js'
+import { reportCallFailure } from './report-call-failure.js'
 import type { RequestDependencies } from './request-dependencies.js'
 
 /** Minimum time left to call an endpoint; no response arrives in less. */
@@ -72,7 +73,7 @@
       this._chosen = chosen
       excluded.add(chosen.endpoint.id)
       const result = await this._callEndpoint(chosen)
-      if (result.outcome !== CallOutcome.COMPLETE) this._problem = `${result.outcome}: ${result.problem}`
+      if (result.outcome !== CallOutcome.COMPLETE) this._reportFailure(chosen, result)
       if (this._finishOrRetry(result)) return
     }
   }
@@ -113,6 +114,12 @@
     return result
   }
 
+  private _reportFailure (chosen: ChosenEndpoint, result: CallResult): void {
+    const { authorized: { caller, service, route }, relay } = this._options
+    this._problem = `${result.outcome}: ${result.problem}`
+    reportCallFailure(this._dependencies, { requestId: caller.id, route: route.name, service, prompt: caller.prompt, chosen, result, hasBegun: relay.isStarted })
+  }
+
   /** Gives up a call that makes no progress, if the request can go on elsewhere. Otherwise waiting is all that is left. */
   private _giveUpIfRetriable (call: EndpointCall, isEndpointSilent: boolean): void {
     const { authorized: { route, service }, relay } = this._options
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -23,6 +23,14 @@
     registers: [this.registry]
   })
 
+  /** Calls to endpoints without a complete response, by service, outcome and whether the response had begun. */
+  readonly callFailures = new Counter({
+    name: 'mimosarock_endpoint_call_failures_total',
+    help: 'Calls to endpoints that ended without a complete answer, by service, outcome and whether the answer had begun.',
+    labelNames: ['service', 'outcome', 'begun'],
+    registers: [this.registry]
+  })
+
   /** Time from the request head to the first byte of the response. */
   readonly firstByteSeconds = new Histogram({
     name: 'mimosarock_first_byte_seconds',
