--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -4,6 +4,7 @@
 import { Gateway } from '@mimosarock/gateway/wiring/gateway.js'
 import type { CallerResponse } from './caller-response.js'
 import { createConfiguration } from './create-configuration.js'
+import type { GatewayFixtureOptions } from './gateway-fixture-options.js'
 import { MemoryStore } from './memory-store.js'
 import { plainCodec } from './plain-codec.js'
 import { TestEndpoint } from './test-endpoint.js'
@@ -18,36 +19,39 @@
 
 /** Router with test endpoints whose behavior each test sets. */
 export class GatewayFixture {
-  readonly store = new MemoryStore()
+  readonly store: MemoryStore
   readonly endpoints: TestEndpoint[]
   readonly lines: { readonly event: string, readonly fields: Readonly<Record<string, unknown>> }[] = []
   readonly clock = { skewMs: 0, now (): number { return performance.now() + 1_000_000 + this.skewMs } }
   private _gateway: Gateway | undefined
   private readonly _stopGraceMs: number
+  private readonly _options: GatewayFixtureOptions
   private _settings: GatewaySettings | undefined
   private _port = 0
   private _readinessPort = 0
 
-  constructor (endpoints: number, stopGraceMs = 1_000) {
+  constructor (endpoints: number, stopGraceMs = 1_000, options: GatewayFixtureOptions = {}) {
     this._stopGraceMs = stopGraceMs
+    this._options = options
+    this.store = options.store ?? new MemoryStore()
     this.endpoints = Array.from({ length: endpoints }, (_, index) => new TestEndpoint(`e${index}`))
   }
 
   async start (): Promise<void> {
     for (const endpoint of this.endpoints) this.store.endpoints.put(endpoint.id, await endpoint.start())
-    this.store.configurations.put('config', createConfiguration(3))
+    if (this._options.store === undefined) this.store.configurations.put('config', createConfiguration(3))
     const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()]
     this._port = callers
     this._readinessPort = readiness
     const record = (event: string, fields: Readonly<Record<string, unknown>> = {}): void => { this.lines.push({ event, fields }) }
     this._settings = {
-      name: 'vm',
+      name: this._options.name ?? 'vm',
       availabilityZone: 'z',
       callers: `127.0.0.1:${callers}`,
       readiness: `127.0.0.1:${readiness}`,
       peers: `127.0.0.1:${peers}`,
       metrics: undefined,
-      seeds: [],
+      seeds: this._options.seeds?.() ?? [],
       store: '',
       fileDescriptors: 4_000,
       stopGraceMs: this._stopGraceMs,
@@ -80,6 +84,11 @@
     for (const endpoint of this.endpoints) endpoint.close()
   }
 
+  /** Address for other routers. */
+  get peers (): string {
+    return this._settings?.peers ?? ''
+  }
+
   /** Port for callers. */
   get port (): number {
     return this._port
--- a/packages/gateway/src/test/plain-codec.ts
+++ b/packages/gateway/src/test/plain-codec.ts
@@ -26,6 +26,8 @@
   writeDispatchHeaders (rawHeaders: readonly string[], dispatch: DispatchHeaders): string[] {
     const id = rawHeaders[rawHeaders.findIndex((name) => name.toLowerCase() === 'request-id') + 1] as string
     const headers = ['request-id', id, 'endpoint', dispatch.endpointId, 'deadline', String(dispatch.deadlineMs)]
+    const prompt = rawHeaders.findIndex((name) => name.toLowerCase() === 'prompt')
+    if (prompt >= 0) headers.push('prompt', rawHeaders[prompt + 1] as string)
     if (dispatch.workspace !== undefined) headers.push('workspace', dispatch.workspace)
     headers.push('priority', String(dispatch.priority))
     if (dispatch.contextHolder !== undefined) headers.push('copy-from', dispatch.contextHolder)
--- a/packages/gateway/src/test/test-endpoint.ts
+++ b/packages/gateway/src/test/test-endpoint.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
 import type { EndpointBehavior } from './endpoint-behavior.js'
 
@@ -11,6 +11,9 @@
   /** Number of responses whose connection closed before they were complete. */
   closedEarly = 0
   private readonly _server: Server
+  private readonly _sockets = new Set<Socket>()
+  private _port = 0
+  private _starts = 0
 
   constructor (id: string) {
     this.id = id
@@ -24,6 +27,10 @@
       })
       response.on('close', () => { if (!response.writableFinished) this.closedEarly += 1 })
     })
+    this._server.on('connection', (socket) => {
+      this._sockets.add(socket)
+      socket.on('close', () => this._sockets.delete(socket))
+    })
   }
 
   /** Responds with a body, the signature of an endpoint and the request id. */
@@ -37,8 +44,10 @@
   }
 
   async start (changes: Partial<EndpointEntry> = {}): Promise<EndpointEntry> {
-    await new Promise<void>((resolve) => this._server.listen(0, '127.0.0.1', resolve))
+    await new Promise<void>((resolve) => this._server.listen(this._port, '127.0.0.1', resolve))
     const { port } = this._server.address() as AddressInfo
+    this._port = port
+    this._starts += 1
     return {
       id: this.id,
       service: 'app',
@@ -46,12 +55,23 @@
       availabilityZone: 'z',
       slots: 4,
       isDraining: false,
-      startedAt: 1,
+      startedAt: this._starts,
       revision: 0,
       ...changes
     }
   }
 
+  /** Whether the endpoint accepts connections. */
+  get isRunning (): boolean {
+    return this._server.listening
+  }
+
+  /** Ends as a process does that crashes: nothing listens any more, and all connections are reset. Can be started again. */
+  crash (): void {
+    this._server.close()
+    for (const socket of this._sockets) socket.resetAndDestroy()
+  }
+
   close (): void {
     this._server.closeAllConnections()
     this._server.close()
