--- a/packages/gateway/src/choice/holder-table.ts
+++ b/packages/gateway/src/choice/holder-table.ts
@@ -1,4 +1,5 @@
-import type { HolderChanges } from './holder-changes.js'
+import { ChangeLog } from '../membership/change-log.js'
+import type { LoggedChanges } from '../membership/logged-changes.js'
 import type { HolderNote } from './holder-note.js'
 
 /** Maximum number of keys; at about 150 bytes each they take 30 MB. */
@@ -6,15 +7,6 @@
 /** Maximum number of holders per key; additional copies of a context have no benefit. */
 const MAXIMUM_HOLDERS = 8
 
-/** Maximum length of the change log from which other routers synchronize. */
-const MAXIMUM_LOGGED_CHANGES = 8_192
-
-/** Entry of the change log. */
-interface LoggedChange extends HolderNote {
-  /** Whether the change came from the upstream router, to which it need not be sent back. */
-  readonly isFromUpstream: boolean
-}
-
 /**
  * Endpoints that hold the cached context of each key, with a log of changes for other routers.
  *
@@ -24,12 +16,11 @@
  */
 export class HolderTable {
   private readonly _holders = new Map<string, string[]>()
-  private readonly _changes: LoggedChange[] = []
-  private _firstPosition = 0
+  private readonly _changes = new ChangeLog<HolderNote>()
 
   /** Position after the latest change, from which the next reading of changes continues. */
   get cursor (): number {
-    return this._firstPosition + this._changes.length
+    return this._changes.cursor
   }
 
   /**
@@ -50,7 +41,7 @@
    * @param endpointId id of the holder
    */
   add (key: string, endpointId: string): void {
-    if (this.learn(key, endpointId)) this._append({ key, endpointId, isFromUpstream: false })
+    if (this.learn(key, endpointId)) this._changes.append({ key, endpointId }, false)
   }
 
   /**
@@ -59,7 +50,7 @@
    * @param endpointId id of the holder
    */
   relay (key: string, endpointId: string): void {
-    if (this.learn(key, endpointId)) this._append({ key, endpointId, isFromUpstream: true })
+    if (this.learn(key, endpointId)) this._changes.append({ key, endpointId }, true)
   }
 
   /**
@@ -95,15 +86,8 @@
    * @param cursor position after the previous reading; 0 for all changes that are still in the log
    * @param maximum maximum number of changes
    */
-  notesSince (cursor: number, maximum: number): HolderChanges {
-    const from = Math.max(0, cursor - this._firstPosition)
-    const changes = this._changes.slice(from, from + maximum)
-    const toNote = ({ key, endpointId }: HolderNote): HolderNote => ({ key, endpointId })
-    return {
-      notes: changes.map(toNote),
-      notesForUpstream: changes.filter((change) => !change.isFromUpstream).map(toNote),
-      cursor: Math.max(cursor, this._firstPosition) + changes.length
-    }
+  notesSince (cursor: number, maximum: number): LoggedChanges<HolderNote> {
+    return this._changes.since(cursor, maximum)
   }
 
   /**
@@ -115,11 +99,4 @@
     const entries = [...this._holders].slice(-maximum)
     return entries.flatMap(([key, holders]) => [...holders].reverse().map((endpointId) => ({ key, endpointId })))
   }
-
-  private _append (change: LoggedChange): void {
-    this._changes.push(change)
-    if (this._changes.length <= MAXIMUM_LOGGED_CHANGES) return
-    this._changes.splice(0, MAXIMUM_LOGGED_CHANGES / 2)
-    this._firstPosition += MAXIMUM_LOGGED_CHANGES / 2
-  }
 }
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -77,7 +77,7 @@
       configurationVersion: configuration.version,
       endpointsRevision: this._mirrors.get(address)?.revision,
       load: reportsLoad ? loads.localLoadsWith(followers) : {},
-      notes: holderChanges.notesForUpstream,
+      notes: holderChanges.changesForUpstream,
       notesCursor: this._receivedCursors.get(address)
     })
     this._sentCursors.set(address, holderChanges.cursor)
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -60,7 +60,7 @@
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
       endpointsAgeMs: this._ageMs(this._state.endpointsFreshness.verifiedAt),
       load: this._loadSnapshot.without(request.router.name),
-      notes: holderChanges.notes,
+      notes: holderChanges.changes,
       notesCursor: `${this._instance}:${holderChanges.cursor}`,
       routers: request.routers === undefined && request.routerCount >= routers.size ? undefined : routers.contacts()
     }
