Prompt parts on which endpoints crash are quarantined on all routers

What callers saw: from the first request with such a part on, engine after engine ended (18 to 26 in 22 s); 170 of 871 sound callers of the same route failed.

Cause: placement has no memory of what an endpoint had in work when it ended. Each router treats the loss as a failure of the endpoint and gives the next request with the same part, or on resumable routes the same request, to a sound one. Class: a query of death, that is a failure that travels with the request, answered by failing over.

Change: a router that loses a call before it was answered checks whether the endpoint refuses connections; if so it tells all routers the shared parts of such calls. A part with three crashes at different moments and no answer since is quarantined: of those in the same crashes the one that was never answered, else the most specific. Requests with it are refused at once as not run, with the time to come back. After a minute one router after the other may try one; a crash doubles the time, an answer ends it. A request that lost two endpoints is not sent to a third.

--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -10,6 +10,7 @@
 import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
+import { PromptQuarantine } from '@mimosarock/gateway/quarantine/prompt-quarantine.js'
 import { fitSlope } from '../capacity/fit-slope.js'
 import { retainedBytes } from '../capacity/retained-bytes.js'
 import { measureShortestUs } from '../capacity/measure-shortest-us.js'
@@ -62,7 +63,8 @@
     endpointsFreshness: { verifiedAt: clock.now() },
     routers: new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, clock),
     holders: new HolderTable(),
-    loads: new LoadView(() => clock.now())
+    loads: new LoadView(() => clock.now()),
+    quarantine: new PromptQuarantine({ clock, log, rank: () => 0 })
   }
 }
 
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -14,12 +14,15 @@
 import type { EndpointAttemptsOptions } from './endpoint-attempts-options.js'
 import { reportCallFailure } from './report-call-failure.js'
 import type { RequestDependencies } from './request-dependencies.js'
+import { requireNotQuarantined } from './require-not-quarantined.js'
 
 /** Minimum time left to call an endpoint; no response arrives in less. */
 const MINIMUM_CALL_MS = 5
 /** Minimum time left for which a call without progress is given up. */
 const MINIMUM_RETRY_MS = 250
 const FIRST_SERVER_ERROR_STATUS = 500
+/** Number of endpoints that a request may have lost its connection to before they answered; it may be what ends them. */
+const MAXIMUM_LOSSES_BEFORE_ANSWER = 2
 
 /** Sends one request to endpoints, as often as its route and the retry budget allow, and relays the response. */
 export class EndpointAttempts {
@@ -32,6 +35,7 @@
   private _problem: string | undefined
   private _attempts = 0
   private _runs = 0
+  private _lossesBeforeAnswer = 0
   private _hasTakenRetry = false
 
   /**
@@ -68,6 +72,7 @@
     for (;;) {
       if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
       if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
+      requireNotQuarantined(this._dependencies.quarantine, authorized.caller.prompt, this._runs)
       const chosen = this._dependencies.endpointSelector.choose(authorized.service, authorized.caller.prompt, excluded)
       if (chosen === undefined) throw createNoEndpointError(this._runs)
       this._chosen = chosen
@@ -97,6 +102,7 @@
     this._attempts += 1
     this._recordHolder(caller.prompt, chosen)
     this._dependencies.loads.begin(endpoint.id)
+    this._dependencies.quarantine.beginCall(caller.prompt)
     this._mayRepeat = route.kind !== RouteKind.ONCE
     call.send(this._dependencies.connections.pool(endpoint, this._mayRepeat, this._dependencies.maximumConnectionsOf(service)))
     const watched = {
@@ -110,7 +116,9 @@
     const result = await call.result
     this._dependencies.stallWatch.remove(watched)
     this._dependencies.loads.end(endpoint.id)
+    this._dependencies.quarantine.endCall(caller.prompt)
     this._recordHealth(endpoint.id, result)
+    if (result.isConnectionLost && !relay.isStarted) this._recordLossBeforeAnswer(chosen)
     return result
   }
 
@@ -170,11 +178,17 @@
       this._hasTakenRetry = false
       return true
     }
+    if (this._lossesBeforeAnswer >= MAXIMUM_LOSSES_BEFORE_ANSWER) return false
     const attempts = { total: this._attempts, runs: this._runs }
     if (!mayRetry(authorized.route, outcome, attempts, relay.isStarted)) return false
     return outcome === CallOutcome.NOT_SENT || this._dependencies.retryBudgetOf(authorized.service).take()
   }
 
+  private _recordLossBeforeAnswer ({ endpoint }: ChosenEndpoint): void {
+    this._lossesBeforeAnswer += 1
+    this._dependencies.crashDetector.connectionLost(endpoint, this._options.authorized.caller.prompt)
+  }
+
   private _recordHealth (endpointId: string, { outcome }: CallResult): void {
     const { health, stallWatch } = this._dependencies
     if (outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -8,6 +8,8 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { WireCodec } from '../model/wire-codec.js'
 import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
+import type { CrashDetector } from '../quarantine/crash-detector.js'
+import type { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
 import type { StallWatch } from '../sending/stall-watch.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
@@ -37,6 +39,10 @@
   readonly holders: HolderTable
   /** Requests in flight at each endpoint. */
   readonly loads: LoadView
+  /** Prompt parts that crash endpoints. */
+  readonly quarantine: PromptQuarantine
+  /** Notices crashes of endpoints. */
+  readonly crashDetector: CrashDetector
   /** Watches calls to endpoints for a lack of progress. */
   readonly stallWatch: StallWatch
   /** Connection pools of the endpoints. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -14,6 +14,7 @@
 import { readRequestBody } from './read-request-body.js'
 import { reportRequest } from './report-request.js'
 import type { RequestDependencies } from './request-dependencies.js'
+import { requireNotQuarantined } from './require-not-quarantined.js'
 
 /** Maximum body length if the configuration sets none. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 4_194_304
@@ -67,6 +68,7 @@
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = this._authorize()
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
+      requireNotQuarantined(this._dependencies.quarantine, authorized.caller.prompt, 0)
       admission = await this._waitForAdmission(authorized)
       this._authorizeAgainAfterDelay()
       await this._serve(authorized, body)
@@ -143,7 +145,10 @@
       isStream: route.kind === RouteKind.STREAM,
       isResumable: route.kind === RouteKind.STREAM && route.isResumable,
       closesConnection: () => this._dependencies.state.isStopping,
-      onStart: () => this._observeFirstByte(route.name)
+      onStart: () => {
+        this._observeFirstByte(route.name)
+        this._dependencies.quarantine.recordAnswer(authorized.caller.prompt)
+      }
     })
     this._relay = relay
     const attempts = new EndpointAttempts(this._dependencies, {
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -2,6 +2,7 @@
 import type { LoadView } from '../choice/load-view.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
 import type { StoreEra } from '../model/store-era.js'
+import type { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
 import type { EndpointTable } from './endpoint-table.js'
 import type { Freshness } from './freshness.js'
 import type { RouterTable } from './router-table.js'
@@ -20,6 +21,8 @@
   readonly routers: RouterTable
   /** Endpoints that hold the cached context of each key. */
   readonly holders: HolderTable
+  /** Prompt parts that crash endpoints. */
+  readonly quarantine: PromptQuarantine
   /** Requests in flight per endpoint. */
   readonly loads: LoadView
 }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -2,6 +2,7 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { EraNews } from '../model/era-news.js'
 import type { ConfigurationPatch } from '../configuration/configuration-patch.js'
+import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import type { EndpointChange } from './endpoint-change.js'
 import type { RouterContact } from './router-contact.js'
 
@@ -50,6 +51,10 @@
   readonly notes: readonly HolderNote[]
   /** The requester's new position in the notes, as `instance:number`. */
   readonly notesCursor: string
+  /** News about suspect prompt parts; undefined for none. */
+  readonly quarantine?: QuarantineNotes | undefined
+  /** The requester's new position in such news, as `instance:number`. */
+  readonly quarantineCursor?: string | undefined
   /**
    * Routers known to the answering router; undefined if the request lists none and its sender knows as many, which holds for most
    * requests.
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -3,6 +3,7 @@
 import { decodeLoads } from './decode-loads.js'
 import { EndpointMirror } from './endpoint-mirror.js'
 import type { FleetState } from './fleet-state.js'
+import { QuarantineExchange } from './quarantine-exchange.js'
 import type { RouterContact } from './router-contact.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncCall } from './sync-call.js'
@@ -36,6 +37,7 @@
   /** Last applied endpoint revision of another router, and the revision of this router's endpoints afterwards. */
   private _appliedRevision: string | undefined
   private _localRevisionAfterApply = -1
+  private readonly _quarantineExchange: QuarantineExchange
   private _isAwaitingSource = false
 
   /**
@@ -47,6 +49,7 @@
    */
   constructor (state: FleetState, clock: ElapsedClock, call: SyncCall, transfer: ConfigurationTransfer, onAnswer: () => void) {
     this._state = state
+    this._quarantineExchange = new QuarantineExchange(state.quarantine)
     this._clock = clock
     this._call = call
     this._transfer = transfer
@@ -68,6 +71,7 @@
     const { configuration, holders, loads, routers } = this._state
     const sentCursor = this._sentCursors.get(address) ?? 0
     const holderChanges = holders.notesSince(sentCursor, MAXIMUM_NOTES)
+    const quarantineNews = this._quarantineExchange.prepareRequest(address)
     const sentAt = this._clock.now()
     const answer = await this._call(address, {
       router: routers.self,
@@ -78,8 +82,11 @@
       endpointsRevision: this._mirrors.get(address)?.revision,
       load: reportsLoad ? loads.localLoadsWith(followers) : {},
       notes: holderChanges.changesForUpstream,
-      notesCursor: this._receivedCursors.get(address)
+      notesCursor: this._receivedCursors.get(address),
+      ...quarantineNews.fields
     })
+    quarantineNews.confirm()
+    this._quarantineExchange.applyAnswer(address, answer, reportsLoad)
     this._sentCursors.set(address, holderChanges.cursor)
     this._applyAnswer(address, answer, sentAt)
     this._onAnswer()
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -2,6 +2,7 @@
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
 import type { EraNews } from '../model/era-news.js'
 import type { RouterEntry } from '../model/router-entry.js'
+import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import type { RouterContact } from './router-contact.js'
 
 /** Sync request of a router to another one. */
@@ -22,6 +23,10 @@
   readonly load: LoadByEndpoint
   /** Keys whose context an endpoint has newly cached since the last request. */
   readonly notes: readonly HolderNote[]
+  /** News about suspect prompt parts since the last request; undefined for none. */
+  readonly quarantine?: QuarantineNotes | undefined
+  /** The requester's position in such news of the answering router, as `instance:number`. */
+  readonly quarantineCursor?: string | undefined
   /** The requester's position in the notes of the answering router, as `instance:number`. */
   readonly notesCursor: string | undefined
 }
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -1,3 +1,4 @@
+import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import { ConfigurationUpdates } from './configuration-updates.js'
 import type { ConfigurationUpdate } from './configuration-update.js'
 import type { FleetState } from './fleet-state.js'
@@ -9,6 +10,8 @@
 
 /** Maximum number of holder notes in one answer; the remaining ones follow in the next answer. */
 const MAXIMUM_NOTES = 1_000
+/** Maximum number of changes concerning suspect prompt parts in one answer; the remaining ones follow in the next answer. */
+const MAXIMUM_QUARANTINE_CHANGES = 500
 
 /** Answers sync requests of other routers. */
 export class SyncServer {
@@ -41,7 +44,7 @@
    * @param request request of the other router
    */
   answer (request: SyncRequest): SyncAnswer {
-    const { configuration, endpoints, routers, holders, loads } = this._state
+    const { configuration, endpoints, routers, holders, loads, quarantine } = this._state
     this._state.storeEra.learn(request.storeEra, request.router.name)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
@@ -49,6 +52,8 @@
     loads.report(request.router.name, request.load)
     const holderChanges = holders.notesSince(this._positionIn(request.notesCursor), MAXIMUM_NOTES)
     for (const note of request.notes) holders.add(note.key, note.endpointId)
+    const quarantineChanges = quarantine.notesSince(this._positionIn(request.quarantineCursor), MAXIMUM_QUARANTINE_CHANGES)
+    if (request.quarantine !== undefined) quarantine.apply(request.quarantine, false)
     return {
       name: routers.self.name,
       storeEra: this._state.storeEra.news,
@@ -62,6 +67,8 @@
       load: this._loadSnapshot.without(request.router.name),
       notes: holderChanges.changes,
       notesCursor: `${this._instance}:${holderChanges.cursor}`,
+      quarantine: isEmpty(quarantineChanges.notes) ? undefined : quarantineChanges.notes,
+      quarantineCursor: `${this._instance}:${quarantineChanges.cursor}`,
       routers: request.routers === undefined && request.routerCount >= routers.size ? undefined : routers.contacts()
     }
   }
@@ -119,3 +126,7 @@
     return instance === this._instance ? Number(position) : 0
   }
 }
+
+function isEmpty ({ crashes, clearances }: QuarantineNotes): boolean {
+  return crashes.length === 0 && clearances.length === 0
+}
--- /dev/null
+++ b/packages/gateway/src/quarantine/part-record.ts
@@ -0,0 +1,128 @@
+import type { SuspectPart } from './suspect-part.js'
+
+/** Number of crashes, without an answer since the first of them, from which a part can be the culprit. */
+const CULPRIT_CRASHES = 3
+/** Minimum time between two crashes that are counted; endpoints that are lost at one moment have one cause, which need not be a request. */
+const EPISODE_MS = 250
+/** Age above which a crash is no longer counted for a part that is not quarantined. */
+const CRASH_RETENTION_MS = 300_000
+/** Duration of the first quarantine of a part; it doubles each time the part crashes an endpoint again. */
+const INITIAL_QUARANTINE_MS = 60_000
+const MAXIMUM_QUARANTINE_MS = 3_600_000
+
+/** Crashes of endpoints that had not begun to answer a request with one prompt part, since a request with the part was last answered. */
+export class PartRecord {
+  readonly id: string
+  readonly depth: number
+  private readonly _crashes = new Map<string, number>()
+  private _quarantineCount = 0
+  private _quarantinedAt = -Infinity
+  /** Calls in progress with this part while it is on trial. */
+  trials = 0
+  /** Whether requests with this part were answered before the crashes, as far as any router remembers. */
+  wasAnswered = false
+
+  /**
+   * @param part the part
+   */
+  constructor ({ id, depth }: SuspectPart) {
+    this.id = id
+    this.depth = depth
+  }
+
+  /** Whether the part has been quarantined, even if the time of it is over. */
+  get isQuarantined (): boolean {
+    return this._quarantineCount > 0
+  }
+
+  /** End of the quarantine, by the clock of the crash times; -Infinity if the part has not been quarantined. */
+  get quarantineEnd (): number {
+    if (!this.isQuarantined) return -Infinity
+    return this._quarantinedAt + Math.min(MAXIMUM_QUARANTINE_MS, INITIAL_QUARANTINE_MS * 2 ** (this._quarantineCount - 1))
+  }
+
+  /** Ids and times of the crashes. */
+  get crashes (): ReadonlyMap<string, number> {
+    return this._crashes
+  }
+
+  /**
+   * Whether a crash is known.
+   * @param crashId id of the crash
+   */
+  has (crashId: string): boolean {
+    return this._crashes.has(crashId)
+  }
+
+  /**
+   * Adds a crash. One after the end of a quarantine renews it.
+   * @param crashId id of the crash
+   * @param at time of the crash
+   */
+  add (crashId: string, at: number): void {
+    this._crashes.set(crashId, at)
+    if (this.isQuarantined && at >= this.quarantineEnd) this.quarantine(at)
+  }
+
+  /**
+   * Starts a quarantine.
+   * @param at time of the crash that caused it
+   */
+  quarantine (at: number): void {
+    this._quarantineCount += 1
+    this._quarantinedAt = at
+  }
+
+  /**
+   * Drops the crashes before an answer to a request with this part, and ends its quarantine if that is based on one of them.
+   * @param at time of the answer
+   * @returns whether the record has changed
+   */
+  clear (at: number): boolean {
+    const count = this._crashes.size
+    for (const [crashId, crashedAt] of this._crashes) if (crashedAt <= at) this._crashes.delete(crashId)
+    if (this._crashes.size === count) return false
+    this._quarantineCount = 0
+    return true
+  }
+
+  /**
+   * Whether this part alone can be the cause of several crashes.
+   * @param isExplained returns whether a crash has a known cause already
+   */
+  isCulpritWithout (isExplained: (crashId: string) => boolean): boolean {
+    const times = [...this._crashes].filter(([crashId]) => !isExplained(crashId)).map(([, at]) => at)
+    return countEpisodes(times) >= CULPRIT_CRASHES
+  }
+
+  /**
+   * Whether the crashes of this part are so many more than those of another one that both have a cause in this part.
+   * @param other part that occurs in the same prompts
+   */
+  outweighs (other: PartRecord): boolean {
+    return this._crashes.size >= other._crashes.size + CULPRIT_CRASHES
+  }
+
+  /**
+   * Drops crashes that are too old to be counted.
+   * @param now current time
+   * @returns whether none is left
+   */
+  expire (now: number): boolean {
+    if (this.isQuarantined) return now >= this.quarantineEnd + MAXIMUM_QUARANTINE_MS
+    for (const [crashId, at] of this._crashes) if (now - at > CRASH_RETENTION_MS) this._crashes.delete(crashId)
+    return this._crashes.size === 0
+  }
+}
+
+// Counts times that are apart from each other.
+function countEpisodes (times: readonly number[]): number {
+  let count = 0
+  let last = -Infinity
+  for (const at of [...times].sort((left, right) => left - right)) {
+    if (at - last < EPISODE_MS) continue
+    count += 1
+    last = at
+  }
+  return count
+}
--- a/packages/gateway/src/sending/call-result.ts
+++ b/packages/gateway/src/sending/call-result.ts
@@ -7,6 +7,8 @@
   readonly outcome: CallOutcome
   /** Head of the response; undefined if none arrived. */
   readonly head: ResponseHead | undefined
+  /** Whether the call failed because its connection did, after it was sent. */
+  readonly isConnectionLost: boolean
   /** Description of the failure, for the log; undefined after a complete response. */
   readonly problem: string | undefined
 }
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -25,6 +25,7 @@
   private _isEnded = false
   private _receivedParts = 0
   private _isPaused = false
+  private _isConnectionLost = false
   private _discardTimer: NodeJS.Timeout | undefined
 
   /** Resolves when the call has ended; never rejects. */
@@ -149,6 +150,7 @@
     clearTimeout(this._discardTimer)
     const problem = (error as NodeJS.ErrnoException).code ?? error.message
     if (!this.isSent) return this._end(CallOutcome.NOT_SENT, problem)
+    this._isConnectionLost = true
     this._end(this._head === undefined ? CallOutcome.NO_ANSWER : CallOutcome.BROKEN, problem)
   }
 
@@ -172,7 +174,7 @@
   private _end (outcome: CallOutcome, problem: string | undefined): void {
     if (this._isEnded) return
     this._isEnded = true
-    this._resolve({ outcome, head: this._head, problem })
+    this._resolve({ outcome, head: this._head, isConnectionLost: this._isConnectionLost, problem })
     if (outcome === CallOutcome.COMPLETE || outcome === CallOutcome.NOT_SENT) return
     const error = new Error(problem ?? outcome)
     if (outcome === CallOutcome.REJECTED) this._discardRest(error)
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -31,6 +31,21 @@
     registers: [this.registry]
   })
 
+  /** Crashes of endpoints before they began to answer, as noticed by this router, by service. */
+  readonly endpointCrashes = new Counter({
+    name: 'mimosarock_endpoint_crashes_total',
+    help: 'Crashes of endpoints that had not begun to answer a request of this router, by service.',
+    labelNames: ['service'],
+    registers: [this.registry]
+  })
+
+  /** Quarantined prompt parts. */
+  readonly quarantinedParts = new Gauge({
+    name: 'mimosarock_quarantined_prompt_parts',
+    help: 'Prompt parts on which endpoints have crashed and with which requests are refused.',
+    registers: [this.registry]
+  })
+
   /** Time from the request head to the first byte of the response. */
   readonly firstByteSeconds = new Histogram({
     name: 'mimosarock_first_byte_seconds',
--- a/packages/gateway/src/test/create-fleet-state.ts
+++ b/packages/gateway/src/test/create-fleet-state.ts
@@ -6,6 +6,7 @@
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
 import type { ElapsedClock } from '@mimosarock/gateway/model/elapsed-clock.js'
+import { PromptQuarantine } from '@mimosarock/gateway/quarantine/prompt-quarantine.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
 
 /**
@@ -23,6 +24,7 @@
     endpointsFreshness: { verifiedAt: -Infinity },
     routers: new RouterTable({ name, availabilityZone: location.availabilityZone ?? 'z', address: location.address ?? name }, clock),
     holders: new HolderTable(),
-    loads: new LoadView(() => clock.now())
+    loads: new LoadView(() => clock.now()),
+    quarantine: new PromptQuarantine({ clock, log, rank: () => 0 })
   }
 }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -32,8 +32,11 @@
 import { StoreFeed } from '../membership/store-feed.js'
 import { SyncClient } from '../membership/sync-client.js'
 import { SyncServer } from '../membership/sync-server.js'
+import { CrashDetector } from '../quarantine/crash-detector.js'
+import { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
 import { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import { EndpointConnections } from '../sending/endpoint-connections.js'
+import { refusesConnections } from '../sending/refuses-connections.js'
 import { StallWatch } from '../sending/stall-watch.js'
 import type { GatewaySettings } from '../settings/gateway-settings.js'
 import { LiveSettings } from '../settings/live-settings.js'
@@ -94,7 +97,8 @@
       endpointsFreshness: { verifiedAt: -Infinity },
       routers: new RouterTable({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, clock),
       holders: new HolderTable(),
-      loads: new LoadView(() => clock.now())
+      loads: new LoadView(() => clock.now()),
+      quarantine: new PromptQuarantine({ clock, log, rank: () => this._rank })
     }
     this._fleetState.endpoints.listen({
       endpointRestarted: (entry) => this._fleetState.holders.removeEndpoint(entry.id),
@@ -185,6 +189,7 @@
     }, clock, log)
     this._sync = sync
     transfer.onAdopted(() => sync.syncSoon())
+    this._fleetState.quarantine.onNews(() => sync.syncSoon())
     sync.onSeedsAsked(() => this._openGateWhenReady())
     const { signal } = this._stopping
     const holderPersistence = new HolderPersistence({ store, holders: this._fleetState.holders, isSaving: () => this._mayWriteToStore() }, log)
@@ -195,7 +200,7 @@
 
   private _requestDependencies (): RequestDependencies {
     const { clock, log, codec, settings } = this._options
-    const { configuration, endpoints, loads, holders } = this._fleetState
+    const { configuration, endpoints, loads, holders, quarantine } = this._fleetState
     const pressure = new ProcessPressure(clock, log)
     return {
       admissions: this._createAdmissions(pressure),
@@ -209,6 +214,14 @@
       startupGate: this._startupGate,
       health: this._health,
       stallWatch: this._stallWatch,
+      quarantine,
+      crashDetector: new CrashDetector({
+        refusesConnections,
+        onCrash: (endpoint, prompts) => {
+          this._metrics.endpointCrashes.inc({ service: endpoint.service })
+          quarantine.recordCrash(endpoint, prompts)
+        }
+      }),
       endpointSelector: new EndpointSelector({
         endpoints,
         loads,
@@ -294,6 +307,12 @@
     this._options.log.info('ready', { version: configuration.version })
   }
 
+  /** Position of this router in the order on which all routers agree. */
+  private get _rank (): number {
+    const { routers } = this._fleetState
+    return routers.inReaderOrder().findIndex(({ name }) => name === routers.self.name)
+  }
+
   private get _isReady (): boolean {
     return !this._state.isStopping && this._startupGate.isOpen
   }
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -249,6 +249,12 @@
     ran: 'see `run` in the response',
     action: 'Retry if `run` is `not-run` or the call may be repeated.'
   },
+  PROMPT_QUARANTINED: {
+    meaning: 'Endpoints have crashed on requests with a part of this prompt, and none has answered one since.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'Change the prompt, or retry after `Retry-After`; the operator finds the part in the log (`prompt-part-quarantined`).'
+  },
   KEY_MISSING: {
     meaning: 'Calls to the route may run at most once, and the call has no key.',
     httpStatus: 400,
