Bytes of an endpoint that never end are bounded

Cause: the HTTP client limits header names and values alone. A reason phrase, informational responses, a chunk extension or a body without end were read until the caller's deadline, and the body of a rejection for half a second at the speed of the link, at the cost of all other requests of the process. Class: a limit in time where the amount has none.

--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -11,6 +11,10 @@
 const MAXIMUM_UNCHUNKED_BODY_BYTES = 16_384
 /** Timeout for the body of a rejection, in milliseconds; it usually arrives in the same packet as the head. */
 const REJECTION_BODY_TIMEOUT_MS = 500
+/** Maximum length of the body of a rejection, in bytes; a longer one is not awaited. */
+const MAXIMUM_REJECTION_BYTES = 65_536
+/** Maximum number of informational responses before the final one. */
+const MAXIMUM_INFORMATIONAL_RESPONSES = 8
 const FIRST_FINAL_STATUS = 200
 const FIRST_FAILURE_STATUS = 300
 
@@ -24,6 +28,8 @@
   private _head: ResponseHead | undefined
   private _isEnded = false
   private _receivedParts = 0
+  private _informationalResponses = 0
+  private _discardedBytes = 0
   private _isPaused = false
   private _isConnectionLost = false
   private _discardTimer: NodeJS.Timeout | undefined
@@ -112,7 +118,8 @@
    * @param status HTTP status
    */
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
-    if (this._isEnded || status < FIRST_FINAL_STATUS) return
+    if (this._isEnded) return
+    if (status < FIRST_FINAL_STATUS) return this._countInformational()
     this._receivedParts += 1
     const head = this._codec.readResponseHead(status, textHeaders(controller.rawHeaders))
     this._head = head
@@ -128,7 +135,7 @@
    * @param chunk bytes of the body
    */
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this._isEnded) return
+    if (this._isEnded) return this._discard(controller, chunk)
     this._receivedParts += 1
     if (this._receiver.data(chunk)) return
     this._isPaused = true
@@ -171,6 +178,16 @@
     return undefined
   }
 
+  private _countInformational (): void {
+    this._informationalResponses += 1
+    if (this._informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) this._end(CallOutcome.NO_ANSWER, 'too many informational responses')
+  }
+
+  private _discard (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._discardedBytes += chunk.length
+    if (this._discardedBytes > MAXIMUM_REJECTION_BYTES) controller.abort(new Error('the body of the rejection is too long'))
+  }
+
   private _end (outcome: CallOutcome, problem: string | undefined): void {
     if (this._isEnded) return
     this._isEnded = true
--- a/packages/gateway/src/sending/endpoint-connections.ts
+++ b/packages/gateway/src/sending/endpoint-connections.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
-import { createResetDetectingConnector } from './create-reset-detecting-connector.js'
+import { createEndpointConnector } from './create-endpoint-connector.js'
 
 /** Timeout for establishing a connection; an endpoint accepts within milliseconds or not at all. */
 const CONNECT_TIMEOUT_MS = 600
@@ -71,7 +71,7 @@
   return new Pool(`http://${address}`, {
     connections: maximumConnections,
     pipelining: 1,
-    connect: createResetDetectingConnector(CONNECT_TIMEOUT_MS),
+    connect: createEndpointConnector(CONNECT_TIMEOUT_MS),
     keepAliveTimeout: idleTimeoutMs,
     keepAliveMaxTimeout: idleTimeoutMs,
     keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
