A stream that ends inside an event has broken off, whatever marks its end

Cause: whether a stream was complete was decided by its framing alone. Without length and chunks a connection that ends is the end, so what an endpoint had sent of an event when it ended was passed on, and a stream cut before its first event was an empty answer with status 200. Events were kept until they were whole without a limit, and on routes that can't be resumed pieces of events were passed on.

Change: the relay splits every event stream and passes on whole events; at the end nothing may be left, and a stream without framing needs an event. An event that exceeds 1 MiB breaks the stream. Failures and other media types are forwarded as they are (a failure of over 64 KiB on a resumable route went through the splitter). A call that breaks so without framing has lost its connection, which the detection of crashes uses.

'a stream that trickles bytes and can not be resumed' now gets an error with status 504 and the run state unknown instead of half an event and a reset; the test asks for just that instead of an incomplete response.

--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -143,7 +143,6 @@
     const relay = new ResponseRelay({
       response: this._response,
       isStream: route.kind === RouteKind.STREAM,
-      isResumable: route.kind === RouteKind.STREAM && route.isResumable,
       closesConnection: () => this._dependencies.state.isStopping,
       onStart: () => {
         this._observeFirstByte(route.name)
--- a/packages/gateway/src/model/response-head.ts
+++ b/packages/gateway/src/model/response-head.ts
@@ -10,6 +10,10 @@
   readonly isSigned: boolean
   /** Whether the response states that the request did not run. */
   readonly isNotRun: boolean
+  /** Whether the end of the body is marked, by a length or chunks; otherwise it ends with the connection. */
+  readonly isDelimited: boolean
+  /** Media type; undefined if the response states none. */
+  readonly contentType: string | undefined
   /** Whether the body has a content encoding, which the router never requests from endpoints. */
   readonly isEncoded: boolean
 }
--- a/packages/gateway/src/responses/event-splitter.ts
+++ b/packages/gateway/src/responses/event-splitter.ts
@@ -33,7 +33,7 @@
    */
   push (chunk: Buffer): Buffer {
     const bytes = this._partialEvent.length === 0 ? chunk : Buffer.concat([this._partialEvent, chunk])
-    const end = endOfLastEvent(bytes)
+    const end = endOfLastEvent(bytes, bytes.length - chunk.length)
     this._partialEvent = bytes.subarray(end)
     const events = bytes.subarray(0, end)
     if (end > 0) this._readLastEventId(events)
@@ -51,8 +51,9 @@
   }
 }
 
-function endOfLastEvent (bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
+// Looks at new bytes alone, since an event that ended before them was returned before.
+function endOfLastEvent (bytes: Buffer, newBytes: number): number {
+  for (let index = bytes.length - 1; index >= Math.max(1, newBytes); index -= 1) {
     if (bytes[index] !== LINE_FEED) continue
     if (bytes[index - 1] === LINE_FEED) return index + 1
     if (bytes[index - 1] === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED) return index + 1
--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -7,12 +7,19 @@
 const MAXIMUM_BUFFERED_BYTES = 65_536
 /** Unsent bytes for a slow caller above which reading from the endpoint is paused. */
 const MAXIMUM_UNSENT_BYTES = 262_144
+/** Maximum length of one event of a stream. */
+const MAXIMUM_EVENT_BYTES = 1_048_576
 const FIRST_FAILURE_STATUS = 300
+const EVENT_STREAM_TYPE = 'text/event-stream'
 
-/** Forwards an endpoint's response to the caller, buffered or streamed. */
+/**
+ * Forwards an endpoint's response to the caller, buffered or streamed. Of an event stream only complete events are forwarded, as they
+ * arrive; one that breaks inside an event can then be resumed at another endpoint.
+ */
 export class ResponseRelay implements ResponseReceiver {
   private readonly _options: ResponseRelayOptions
-  private readonly _splitter: EventSplitter | undefined
+  /** Splits the stream; undefined unless the response is an event stream. */
+  private _splitter: EventSplitter | undefined
   private _head: ResponseHead | undefined
   private _buffered: Buffer[] = []
   private _bufferedBytes = 0
@@ -25,7 +32,6 @@
    */
   constructor (options: ResponseRelayOptions) {
     this._options = options
-    this._splitter = options.isResumable ? new EventSplitter() : undefined
   }
 
   /** Whether the response head was written to the caller; the response can no longer be replaced. */
@@ -33,7 +39,7 @@
     return this._isStarted
   }
 
-  /** Number of bytes received so far that can be forwarded: whole events of a resumable stream, else all bytes. */
+  /** Number of bytes received so far that can be forwarded: whole events of an event stream, else all bytes. */
   get usableBytes (): number {
     return this._usableBytes
   }
@@ -64,7 +70,7 @@
     this._isComplete = false
     this._buffered = []
     this._bufferedBytes = 0
-    this._splitter?.discardPartialEvent()
+    this._splitter = this._options.isStream && isEventStream(head) ? new EventSplitter() : undefined
     return true
   }
 
@@ -88,12 +94,20 @@
     return this._write(bytes)
   }
 
+  findProblem (isEnded: boolean): string | undefined {
+    if (this._splitter === undefined) return undefined
+    if (this._splitter.partialEvent.length > MAXIMUM_EVENT_BYTES) return 'an event does not end'
+    if (!isEnded) return undefined
+    if (this._splitter.partialEvent.length > 0) return 'the stream ended inside an event'
+    // A connection that was closed is no sign that the stream had ended before its first event.
+    return this._isStarted || this._head?.isDelimited === true ? undefined : 'the stream ended before its first event'
+  }
+
   /** Ends the response after its last byte. */
   finish (): void {
     const { response } = this._options
     if (this._isStarted) {
-      const rest = this._splitter?.partialEvent
-      response.end(rest !== undefined && rest.length > 0 ? rest : undefined)
+      response.end()
       return
     }
     this._writeHead(this._bufferedBytes)
@@ -137,3 +151,8 @@
     this._options.onStart()
   }
 }
+
+// A stream that states no type is an event stream, as its route says.
+function isEventStream ({ status, contentType }: ResponseHead): boolean {
+  return status < FIRST_FAILURE_STATUS && (contentType === undefined || contentType.startsWith(EVENT_STREAM_TYPE))
+}
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -137,7 +137,10 @@
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this._isEnded) return this._discard(controller, chunk)
     this._receivedParts += 1
-    if (this._receiver.data(chunk)) return
+    const hasCapacity = this._receiver.data(chunk)
+    const problem = this._receiver.findProblem(false)
+    if (problem !== undefined) return this._end(CallOutcome.BROKEN, problem)
+    if (hasCapacity) return
     this._isPaused = true
     controller.pause()
   }
@@ -145,7 +148,12 @@
   /** Called by the HTTP client when the response is complete. */
   onResponseEnd (): void {
     clearTimeout(this._discardTimer)
-    this._end(CallOutcome.COMPLETE, undefined)
+    if (this._isEnded) return
+    const problem = this._receiver.findProblem(true)
+    if (problem === undefined) return this._end(CallOutcome.COMPLETE, undefined)
+    // Without a length, the end of the response is the end of its connection.
+    this._isConnectionLost = this._head?.isDelimited === false
+    this._end(CallOutcome.BROKEN, problem)
   }
 
   /**
--- a/packages/gateway/src/sending/response-receiver.ts
+++ b/packages/gateway/src/sending/response-receiver.ts
@@ -14,4 +14,9 @@
    * @returns false to apply back pressure: no more data is delivered until the call's `resume` is called
    */
   data (chunk: Buffer): boolean
+  /**
+   * Returns why the response that has arrived so far can't be complete or valid; undefined if it can be.
+   * @param isEnded whether nothing more will arrive
+   */
+  findProblem (isEnded: boolean): string | undefined
 }
--- a/packages/gateway/src/test/connection-faults_test.ts
+++ b/packages/gateway/src/test/connection-faults_test.ts
@@ -38,7 +38,8 @@
     data: (chunk) => {
       text += chunk.toString()
       return true
-    }
+    },
+    findProblem: () => undefined
   })
   const endpoint = { id: address, service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }
   endpointCall.send(connections.pool(endpoint, true, 1))
--- a/packages/gateway/src/test/endless-responses_test.ts
+++ b/packages/gateway/src/test/endless-responses_test.ts
@@ -46,7 +46,7 @@
   await once(server, 'listening')
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const endpointCall = new EndpointCall({ id: 'r1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }, plainCodec, {
-    start: () => true, data: () => true
+    start: () => true, data: () => true, findProblem: () => undefined
   })
   endpointCall.send(connections.pool({ id: address, service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }, true, 1))
   const outcome = await Promise.race([endpointCall.result.then((result) => result.outcome), sleep(8_000, 'does not end')])
--- a/packages/gateway/src/test/reported-failures_test.ts
+++ b/packages/gateway/src/test/reported-failures_test.ts
@@ -84,7 +84,7 @@
     response.on('close', () => clearInterval(trickle))
   })
   const response = await fixture.call('POST', '/stream/', { deadline: '1500' })
-  expect([response.isWhole, arrivals()]).toEqual([false, 1])
+  expect([response.status, JSON.parse(response.body).run, arrivals()]).toEqual([504, 'unknown', 1])
 }, 10_000)
 
 test('an idempotent request at an endpoint that has fallen silent is sent to another one', async () => {
--- a/packages/gateway/src/test/test-endpoint.ts
+++ b/packages/gateway/src/test/test-endpoint.ts
@@ -35,7 +35,7 @@
 
   /** Responds with a body, the signature of an endpoint and the request id. */
   static respond (request: IncomingMessage, response: ServerResponse, body: string, status = 200): void {
-    response.writeHead(status, { 'request-id': request.headers['request-id'], signature: 'signed' }).end(body)
+    response.writeHead(status, { 'request-id': request.headers['request-id'], signature: 'signed', 'content-type': 'text/plain' }).end(body)
   }
 
   /** Responds that the request did not run. */
