Endpoints get no requests that their responses say they do not want

A leaving endpoint counts as draining from the head of that response on, until it starts anew, whatever its registration says; routers that follow this one learn it with the endpoints. Paused endpoints are left out of choice and admission, and callers are refused at once with the time of the first if all are. Calls that wait for a connection are asked again before they are written.

--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -1,6 +1,7 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { EndpointSelector } from '@mimosarock/gateway/choice/endpoint-selector.js'
 import { EndpointHealth } from '@mimosarock/gateway/choice/endpoint-health.js'
+import { EndpointPauses } from '@mimosarock/gateway/choice/endpoint-pauses.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
 import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
 import { ConfigurationInForce } from '@mimosarock/gateway/configuration/configuration-in-force.js'
@@ -71,7 +72,7 @@
 function measureDecisionUs (size: number): number {
   const { endpoints, loads, holders } = createFleetState(size, 1)
   const selector = new EndpointSelector({
-    endpoints, loads, holders, health: new EndpointHealth(clock), availabilityZone: 'zone-0', loadBoundFactor: () => 2, routerCount: () => 800, random: Math.random, isFleetLarge: () => true
+    endpoints, loads, holders, health: new EndpointHealth(clock), pauses: new EndpointPauses(clock), availabilityZone: 'zone-0', loadBoundFactor: () => 2, routerCount: () => 800, random: Math.random, isFleetLarge: () => true
   })
   const excluded = new Set<string>()
   return measureShortestUs(() => {
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -2,7 +2,9 @@
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
 import { EndpointSelector } from '../choice/endpoint-selector.js'
+import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { PromptPart } from '../model/prompt-part.js'
+import type { ResponseHead } from '../model/response-head.js'
 import { RouteKind } from '../model/route-kind.js'
 import { mayRetry } from '../retries/may-retry.js'
 import { CallOutcome } from '../sending/call-outcome.js'
@@ -20,7 +22,9 @@
 const MINIMUM_CALL_MS = 5
 /** Minimum time left for which a call without progress is given up. */
 const MINIMUM_RETRY_MS = 250
+const MISDIRECTED_STATUS = 421
 const FIRST_SERVER_ERROR_STATUS = 500
+const UNAVAILABLE_STATUS = 503
 /** Number of endpoints that a request may have lost its connection to before they answered; it may be what ends them. */
 const MAXIMUM_LOSSES_BEFORE_ANSWER = 2
 
@@ -74,7 +78,7 @@
       if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
       requireNotQuarantined(this._dependencies.quarantine, authorized.caller.prompt, this._runs)
       const chosen = this._dependencies.endpointSelector.choose(authorized.service, authorized.caller.prompt, excluded)
-      if (chosen === undefined) throw createNoEndpointError(this._runs)
+      if (chosen === undefined) throw createNoEndpointError(this._runs, this._dependencies.endpointSelector.pauseMs(authorized.service) || undefined)
       this._chosen = chosen
       excluded.add(chosen.endpoint.id)
       const result = await this._callEndpoint(chosen)
@@ -97,7 +101,10 @@
     })
     const call = new EndpointCall({
       id: caller.id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body
-    }, this._dependencies.codec, relay)
+    }, this._dependencies.codec, relay, {
+      mayStart: () => this._dependencies.endpointSelector.isUsable(endpoint),
+      headReceived: (head) => this._recordWishes(endpoint, head)
+    })
     this._call = call
     this._attempts += 1
     this._recordHolder(caller.prompt, chosen)
@@ -122,6 +129,15 @@
     return result
   }
 
+  /** Records what an endpoint states about the requests that it wants. */
+  private _recordWishes (endpoint: EndpointEntry, { status, isLeaving, retryAfterMs }: ResponseHead): void {
+    // Another endpoint may have the address.
+    if (status === MISDIRECTED_STATUS) return
+    const { endpoints, pauses } = this._dependencies
+    if (isLeaving) endpoints.recordLeaving(endpoint)
+    if (status === UNAVAILABLE_STATUS && retryAfterMs !== undefined) pauses.record(endpoint, retryAfterMs)
+  }
+
   private _reportFailure (chosen: ChosenEndpoint, result: CallResult): void {
     const { authorized: { caller, service, route }, relay } = this._options
     this._problem = `${result.outcome}: ${result.problem}`
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -1,10 +1,12 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { ServiceAdmissions } from '../admission/service-admissions.js'
 import type { EndpointSelector } from '../choice/endpoint-selector.js'
+import type { EndpointPauses } from '../choice/endpoint-pauses.js'
 import type { EndpointHealth } from '../choice/endpoint-health.js'
 import type { HolderTable } from '../choice/holder-table.js'
 import type { LoadView } from '../choice/load-view.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
+import type { EndpointTable } from '../membership/endpoint-table.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { WireCodec } from '../model/wire-codec.js'
 import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
@@ -33,6 +35,10 @@
   readonly eventLoopMeter: EventLoopMeter
   /** Chooses the endpoint of a request. */
   readonly endpointSelector: EndpointSelector
+  /** Registered endpoints. */
+  readonly endpoints: EndpointTable
+  /** Endpoints that want no requests for some time. */
+  readonly pauses: EndpointPauses
   /** Recent failures of endpoints. */
   readonly health: EndpointHealth
   /** Cache index: endpoints that hold the context of a prompt. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -8,6 +8,7 @@
 import { RouteKind } from '../model/route-kind.js'
 import { authorizeRequest } from './authorize-request.js'
 import type { AuthorizedRequest } from './authorized-request.js'
+import { createNoEndpointError } from './create-no-endpoint-error.js'
 import { EndpointAttempts } from './endpoint-attempts.js'
 import { nextEventLoopIteration } from './next-event-loop-iteration.js'
 import { notRunError } from './not-run-error.js'
@@ -22,6 +23,8 @@
 const RESPONSE_MARGIN_MS = 15
 /** Time after the head of a request arrived, from which it is authorized again before it is sent. */
 const AUTHORIZATION_LIFETIME_MS = 1_000
+/** Fraction of the latency objective of a route for which a request is worth keeping until an endpoint takes it. */
+const MAXIMUM_WAIT_FRACTION = 0.5
 const MS_PER_SECOND = 1_000
 
 /**
@@ -69,6 +72,7 @@
       authorized = this._authorize()
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
       requireNotQuarantined(this._dependencies.quarantine, authorized.caller.prompt, 0)
+      this._requireEndpointWithinWait(authorized)
       admission = await this._waitForAdmission(authorized)
       this._authorizeAgainAfterDelay()
       await this._serve(authorized, body)
@@ -109,6 +113,12 @@
     throw notRunError(ResultCode.ROUTER_STOPPING, 'the router is stopping and cannot finish the request in time', 0)
   }
 
+  /** Rejects the request if all endpoints of its service want no requests for longer than it may wait. */
+  private _requireEndpointWithinWait ({ service, route }: AuthorizedRequest): void {
+    const pauseMs = this._dependencies.endpointSelector.pauseMs(service)
+    if (pauseMs > route.objectiveMs * MAXIMUM_WAIT_FRACTION) throw createNoEndpointError(0, pauseMs)
+  }
+
   /** Admits the request to its service; queues it while the service has no capacity. */
   private async _waitForAdmission (authorized: AuthorizedRequest): Promise<ServiceAdmission> {
     const { admissions, clock } = this._dependencies
--- a/packages/gateway/src/choice/endpoint-selector-options.ts
+++ b/packages/gateway/src/choice/endpoint-selector-options.ts
@@ -1,5 +1,6 @@
 import type { EndpointTable } from '../membership/endpoint-table.js'
 import type { EndpointHealth } from './endpoint-health.js'
+import type { EndpointPauses } from './endpoint-pauses.js'
 import type { HolderTable } from './holder-table.js'
 import type { LoadView } from './load-view.js'
 
@@ -13,6 +14,8 @@
   readonly holders: HolderTable
   /** Recent failures by endpoint. */
   readonly health: EndpointHealth
+  /** Endpoints that want no requests for some time. */
+  readonly pauses: EndpointPauses
   /** Availability zone of this router; requests to endpoints in it cause no traffic between zones. */
   readonly availabilityZone: string
   /** Returns the number of live routers, which all choose by the same load reports. */
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -52,7 +52,8 @@
    * @returns undefined if no endpoint is left
    */
   choose (service: string, prompt: readonly PromptPart[], excluded: ReadonlySet<string>): ChosenEndpoint | undefined {
-    const ready = this._options.endpoints.ready(service).filter((endpoint) => !excluded.has(endpoint.id))
+    const { endpoints, pauses } = this._options
+    const ready = pauses.withoutPaused(endpoints.ready(service)).filter((endpoint) => !excluded.has(endpoint.id))
     if (ready.length === 0) return undefined
     const candidates = this._options.health.preferHealthy(ready)
     const bound = this._loadBound(service)
@@ -61,6 +62,24 @@
     return this._chooseForKey(key, service, candidates, bound)
   }
 
+  /**
+   * Returns whether a chosen endpoint still takes requests: the same incarnation is registered, neither leaving nor paused.
+   * @param endpoint the endpoint, as it was chosen
+   */
+  isUsable (endpoint: EndpointEntry): boolean {
+    const entry = this._options.endpoints.find(endpoint.id)
+    return entry?.startedAt === endpoint.startedAt && !entry.isDraining && this._options.pauses.remainingMs(entry) === 0
+  }
+
+  /**
+   * Returns the milliseconds until the first endpoint of a service takes requests; 0 if one does now, or there is none.
+   * @param service name of the service
+   */
+  pauseMs (service: string): number {
+    const { endpoints, pauses } = this._options
+    return pauses.remainingOfAllMs(endpoints.ready(service))
+  }
+
   /**
    * Returns the key under which prompts share a cached context; undefined for an empty prompt. The key is the id of the
    * second to last part, since the last part is specific to one request, or of the only part.
--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -18,6 +18,11 @@
  */
 const WITHHOLDING_MS = 4_500
 
+/** Maximum number of endpoints remembered as leaving; the first ones are forgotten first. */
+const MAXIMUM_LEAVING = 4_096
+/** Start of an incarnation that did not state it. */
+const UNKNOWN_START = 0
+
 /** An endpoint that was removed and can still be a source of contexts. */
 interface DepartedEntry {
   readonly entry: EndpointEntry
@@ -41,6 +46,8 @@
   /** Registrations from before a removal, by endpoint id. */
   private readonly _withheld = new Map<string, EndpointEntry>()
   private _withholdingEnd = -Infinity
+  /** Start of the incarnation that stated that it is leaving, by endpoint id. */
+  private readonly _leaving = new Map<string, number>()
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private readonly _listeners: EndpointListener[] = []
@@ -118,6 +125,18 @@
     return this._byService.get(service) ?? []
   }
 
+  /**
+   * Records that an endpoint has stated in a response that it is leaving. It gets no new requests, whatever the store says of this
+   * incarnation.
+   * @param endpoint the endpoint
+   */
+  recordLeaving ({ id, startedAt }: EndpointEntry): void {
+    this._leaving.set(id, startedAt)
+    if (this._leaving.size > MAXIMUM_LEAVING) this._leaving.delete(this._leaving.keys().next().value as string)
+    const current = this._entries.get(id)
+    if (current?.startedAt === startedAt && !current.isDraining) this._put(current)
+  }
+
   /**
    * Applies changes read from the store.
    * @param changes changes in order
@@ -162,9 +181,10 @@
     }
   }
 
-  private _put (entry: EndpointEntry): void {
-    const current = this._entries.get(entry.id)
-    if (this._isOutdated(entry, current)) return
+  private _put (registered: EndpointEntry): void {
+    const current = this._entries.get(registered.id)
+    if (this._isOutdated(registered, current)) return
+    const entry = this._isLeaving(registered) ? { ...registered, isDraining: true } : registered
     this._withheld.delete(entry.id)
     const departed = this._departed.get(entry.id)
     if (departed !== undefined) this._expireDeparted(entry.id, departed.entry)
@@ -187,6 +207,12 @@
     for (const listener of this._listeners) listener.endpointRestarted(entry)
   }
 
+  private _isLeaving ({ id, startedAt }: EndpointEntry): boolean {
+    const leavingStart = this._leaving.get(id)
+    if (leavingStart !== undefined && leavingStart !== startedAt) this._leaving.delete(id)
+    return leavingStart === startedAt
+  }
+
   /** Whether an entry is older than what is known of the endpoint. Withholds it if the endpoint was removed since. */
   private _isOutdated (entry: EndpointEntry, current: EndpointEntry | undefined): boolean {
     if (current !== undefined) return entry.startedAt === current.startedAt && entry.revision < current.revision
@@ -220,6 +246,7 @@
     this._lapsed.delete(id)
     if (entry === undefined) return
     this._entries.delete(id)
+    if (entry.startedAt === UNKNOWN_START) this._leaving.delete(id)
     this._removed.add(entry)
     this._departed.set(id, { entry, expiresAt: this._clock.now() + DEPARTED_RETENTION_MS })
     this._recordChange({ id, entry: undefined })
--- a/packages/gateway/src/model/response-head.ts
+++ b/packages/gateway/src/model/response-head.ts
@@ -10,6 +10,10 @@
   readonly isSigned: boolean
   /** Whether the response states that the request did not run. */
   readonly isNotRun: boolean
+  /** Whether the endpoint states that it is leaving and wants no new requests. */
+  readonly isLeaving: boolean
+  /** Time for which the endpoint wants no requests from this router, in milliseconds; undefined if it states none. */
+  readonly retryAfterMs: number | undefined
   /** Whether the end of the body is marked, by a length or chunks; otherwise it ends with the connection. */
   readonly isDelimited: boolean
   /** Media type; undefined if the response states none. */
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -5,6 +5,7 @@
 import type { ResponseReceiver } from './response-receiver.js'
 import { CallOutcome } from './call-outcome.js'
 import type { CallResult } from './call-result.js'
+import type { EndpointCallHooks } from './endpoint-call-hooks.js'
 import type { EndpointCallRequest } from './endpoint-call-request.js'
 
 /** Maximum size of a body that is written in one piece; equals the buffer size at which a socket applies back pressure. */
@@ -23,6 +24,7 @@
   private readonly _request: EndpointCallRequest
   private readonly _codec: WireCodec
   private readonly _receiver: ResponseReceiver
+  private readonly _hooks: EndpointCallHooks | undefined
   private readonly _resolve: (result: CallResult) => void
   private _controller: Dispatcher.DispatchController | undefined
   private _head: ResponseHead | undefined
@@ -41,11 +43,13 @@
    * @param request request to send
    * @param codec decodes the response head
    * @param receiver consumes the response
+   * @param hooks asked before the request is written and told of each head; undefined for none
    */
-  constructor (request: EndpointCallRequest, codec: WireCodec, receiver: ResponseReceiver) {
+  constructor (request: EndpointCallRequest, codec: WireCodec, receiver: ResponseReceiver, hooks?: EndpointCallHooks) {
     this._request = request
     this._codec = codec
     this._receiver = receiver
+    this._hooks = hooks
     let resolve: (result: CallResult) => void = () => undefined
     this.result = new Promise((_resolve) => { resolve = _resolve })
     this._resolve = resolve
@@ -108,6 +112,7 @@
    */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     // A call that ended while it was queued for a connection must not be written.
+    if (!this._isEnded && this._hooks?.mayStart() === false) this._end(CallOutcome.NOT_SENT, 'the endpoint takes no more requests')
     if (this._isEnded) controller.abort(new Error('call ended before the request was sent'))
     else this._controller = controller
   }
@@ -123,6 +128,7 @@
     this._receivedParts += 1
     const head = this._codec.readResponseHead(status, textHeaders(controller.rawHeaders))
     this._head = head
+    if (head.requestId === this._request.id) this._hooks?.headReceived(head)
     const problem = this._problemOf(head)
     if (problem !== undefined) return this._end(CallOutcome.INVALID, problem)
     if (head.isNotRun) return this._end(CallOutcome.REJECTED, `status ${status}`)
--- a/packages/gateway/src/test/endpoint-selector_test.ts
+++ b/packages/gateway/src/test/endpoint-selector_test.ts
@@ -2,6 +2,7 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { EndpointSelector } from '@mimosarock/gateway/choice/endpoint-selector.js'
 import { EndpointHealth } from '@mimosarock/gateway/choice/endpoint-health.js'
+import { EndpointPauses } from '@mimosarock/gateway/choice/endpoint-pauses.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
 import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
 import { EndpointTable } from '@mimosarock/gateway/membership/endpoint-table.js'
@@ -28,7 +29,7 @@
   const loads = new LoadView(() => clock.now())
   const holders = new HolderTable()
   const health = new EndpointHealth(clock)
-  const selector = new EndpointSelector({ endpoints, loads, holders, health, availabilityZone: 'z0', loadBoundFactor: () => 2, routerCount: () => 1, random: Math.random, isFleetLarge: () => isLarge })
+  const selector = new EndpointSelector({ endpoints, loads, holders, health, pauses: new EndpointPauses(clock), availabilityZone: 'z0', loadBoundFactor: () => 2, routerCount: () => 1, random: Math.random, isFleetLarge: () => isLarge })
   return { clock, endpoints, loads, holders, health, selector }
 }
 
--- a/packages/gateway/src/test/few-endpoints-simulation.ts
+++ b/packages/gateway/src/test/few-endpoints-simulation.ts
@@ -1,6 +1,7 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { EndpointHealth } from '@mimosarock/gateway/choice/endpoint-health.js'
 import { EndpointSelector } from '@mimosarock/gateway/choice/endpoint-selector.js'
+import { EndpointPauses } from '@mimosarock/gateway/choice/endpoint-pauses.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
 import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
 import { EndpointTable } from '@mimosarock/gateway/membership/endpoint-table.js'
@@ -77,7 +78,7 @@
     table.apply(entries, undefined)
     const loads = new LoadView(() => clock.now())
     const selector = new EndpointSelector({
-      endpoints: table, loads, holders: new HolderTable(), health: new EndpointHealth(clock), availabilityZone: 'z', isFleetLarge: () => true, loadBoundFactor: () => 2, routerCount: () => load.routers, random
+      endpoints: table, loads, holders: new HolderTable(), health: new EndpointHealth(clock), pauses: new EndpointPauses(clock), availabilityZone: 'z', isFleetLarge: () => true, loadBoundFactor: () => 2, routerCount: () => load.routers, random
     })
     return { loads, selector, reportsAt: Math.floor(random() * load.reportIntervalMs / STEP_MS) * STEP_MS }
   })
--- a/packages/gateway/src/test/header-codec.ts
+++ b/packages/gateway/src/test/header-codec.ts
@@ -15,6 +15,8 @@
       requestId: headers.get('request-id'),
       isSigned: headers.has('signature'),
       isNotRun: headers.has('not-run'),
+      isLeaving: headers.get('leaving') === '1',
+      retryAfterMs: headers.has('retry-after') ? Number(headers.get('retry-after')) * 1_000 : undefined,
       isDelimited: headers.has('content-length') || headers.has('transfer-encoding'),
       contentType: headers.get('content-type'),
       isEncoded: headers.has('content-encoding')
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -11,6 +11,7 @@
 import { EventLoopMeter } from '../caller/event-loop-meter.js'
 import { EndpointSelector } from '../choice/endpoint-selector.js'
 import { EndpointHealth } from '../choice/endpoint-health.js'
+import { EndpointPauses } from '../choice/endpoint-pauses.js'
 import { HolderPersistence } from '../choice/holder-persistence.js'
 import { HolderTable } from '../choice/holder-table.js'
 import { LoadView } from '../choice/load-view.js'
@@ -75,6 +76,7 @@
   private readonly _fleetState: FleetState
   private readonly _stallWatch = new StallWatch()
   private readonly _health: EndpointHealth
+  private readonly _pauses: EndpointPauses
   private readonly _budgets = new Map<string, FleetRetryBudget>()
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
@@ -90,6 +92,7 @@
     const { clock, log, settings } = options
     this._settings = new LiveSettings(settings)
     this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId))
+    this._pauses = new EndpointPauses(clock)
     this._fleetState = {
       storeEra: options.store.era,
       configuration: new ConfigurationState(clock, log),
@@ -212,6 +215,8 @@
       loads,
       holders,
       startupGate: this._startupGate,
+      endpoints,
+      pauses: this._pauses,
       health: this._health,
       stallWatch: this._stallWatch,
       quarantine,
@@ -227,6 +232,7 @@
         loads,
         holders,
         health: this._health,
+        pauses: this._pauses,
         availabilityZone: settings.availabilityZone,
         isFleetLarge: () => this._fleetState.routers.isLarge,
         routerCount: () => this._fleetState.routers.size,
@@ -250,7 +256,7 @@
       loads,
       random: Math.random,
       routerCount: () => routers.size,
-      availableEndpoints: (service) => this._health.preferHealthy(endpoints.ready(service)),
+      availableEndpoints: (service) => this._health.preferHealthy(this._pauses.withoutPaused(endpoints.ready(service))),
       now: () => clock.now(),
       serviceMs: (service) => admissions.get(service).serviceMs
     })
