Quarantined prompt parts outlast a restart of all routers

Cause: the crashes that routers had seen were in their memory alone.

Change: holders and the crashes of quarantined parts are saved and loaded by one class, with one reading at the start (two records of one topic).

--- a/packages/gateway/src/model/fleet-store.ts
+++ b/packages/gateway/src/model/fleet-store.ts
@@ -1,4 +1,6 @@
 import type { HolderNote } from '../choice/holder-note.js'
+import type { SavedState } from '../membership/saved-state.js'
+import type { CrashNote } from '../quarantine/crash-note.js'
 import type { EndpointEntry } from './endpoint-entry.js'
 import type { GatewayConfiguration } from './gateway-configuration.js'
 import type { RouterEntry } from './router-entry.js'
@@ -28,9 +30,15 @@
    */
   saveHolders (notes: readonly HolderNote[], signal: AbortSignal): Promise<void>
   /**
-   * Loads the cache index that was saved last.
+   * Saves the crashes because of which prompt parts are quarantined; replaces the saved ones.
+   * @param crashes all crashes to save
+   * @param signal aborts the call
+   */
+  saveCrashes (crashes: readonly CrashNote[], signal: AbortSignal): Promise<void>
+  /**
+   * Loads what was saved last.
    * @param signal aborts the call
    * @param onProgress called for each received part of the answer
    */
-  loadHolders (signal: AbortSignal, onProgress?: () => void): Promise<readonly HolderNote[]>
+  loadSaved (signal: AbortSignal, onProgress?: () => void): Promise<SavedState>
 }
--- a/packages/gateway/src/quarantine/prompt-quarantine.ts
+++ b/packages/gateway/src/quarantine/prompt-quarantine.ts
@@ -29,6 +29,7 @@
   private readonly _records = new Map<string, PartRecord>()
   private readonly _answers = new RecentAnswers()
   private readonly _changes = new ChangeLog<QuarantineChange>()
+  private _revision = 0
   private _onNews: () => void = () => undefined
 
   /**
@@ -51,6 +52,20 @@
     return [...this._records.values()].filter(({ isQuarantined }) => isQuarantined).length
   }
 
+  /** Number that changes when a part is quarantined or released. */
+  get revision (): number {
+    return this._revision
+  }
+
+  /** Returns the crashes because of which parts are quarantined, which restore the quarantines of another router. */
+  quarantinedCrashes (): CrashNote[] {
+    const now = this._options.clock.now()
+    const records = [...this._records.values()].filter(({ isQuarantined }) => isQuarantined)
+    return records.flatMap(({ id, depth, crashes }) => {
+      return [...crashes].map(([crashId, at]) => ({ crashId, parts: [{ id, depth }], ageMs: Math.ceil(now - at) }))
+    })
+  }
+
   /**
    * Returns why a request must not be sent to an endpoint now; undefined if it may be.
    * @param prompt parts of its prompt
@@ -101,7 +116,7 @@
     const parts = new Map(prompts.flatMap(suspectParts).map((part) => [part.id, part]))
     if (parts.size === 0) return
     this._options.log.warn('endpoint-crashed', { endpoint: endpoint.id, service: endpoint.service, unanswered_parts: [...parts.keys()].join(',') })
-    this._applyCrash({ endpointId: endpoint.id, startedAt: endpoint.startedAt, parts: [...parts.values()], ageMs: 0 }, false)
+    this._applyCrash({ crashId: `${endpoint.id}@${endpoint.startedAt}`, parts: [...parts.values()], ageMs: 0 }, false)
     this._onNews()
   }
 
@@ -137,14 +152,13 @@
     return record.quarantineEnd + this._options.rank() * TRIAL_SPACING_MS
   }
 
-  private _applyCrash (note: CrashNote, isFromUpstream: boolean): void {
+  private _applyCrash ({ crashId, parts, ageMs }: CrashNote, isFromUpstream: boolean): void {
     const now = this._options.clock.now()
-    const at = now - note.ageMs
-    const crashId = `${note.endpointId}@${note.startedAt}`
+    const at = now - ageMs
     this._expire(now)
-    const news = note.parts.filter((part) => this._addCrash(part, crashId, at))
+    const news = parts.filter((part) => this._addCrash(part, crashId, at))
     if (news.length === 0) return
-    this._changes.append({ endpointId: note.endpointId, startedAt: note.startedAt, parts: news, at }, isFromUpstream)
+    this._changes.append({ crashId, parts: news, at }, isFromUpstream)
     for (const { id } of news) this._tellOfEarlierAnswer(id, now)
     this._quarantineCulprits(at)
   }
@@ -177,24 +191,34 @@
     record.wasAnswered = true
     if (record.crashes.size === 0) this._records.delete(partId)
     if (isNews) this._changes.append({ partId, at }, isFromUpstream)
-    if (wasQuarantined && !record.isQuarantined) this._options.log.warn('prompt-part-released', { part: partId })
+    if (wasQuarantined && !record.isQuarantined) this._logRelease(partId)
   }
 
   private _quarantineCulprits (at: number): void {
     for (let culprit = findCulprit(this._records.values()); culprit !== undefined; culprit = findCulprit(this._records.values())) {
       culprit.quarantine(at)
+      this._revision += 1
       this._options.log.warn('prompt-part-quarantined', { part: culprit.id, depth: culprit.depth, crashes: culprit.crashes.size })
     }
   }
 
+  private _logRelease (partId: string): void {
+    this._revision += 1
+    this._options.log.warn('prompt-part-released', { part: partId })
+  }
+
   private _expire (now: number): void {
-    for (const [id, record] of this._records) if (record.expire(now)) this._records.delete(id)
+    for (const [id, record] of this._records) {
+      if (!record.expire(now)) continue
+      this._records.delete(id)
+      if (record.isQuarantined) this._logRelease(id)
+    }
   }
 
   private _toNotes (changes: readonly QuarantineChange[]): QuarantineNotes {
     const now = this._options.clock.now()
     const crashes = changes.flatMap((change) => {
-      return 'parts' in change ? [{ endpointId: change.endpointId, startedAt: change.startedAt, parts: change.parts, ageMs: Math.ceil(now - change.at) }] : []
+      return 'parts' in change ? [{ crashId: change.crashId, parts: change.parts, ageMs: Math.ceil(now - change.at) }] : []
     })
     const clearances = changes.flatMap((change) => 'partId' in change ? [{ partId: change.partId, ageMs: Math.ceil(now - change.at) }] : [])
     return { crashes, clearances }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -12,7 +12,6 @@
 import { EndpointSelector } from '../choice/endpoint-selector.js'
 import { EndpointHealth } from '../choice/endpoint-health.js'
 import { EndpointPauses } from '../choice/endpoint-pauses.js'
-import { HolderPersistence } from '../choice/holder-persistence.js'
 import { HolderTable } from '../choice/holder-table.js'
 import { LoadView } from '../choice/load-view.js'
 import { ConfigurationReadings } from '../configuration/configuration-readings.js'
@@ -30,6 +29,7 @@
 import { RouterAnnouncer } from '../membership/router-announcer.js'
 import type { RouterKnowledge } from '../membership/router-knowledge.js'
 import { RouterTable } from '../membership/router-table.js'
+import { StatePersistence } from '../membership/state-persistence.js'
 import { StoreFeed } from '../membership/store-feed.js'
 import { SyncClient } from '../membership/sync-client.js'
 import { SyncServer } from '../membership/sync-server.js'
@@ -195,9 +195,10 @@
     this._fleetState.quarantine.onNews(() => sync.syncSoon())
     sync.onSeedsAsked(() => this._openGateWhenReady())
     const { signal } = this._stopping
-    const holderPersistence = new HolderPersistence({ store, holders: this._fleetState.holders, isSaving: () => this._mayWriteToStore() }, log)
+    const { holders, quarantine } = this._fleetState
+    const persistence = new StatePersistence({ store, holders, quarantine, isSaving: () => this._mayWriteToStore() }, log)
     const announcer = new RouterAnnouncer(store, routers, () => this._mayWriteToStore(), log)
-    const tasks = [holderPersistence, configurationFeed, endpointFeed, sync, announcer].map((task) => task.run(signal))
+    const tasks = [persistence, configurationFeed, endpointFeed, sync, announcer].map((task) => task.run(signal))
     Promise.all(tasks).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
   }
 
