Routers that know the same crashes quarantine the same prompt parts

Cause: a culprit was chosen as news arrived, and what it explained was no longer counted for others.

Change: the quarantined parts are computed from all crashes and answers that are known, anew with each news; a part that is no longer needed to explain them is released. Only parts confirmed by a trial stay whatever else comes.

--- a/packages/gateway/src/quarantine/part-record.ts
+++ b/packages/gateway/src/quarantine/part-record.ts
@@ -35,6 +35,16 @@
     return this._quarantineCount > 0
   }
 
+  /** Whether the part has so many crashes that it can be a culprit. */
+  get hasEnoughCrashes (): boolean {
+    return this.isConfirmed || this._crashes.size >= CULPRIT_CRASHES
+  }
+
+  /** Whether a trial after a quarantine has crashed an endpoint too. */
+  get isConfirmed (): boolean {
+    return this._quarantineCount > 1
+  }
+
   /** End of the quarantine, by the clock of the crash times; -Infinity if the part has not been quarantined. */
   get quarantineEnd (): number {
     if (!this.isQuarantined) return -Infinity
@@ -46,6 +56,11 @@
     return this._crashes
   }
 
+  /** Time of the latest crash; -Infinity if there is none. */
+  get lastCrashAt (): number {
+    return Math.max(...this._crashes.values())
+  }
+
   /**
    * Whether a crash is known.
    * @param crashId id of the crash
@@ -73,6 +88,11 @@
     this._quarantinedAt = at
   }
 
+  /** Ends the quarantine; the crashes stay. */
+  release (): void {
+    this._quarantineCount = 0
+  }
+
   /**
    * Drops the crashes before an answer to a request with this part, and ends its quarantine if that is based on one of them.
    * @param at time of the answer
@@ -82,7 +102,7 @@
     const count = this._crashes.size
     for (const [crashId, crashedAt] of this._crashes) if (crashedAt <= at) this._crashes.delete(crashId)
     if (this._crashes.size === count) return false
-    this._quarantineCount = 0
+    this.release()
     return true
   }
 
--- a/packages/gateway/src/quarantine/prompt-quarantine.ts
+++ b/packages/gateway/src/quarantine/prompt-quarantine.ts
@@ -2,7 +2,7 @@
 import type { PromptPart } from '../model/prompt-part.js'
 import { ChangeLog } from '../membership/change-log.js'
 import type { CrashNote } from './crash-note.js'
-import { findCulprit } from './find-culprit.js'
+import { findCulprits } from './find-culprits.js'
 import { PartRecord } from './part-record.js'
 import type { PromptQuarantineOptions } from './prompt-quarantine-options.js'
 import type { QuarantineBlock } from './quarantine-block.js'
@@ -160,7 +160,7 @@
     if (news.length === 0) return
     this._changes.append({ crashId, parts: news, at }, isFromUpstream)
     for (const { id } of news) this._tellOfEarlierAnswer(id, now)
-    this._quarantineCulprits(at)
+    this._updateQuarantines()
   }
 
   /** Adds a crash to the record of a part. Returns false if it is known, or the part was answered since. */
@@ -190,19 +190,31 @@
     const isNews = record.clear(at) || !record.wasAnswered
     record.wasAnswered = true
     if (record.crashes.size === 0) this._records.delete(partId)
-    if (isNews) this._changes.append({ partId, at }, isFromUpstream)
-    if (wasQuarantined && !record.isQuarantined) this._logRelease(partId)
+    if (!isNews) return
+    this._changes.append({ partId, at }, isFromUpstream)
+    if (wasQuarantined) this._reportRelease(partId)
+    this._updateQuarantines()
+  }
+
+  /** Quarantines the parts that explain the known crashes best, and no others. */
+  private _updateQuarantines (): void {
+    const culprits = findCulprits(this._records.values())
+    for (const record of this._records.values()) {
+      if (record.isQuarantined === culprits.has(record)) continue
+      if (record.isQuarantined) {
+        record.release()
+        this._reportRelease(record.id)
+      } else this._quarantine(record)
+    }
   }
 
-  private _quarantineCulprits (at: number): void {
-    for (let culprit = findCulprit(this._records.values()); culprit !== undefined; culprit = findCulprit(this._records.values())) {
-      culprit.quarantine(at)
-      this._revision += 1
-      this._options.log.warn('prompt-part-quarantined', { part: culprit.id, depth: culprit.depth, crashes: culprit.crashes.size })
-    }
+  private _quarantine (record: PartRecord): void {
+    record.quarantine(record.lastCrashAt)
+    this._revision += 1
+    this._options.log.warn('prompt-part-quarantined', { part: record.id, depth: record.depth, crashes: record.crashes.size })
   }
 
-  private _logRelease (partId: string): void {
+  private _reportRelease (partId: string): void {
     this._revision += 1
     this._options.log.warn('prompt-part-released', { part: partId })
   }
@@ -211,7 +223,7 @@
     for (const [id, record] of this._records) {
       if (!record.expire(now)) continue
       this._records.delete(id)
-      if (record.isQuarantined) this._logRelease(id)
+      if (record.isQuarantined) this._reportRelease(id)
     }
   }
 
--- a/packages/gateway/src/test/prompt-quarantine_test.ts
+++ b/packages/gateway/src/test/prompt-quarantine_test.ts
@@ -1,4 +1,5 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import * as fc from 'fast-check'
 import { beforeEach, expect, test } from 'vitest'
 import type { PromptPart } from '@mimosarock/gateway/model/prompt-part.js'
 import { PromptQuarantine } from '@mimosarock/gateway/quarantine/prompt-quarantine.js'
@@ -167,3 +168,22 @@
   expect(quarantine.notesSince(0, 100).cursor).toBe(cursor)
   expect(quarantine.notesSince(cursor, 100).notes).toEqual({ crashes: [], clearances: [] })
 })
+
+test('routers that know the same crashes and answers quarantine the same parts, in whatever order they learned of them', () => {
+  const parts = ['a', 'b', 'c', 'd'].map((id, depth) => ({ id, depth }))
+  const crash = fc.record({ number: fc.integer({ min: 0, max: 7 }), parts: fc.subarray(parts, { minLength: 1 }) })
+    .map(({ number, parts }) => ({ crashes: [{ crashId: `e${number}`, parts, ageMs: 1_000 * number }], clearances: [] }))
+  const answer = fc.record({ partId: fc.constantFrom('a', 'b', 'c', 'd'), ageMs: fc.integer({ min: 0, max: 8_000 }) })
+    .map((clearance) => ({ crashes: [], clearances: [clearance] }))
+  const news = fc.array(fc.oneof({ weight: 4, arbitrary: crash }, { weight: 1, arbitrary: answer }), { maxLength: 20 })
+  const shuffled = news.chain((notes) => fc.tuple(fc.constant(notes), fc.shuffledSubarray(notes, { minLength: notes.length, maxLength: notes.length })))
+  fc.assert(fc.property(shuffled, ([left, right]) => {
+    const routers = [left, right].map((notes) => {
+      const router = createQuarantine(0)
+      for (const note of notes) router.apply(note, false)
+      return router
+    })
+    const [first, second] = routers.map((router) => parts.map(({ id }) => isBlocked(`${id},x`, router)))
+    expect(first).toEqual(second)
+  }), { seed: 26, numRuns: 2_000 })
+})
