--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -3,15 +3,11 @@
 import { EndpointHealth } from '@mimosarock/gateway/choice/endpoint-health.js'
 import { EndpointPauses } from '@mimosarock/gateway/choice/endpoint-pauses.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
-import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
 import { ConfigurationInForce } from '@mimosarock/gateway/configuration/configuration-in-force.js'
-import { ConfigurationState } from '@mimosarock/gateway/configuration/configuration-state.js'
-import { EndpointTable } from '@mimosarock/gateway/membership/endpoint-table.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
-import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
-import { PromptQuarantine } from '@mimosarock/gateway/quarantine/prompt-quarantine.js'
+import { createFleetState as createState } from '@mimosarock/gateway/wiring/create-fleet-state.js'
 import { fitSlope } from '../capacity/fit-slope.js'
 import { retainedBytes } from '../capacity/retained-bytes.js'
 import { measureShortestUs } from '../capacity/measure-shortest-us.js'
@@ -43,8 +39,9 @@
 
 function createFleetState (endpoints: number, services: number): FleetState {
   const log = new SilentEventLog()
-  const table = new EndpointTable(clock, log)
-  table.apply(Array.from({ length: endpoints }, (_, index) => ({
+  const state = createState({ name: 'self', availabilityZone: 'z', address: 'self' }, new StoreEra(clock, log), clock, log)
+  state.endpointsFreshness.verifiedAt = clock.now()
+  state.endpoints.apply(Array.from({ length: endpoints }, (_, index) => ({
     key: `engine-${index}`,
     value: {
       id: `engine-${index}`,
@@ -57,16 +54,7 @@
       revision: 1
     }
   })), undefined)
-  return {
-    storeEra: new StoreEra(clock, log),
-    configuration: new ConfigurationState(clock, log),
-    endpoints: table,
-    endpointsFreshness: { verifiedAt: clock.now() },
-    routers: new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, clock),
-    holders: new HolderTable(),
-    loads: new LoadView(() => clock.now()),
-    quarantine: new PromptQuarantine({ clock, log, rank: () => 0 })
-  }
+  return state
 }
 
 function measureDecisionUs (size: number): number {
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -223,8 +223,7 @@
    */
   private _isReadingDue (): boolean {
     if (!this._hasMetStale || this._isReader) return true
-    const rank = this._routers.inReaderOrder().findIndex(({ name }) => name === this._routers.self.name)
-    return this._clock.now() - this._lastFollowedAt >= readingDelayMs(rank, this._isFirstOfZone())
+    return this._clock.now() - this._lastFollowedAt >= readingDelayMs(this._routers.ownRank, this._isFirstOfZone())
   }
 
   private _isFirstOfZone (): boolean {
--- a/packages/gateway/src/membership/router-table.ts
+++ b/packages/gateway/src/membership/router-table.ts
@@ -71,6 +71,11 @@
     return this._readerOrder
   }
 
+  /** Position of this router in the reader order, on which all routers agree; 0 is the first. */
+  get ownRank (): number {
+    return this.inReaderOrder().findIndex(({ name }) => name === this._self.name)
+  }
+
   /**
    * Whether the fleet is large enough that the routers of an availability zone follow one of them instead of the
    * reader.
--- /dev/null
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -0,0 +1,128 @@
+import { ConfigurationReadings } from '../configuration/configuration-readings.js'
+import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
+import { EndpointReadings } from '../membership/endpoint-readings.js'
+import { FleetSync } from '../membership/fleet-sync.js'
+import { OutageDetector } from '../membership/outage-detector.js'
+import { RouterAnnouncer } from '../membership/router-announcer.js'
+import { StatePersistence } from '../membership/state-persistence.js'
+import { StoreFeed } from '../membership/store-feed.js'
+import { SyncClient } from '../membership/sync-client.js'
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { GatewayConfiguration } from '../model/gateway-configuration.js'
+import type { FleetTasksOptions } from './fleet-tasks-options.js'
+
+/** Long-poll wait for a new configuration; bounds the staleness of API keys. */
+const CONFIGURATION_WAIT_MS = 1_000
+/** Pause between two reads of the configuration. */
+const CONFIGURATION_PAUSE_MS = 20
+/** Long-poll wait for a change of the endpoints. */
+const ENDPOINTS_WAIT_MS = 300
+/** Pause between two reads of the endpoints. Each endpoint reports about once a second. */
+const ENDPOINTS_PAUSE_MS = 450
+/** Background tasks that keep the state of a router up to date from the store and the other routers, and save what only routers know. */
+export class FleetTasks {
+  private readonly _options: FleetTasksOptions
+  private readonly _configurationFeed: StoreFeed<GatewayConfiguration>
+  private readonly _endpointFeed: StoreFeed<EndpointEntry>
+  private readonly _sync: FleetSync
+  private _isRunning = false
+
+  /**
+   * @param options state, sources and clock
+   */
+  constructor (options: FleetTasksOptions) {
+    this._options = options
+    this._configurationFeed = this._createConfigurationFeed()
+    this._endpointFeed = this._createEndpointFeed()
+    this._sync = this._createSync()
+  }
+
+  /** Whether this router has to read the store on behalf of the fleet. */
+  get isReader (): boolean {
+    return this._sync.isReader
+  }
+
+  /** Name of the router that this one follows; undefined if it reads the store itself and follows none. */
+  get source (): string | undefined {
+    return this._sync.source
+  }
+
+  /** Number of routers between this router and the store; Infinity if it neither reads the store nor follows a router. */
+  get distance (): number {
+    return this._readsStore ? 0 : this._sync.followingDistance
+  }
+
+  /** Whether a seed has answered since the start, or none is expected to. */
+  get hasAskedSeeds (): boolean {
+    return this._sync.hasAskedSeeds
+  }
+
+  /**
+   * Runs all tasks until aborted.
+   * @param signal aborts them
+   */
+  async run (signal: AbortSignal): Promise<void> {
+    this._isRunning = true
+    const { state: { holders, quarantine, routers }, store, log } = this._options
+    const persistence = new StatePersistence({ store, holders, quarantine, isSaving: () => this._mayWriteToStore }, log)
+    const announcer = new RouterAnnouncer(store, routers, () => this._mayWriteToStore, log)
+    const tasks = [persistence, this._configurationFeed, this._endpointFeed, this._sync, announcer]
+    await Promise.all(tasks.map((task) => task.run(signal)))
+  }
+
+  private get _readsStore (): boolean {
+    return this._isRunning && this._configurationFeed.isUpToDate && this._endpointFeed.isUpToDate
+  }
+
+  private get _mayWriteToStore (): boolean {
+    return this._sync.isConfirmedReader && this._readsStore
+  }
+
+  private _createConfigurationFeed (): StoreFeed<GatewayConfiguration> {
+    const { state: { configuration }, store, clock, log, onProgress } = this._options
+    const readings = new ConfigurationReadings(configuration, store.era)
+    return new StoreFeed({
+      topic: 'configuration',
+      reader: store.configurations,
+      waitMs: CONFIGURATION_WAIT_MS,
+      pauseMs: CONFIGURATION_PAUSE_MS,
+      shouldRead: () => this._sync.isReader || configuration.readAt === -Infinity,
+      onPage: (page, readAt) => {
+        readings.apply(page, readAt)
+        onProgress()
+      }
+    }, clock, log)
+  }
+
+  private _createEndpointFeed (): StoreFeed<EndpointEntry> {
+    const { state: { endpoints, endpointsFreshness }, store, clock, log, onProgress } = this._options
+    const outageDetector = new OutageDetector(clock)
+    const readings = new EndpointReadings(endpoints, endpointsFreshness, outageDetector, store.era)
+    return new StoreFeed({
+      topic: 'endpoints',
+      reader: store.endpoints,
+      waitMs: ENDPOINTS_WAIT_MS,
+      pauseMs: ENDPOINTS_PAUSE_MS,
+      shouldRead: () => this._sync.isReader || endpointsFreshness.verifiedAt === -Infinity,
+      onPage: (page, readAt) => {
+        readings.apply(page, readAt)
+        onProgress()
+      },
+      onFailure: () => outageDetector.recordFailure()
+    }, clock, log)
+  }
+
+  private _createSync (): FleetSync {
+    const { state, peerClient, seeds, clock, log, onProgress } = this._options
+    const transfer = new ConfigurationTransfer(state.configuration, async (address, fromVersion) => {
+      return await peerClient.configurationUpdate(address, fromVersion)
+    }, clock, log)
+    const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), transfer, onProgress)
+    const isStoreFailing = (): boolean => this._configurationFeed.isFailing || this._endpointFeed.isFailing
+    const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing }, clock, log)
+    transfer.onAdopted(() => sync.syncSoon())
+    state.quarantine.onNews(() => sync.syncSoon())
+    sync.onSeedsAsked(onProgress)
+    return sync
+  }
+}
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -12,29 +12,14 @@
 import { EndpointSelector } from '../choice/endpoint-selector.js'
 import { EndpointHealth } from '../choice/endpoint-health.js'
 import { EndpointPauses } from '../choice/endpoint-pauses.js'
-import { HolderTable } from '../choice/holder-table.js'
-import { LoadView } from '../choice/load-view.js'
-import { ConfigurationReadings } from '../configuration/configuration-readings.js'
-import { ConfigurationState } from '../configuration/configuration-state.js'
 import { GracefulShutdown } from '../shutdown/graceful-shutdown.js'
-import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
-import { EndpointReadings } from '../membership/endpoint-readings.js'
-import { EndpointTable } from '../membership/endpoint-table.js'
 import type { FleetState } from '../membership/fleet-state.js'
-import { FleetSync } from '../membership/fleet-sync.js'
-import { OutageDetector } from '../membership/outage-detector.js'
 import { pause } from '../membership/pause.js'
 import { PeerRpcClient } from '../membership/peer-rpc-client.js'
 import { createPeerRpcServer } from '../membership/create-peer-rpc-server.js'
-import { RouterAnnouncer } from '../membership/router-announcer.js'
 import type { RouterKnowledge } from '../membership/router-knowledge.js'
-import { RouterTable } from '../membership/router-table.js'
-import { StatePersistence } from '../membership/state-persistence.js'
-import { StoreFeed } from '../membership/store-feed.js'
-import { SyncClient } from '../membership/sync-client.js'
 import { SyncServer } from '../membership/sync-server.js'
 import { CrashDetector } from '../quarantine/crash-detector.js'
-import { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
 import { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import { EndpointConnections } from '../sending/endpoint-connections.js'
 import { refusesConnections } from '../sending/refuses-connections.js'
@@ -43,17 +28,11 @@
 import { LiveSettings } from '../settings/live-settings.js'
 import { createMetricsServer } from '../status/create-metrics-server.js'
 import { GatewayMetrics } from '../status/gateway-metrics.js'
+import { createFleetState } from './create-fleet-state.js'
+import { FleetTasks } from './fleet-tasks.js'
 import type { GatewayOptions } from './gateway-options.js'
 import { listenAt } from './listen-at.js'
 
-/** Long-poll wait for a new configuration; bounds the staleness of API keys. */
-const CONFIGURATION_WAIT_MS = 1_000
-/** Pause between two reads of the configuration. */
-const CONFIGURATION_PAUSE_MS = 20
-/** Long-poll wait for a change of the endpoints. */
-const ENDPOINTS_WAIT_MS = 300
-/** Pause between two reads of the endpoints. Each endpoint reports about once a second. */
-const ENDPOINTS_PAUSE_MS = 450
 /** Subtracted from the staleness limit of API keys, to allow for errors of clocks and timers. */
 const KEY_AGE_MARGIN_MS = 250
 /** File descriptors reserved for uses other than connections to endpoints. */
@@ -80,8 +59,7 @@
   private readonly _budgets = new Map<string, FleetRetryBudget>()
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
-  private _feeds: readonly { readonly isUpToDate: boolean, readonly isFailing: boolean }[] = []
-  private _sync: FleetSync | undefined
+  private readonly _tasks: FleetTasks
   private _callerServer: Server | undefined
 
   /**
@@ -93,16 +71,16 @@
     this._settings = new LiveSettings(settings)
     this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId))
     this._pauses = new EndpointPauses(clock)
-    this._fleetState = {
-      storeEra: options.store.era,
-      configuration: new ConfigurationState(clock, log),
-      endpoints: new EndpointTable(clock, log),
-      endpointsFreshness: { verifiedAt: -Infinity },
-      routers: new RouterTable({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, clock),
-      holders: new HolderTable(),
-      loads: new LoadView(() => clock.now()),
-      quarantine: new PromptQuarantine({ clock, log, rank: () => this._rank })
-    }
+    this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log)
+    this._tasks = new FleetTasks({
+      state: this._fleetState,
+      store: options.store,
+      peerClient: this._peerClient,
+      seeds: settings.seeds,
+      clock,
+      log,
+      onProgress: () => this._openGateWhenReady()
+    })
     this._fleetState.endpoints.listen({
       endpointRestarted: (entry) => this._fleetState.holders.removeEndpoint(entry.id),
       endpointRemoved: (entry) => this._connections.close(entry.id),
@@ -113,8 +91,8 @@
   /** Starts the servers and the background tasks. Resolves when callers can connect. */
   async start (): Promise<void> {
     const { settings, log, clock } = this._options
-    this._startBackgroundTasks()
-    const sync = new SyncServer(this._fleetState, randomUUID(), () => clock.now(), () => this._readsStore() ? 0 : this._sync?.followingDistance ?? Infinity)
+    this._tasks.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
+    const sync = new SyncServer(this._fleetState, randomUUID(), () => clock.now(), () => this._tasks.distance)
     const callerServer = createCallerServer(this._requestDependencies())
     this._callerServer = callerServer
     await Promise.all([
@@ -148,60 +126,6 @@
     this._options.log.info('reloaded', { applied: applied.join(',') || 'none', at_next_start: atNextStart.join(',') || 'none' })
   }
 
-  private _startBackgroundTasks (): void {
-    const { store, clock, log, settings } = this._options
-    const { configuration, endpoints, endpointsFreshness, routers } = this._fleetState
-    const outageDetector = new OutageDetector(clock)
-    const configurationReadings = new ConfigurationReadings(configuration, store.era)
-    const endpointReadings = new EndpointReadings(endpoints, endpointsFreshness, outageDetector, store.era)
-    const configurationFeed = new StoreFeed({
-      topic: 'configuration',
-      reader: store.configurations,
-      waitMs: CONFIGURATION_WAIT_MS,
-      pauseMs: CONFIGURATION_PAUSE_MS,
-      shouldRead: (): boolean => sync.isReader || configuration.readAt === -Infinity,
-      onPage: (page, readAt) => {
-        configurationReadings.apply(page, readAt)
-        this._openGateWhenReady()
-      }
-    }, clock, log)
-    const endpointFeed = new StoreFeed({
-      topic: 'endpoints',
-      reader: store.endpoints,
-      waitMs: ENDPOINTS_WAIT_MS,
-      pauseMs: ENDPOINTS_PAUSE_MS,
-      shouldRead: (): boolean => sync.isReader || endpointsFreshness.verifiedAt === -Infinity,
-      onPage: (page, readAt) => {
-        endpointReadings.apply(page, readAt)
-        this._openGateWhenReady()
-      },
-      onFailure: () => outageDetector.recordFailure()
-    }, clock, log)
-    this._feeds = [configurationFeed, endpointFeed]
-    const transfer = new ConfigurationTransfer(configuration, async (address, fromVersion) => {
-      return await this._peerClient.configurationUpdate(address, fromVersion)
-    }, clock, log)
-    const client = new SyncClient(this._fleetState, clock, async (address, request) => {
-      return await this._peerClient.sync(address, request)
-    }, transfer, () => this._openGateWhenReady())
-    const sync: FleetSync = new FleetSync({
-      routers,
-      client,
-      seeds: settings.seeds,
-      isStoreFailing: () => this._feeds.some((feed) => feed.isFailing)
-    }, clock, log)
-    this._sync = sync
-    transfer.onAdopted(() => sync.syncSoon())
-    this._fleetState.quarantine.onNews(() => sync.syncSoon())
-    sync.onSeedsAsked(() => this._openGateWhenReady())
-    const { signal } = this._stopping
-    const { holders, quarantine } = this._fleetState
-    const persistence = new StatePersistence({ store, holders, quarantine, isSaving: () => this._mayWriteToStore() }, log)
-    const announcer = new RouterAnnouncer(store, routers, () => this._mayWriteToStore(), log)
-    const tasks = [persistence, configurationFeed, endpointFeed, sync, announcer].map((task) => task.run(signal))
-    Promise.all(tasks).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
-  }
-
   private _requestDependencies (): RequestDependencies {
     const { clock, log, codec, settings } = this._options
     const { configuration, endpoints, loads, holders, quarantine } = this._fleetState
@@ -295,31 +219,17 @@
   }
 
   private _knowledgeOf (server: SyncServer): RouterKnowledge {
-    return server.knowledge({ isReader: this._sync?.isReader ?? false, source: this._sync?.source ?? null })
-  }
-
-  private _readsStore (): boolean {
-    return this._feeds.length > 0 && this._feeds.every((feed) => feed.isUpToDate)
-  }
-
-  private _mayWriteToStore (): boolean {
-    return this._sync?.isConfirmedReader === true && this._readsStore()
+    return server.knowledge({ isReader: this._tasks.isReader, source: this._tasks.source ?? null })
   }
 
   private _openGateWhenReady (): void {
     const { configuration, endpointsFreshness } = this._fleetState
-    if (this._startupGate.isOpen || this._sync?.hasAskedSeeds !== true) return
+    if (this._startupGate.isOpen || !this._tasks.hasAskedSeeds) return
     if (configuration.inForce === undefined || endpointsFreshness.verifiedAt === -Infinity) return
     this._startupGate.open()
     this._options.log.info('ready', { version: configuration.version })
   }
 
-  /** Position of this router in the order on which all routers agree. */
-  private get _rank (): number {
-    const { routers } = this._fleetState
-    return routers.inReaderOrder().findIndex(({ name }) => name === routers.self.name)
-  }
-
   private get _isReady (): boolean {
     return !this._state.isStopping && this._startupGate.isOpen
   }
