--- a/packages/gateway/src/logging/non-blocking-output.ts
+++ b/packages/gateway/src/logging/non-blocking-output.ts
@@ -28,12 +28,13 @@
    * @param line line with its line feed
    */
   write (line: string): void {
-    if (this._pendingBytes + line.length > MAXIMUM_PENDING_BYTES) {
+    const bytes = Buffer.byteLength(line)
+    if (this._pendingBytes + bytes > MAXIMUM_PENDING_BYTES) {
       this._droppedLines += 1
       return
     }
     this._pending.push(line)
-    this._pendingBytes += line.length
+    this._pendingBytes += bytes
     if (this._isWriting) return
     this._isWriting = true
     setTimeout(() => this._flush(), BATCH_DELAY_MS).unref()
--- a/packages/gateway/src/test/non-blocking-output_test.ts
+++ b/packages/gateway/src/test/non-blocking-output_test.ts
@@ -17,3 +17,13 @@
     'first', 'x'.repeat(60), 'x'.repeat(60), 'level=warn event=log-lines-dropped lines=2', ''
   ])
 })
+
+test('the limit of the buffer counts bytes, not characters', async () => {
+  const path = join(mkdtempSync(join(tmpdir(), 'output-')), 'log')
+  const descriptor = openSync(path, 'w')
+  const output = new NonBlockingOutput(descriptor)
+  for (let line = 0; line < 3; line += 1) output.write(`${'ž'.repeat(60_000)}\n`)
+  await output.flush()
+  closeSync(descriptor)
+  expect(readFileSync(path, 'utf8').split('\n').map((line) => line.length)).toEqual([60_000, 60_000, 43, 0])
+})
