--- a/packages/gateway/src/settings/live-settings.ts
+++ b/packages/gateway/src/settings/live-settings.ts
@@ -5,7 +5,7 @@
 
 /** Settings for listen addresses, identity and process limits; a change takes effect at the next start. */
 const STARTUP_ONLY: ReadonlySet<SettingName> = new Set([
-  'name', 'availabilityZone', 'callers', 'readiness', 'peers', 'metrics', 'store', 'fileDescriptors'
+  'name', 'availabilityZone', 'callers', 'readiness', 'peers', 'metrics', 'seeds', 'store', 'fileDescriptors'
 ])
 
 /** Holds the settings in force, most of which can be reloaded while the process runs. */
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -239,13 +239,13 @@
   const inFlight = fixture.call('GET', '/read/')
   await waitUntil(() => pendingResponses.length > 0)
   fixture.clock.skewMs = 3_000
-  fixture.reload({ keyAgeLimitMs: 500, name: 'other', store: 'elsewhere:1' })
+  fixture.reload({ keyAgeLimitMs: 500, name: 'other', store: 'elsewhere:1', seeds: ['elsewhere:2'] })
   fixture.store.configurations.isDown = true
   expect((await fixture.call('GET', '/keyed/', { key: 'k1' })).status).toBe(503)
   for (const respondNow of pendingResponses) respondNow()
   expect((await inFlight).status).toBe(200)
   const line = fixture.lines.find((candidate) => candidate.event === 'reloaded')
-  expect(line?.fields).toEqual({ applied: 'keyAgeLimitMs', at_next_start: 'name,store' })
+  expect(line?.fields).toEqual({ applied: 'keyAgeLimitMs', at_next_start: 'name,seeds,store' })
 })
 
 test('closes an idle connection after the configured timeout', async () => {
