Routers of this version sync with those that tell no era of the store

Cause: the era was taken for given in each message, so that a sync with a router of an earlier version threw and each read the store while a fleet was upgraded. Such a router counts as one that knows no era: its configuration and holders are taken, its ages and endpoints are not.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -264,7 +264,7 @@
     this._log.info('peer-not-fresh', {
       peer: router.name,
       distance: answer.distance ?? undefined,
-      store_era: answer.storeEra.era,
+      store_era: answer.storeEra?.era,
       configuration_age_ms: Math.round(answer.configurationReadAgeMs),
       endpoints_age_ms: Math.round(answer.endpointsAgeMs)
     })
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -13,8 +13,8 @@
 export interface SyncAnswer {
   /** Name of the answering router. */
   readonly name: string
-  /** Era of the store that the answering router knows; its ages and endpoints are of this era. */
-  readonly storeEra: EraNews
+  /** Era of the store that the answering router knows; its ages and endpoints are of this era. Undefined from an earlier version. */
+  readonly storeEra?: EraNews | undefined
   /**
    * Number of routers between the answering router and the store: 0 if it reads the store itself without errors;
    * Infinity, null in JSON, if it has no current source. A router stops reading the store only if its source is closer
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -9,8 +9,8 @@
 export interface SyncRequest {
   /** The requesting router. */
   readonly router: RouterEntry
-  /** Era of the store that the requester knows. */
-  readonly storeEra: EraNews
+  /** Era of the store that the requester knows; undefined from an earlier version. */
+  readonly storeEra?: EraNews | undefined
   /** Routers known to the requester; undefined in most requests, since they change rarely. */
   readonly routers: readonly RouterContact[] | undefined
   /** Number of live routers known to the requester, itself included. */
--- a/packages/gateway/src/model/store-era.ts
+++ b/packages/gateway/src/model/store-era.ts
@@ -84,11 +84,11 @@
 
   /**
    * Records the era that another router knows.
-   * @param news what the router told
+   * @param news what the router told; undefined if its version tells no era
    * @param source name of the router, for the log
    */
-  learn (news: EraNews, source: string): void {
-    if (news.era === undefined) return
+  learn (news: EraNews | undefined, source: string): void {
+    if (news?.era === undefined) return
     this._number ??= news.era
     const changedAt = this._clock.now() - (news.changedAgoMs ?? 0)
     if (news.era > this._number) this._change(news.era, changedAt, source)
@@ -101,8 +101,8 @@
    * Whether another router knows the same era.
    * @param news what the router told
    */
-  isSame (news: EraNews): boolean {
-    return news.era === this._number
+  isSame (news: EraNews | undefined): boolean {
+    return news !== undefined && news.era === this._number
   }
 
   private _change (era: number, changedAt: number, source: string): void {
--- a/packages/gateway/src/test/store-era_test.ts
+++ b/packages/gateway/src/test/store-era_test.ts
@@ -70,3 +70,10 @@
   era.observe(1)
   expect(changes).toEqual([1])
 })
+
+test('a router of a version that tells no era is listened to as one that knows none', () => {
+  const { era, changes } = createEra()
+  era.observe(3)
+  era.learn(undefined, 'older')
+  expect([era.number, changes, era.isSame(undefined)]).toEqual([3, [], false])
+})
