--- a/packages/gateway/src/model/service.ts
+++ b/packages/gateway/src/model/service.ts
@@ -2,6 +2,6 @@
 export interface Service {
   /** Name, unique in the configuration. */
   readonly name: string
-  /** Maximum number of connections that one endpoint accepts from all routers together. */
-  readonly maximumConnections: number
+  /** Maximum number of connections that one endpoint accepts from all routers together; undefined if it is not stated. */
+  readonly maximumConnections: number | undefined
 }
