--- a/packages/router/src/caller/models-handler.ts
+++ b/packages/router/src/caller/models-handler.ts
@@ -30,10 +30,19 @@
     const allowed = [...index.routesByModel.keys()].filter((model) => workspace.models.length === 0 || workspace.models.includes(model))
     const models = allowed.sort().map((id) => ({ id, object: 'model', created: 0, owned_by: 'mimosarock' }))
     const path = (exchange.request.url ?? '').split('?', 1)[0] ?? ''
-    const wanted = decodeURIComponent(path.slice(MODELS_PATH.length + 1))
+    const wanted = decodeModel(path.slice(MODELS_PATH.length + 1))
     const body = wanted === '' ? { object: 'list', data: models } : models.find((model) => model.id === wanted)
     if (body === undefined) throw new MimosarockError(ResultCode.MODEL_UNKNOWN, `there is no model ${wanted}`, { field: 'model' })
     exchange.response.writeHead(200, { 'content-type': 'application/json', 'x-request-id': exchange.requestId })
     exchange.response.end(JSON.stringify(body))
   }
 }
+
+// A name that is not encoded validly is taken as it is; no model has it.
+function decodeModel (text: string): string {
+  try {
+    return decodeURIComponent(text)
+  } catch {
+    return text
+  }
+}
--- a/packages/router/src/test/caller-server_test.ts
+++ b/packages/router/src/test/caller-server_test.ts
@@ -59,6 +59,11 @@
   })
 })
 
+test('a model name that can not be decoded is an unknown model', async () => {
+  const response = await fetch(`${fixture.url(0)}/v1/models/%`, { headers: { 'mimosarock-workspace': 'alpha' } })
+  expect([response.status, (await response.json() as { code: number }).code]).toEqual([404, 2007])
+})
+
 test('responds to pipelined requests in order', async () => {
   const caller = new RawCaller()
   const requestFor = (path: string): string => `GET ${path} HTTP/1.1\r\n${JSON_HEADERS}\r\n`
