Headers that Connection names are not forwarded by the owner-based router

Cause: only the well-known hop-by-hop headers were removed (RFC 9110, section 7.6.1).

packages/router/src/test/end-to-end-headers_test.ts: 0 passed, 1 failed before, 1 passed, 0 failed now.

--- a/packages/router/src/http/end-to-end-headers.ts
+++ b/packages/router/src/http/end-to-end-headers.ts
@@ -11,9 +11,10 @@
  */
 export function endToEndHeaders (headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
   const result: Record<string, string> = {}
+  const connectionOptions = String(headers.connection ?? '').toLowerCase().split(',').map((name) => name.trim())
   for (const name in headers) {
     const value = headers[name]
-    if (value === undefined || HOP_BY_HOP.has(name)) continue
+    if (value === undefined || HOP_BY_HOP.has(name) || connectionOptions.includes(name)) continue
     result[name] = typeof value === 'string' ? value : value.join(', ')
   }
   return result
