A caller does not wait for an outcome that is known already

Cause: waitForOutcome looked at the state with the next applied record only, so that a call whose outcome stood waited for the whole time if nothing else was written.

--- a/packages/coordination/src/ledger/operation-ledger.ts
+++ b/packages/coordination/src/ledger/operation-ledger.ts
@@ -90,9 +90,11 @@
    * @returns state of the operation at the end of the wait
    */
   async waitForOutcome (workspace: string, key: string, timeoutMs: number, signal: AbortSignal): Promise<OperationRecord | undefined> {
+    const isInProgress = (): boolean => this.get(workspace, key)?.state === OperationState.IN_PROGRESS
+    if (!isInProgress()) return this.get(workspace, key)
     const ended = new AbortController()
     const unsubscribe = this._options.replica.onApplied(() => {
-      if (this.get(workspace, key)?.state !== OperationState.IN_PROGRESS) ended.abort()
+      if (!isInProgress()) ended.abort()
     })
     await this._options.clock.sleep(timeoutMs, AbortSignal.any([ended.signal, signal]))
     unsubscribe()
--- a/packages/coordination/src/test/operation-ledger_test.ts
+++ b/packages/coordination/src/test/operation-ledger_test.ts
@@ -44,6 +44,17 @@
     expect(outcomes.filter((outcome) => outcome === BeginOutcome.IN_PROGRESS)).toHaveLength(4)
   })
 
+  test('does not wait for an outcome that is known already', async () => {
+    const fleet = await startFleet(1)
+    const ledger = ledgerOf(fleet, 0)
+    const attempt = createAttempt('key')
+    await ledger.begin(attempt)
+    ledger.abandon(attempt)
+    await vi.waitFor(() => expect(ledger.get('alpha', 'key')?.state).toBe(OperationState.NOT_RUN))
+    const waited = ledger.waitForOutcome('alpha', 'key', 60_000, new AbortController().signal)
+    expect((await waited)?.state).toBe(OperationState.NOT_RUN)
+  })
+
   test('lets exactly one router win while each considers itself the writer', async () => {
     const fleet = await startFleet(3, [[0], [1], [2]])
     const results = await Promise.all([0, 1, 2].map(async (router) => await ledgerOf(fleet, router).begin(createAttempt('key'))))
