--- a/packages/gateway/src/quarantine/prompt-quarantine.ts
+++ b/packages/gateway/src/quarantine/prompt-quarantine.ts
@@ -192,7 +192,7 @@
     if (record.crashes.size === 0) this._records.delete(partId)
     if (!isNews) return
     this._changes.append({ partId, at }, isFromUpstream)
-    if (wasQuarantined) this._reportRelease(partId)
+    if (wasQuarantined && !record.isQuarantined) this._reportRelease(partId)
     this._updateQuarantines()
   }
 
--- a/packages/gateway/src/test/prompt-quarantine_test.ts
+++ b/packages/gateway/src/test/prompt-quarantine_test.ts
@@ -159,6 +159,15 @@
   expect(routers.map((router) => isBlocked('a,d,9', router))).toEqual([true, true, true])
 })
 
+test('news of an answer before the crashes do not release a part', () => {
+  const events: string[] = []
+  const record = (event: string): void => { events.push(event) }
+  const target = new PromptQuarantine({ clock, log: { info: record, warn: record }, rank: () => 0 })
+  for (const last of ['1', '2', '3']) crash([`a,d,${last}`], SECOND_MS, target)
+  target.apply({ crashes: [], clearances: [{ partId: 'd', ageMs: 9_000 }] }, false)
+  expect([isBlocked('a,d,9', target), events.filter((event) => event.startsWith('prompt-part'))]).toEqual([true, ['prompt-part-quarantined']])
+})
+
 test('news are passed on once', () => {
   const other = createQuarantine(1)
   crash(['a,d,1'])
