--- a/packages/gateway/src/test/prompt-quarantine_test.ts
+++ b/packages/gateway/src/test/prompt-quarantine_test.ts
@@ -163,9 +163,9 @@
   const events: string[] = []
   const record = (event: string): void => { events.push(event) }
   const target = new PromptQuarantine({ clock, log: { info: record, warn: record }, rank: () => 0 })
-  for (const last of ['1', '2', '3']) crash([`a,d,${last}`], SECOND_MS, target)
+  for (const last of ['1', '2', '3']) crash([`d,${last}`], SECOND_MS, target)
   target.apply({ crashes: [], clearances: [{ partId: 'd', ageMs: 9_000 }] }, false)
-  expect([isBlocked('a,d,9', target), events.filter((event) => event.startsWith('prompt-part'))]).toEqual([true, ['prompt-part-quarantined']])
+  expect([isBlocked('d,9', target), events.filter((event) => event.startsWith('prompt-part'))]).toEqual([true, ['prompt-part-quarantined']])
 })
 
 test('news are passed on once', () => {
