--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -1,3 +1,4 @@
+import type { Pool } from 'undici'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
@@ -10,6 +11,7 @@
 import { CallOutcome } from '../sending/call-outcome.js'
 import type { CallResult } from '../sending/call-result.js'
 import { EndpointCall } from '../sending/endpoint-call.js'
+import type { WatchedCall } from '../sending/watched-call.js'
 import { createCallError } from './create-call-error.js'
 import { createDeadlineError } from './create-deadline-error.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
@@ -33,7 +35,7 @@
   private readonly _dependencies: RequestDependencies
   private readonly _options: EndpointAttemptsOptions
   private _isCallerDisconnected = false
-  private _mayRepeat = true
+  private readonly _mayRepeat: boolean
   private _call: EndpointCall | undefined
   private _chosen: ChosenEndpoint | undefined
   private _problem: string | undefined
@@ -49,6 +51,7 @@
   constructor (dependencies: RequestDependencies, options: EndpointAttemptsOptions) {
     this._dependencies = dependencies
     this._options = options
+    this._mayRepeat = options.authorized.route.kind !== RouteKind.ONCE
   }
 
   /** Number of endpoints to which the request was sent. */
@@ -88,10 +91,31 @@
   }
 
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
+    const { endpoint } = chosen
+    const { prompt } = this._options.authorized.caller
+    const { loads, quarantine, stallWatch } = this._dependencies
+    const call = this._createCall(chosen)
+    const watched = this._watchedCall(call, endpoint.id)
+    this._call = call
+    this._attempts += 1
+    this._recordHolder(prompt, chosen)
+    loads.begin(endpoint.id)
+    quarantine.beginCall(prompt)
+    call.send(this._connectionsTo(endpoint))
+    stallWatch.add(watched)
+    const result = await call.result
+    stallWatch.remove(watched)
+    loads.end(endpoint.id)
+    quarantine.endCall(prompt)
+    this._recordHealth(endpoint.id, result)
+    if (result.isConnectionLost && !this._options.relay.isStarted) this._recordLossBeforeAnswer(chosen)
+    return result
+  }
+
+  private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
-    const { caller, service, route } = authorized
-    const { endpoint, contextHolder } = chosen
-    const headers = this._dependencies.codec.writeDispatchHeaders(request.rawHeaders, {
+    const { codec, endpointSelector } = this._dependencies
+    const headers = codec.writeDispatchHeaders(request.rawHeaders, {
       endpointId: endpoint.id,
       deadlineMs: Math.floor(this._options.timeLeftMs()),
       workspace: authorized.workspace,
@@ -99,34 +123,28 @@
       contextHolder: contextHolder?.address,
       lastEventId: relay.lastEventId
     })
-    const call = new EndpointCall({
-      id: caller.id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body
-    }, this._dependencies.codec, relay, {
-      mayStart: () => this._dependencies.endpointSelector.isUsable(endpoint),
+    const { id } = authorized.caller
+    return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
+      mayStart: () => endpointSelector.isUsable(endpoint),
       headReceived: (head) => this._recordWishes(endpoint, head)
     })
-    this._call = call
-    this._attempts += 1
-    this._recordHolder(caller.prompt, chosen)
-    this._dependencies.loads.begin(endpoint.id)
-    this._dependencies.quarantine.beginCall(caller.prompt)
-    this._mayRepeat = route.kind !== RouteKind.ONCE
-    call.send(this._dependencies.connections.pool(endpoint, this._mayRepeat, this._dependencies.maximumConnectionsOf(service)))
-    const watched = {
-      endpointId: endpoint.id,
+  }
+
+  private _watchedCall (call: EndpointCall, endpointId: string): WatchedCall {
+    const { relay } = this._options
+    return {
+      endpointId,
       get isPaused () { return call.isPaused },
       get receivedParts () { return call.receivedParts },
       get usableBytes () { return relay.usableBytes },
-      onStalled: (isEndpointSilent: boolean) => this._giveUpIfRetriable(call, isEndpointSilent)
+      onStalled: (isEndpointSilent) => this._giveUpIfRetriable(call, isEndpointSilent)
     }
-    this._dependencies.stallWatch.add(watched)
-    const result = await call.result
-    this._dependencies.stallWatch.remove(watched)
-    this._dependencies.loads.end(endpoint.id)
-    this._dependencies.quarantine.endCall(caller.prompt)
-    this._recordHealth(endpoint.id, result)
-    if (result.isConnectionLost && !relay.isStarted) this._recordLossBeforeAnswer(chosen)
-    return result
+  }
+
+  private _connectionsTo (endpoint: EndpointEntry): Pool {
+    const { connections, maximumConnectionsOf } = this._dependencies
+    const { service } = this._options.authorized
+    return connections.pool(endpoint, this._mayRepeat, maximumConnectionsOf(service))
   }
 
   /** Records what an endpoint states about the requests that it wants. */
