--- a/packages/gateway/src/responses/event-splitter.ts
+++ b/packages/gateway/src/responses/event-splitter.ts
@@ -1,6 +1,8 @@
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
 const ID_FIELD = 'id:'
+const ID_FIELD_BYTES = Buffer.from(ID_FIELD)
+const ID_LINE = `\n${ID_FIELD}`
 const EMPTY = Buffer.alloc(0)
 
 /**
@@ -9,11 +11,13 @@
  */
 export class EventSplitter {
   private _partialEvent: Buffer = EMPTY
-  private _lastEventId: string | undefined
+  /** The last complete events of which one has an id; it is read when it is asked for, which few streams need. */
+  private _eventsWithId: Buffer = EMPTY
 
   /** Id of the last complete event; undefined before the first one. */
   get lastEventId (): string | undefined {
-    return this._lastEventId
+    const lines = this._eventsWithId.toString('latin1').split('\n')
+    return lines.findLast((line) => line.startsWith(ID_FIELD))?.slice(ID_FIELD.length).trim()
   }
 
   /** Discards the bytes of an incomplete event. */
@@ -36,19 +40,13 @@
     const end = endOfLastEvent(bytes, bytes.length - chunk.length)
     this._partialEvent = bytes.subarray(end)
     const events = bytes.subarray(0, end)
-    if (end > 0) this._readLastEventId(events)
+    if (hasId(events)) this._eventsWithId = events
     return events
   }
+}
 
-  private _readLastEventId (events: Buffer): void {
-    const lines = events.toString('latin1').split('\n')
-    for (let index = lines.length - 1; index >= 0; index -= 1) {
-      const line = lines[index] as string
-      if (!line.startsWith(ID_FIELD)) continue
-      this._lastEventId = line.slice(ID_FIELD.length).trim()
-      return
-    }
-  }
+function hasId (events: Buffer): boolean {
+  return events.subarray(0, ID_FIELD.length).equals(ID_FIELD_BYTES) || events.includes(ID_LINE)
 }
 
 // Looks at new bytes alone, since an event that ended before them was returned before.
--- a/packages/gateway/src/test/event-splitter_test.ts
+++ b/packages/gateway/src/test/event-splitter_test.ts
@@ -24,3 +24,10 @@
   splitter.discardPartialEvent()
   expect(splitter.push(Buffer.from('id: 2\ndata: b\n\n')).toString()).toBe('id: 2\ndata: b\n\n')
 })
+
+test('events without an id keep the last one', () => {
+  const splitter = new EventSplitter()
+  splitter.push(Buffer.from('data: a\nid: 7\n\n'))
+  splitter.push(Buffer.from('data: id: 8\n\n: comment\n\n'))
+  expect(splitter.lastEventId).toBe('7')
+})
