A resumption whose connection ends before its first event does not complete the stream

Cause: a stream that had begun counted as whole at the end of an unframed response, also of the resumption, which had brought nothing. Callers saw a stream that looked complete after its second event.

--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -26,6 +26,9 @@
   private _isStarted = false
   private _isComplete = false
   private _usableBytes = 0
+  /** Whether the end of the response of the present call is marked, and whether any of it could be forwarded. */
+  private _isDelimited = false
+  private _hasUsableBytes = false
 
   /**
    * @param options response to the caller and how to forward to it
@@ -65,6 +68,8 @@
    * @returns false if a resumed stream has another status than the first head; the call then counts as broken
    */
   start (head: ResponseHead): boolean {
+    this._isDelimited = head.isDelimited
+    this._hasUsableBytes = false
     if (this._isStarted) return head.status === this._head?.status
     this._head = head
     this._isComplete = false
@@ -83,6 +88,7 @@
     if (this._isPassedThrough()) {
       const ready = this._splitter === undefined ? chunk : this._splitter.push(chunk)
       this._usableBytes += ready.length
+      this._hasUsableBytes ||= ready.length > 0
       return ready.length === 0 || this._write(ready)
     }
     this._usableBytes += chunk.length
@@ -100,7 +106,7 @@
     if (!isEnded) return undefined
     if (this._splitter.partialEvent.length > 0) return 'the stream ended inside an event'
     // A connection that was closed is no sign that the stream had ended before its first event.
-    return this._isStarted || this._head?.isDelimited === true ? undefined : 'the stream ended before its first event'
+    return this._hasUsableBytes || this._isDelimited ? undefined : 'the stream ended before its first event'
   }
 
   /** Ends the response after its last byte. */
--- a/packages/gateway/src/test/stream-end_test.ts
+++ b/packages/gateway/src/test/stream-end_test.ts
@@ -64,6 +64,12 @@
   expect([response.status, JSON.parse(response.body).run, arrivals()]).toEqual([502, 'unknown', 1])
 })
 
+test('a resumption whose connection ends before its first event does not complete the stream', async () => {
+  answerInTurn(unframed(`${EVENTS}id: 3\nda`), unframed(''))
+  const response = await fixture.call('POST', '/resume/')
+  expect([response.body, response.isWhole, arrivals()]).toEqual([EVENTS, false, 2])
+})
+
 test('a response of another type than an event stream is forwarded as it is', async () => {
   answerInTurn((request, response) => {
     response.writeHead(200, { 'request-id': request.headers['request-id'], signature: 's', 'content-type': 'application/json' }).end('{"a":1}')
