A reader contacts routers that it knows only by their announcements at once

Change: the announcer tells the sync of routers that were unknown before, and a reader contacts one of them in each round. A contacted reader learns of this one and follows it if it ranks behind.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -67,6 +67,8 @@
   private _roundEndedAt = -Infinity
   private _pausing = new AbortController()
   private _hasAskedSeeds = false
+  /** Addresses of routers to contact in the next rounds. */
+  private readonly _toContact: string[] = []
   /** Whether a router that was contacted in this round answered with stale state. */
   private _hasMetStale = false
   private _onSeedsAsked: () => void = () => undefined
@@ -147,6 +149,14 @@
     this._pausing.abort()
   }
 
+  /**
+   * Contacts routers in the next rounds, one in each. They may be a group that does not know of this one, and wait long for their turn.
+   * @param routers routers that this one has never heard
+   */
+  contactSoon (routers: readonly RouterEntry[]): void {
+    this._toContact.push(...routers.map(({ address }) => address))
+  }
+
   private async _askSeeds (signal: AbortSignal): Promise<void> {
     const answers = this._seeds.map((seed) => this._syncWith(seed, DISCOVERY_OPTIONS))
     const allAsked = Promise.all(answers)
@@ -236,6 +246,11 @@
    * themselves; this request lets two concurrent readers discover each other.
    */
   private async _syncWithNextPeer (): Promise<void> {
+    const unheard = this._toContact.shift()
+    if (unheard !== undefined) {
+      await this._syncWith(unheard, DISCOVERY_OPTIONS)
+      return
+    }
     const peers = this._routers.inReaderOrder().filter((router) => router.name !== this._routers.self.name)
     this._rounds += 1
     if (peers.length === 0 || this._rounds % ROUNDS_PER_READER_SYNC !== 0) return
--- a/packages/gateway/src/membership/router-announcer.ts
+++ b/packages/gateway/src/membership/router-announcer.ts
@@ -29,6 +29,7 @@
   private _announcedEra: number | undefined
   private _announcedOrder: readonly RouterEntry[] | undefined
   private _checks = 0
+  private _onLearned: (routers: readonly RouterEntry[]) => void = () => undefined
 
   /**
    * @param store store of the platform
@@ -43,6 +44,14 @@
     this._log = log
   }
 
+  /**
+   * Sets the listener that is called with routers that were known by their announcements alone; it replaces the previous one.
+   * @param onLearned listener
+   */
+  onLearned (onLearned: (routers: readonly RouterEntry[]) => void): void {
+    this._onLearned = onLearned
+  }
+
   /**
    * Announces routers while this router is the reader.
    * @param signal stops the task
@@ -91,6 +100,9 @@
    */
   private async _learnAnnounced (signal: AbortSignal): Promise<void> {
     const page = await this._store.routers.read(undefined, 0, signal)
-    for (const change of page.changes) if (change.value !== undefined) this._routers.recordContact(change.value, ANNOUNCEMENT_AGE_MS)
+    const known = new Set(this._routers.inReaderOrder().map(({ name }) => name))
+    const learned = page.changes.flatMap(({ value }) => value === undefined || known.has(value.name) ? [] : [value])
+    for (const router of learned) this._routers.recordContact(router, ANNOUNCEMENT_AGE_MS)
+    this._onLearned(learned)
   }
 }
--- a/packages/gateway/src/test/fleet-sync_test.ts
+++ b/packages/gateway/src/test/fleet-sync_test.ts
@@ -172,3 +172,17 @@
     expect(sync.isReader).toBe(isReader)
   }
 )
+
+// Guards against a group of routers that start apart and stay unknown to the others until their turn comes, many seconds later.
+test('a reader contacts routers that it has never heard in its next rounds, before it is the turn of any other', async () => {
+  let isTold = false
+  const { requestedAddresses } = await runUntil({ count: 30, answer: () => ({ distance: 1 }) }, (sync, addresses) => {
+    if (!isTold && sync.isReader) {
+      sync.contactSoon(['x', 'y'].map((name) => ({ name, availabilityZone: 'z', address: name })))
+      isTold = true
+    }
+    return addresses.includes('y')
+  })
+  const [first, second] = [requestedAddresses.indexOf('x'), requestedAddresses.indexOf('y')]
+  expect(second).toBeGreaterThan(first)
+})
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -66,6 +66,7 @@
     const { state: { holders, quarantine, routers }, store, log } = this._options
     const persistence = new StatePersistence({ store, holders, quarantine, isSaving: () => this._mayWriteToStore }, log)
     const announcer = new RouterAnnouncer(store, routers, () => this._mayWriteToStore, log)
+    announcer.onLearned((learned) => this._sync.contactSoon(learned))
     const tasks = [persistence, this._configurationFeed, this._endpointFeed, this._sync, announcer]
     await Promise.all(tasks.map((task) => task.run(signal)))
   }
