Quarantines are computed once for each message

Change: a message is applied whole, then the parts are computed. 41 tests of quarantine, state and sync pass.

--- a/packages/gateway/src/quarantine/prompt-quarantine.ts
+++ b/packages/gateway/src/quarantine/prompt-quarantine.ts
@@ -30,6 +30,8 @@
   private readonly _answers = new RecentAnswers()
   private readonly _changes = new ChangeLog<QuarantineChange>()
   private _revision = 0
+  /** Whether crashes or answers have become known since the quarantines were last computed. */
+  private _isOutdated = false
   private _onNews: () => void = () => undefined
 
   /**
@@ -105,6 +107,7 @@
       this._answers.record(id, at)
       if (this._records.has(id)) this._clear(id, at, false)
     }
+    this._updateQuarantines()
   }
 
   /**
@@ -117,6 +120,7 @@
     if (parts.size === 0) return
     this._options.log.warn('endpoint-crashed', { endpoint: endpoint.id, service: endpoint.service, unanswered_parts: [...parts.keys()].join(',') })
     this._applyCrash({ crashId: `${endpoint.id}@${endpoint.startedAt}`, parts: [...parts.values()], ageMs: 0 }, false)
+    this._updateQuarantines()
     this._onNews()
   }
 
@@ -128,6 +132,7 @@
   apply ({ crashes, clearances }: QuarantineNotes, isFromUpstream: boolean): void {
     for (const note of crashes) this._applyCrash(note, isFromUpstream)
     for (const { partId, ageMs } of clearances) this._clear(partId, this._options.clock.now() - ageMs, isFromUpstream)
+    this._updateQuarantines()
   }
 
   /**
@@ -160,7 +165,7 @@
     if (news.length === 0) return
     this._changes.append({ crashId, parts: news, at }, isFromUpstream)
     for (const { id } of news) this._tellOfEarlierAnswer(id, now)
-    this._updateQuarantines()
+    this._isOutdated = true
   }
 
   /** Adds a crash to the record of a part. Returns false if it is known, or the part was answered since. */
@@ -193,11 +198,13 @@
     if (!isNews) return
     this._changes.append({ partId, at }, isFromUpstream)
     if (wasQuarantined && !record.isQuarantined) this._reportRelease(partId)
-    this._updateQuarantines()
+    this._isOutdated = true
   }
 
-  /** Quarantines the parts that explain the known crashes best, and no others. */
+  /** Quarantines the parts that explain the known crashes best, and no others, once after all news of a message. */
   private _updateQuarantines (): void {
+    if (!this._isOutdated) return
+    this._isOutdated = false
     const culprits = findCulprits(this._records.values())
     for (const record of this._records.values()) {
       if (record.isQuarantined === culprits.has(record)) continue
