--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -1,7 +1,8 @@
 import { request as httpRequest } from 'node:http'
-import { createConnection, createServer, type AddressInfo, type Socket } from 'node:net'
+import { createConnection, type Socket } from 'node:net'
 import type { GatewaySettings } from '@mimosarock/gateway/settings/gateway-settings.js'
 import { Gateway } from '@mimosarock/gateway/wiring/gateway.js'
+import { PortReservation } from '@mimosarock/stand-ins/port-reservation.js'
 import type { CallerResponse } from './caller-response.js'
 import { createConfiguration } from './create-configuration.js'
 import type { GatewayFixtureOptions } from './gateway-fixture-options.js'
@@ -9,14 +10,6 @@
 import { plainCodec } from './plain-codec.js'
 import { TestEndpoint } from './test-endpoint.js'
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return port
-}
-
 /** Router with test endpoints whose behavior each test sets. */
 export class GatewayFixture {
   readonly store: MemoryStore
@@ -27,6 +20,7 @@
   private readonly _stopGraceMs: number
   private readonly _options: GatewayFixtureOptions
   private _settings: GatewaySettings | undefined
+  private _ports: PortReservation[] = []
   private _port = 0
   private _readinessPort = 0
 
@@ -40,7 +34,8 @@
   async start (): Promise<void> {
     for (const endpoint of this.endpoints) this.store.endpoints.put(endpoint.id, await endpoint.start())
     if (this._options.store === undefined) this.store.configurations.put('config', createConfiguration(3))
-    const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()]
+    this._ports = await Promise.all([PortReservation.create(), PortReservation.create(), PortReservation.create()])
+    const [callers, readiness, peers] = this._ports.map(({ port }) => port) as [number, number, number]
     this._port = callers
     this._readinessPort = readiness
     const record = (event: string, fields: Readonly<Record<string, unknown>> = {}): void => { this.lines.push({ event, fields }) }
@@ -82,6 +77,7 @@
     this._gateway = undefined
     await gateway?.stop()
     for (const endpoint of this.endpoints) endpoint.close()
+    for (const port of this._ports) port.release()
   }
 
   /** Address for other routers. */
--- a/packages/gateway/src/test/test-endpoint.ts
+++ b/packages/gateway/src/test/test-endpoint.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
+import { PortReservation } from '@mimosarock/stand-ins/port-reservation.js'
 import type { EndpointBehavior } from './endpoint-behavior.js'
 
 /** HTTP endpoint whose behavior each test sets. */
@@ -12,7 +13,7 @@
   closedEarly = 0
   private readonly _server: Server
   private readonly _sockets = new Set<Socket>()
-  private _port = 0
+  private _reservation: PortReservation | undefined
   private _starts = 0
 
   constructor (id: string) {
@@ -44,9 +45,8 @@
   }
 
   async start (changes: Partial<EndpointEntry> = {}): Promise<EndpointEntry> {
-    await new Promise<void>((resolve) => this._server.listen(this._port, '127.0.0.1', resolve))
-    const { port } = this._server.address() as AddressInfo
-    this._port = port
+    const { port } = this._reservation ??= await PortReservation.create()
+    await new Promise<void>((resolve) => this._server.listen(port, '127.0.0.1', resolve))
     this._starts += 1
     return {
       id: this.id,
@@ -75,5 +75,6 @@
   close (): void {
     this._server.closeAllConnections()
     this._server.close()
+    this._reservation?.release()
   }
 }
--- a/packages/stand-ins/src/stand-in-server.ts
+++ b/packages/stand-ins/src/stand-in-server.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import type { Socket } from 'node:net'
+import { PortReservation } from './port-reservation.js'
 import { sendJson } from './send-json.js'
 import type { StandInHandler } from './stand-in-handler.js'
 
@@ -11,7 +12,7 @@
   private readonly _server: Server
   private readonly _sockets = new Set<Socket>()
   private readonly _silenced = new WeakSet<Socket>()
-  private _port = 0
+  private _reservation: PortReservation | undefined
 
   /**
    * @param handler handles the requests
@@ -33,7 +34,7 @@
 
   /** IP address and port; the port is 0 before the first start. */
   get address (): string {
-    return `${LOOPBACK}:${this._port}`
+    return `${LOOPBACK}:${this._reservation?.port ?? 0}`
   }
 
   /** Base URL; valid once started. */
@@ -48,14 +49,14 @@
 
   /** Starts listening. A restarted server listens on the same port. */
   async start (): Promise<void> {
+    const { port } = this._reservation ??= await PortReservation.create()
     await new Promise<void>((resolve, reject) => {
       this._server.once('error', reject)
-      this._server.listen(this._port, LOOPBACK, () => {
+      this._server.listen(port, LOOPBACK, () => {
         this._server.off('error', reject)
         resolve()
       })
     })
-    this._port = (this._server.address() as AddressInfo).port
   }
 
   /** Stops listening and closes all connections. */
