--- a/packages/gateway/src/caller/call-failure.ts
+++ b/packages/gateway/src/caller/call-failure.ts
@@ -6,6 +6,8 @@
 export interface CallFailure {
   /** Id of the caller's attempt. */
   readonly requestId: string
+  /** Identifies the content of the request, the same each time that it is repeated. */
+  readonly fingerprint: string
   /** Name of the route. */
   readonly route: string
   /** Name of the service. */
--- a/packages/gateway/src/caller/endpoint-attempts-options.ts
+++ b/packages/gateway/src/caller/endpoint-attempts-options.ts
@@ -6,6 +6,8 @@
 export interface EndpointAttemptsOptions {
   /** The request, with its route and service. */
   readonly authorized: AuthorizedRequest
+  /** Identifies the content of the request, the same each time that it is repeated. */
+  readonly fingerprint: string
   /** The caller's request, for its method, target and headers. */
   readonly request: IncomingMessage
   /** Its whole body. */
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -173,9 +173,11 @@
   }
 
   private _reportFailure (chosen: ChosenEndpoint, result: CallResult): void {
-    const { authorized: { caller, service, route }, relay } = this._options
+    const { authorized: { caller, service, route }, fingerprint, relay } = this._options
     this._problem = `${result.outcome}: ${result.problem}`
-    reportCallFailure(this._dependencies, { requestId: caller.id, route: route.name, service, prompt: caller.prompt, chosen, result, hasBegun: relay.isStarted })
+    reportCallFailure(this._dependencies, {
+      requestId: caller.id, fingerprint, route: route.name, service, prompt: caller.prompt, chosen, result, hasBegun: relay.isStarted
+    })
   }
 
   /** Gives up a call that makes no progress, if the request can go on elsewhere. Otherwise waiting is all that is left. */
--- a/packages/gateway/src/caller/report-call-failure.ts
+++ b/packages/gateway/src/caller/report-call-failure.ts
@@ -7,12 +7,13 @@
  * @param dependencies log and metrics
  * @param failure the failed call
  */
-export function reportCallFailure ({ log, metrics }: RequestDependencies, { requestId, route, service, prompt, chosen, result, hasBegun }: CallFailure): void {
+export function reportCallFailure ({ log, metrics }: RequestDependencies, { requestId, fingerprint, route, service, prompt, chosen, result, hasBegun }: CallFailure): void {
   const { endpoint, load } = chosen
   const { outcome, head, problem } = result
   metrics.callFailures.inc({ service, outcome, begun: String(hasBegun) })
   log.info('endpoint-call-failed', {
     request: requestId,
+    fingerprint,
     route,
     endpoint: endpoint.id,
     endpoint_started_at: endpoint.startedAt,
--- a/packages/gateway/src/caller/report-request.ts
+++ b/packages/gateway/src/caller/report-request.ts
@@ -16,6 +16,7 @@
   metrics.responseSeconds.observe({ route }, elapsedMs / MS_PER_SECOND)
   log.info('request', {
     request: record.requestId,
+    fingerprint: record.fingerprint,
     route,
     service: authorized?.service,
     workspace: authorized?.workspace,
--- a/packages/gateway/src/caller/request-record.ts
+++ b/packages/gateway/src/caller/request-record.ts
@@ -6,6 +6,8 @@
 export interface RequestRecord {
   /** Id of the caller's attempt; undefined if the request carries none. */
   readonly requestId: string | undefined
+  /** Identifies the content of the request; undefined if it was not read. */
+  readonly fingerprint: string | undefined
   /** The request with its route and service; undefined if the request was not allowed. */
   readonly authorized: AuthorizedRequest | undefined
   /** Last endpoint chosen and why; undefined if none was chosen. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -15,6 +15,7 @@
 import { readRequestBody } from './read-request-body.js'
 import { reportRequest } from './report-request.js'
 import type { RequestDependencies } from './request-dependencies.js'
+import { requestFingerprint } from './request-fingerprint.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
 
 /** Maximum body length if the configuration sets none. */
@@ -37,6 +38,7 @@
   private readonly _response: ServerResponse
   private readonly _startedAt: number
   private _requestId: string | undefined
+  private _fingerprint: string | undefined
   private _isCallerDisconnected = false
   private _relay: ResponseRelay | undefined
   private _problem: string | undefined
@@ -71,11 +73,12 @@
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = this._authorize()
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
+      const fingerprint = this._identify(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, authorized.caller.prompt, 0)
       this._requireEndpointWithinWait(authorized)
       admission = await this._waitForAdmission(authorized)
       this._authorizeAgainAfterDelay()
-      await this._serve(authorized, body)
+      await this._serve(authorized, fingerprint, body)
     } catch (error) {
       code = this._handleError(error as Error)
     }
@@ -105,6 +108,12 @@
     return authorized
   }
 
+  private _identify ({ workspace }: AuthorizedRequest, body: Buffer): string {
+    const { method, headers, url } = this._request
+    this._fingerprint = requestFingerprint({ method: method ?? '', host: headers.host ?? '', target: url ?? '', workspace, body })
+    return this._fingerprint
+  }
+
   /**
    * Authorizes a request again that was delayed: a long body, a queue, or a pause of the process may have outlasted what the API
    * keys were known by.
@@ -153,7 +162,7 @@
     }
   }
 
-  private async _serve (authorized: AuthorizedRequest, body: Buffer): Promise<void> {
+  private async _serve (authorized: AuthorizedRequest, fingerprint: string, body: Buffer): Promise<void> {
     const { route } = authorized
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
@@ -168,7 +177,7 @@
     })
     this._relay = relay
     const attempts = new EndpointAttempts(this._dependencies, {
-      authorized, request: this._request, body, relay, timeLeftMs: () => this._timeLeftMs(authorized)
+      authorized, fingerprint, request: this._request, body, relay, timeLeftMs: () => this._timeLeftMs(authorized)
     })
     this._attempts = attempts
     const timer = setTimeout(() => attempts.endAtDeadline(), Math.max(0, this._timeLeftMs(authorized)))
@@ -227,6 +236,7 @@
   private _report (authorized: AuthorizedRequest | undefined, code: ResultCode): void {
     reportRequest(this._dependencies, {
       requestId: this._requestId,
+      fingerprint: this._fingerprint,
       authorized,
       chosen: this._attempts?.chosen,
       waitedMs: this._waitedMs,
