--- a/packages/gateway/src/test/gateway-fleet.ts
+++ b/packages/gateway/src/test/gateway-fleet.ts
@@ -37,10 +37,10 @@
     }
   }
 
-  /** Number of requests that reached endpoints and satisfy a condition on their prompt. */
-  arrivals (matches: (prompt: string) => boolean): number {
-    const prompts = this.endpoints.flatMap(({ requests }) => requests.map(({ headers }) => String(headers.prompt ?? '')))
-    return prompts.filter(matches).length
+  /** Number of requests that reached endpoints and satisfy a condition on their prompt and body. */
+  arrivals (matches: (prompt: string, body: string) => boolean): number {
+    const requests = this.endpoints.flatMap((endpoint) => endpoint.requests)
+    return requests.filter(({ headers, body }) => matches(String(headers.prompt ?? ''), body)).length
   }
 
   async stop (): Promise<void> {
