--- a/packages/gateway/src/caller/endpoint-attempts-options.ts
+++ b/packages/gateway/src/caller/endpoint-attempts-options.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http'
+import type { RequestContent } from '../model/request-content.js'
 import type { ResponseRelay } from '../responses/response-relay.js'
 import type { AuthorizedRequest } from './authorized-request.js'
 
@@ -6,8 +7,8 @@
 export interface EndpointAttemptsOptions {
   /** The request, with its route and service. */
   readonly authorized: AuthorizedRequest
-  /** Identifies the content of the request, the same each time that it is repeated. */
-  readonly fingerprint: string
+  /** What it asks for. */
+  readonly content: RequestContent
   /** The caller's request, for its method, target and headers. */
   readonly request: IncomingMessage
   /** Its whole body. */
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -29,6 +29,8 @@
 const UNAVAILABLE_STATUS = 503
 /** Number of endpoints that a request may have lost its connection to before they answered; it may be what ends them. */
 const MAXIMUM_LOSSES_BEFORE_ANSWER = 2
+/** The same for a request that is on trial after a quarantine. */
+const MAXIMUM_LOSSES_OF_TRIAL = 1
 
 /** Sends one request to endpoints, as often as its route and the retry budget allow, and relays the response. */
 export class EndpointAttempts {
@@ -79,7 +81,7 @@
     for (;;) {
       if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
       if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
-      requireNotQuarantined(this._dependencies.quarantine, authorized.caller.prompt, this._runs)
+      requireNotQuarantined(this._dependencies.quarantine, this._options.content, this._runs)
       const chosen = this._choose(excluded)
       if (chosen === undefined) throw createNoEndpointError(this._runs, this._retryAfterMs(authorized.service))
       this._chosen = chosen
@@ -106,23 +108,24 @@
 
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
     const { endpoint } = chosen
-    const { prompt } = this._options.authorized.caller
-    const { loads, quarantine, stallWatch } = this._dependencies
+    const { content } = this._options
+    const { clock, loads, quarantine, stallWatch } = this._dependencies
+    const startedAt = clock.now()
     const call = this._createCall(chosen)
     const watched = this._watchedCall(call, endpoint.id)
     this._call = call
     this._attempts += 1
-    this._recordHolder(prompt, chosen)
+    this._recordHolder(content.prompt, chosen)
     loads.begin(endpoint.id)
-    quarantine.beginCall(prompt)
+    quarantine.beginCall(content)
     call.send(this._connectionsTo(endpoint))
     stallWatch.add(watched)
     const result = await call.result
     stallWatch.remove(watched)
     loads.end(endpoint.id)
-    quarantine.endCall(prompt)
+    quarantine.endCall(content)
     this._recordHealth(endpoint.id, result)
-    if (result.isConnectionLost && !this._options.relay.isStarted) this._recordLossBeforeAnswer(chosen)
+    if (result.isConnectionLost) this._recordLoss(chosen, startedAt)
     return result
   }
 
@@ -173,10 +176,10 @@
   }
 
   private _reportFailure (chosen: ChosenEndpoint, result: CallResult): void {
-    const { authorized: { caller, service, route }, fingerprint, relay } = this._options
+    const { authorized: { caller, service, route }, content, relay } = this._options
     this._problem = `${result.outcome}: ${result.problem}`
     reportCallFailure(this._dependencies, {
-      requestId: caller.id, fingerprint, route: route.name, service, prompt: caller.prompt, chosen, result, hasBegun: relay.isStarted
+      requestId: caller.id, route: route.name, service, content, chosen, result, hasBegun: relay.isStarted
     })
   }
 
@@ -230,15 +233,21 @@
       this._hasTakenRetry = false
       return true
     }
-    if (this._lossesBeforeAnswer >= MAXIMUM_LOSSES_BEFORE_ANSWER) return false
+    if (this._lossesBeforeAnswer >= this._maximumLosses) return false
     const attempts = { total: this._attempts, runs: this._runs }
     if (!mayRetry(authorized.route, outcome, attempts, relay.isStarted)) return false
     return outcome === CallOutcome.NOT_SENT || this._dependencies.retryBudgetOf(authorized.service).take()
   }
 
-  private _recordLossBeforeAnswer ({ endpoint }: ChosenEndpoint): void {
-    this._lossesBeforeAnswer += 1
-    this._dependencies.crashDetector.connectionLost(endpoint, this._options.authorized.caller.prompt)
+  private get _maximumLosses (): number {
+    return this._dependencies.quarantine.includes(this._options.content) ? MAXIMUM_LOSSES_OF_TRIAL : MAXIMUM_LOSSES_BEFORE_ANSWER
+  }
+
+  private _recordLoss ({ endpoint }: ChosenEndpoint, startedAt: number): void {
+    const { content, relay } = this._options
+    const { clock, crashDetector } = this._dependencies
+    if (!relay.isStarted) this._lossesBeforeAnswer += 1
+    crashDetector.connectionLost(endpoint, { content, startedAt, lostAt: clock.now(), hasBegun: relay.isStarted })
   }
 
   private _recordHealth (endpointId: string, { outcome }: CallResult): void {
--- a/packages/gateway/src/caller/report-call-failure.ts
+++ b/packages/gateway/src/caller/report-call-failure.ts
@@ -7,7 +7,7 @@
  * @param dependencies log and metrics
  * @param failure the failed call
  */
-export function reportCallFailure ({ log, metrics }: RequestDependencies, { requestId, fingerprint, route, service, prompt, chosen, result, hasBegun }: CallFailure): void {
+export function reportCallFailure ({ log, metrics }: RequestDependencies, { requestId, route, service, content: { prompt, fingerprint }, chosen, result, hasBegun }: CallFailure): void {
   const { endpoint, load } = chosen
   const { outcome, head, problem } = result
   metrics.callFailures.inc({ service, outcome, begun: String(hasBegun) })
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -12,7 +12,7 @@
 import type { WireCodec } from '../model/wire-codec.js'
 import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import type { CrashDetector } from '../quarantine/crash-detector.js'
-import type { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
@@ -55,7 +55,7 @@
   /** Requests in flight at each endpoint. */
   readonly loads: LoadView
   /** Prompt parts that crash endpoints. */
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   /** Notices crashes of endpoints. */
   readonly crashDetector: CrashDetector
   /** Watches calls to endpoints for a lack of progress. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -5,6 +5,7 @@
 import type { ServiceAdmission } from '../admission/service-admission.js'
 import { ResponseRelay } from '../responses/response-relay.js'
 import { sendErrorResponse } from '../responses/send-error-response.js'
+import type { RequestContent } from '../model/request-content.js'
 import { RouteKind } from '../model/route-kind.js'
 import { authorizeRequest } from './authorize-request.js'
 import type { AuthorizedRequest } from './authorized-request.js'
@@ -73,12 +74,12 @@
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = this._authorize()
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
-      const fingerprint = this._identify(authorized, body)
-      requireNotQuarantined(this._dependencies.quarantine, authorized.caller.prompt, 0)
+      const content = this._contentOf(authorized, body)
+      requireNotQuarantined(this._dependencies.quarantine, content, 0)
       this._requireEndpointWithinWait(authorized)
       admission = await this._waitForAdmission(authorized)
       this._authorizeAgainAfterDelay()
-      await this._serve(authorized, fingerprint, body)
+      await this._serve(authorized, content, body)
     } catch (error) {
       code = this._handleError(error as Error)
     }
@@ -108,10 +109,11 @@
     return authorized
   }
 
-  private _identify ({ workspace }: AuthorizedRequest, body: Buffer): string {
+  private _contentOf ({ caller, workspace }: AuthorizedRequest, body: Buffer): RequestContent {
     const { method, headers, url } = this._request
-    this._fingerprint = requestFingerprint({ method: method ?? '', host: headers.host ?? '', target: url ?? '', workspace, body })
-    return this._fingerprint
+    const fingerprint = requestFingerprint({ method: method ?? '', host: headers.host ?? '', target: url ?? '', workspace, body })
+    this._fingerprint = fingerprint
+    return { prompt: caller.prompt, fingerprint }
   }
 
   /**
@@ -162,7 +164,7 @@
     }
   }
 
-  private async _serve (authorized: AuthorizedRequest, fingerprint: string, body: Buffer): Promise<void> {
+  private async _serve (authorized: AuthorizedRequest, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
@@ -172,17 +174,18 @@
       closesConnection: () => this._dependencies.state.isStopping,
       onStart: () => {
         this._observeFirstByte(route.name)
-        this._dependencies.quarantine.recordAnswer(authorized.caller.prompt)
+        this._dependencies.quarantine.recordBegin(content)
       }
     })
     this._relay = relay
     const attempts = new EndpointAttempts(this._dependencies, {
-      authorized, fingerprint, request: this._request, body, relay, timeLeftMs: () => this._timeLeftMs(authorized)
+      authorized, content, request: this._request, body, relay, timeLeftMs: () => this._timeLeftMs(authorized)
     })
     this._attempts = attempts
     const timer = setTimeout(() => attempts.endAtDeadline(), Math.max(0, this._timeLeftMs(authorized)))
     try {
       await attempts.run()
+      this._dependencies.quarantine.recordCompletion(content)
     } catch (error) {
       if (!relay.hasBufferedResponse || this._isCallerDisconnected) throw error
       relay.finish()
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -4,7 +4,7 @@
 import type { StoreEra } from '../model/store-era.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
-import type { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointTable } from './endpoint-table.js'
 import type { Freshness } from './freshness.js'
 import type { RouterTable } from './router-table.js'
@@ -24,7 +24,7 @@
   /** Endpoints that hold the cached context of each key. */
   readonly holders: HolderTable
   /** Prompt parts that crash endpoints. */
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   /** Rate limits that endpoints state. */
   readonly limits: EndpointLimits
   /** Permits for requests to endpoints with a rate limit. */
--- a/packages/gateway/src/membership/quarantine-exchange.ts
+++ b/packages/gateway/src/membership/quarantine-exchange.ts
@@ -1,13 +1,13 @@
-import type { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
 
 /** Maximum number of changes in one message; the remaining ones follow in the next. */
 const MAXIMUM_CHANGES = 500
 
-/** Exchanges news about suspect prompt parts in the sync requests of one router. */
+/** Exchanges news about suspects, prompt parts and whole requests, in the sync requests of one router. */
 export class QuarantineExchange {
-  private readonly _quarantine: PromptQuarantine
+  private readonly _quarantine: RequestQuarantine
   /** Positions reached in the news of other routers, by address. */
   private readonly _receivedCursors = new Map<string, string>()
   /** Positions up to which the news of this router were sent to other routers, by address. */
@@ -16,7 +16,7 @@
   /**
    * @param quarantine what this router knows
    */
-  constructor (quarantine: PromptQuarantine) {
+  constructor (quarantine: RequestQuarantine) {
     this._quarantine = quarantine
   }
 
--- a/packages/gateway/src/membership/state-persistence-options.ts
+++ b/packages/gateway/src/membership/state-persistence-options.ts
@@ -1,6 +1,6 @@
 import type { HolderTable } from '../choice/holder-table.js'
 import type { FleetStore } from '../model/fleet-store.js'
-import type { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
+import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 
 /** Dependencies of a `StatePersistence`. */
 export interface StatePersistenceOptions {
@@ -9,7 +9,7 @@
   /** Cached contexts, which are loaded and saved. */
   readonly holders: HolderTable
   /** Quarantined prompt parts, which are loaded and saved. */
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: RequestQuarantine
   /** Returns whether this router currently saves on behalf of the fleet. */
   readonly isSaving: () => boolean
 }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -53,7 +53,7 @@
   readonly notes: readonly HolderNote[]
   /** The requester's new position in the notes, as `instance:number`. */
   readonly notesCursor: string
-  /** News about suspect prompt parts; undefined for none. */
+  /** News about suspect prompt parts and requests; undefined for none. */
   readonly quarantine?: QuarantineNotes | undefined
   /** The requester's new position in such news, as `instance:number`. */
   readonly quarantineCursor?: string | undefined
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -25,7 +25,7 @@
   readonly load: LoadByEndpoint
   /** Keys whose context an endpoint has newly cached since the last request. */
   readonly notes: readonly HolderNote[]
-  /** News about suspect prompt parts since the last request; undefined for none. */
+  /** News about suspect prompt parts and requests since the last request; undefined for none. */
   readonly quarantine?: QuarantineNotes | undefined
   /** The requester's position in such news of the answering router, as `instance:number`. */
   readonly quarantineCursor?: string | undefined
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -10,7 +10,7 @@
 
 /** Maximum number of holder notes in one answer; the remaining ones follow in the next answer. */
 const MAXIMUM_NOTES = 1_000
-/** Maximum number of changes concerning suspect prompt parts in one answer; the remaining ones follow in the next answer. */
+/** Maximum number of changes concerning suspects in one answer; the remaining ones follow in the next answer. */
 const MAXIMUM_QUARANTINE_CHANGES = 500
 
 /** Answers sync requests of other routers. */
--- a/packages/gateway/src/quarantine/crash-detector-options.ts
+++ b/packages/gateway/src/quarantine/crash-detector-options.ts
@@ -1,5 +1,5 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
-import type { PromptPart } from '../model/prompt-part.js'
+import type { LostCall } from './lost-call.js'
 
 /** Options of a {@link CrashDetector}. */
 export interface CrashDetectorOptions {
@@ -11,7 +11,7 @@
   /**
    * Called after a crash.
    * @param endpoint the endpoint
-   * @param prompts prompts of the calls that it had not begun to answer
+   * @param calls calls that it has lost
    */
-  readonly onCrash: (endpoint: EndpointEntry, prompts: readonly (readonly PromptPart[])[]) => void
+  readonly onCrash: (endpoint: EndpointEntry, calls: readonly LostCall[]) => void
 }
--- a/packages/gateway/src/quarantine/crash-detector.ts
+++ b/packages/gateway/src/quarantine/crash-detector.ts
@@ -1,11 +1,11 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
-import type { PromptPart } from '../model/prompt-part.js'
 import type { CrashDetectorOptions } from './crash-detector-options.js'
+import type { LostCall } from './lost-call.js'
 
 /** Calls that an endpoint has lost, until it is known whether it has crashed. */
 interface PendingCheck {
   readonly endpoint: EndpointEntry
-  readonly prompts: (readonly PromptPart[])[]
+  readonly calls: LostCall[]
 }
 
 /**
@@ -24,25 +24,24 @@
   }
 
   /**
-   * Checks an endpoint that has lost the connection of a call before it began to answer. Calls that are lost during the check
-   * are reported together.
+   * Checks an endpoint that has lost the connection of a call. Calls that are lost during the check are reported together.
    * @param endpoint the endpoint
-   * @param prompt parts of the prompt of the call
+   * @param call the call
    */
-  connectionLost (endpoint: EndpointEntry, prompt: readonly PromptPart[]): void {
+  connectionLost (endpoint: EndpointEntry, call: LostCall): void {
     const pending = this._pending.get(endpoint.id)
     if (pending !== undefined) {
-      pending.prompts.push(prompt)
+      pending.calls.push(call)
       return
     }
-    const check = { endpoint, prompts: [prompt] }
+    const check = { endpoint, calls: [call] }
     this._pending.set(endpoint.id, check)
     this._run(check).catch(() => undefined)
   }
 
-  private async _run ({ endpoint, prompts }: PendingCheck): Promise<void> {
+  private async _run ({ endpoint, calls }: PendingCheck): Promise<void> {
     const isRefusing = await this._options.refusesConnections(endpoint.address)
     this._pending.delete(endpoint.id)
-    if (isRefusing) this._options.onCrash(endpoint, prompts)
+    if (isRefusing) this._options.onCrash(endpoint, calls)
   }
 }
--- a/packages/gateway/src/quarantine/find-culprits.ts
+++ b/packages/gateway/src/quarantine/find-culprits.ts
@@ -1,31 +1,31 @@
-import type { PartRecord } from './part-record.js'
+import type { SuspectRecord } from './suspect-record.js'
 
 /**
- * Finds the prompt parts that explain the crashes best. The result depends on the crashes and answers alone, not on the order in which
+ * Finds the suspects that explain the crashes best. The result depends on the crashes and answers alone, not on the order in which
  * they became known, so that routers which know the same choose the same.
  *
- * Parts that accompany a culprit have as many crashes. One that was never answered is chosen before those that were, and of
- * those the deepest, since it is in the fewest prompts. If the cause lies in another one, crashes go on, and that one gets
- * ahead of each deeper one.
- * @param records records of all suspect parts
+ * Suspects that accompany a culprit have as many crashes. One that was never answered is chosen before those that were, and of
+ * those the deepest, since it is in the fewest requests; that is one whole request, if it came again so often. If the cause lies in another one, crashes go on,
+ * and that one gets ahead of each deeper one.
+ * @param records records of all suspects
  */
-export function findCulprits (records: Iterable<PartRecord>): ReadonlySet<PartRecord> {
+export function findCulprits (records: Iterable<SuspectRecord>): ReadonlySet<SuspectRecord> {
   const sorted = [...records].filter(({ hasEnoughCrashes }) => hasEnoughCrashes).sort(mostLikelyFirst)
   const culprits = new Set(sorted.filter(({ isConfirmed }) => isConfirmed))
   for (let culprit = findNext(sorted, culprits); culprit !== undefined; culprit = findNext(sorted, culprits)) culprits.add(culprit)
   return culprits
 }
 
-// Finds the part that explains crashes best which none of the culprits explains; undefined if no part has enough of them.
-function findNext (sorted: readonly PartRecord[], culprits: ReadonlySet<PartRecord>): PartRecord | undefined {
+// Finds the suspect that explains crashes best which none of the culprits explains; undefined if none has enough of them.
+function findNext (sorted: readonly SuspectRecord[], culprits: ReadonlySet<SuspectRecord>): SuspectRecord | undefined {
   const isExplained = (crashId: string): boolean => [...culprits].some((culprit) => culprit.has(crashId))
   const candidates = sorted.filter((record) => !culprits.has(record) && record.isCulpritWithout(isExplained))
   const [likeliest] = candidates
   if (likeliest === undefined) return undefined
-  return candidates.find((record) => record.outweighs(likeliest)) ?? likeliest
+  return candidates.find((record) => record.outweighs(likeliest, isExplained)) ?? likeliest
 }
 
-function mostLikelyFirst (left: PartRecord, right: PartRecord): number {
+function mostLikelyFirst (left: SuspectRecord, right: SuspectRecord): number {
   return Number(left.wasAnswered) - Number(right.wasAnswered) || right.depth - left.depth || right.crashes.size - left.crashes.size ||
     // Makes the order the same on every router.
     (left.id < right.id ? -1 : 1)
--- a/packages/gateway/src/quarantine/quarantine-block.ts
+++ b/packages/gateway/src/quarantine/quarantine-block.ts
@@ -1,7 +1,7 @@
 /** Why a request must not be sent to endpoints now. */
 export interface QuarantineBlock {
-  /** Id of the prompt part that is quarantined. */
-  readonly partId: string
-  /** Milliseconds until a request with the part may be tried. */
+  /** Id of the prompt part or the request that is quarantined. */
+  readonly suspectId: string
+  /** Milliseconds until it may be tried. */
   readonly remainingMs: number
 }
--- a/packages/gateway/src/quarantine/quarantine-changes.ts
+++ b/packages/gateway/src/quarantine/quarantine-changes.ts
@@ -1,6 +1,6 @@
 import type { QuarantineNotes } from './quarantine-notes.js'
 
-/** Changes of a `PromptQuarantine` since a position. */
+/** Changes of a `RequestQuarantine` since a position. */
 export interface QuarantineChanges {
   /** All changes, for routers that read from this one. */
   readonly notes: QuarantineNotes
--- a/packages/gateway/src/quarantine/quarantine-notes.ts
+++ b/packages/gateway/src/quarantine/quarantine-notes.ts
@@ -1,10 +1,10 @@
 import type { ClearanceNote } from './clearance-note.js'
 import type { CrashNote } from './crash-note.js'
 
-/** News about suspect prompt parts that routers pass on. */
+/** News about suspects that routers pass on. */
 export interface QuarantineNotes {
   /** Crashes of endpoints. */
   readonly crashes: readonly CrashNote[]
-  /** Parts that have been answered since. */
+  /** Suspects that have been answered since. */
   readonly clearances: readonly ClearanceNote[]
 }
--- a/packages/gateway/src/quarantine/prompt-quarantine-options.ts
+++ b/packages/gateway/src/quarantine/request-quarantine-options.ts
@@ -1,8 +1,8 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 
-/** Options of a {@link PromptQuarantine}. */
-export interface PromptQuarantineOptions {
+/** Options of a {@link RequestQuarantine}. */
+export interface RequestQuarantineOptions {
   /** Clock for the times of crashes. */
   readonly clock: ElapsedClock
   /** Logs crashes and the start and end of each quarantine. */
--- /dev/null
+++ b/packages/gateway/src/quarantine/suspect-record.ts
@@ -0,0 +1,163 @@
+import type { CrashTimes } from './crash-times.js'
+import type { Suspect } from './suspect.js'
+
+/** Number of crashes, without an answer since the first of them, from which a suspect can be the culprit. */
+const CULPRIT_CRASHES = 3
+/**
+ * Minimum time between two crashes that are counted; endpoints that are lost at one moment have one cause, which need not be a request. A request
+ * that began to run after one crash and caused the next is counted for both, however soon.
+ */
+const EPISODE_MS = 250
+/** Age above which a crash is no longer counted for a suspect that is not quarantined. */
+const CRASH_RETENTION_MS = 300_000
+/** Duration of the first quarantine of a suspect; it doubles each time that an endpoint crashes on it again. */
+const INITIAL_QUARANTINE_MS = 60_000
+const MAXIMUM_QUARANTINE_MS = 3_600_000
+/** Maximum number of crashes that are remembered, the latest ones. */
+const MAXIMUM_CRASHES = 64
+
+/**
+ * Crashes of endpoints that were processing one suspect, since it was last answered. The suspect is a prompt part that requests share, or the whole of
+ * one request.
+ */
+export class SuspectRecord {
+  readonly id: string
+  readonly depth: number
+  private readonly _crashes = new Map<string, CrashTimes>()
+  private _quarantineCount = 0
+  private _quarantinedAt = -Infinity
+  /** Calls in progress with this suspect while it is on trial. */
+  trials = 0
+  /** Whether it was answered before the crashes, as far as any router remembers. */
+  wasAnswered = false
+
+  /**
+   * @param suspect the suspect
+   */
+  constructor ({ id, depth }: Suspect) {
+    this.id = id
+    this.depth = depth
+  }
+
+  /** Whether the suspect has been quarantined, even if the time of it is over. */
+  get isQuarantined (): boolean {
+    return this._quarantineCount > 0
+  }
+
+  /** Whether there are so many crashes that it can be a culprit. */
+  get hasEnoughCrashes (): boolean {
+    return this.isConfirmed || this._crashes.size >= CULPRIT_CRASHES
+  }
+
+  /** Whether a trial after a quarantine has crashed an endpoint too. */
+  get isConfirmed (): boolean {
+    return this._quarantineCount > 1
+  }
+
+  /** End of the quarantine, by the clock of the crash times; -Infinity if it has not been quarantined. */
+  get quarantineEnd (): number {
+    if (!this.isQuarantined) return -Infinity
+    return this._quarantinedAt + Math.min(MAXIMUM_QUARANTINE_MS, INITIAL_QUARANTINE_MS * 2 ** (this._quarantineCount - 1))
+  }
+
+  /** Ids and times of the crashes. */
+  get crashes (): ReadonlyMap<string, CrashTimes> {
+    return this._crashes
+  }
+
+  /** Time of the latest crash; -Infinity if there is none. */
+  get lastCrashAt (): number {
+    return Math.max(...[...this._crashes.values()].map(({ at }) => at))
+  }
+
+  /**
+   * Whether a crash is known.
+   * @param crashId id of the crash
+   */
+  has (crashId: string): boolean {
+    return this._crashes.has(crashId)
+  }
+
+  /**
+   * Adds a crash. One after the end of a quarantine renews it.
+   * @param crashId id of the crash
+   * @param times times of the crash
+   */
+  add (crashId: string, times: CrashTimes): void {
+    this._crashes.set(crashId, times)
+    if (this._crashes.size > MAXIMUM_CRASHES) this._crashes.delete(this._crashes.keys().next().value as string)
+    if (this.isQuarantined && times.at >= this.quarantineEnd) this.quarantine(times.at)
+  }
+
+  /**
+   * Starts a quarantine.
+   * @param at time of the crash that caused it
+   */
+  quarantine (at: number): void {
+    this._quarantineCount += 1
+    this._quarantinedAt = at
+  }
+
+  /** Ends the quarantine; the crashes stay. */
+  release (): void {
+    this._quarantineCount = 0
+  }
+
+  /**
+   * Drops the crashes before an answer, and ends its quarantine if that is based on one of them.
+   * @param at time of the answer
+   * @returns whether the record has changed
+   */
+  clear (at: number): boolean {
+    const count = this._crashes.size
+    for (const [crashId, times] of this._crashes) if (times.at <= at) this._crashes.delete(crashId)
+    if (this._crashes.size === count) return false
+    this.release()
+    return true
+  }
+
+  /**
+   * Whether this suspect alone can be the cause of several crashes.
+   * @param isExplained returns whether a crash has a known cause already
+   */
+  isCulpritWithout (isExplained: (crashId: string) => boolean): boolean {
+    return countEpisodes(this._unexplained(isExplained)) >= CULPRIT_CRASHES
+  }
+
+  /**
+   * Whether the crashes of this suspect are so many more than those of another one that both have their cause in this one.
+   * @param other suspect that occurs in the same requests
+   * @param isExplained returns whether a crash has a known cause already
+   */
+  outweighs (other: SuspectRecord, isExplained: (crashId: string) => boolean): boolean {
+    return this._unexplained(isExplained).length >= other._unexplained(isExplained).length + CULPRIT_CRASHES
+  }
+
+  /**
+   * Drops crashes that are too old to be counted.
+   * @param now current time
+   * @returns whether none is left
+   */
+  expire (now: number): boolean {
+    if (this.isQuarantined) return now >= this.quarantineEnd + MAXIMUM_QUARANTINE_MS
+    for (const [crashId, { at }] of this._crashes) if (now - at > CRASH_RETENTION_MS) this._crashes.delete(crashId)
+    return this._crashes.size === 0
+  }
+
+  private _unexplained (isExplained: (crashId: string) => boolean): CrashTimes[] {
+    return [...this._crashes].filter(([crashId]) => !isExplained(crashId)).map(([, times]) => times)
+  }
+}
+
+// Counts crashes that do not have one cause at the same moment: they are apart, or the request began to run after the crash before.
+function countEpisodes (crashes: readonly CrashTimes[]): number {
+  let count = 0
+  let last = -Infinity
+  for (const { at, startedAt } of [...crashes].sort((left, right) => left.at - right.at)) {
+    const isSequel = startedAt !== undefined && startedAt >= last
+    if (!isSequel && at - last < EPISODE_MS) continue
+    count += 1
+    last = at
+  }
+  return count
+}
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -19,7 +19,8 @@
   return createServer((_request, response) => {
     const { configuration, endpointsFreshness, limits, quarantine, storeEra } = fleetState
     metrics.limitedEndpoints.set(limits.limitedIds.length)
-    metrics.quarantinedParts.set(quarantine.size)
+    metrics.quarantinedParts.set(quarantine.partCount)
+    metrics.quarantinedRequests.set(quarantine.requestCount)
     if (storeEra.number !== undefined) metrics.storeEra.set(storeEra.number)
     metrics.configurationVersion.set(configuration.version)
     metrics.configurationAgeSeconds.set(configuration.ageMs / MS_PER_SECOND)
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -31,10 +31,10 @@
     registers: [this.registry]
   })
 
-  /** Crashes of endpoints before they began to answer, as noticed by this router, by service. */
+  /** Crashes of endpoints with calls of this router, as noticed by it, by service. */
   readonly endpointCrashes = new Counter({
     name: 'mimosarock_endpoint_crashes_total',
-    help: 'Crashes of endpoints that had not begun to answer a request of this router, by service.',
+    help: 'Crashes of endpoints that had not answered a request of this router, by service.',
     labelNames: ['service'],
     registers: [this.registry]
   })
@@ -46,6 +46,13 @@
     registers: [this.registry]
   })
 
+  /** Quarantined requests. */
+  readonly quarantinedRequests = new Gauge({
+    name: 'mimosarock_quarantined_requests',
+    help: 'Requests on which endpoints have crashed each time that they came again, and which are refused.',
+    registers: [this.registry]
+  })
+
   /** Endpoints that state a rate limit. */
   readonly limitedEndpoints = new Gauge({
     name: 'mimosarock_limited_endpoints',
--- a/packages/gateway/src/test/crash-detector_test.ts
+++ b/packages/gateway/src/test/crash-detector_test.ts
@@ -1,22 +1,26 @@
 import { once } from 'node:events'
 import { createServer, type AddressInfo } from 'node:net'
 import { expect, test } from 'vitest'
-import type { PromptPart } from '@mimosarock/gateway/model/prompt-part.js'
 import { CrashDetector } from '@mimosarock/gateway/quarantine/crash-detector.js'
+import type { LostCall } from '@mimosarock/gateway/quarantine/lost-call.js'
 import { refusesConnections } from '@mimosarock/gateway/sending/refuses-connections.js'
 
 const ENDPOINT = { id: 'e', service: 's', address: 'a:1', availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 1, revision: 0 }
 
-/** Reports two lost calls to an endpoint and returns the prompts of the crash, if any. */
+function createLostCall (fingerprint: string): LostCall {
+  return { content: { prompt: [], fingerprint }, startedAt: 0, lostAt: 10, hasBegun: false }
+}
+
+/** Reports two lost calls to an endpoint and returns the requests of the crash, if any. */
 async function loseTwoCalls (isRefusing: boolean): Promise<string[] | undefined> {
-  let crashed: readonly (readonly PromptPart[])[] | undefined
+  let crashed: readonly LostCall[] | undefined
   const checked = Promise.resolve(isRefusing)
-  const detector = new CrashDetector({ refusesConnections: () => checked, onCrash: (_endpoint, prompts) => { crashed = prompts } })
-  detector.connectionLost(ENDPOINT, [{ id: 'p1', tokens: 1 }])
-  detector.connectionLost(ENDPOINT, [{ id: 'p2', tokens: 1 }])
+  const detector = new CrashDetector({ refusesConnections: () => checked, onCrash: (_endpoint, calls) => { crashed = calls } })
+  detector.connectionLost(ENDPOINT, createLostCall('p1'))
+  detector.connectionLost(ENDPOINT, createLostCall('p2'))
   await checked
   await checked
-  return crashed?.flat().map(({ id }) => id)
+  return crashed?.map(({ content }) => content.fingerprint)
 }
 
 test('calls that an endpoint lost when it crashed are reported together', async () => {
--- a/packages/gateway/src/test/state-persistence_test.ts
+++ b/packages/gateway/src/test/state-persistence_test.ts
@@ -3,11 +3,11 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
 import { StatePersistence } from '@mimosarock/gateway/membership/state-persistence.js'
-import { PromptQuarantine } from '@mimosarock/gateway/quarantine/prompt-quarantine.js'
+import { RequestQuarantine } from '@mimosarock/gateway/quarantine/request-quarantine.js'
 import { MemoryStore } from './memory-store.js'
 
-function createQuarantine (): PromptQuarantine {
-  return new PromptQuarantine({ clock: { now: () => performance.now() }, log: new SilentEventLog(), rank: () => 0 })
+function createQuarantine (): RequestQuarantine {
+  return new RequestQuarantine({ clock: { now: () => performance.now() }, log: new SilentEventLog(), rank: () => 0 })
 }
 
 test('a router that starts loads the saved holders and does not announce them to other routers', async () => {
@@ -76,21 +76,28 @@
   const store = new MemoryStore()
   store.era.observe(1)
   const [before, after] = [createQuarantine(), createQuarantine()]
-  const prompt = ['a', 'd', 'x'].map((id) => ({ id, tokens: 1 }))
+  const withPart = { prompt: ['a', 'd', 'x'].map((id) => ({ id, tokens: 1 })), fingerprint: 'f' }
+  const repeated = { prompt: [], fingerprint: 'r' }
   const first = new AbortController()
   const saving = new StatePersistence({ store, holders: new HolderTable(), quarantine: before, isSaving: () => true }, new SilentEventLog()).run(first.signal)
   before.apply({
-    crashes: ['e1@1', 'e2@1', 'e3@1'].map((crashId, index) => ({ crashId, parts: [{ id: 'd', depth: 1 }], ageMs: 3_000 - index * 1_000 })), clearances: []
+    crashes: [
+      ...['e1@1', 'e2@1', 'e3@1'].map((crashId, index) => ({ crashId, parts: [{ id: 'd', depth: 1 }], ageMs: 3_000 - index * 1_000 })),
+      // Within a moment of each other, each begun after the one before.
+      ...['e4@1', 'e5@1', 'e6@1'].map((crashId, index) => ({ crashId, parts: [{ id: 'request:r', depth: 9, runMs: 10 }], ageMs: 3_000 - index * 20 }))
+    ],
+    clearances: []
   }, false)
-  await vi.waitUntil(() => store.crashes.length === 3, { timeout: 10_000 })
+  await vi.waitUntil(() => store.crashes.length === 6, { timeout: 10_000 })
   first.abort()
   await saving
   const second = new AbortController()
   const running = new StatePersistence({ store, holders: new HolderTable(), quarantine: after, isSaving: () => false }, new SilentEventLog()).run(second.signal)
-  await vi.waitUntil(() => after.size === 1, { timeout: 10_000 })
+  await vi.waitUntil(() => after.partCount + after.requestCount === 2, { timeout: 10_000 })
   second.abort()
   await running
-  expect([before, after].map((quarantine) => quarantine.findBlock(prompt)?.partId)).toEqual(['d', 'd'])
+  expect([before, after].map((quarantine) => quarantine.findBlock(withPart)?.suspectId)).toEqual(['d', 'd'])
+  expect([before, after].map((quarantine) => quarantine.findBlock(repeated)?.suspectId)).toEqual(['request:r', 'request:r'])
 })
 
 test('a router that could not load the saved state does not replace it with nothing', async () => {
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -10,7 +10,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import type { StoreEra } from '../model/store-era.js'
-import { PromptQuarantine } from '../quarantine/prompt-quarantine.js'
+import { RequestQuarantine } from '../quarantine/request-quarantine.js'
 
 /**
  * Creates the state that routers exchange with each other, of a router that knows nothing yet.
@@ -35,6 +35,6 @@
     limits,
     permits,
     loads: new LoadView(() => clock.now()),
-    quarantine: new PromptQuarantine({ clock, log, rank: () => routers.ownRank })
+    quarantine: new RequestQuarantine({ clock, log, rank: () => routers.ownRank })
   }
 }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -156,9 +156,9 @@
       quarantine,
       crashDetector: new CrashDetector({
         refusesConnections,
-        onCrash: (endpoint, prompts) => {
+        onCrash: (endpoint, calls) => {
           this._metrics.endpointCrashes.inc({ service: endpoint.service })
-          quarantine.recordCrash(endpoint, prompts)
+          quarantine.recordCrash(endpoint, calls)
         }
       }),
       endpointSelector: new EndpointSelector({
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -255,6 +255,12 @@
     ran: 'no',
     action: 'Change the prompt, or retry after `Retry-After`; the operator finds the part in the log (`prompt-part-quarantined`).'
   },
+  REQUEST_QUARANTINED: {
+    meaning: 'Endpoints have crashed on this request when it came before, and none has answered it since.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'Change the request, or retry after `Retry-After`; the operator finds it in the log by its fingerprint (`request-quarantined`).'
+  },
   KEY_MISSING: {
     meaning: 'Calls to the route may run at most once, and the call has no key.',
     httpStatus: 400,
