--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -109,8 +109,7 @@
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
     const { endpoint } = chosen
     const { content } = this._options
-    const { clock, loads, quarantine, stallWatch } = this._dependencies
-    const startedAt = clock.now()
+    const { loads, quarantine, stallWatch } = this._dependencies
     const call = this._createCall(chosen)
     const watched = this._watchedCall(call, endpoint.id)
     this._call = call
@@ -125,7 +124,7 @@
     loads.end(endpoint.id)
     quarantine.endCall(content)
     this._recordHealth(endpoint.id, result)
-    if (result.isConnectionLost) this._recordLoss(chosen, startedAt)
+    if (result.isConnectionLost) this._recordLoss(chosen)
     return result
   }
 
@@ -243,11 +242,11 @@
     return this._dependencies.quarantine.includes(this._options.content) ? MAXIMUM_LOSSES_OF_TRIAL : MAXIMUM_LOSSES_BEFORE_ANSWER
   }
 
-  private _recordLoss ({ endpoint }: ChosenEndpoint, startedAt: number): void {
+  private _recordLoss ({ endpoint }: ChosenEndpoint): void {
     const { content, relay } = this._options
     const { clock, crashDetector } = this._dependencies
     if (!relay.isStarted) this._lossesBeforeAnswer += 1
-    crashDetector.connectionLost(endpoint, { content, startedAt, lostAt: clock.now(), hasBegun: relay.isStarted })
+    crashDetector.connectionLost(endpoint, { content, lostAt: clock.now(), hasBegun: relay.isStarted })
   }
 
   private _recordHealth (endpointId: string, { outcome }: CallResult): void {
--- a/packages/gateway/src/quarantine/find-suspects.ts
+++ b/packages/gateway/src/quarantine/find-suspects.ts
@@ -12,11 +12,10 @@
  */
 export function findSuspects (calls: readonly LostCall[]): Suspect[] {
   const suspects = new Map<string, Suspect>()
-  for (const call of calls) {
-    const { content, hasBegun } = call
+  for (const { content, hasBegun } of calls) {
     if (!hasBegun) sharedParts(content.prompt).forEach(({ id }, depth) => suspects.set(id, { id, depth }))
     const id = requestSuspectId.of(content.fingerprint)
-    suspects.set(id, { id, depth: REQUEST_DEPTH, runMs: Math.floor(call.lostAt - call.startedAt) })
+    suspects.set(id, { id, depth: REQUEST_DEPTH })
   }
   return [...suspects.values()]
 }
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -71,7 +71,7 @@
 
   /** Number of quarantined requests, including those on trial. */
   get requestCount (): number {
-    return this._quarantined().filter(({ id }) => requestSuspectId.fingerprintOf(id) !== undefined).length
+    return this._quarantined().filter(({ isRequest }) => isRequest).length
   }
 
   /** Number that changes when a suspect is quarantined or released. */
@@ -83,10 +83,7 @@
   quarantinedCrashes (): CrashNote[] {
     const now = this._options.clock.now()
     return this._quarantined().flatMap(({ id, depth, crashes }) => {
-      return [...crashes].map(([crashId, { at, startedAt }]) => {
-        const runMs = startedAt === undefined ? undefined : Math.floor(at - startedAt)
-        return { crashId, parts: [{ id, depth, runMs }], ageMs: Math.ceil(now - at) }
-      })
+      return [...crashes].map(([crashId, at]) => ({ crashId, parts: [{ id, depth }], ageMs: Math.ceil(now - at) }))
     })
   }
 
@@ -225,7 +222,7 @@
     const record = this._records.get(suspect.id) ?? new SuspectRecord(suspect)
     if (record.has(crashId) || (lastAnswer ?? -Infinity) > at) return false
     record.wasAnswered ||= lastAnswer !== undefined
-    record.add(crashId, { at, startedAt: suspect.runMs === undefined ? undefined : at - suspect.runMs })
+    record.add(crashId, at)
     this._records.delete(suspect.id)
     this._records.set(suspect.id, record)
     if (this._records.size > MAXIMUM_SUSPECTS) this._forgetOne()
--- a/packages/gateway/src/quarantine/suspect-record.ts
+++ b/packages/gateway/src/quarantine/suspect-record.ts
@@ -1,12 +1,9 @@
-import type { CrashTimes } from './crash-times.js'
+import { requestSuspectId } from './request-suspect-id.js'
 import type { Suspect } from './suspect.js'
 
 /** Number of crashes, without an answer since the first of them, from which a suspect can be the culprit. */
 const CULPRIT_CRASHES = 3
-/**
- * Minimum time between two crashes that are counted; endpoints that are lost at one moment have one cause, which need not be a request. A request
- * that began to run after one crash and caused the next is counted for both, however soon.
- */
+/** Minimum time between two crashes that are counted; endpoints that are lost at one moment have one cause, which need not be a request. */
 const EPISODE_MS = 250
 /** Age above which a crash is no longer counted for a suspect that is not quarantined. */
 const CRASH_RETENTION_MS = 300_000
@@ -23,7 +20,7 @@
 export class SuspectRecord {
   readonly id: string
   readonly depth: number
-  private readonly _crashes = new Map<string, CrashTimes>()
+  private readonly _crashes = new Map<string, number>()
   private _quarantineCount = 0
   private _quarantinedAt = -Infinity
   /** Calls in progress with this suspect while it is on trial. */
@@ -39,6 +36,11 @@
     this.depth = depth
   }
 
+  /** Whether the suspect is a whole request. */
+  get isRequest (): boolean {
+    return requestSuspectId.fingerprintOf(this.id) !== undefined
+  }
+
   /** Whether the suspect has been quarantined, even if the time of it is over. */
   get isQuarantined (): boolean {
     return this._quarantineCount > 0
@@ -61,13 +63,13 @@
   }
 
   /** Ids and times of the crashes. */
-  get crashes (): ReadonlyMap<string, CrashTimes> {
+  get crashes (): ReadonlyMap<string, number> {
     return this._crashes
   }
 
   /** Time of the latest crash; -Infinity if there is none. */
   get lastCrashAt (): number {
-    return Math.max(...[...this._crashes.values()].map(({ at }) => at))
+    return Math.max(...this._crashes.values())
   }
 
   /**
@@ -81,12 +83,12 @@
   /**
    * Adds a crash. One after the end of a quarantine renews it.
    * @param crashId id of the crash
-   * @param times times of the crash
+   * @param at time of the crash
    */
-  add (crashId: string, times: CrashTimes): void {
-    this._crashes.set(crashId, times)
+  add (crashId: string, at: number): void {
+    this._crashes.set(crashId, at)
     if (this._crashes.size > MAXIMUM_CRASHES) this._crashes.delete(this._crashes.keys().next().value as string)
-    if (this.isQuarantined && times.at >= this.quarantineEnd) this.quarantine(times.at)
+    if (this.isQuarantined && at >= this.quarantineEnd) this.quarantine(at)
   }
 
   /**
@@ -110,7 +112,7 @@
    */
   clear (at: number): boolean {
     const count = this._crashes.size
-    for (const [crashId, times] of this._crashes) if (times.at <= at) this._crashes.delete(crashId)
+    for (const [crashId, crashedAt] of this._crashes) if (crashedAt <= at) this._crashes.delete(crashId)
     if (this._crashes.size === count) return false
     this.release()
     return true
@@ -121,7 +123,8 @@
    * @param isExplained returns whether a crash has a known cause already
    */
   isCulpritWithout (isExplained: (crashId: string) => boolean): boolean {
-    return countEpisodes(this._unexplained(isExplained)) >= CULPRIT_CRASHES
+    const times = this._unexplained(isExplained)
+    return (this._isOneRequest ? times.length : countEpisodes(times)) >= CULPRIT_CRASHES
   }
 
   /**
@@ -140,22 +143,26 @@
    */
   expire (now: number): boolean {
     if (this.isQuarantined) return now >= this.quarantineEnd + MAXIMUM_QUARANTINE_MS
-    for (const [crashId, { at }] of this._crashes) if (now - at > CRASH_RETENTION_MS) this._crashes.delete(crashId)
+    for (const [crashId, at] of this._crashes) if (now - at > CRASH_RETENTION_MS) this._crashes.delete(crashId)
     return this._crashes.size === 0
   }
 
-  private _unexplained (isExplained: (crashId: string) => boolean): CrashTimes[] {
-    return [...this._crashes].filter(([crashId]) => !isExplained(crashId)).map(([, times]) => times)
+  /** Whether all crashes are of one request and its repeats, which does not run at several endpoints at a time, as far as answers tell. */
+  private get _isOneRequest (): boolean {
+    return this.isRequest && !this.wasAnswered
+  }
+
+  private _unexplained (isExplained: (crashId: string) => boolean): number[] {
+    return [...this._crashes].filter(([crashId]) => !isExplained(crashId)).map(([, at]) => at)
   }
 }
 
-// Counts crashes that do not have one cause at the same moment: they are apart, or the request began to run after the crash before.
-function countEpisodes (crashes: readonly CrashTimes[]): number {
+// Counts times that are apart from each other.
+function countEpisodes (times: readonly number[]): number {
   let count = 0
   let last = -Infinity
-  for (const { at, startedAt } of [...crashes].sort((left, right) => left.at - right.at)) {
-    const isSequel = startedAt !== undefined && startedAt >= last
-    if (!isSequel && at - last < EPISODE_MS) continue
+  for (const at of [...times].sort((left, right) => left - right)) {
+    if (at - last < EPISODE_MS) continue
     count += 1
     last = at
   }
--- a/packages/gateway/src/quarantine/suspect.ts
+++ b/packages/gateway/src/quarantine/suspect.ts
@@ -4,6 +4,4 @@
   readonly id: string
   /** Index of the part in its prompt; whole requests are deeper than any part. */
   readonly depth: number
-  /** Milliseconds for which the endpoint had processed the request when it crashed; undefined for a part. */
-  readonly runMs?: number | undefined
 }
