--- a/packages/gateway/src/membership/state-persistence-options.ts
+++ b/packages/gateway/src/membership/state-persistence-options.ts
@@ -1,6 +1,6 @@
 import type { HolderTable } from '../choice/holder-table.js'
 import type { FleetStore } from '../model/fleet-store.js'
-import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { SavedPart } from './saved-part.js'
 
 /** Dependencies of a `StatePersistence`. */
 export interface StatePersistenceOptions {
@@ -8,8 +8,8 @@
   readonly store: FleetStore
   /** Cached contexts, which are loaded and saved. */
   readonly holders: HolderTable
-  /** Quarantined prompt parts, which are loaded and saved. */
-  readonly quarantine: RequestQuarantine
+  /** Other parts of the state, which are saved only. */
+  readonly otherParts: readonly SavedPart[]
   /** Returns whether this router currently saves on behalf of the fleet. */
   readonly isSaving: () => boolean
 }
--- a/packages/gateway/src/membership/state-persistence.ts
+++ b/packages/gateway/src/membership/state-persistence.ts
@@ -4,8 +4,8 @@
 import type { SavedPart } from './saved-part.js'
 import type { StatePersistenceOptions } from './state-persistence-options.js'
 
-/** Interval between two saves, in milliseconds; changes of the last interval are lost if all routers stop at the same time. */
-const SAVE_INTERVAL_MS = 2_000
+/** Interval between two saves of the holders. */
+const SAVE_HOLDERS_INTERVAL_MS = 2_000
 /** Timeout of a save, in milliseconds. */
 const SAVE_TIMEOUT_MS = 1_500
 /** Limits of a load, which reads a long record while the router also loads everything else. */
@@ -21,9 +21,8 @@
 }
 
 /**
- * Saves what only routers know to the store, since VMs have no durable storage, and loads it at startup: the holders of cached
- * contexts, without which prompts would go to endpoints that must recompute a context although another one holds it, and the quarantined
- * prompt parts, without which a restart of the whole fleet would let them crash endpoints again.
+ * Saves what only routers know to the store, since VMs have no durable storage: the holders of cached contexts, which it also loads at startup, without
+ * which prompts would go to endpoints that must recompute a context although another one holds it, and other parts of the state.
  */
 export class StatePersistence {
   private readonly _options: StatePersistenceOptions
@@ -36,12 +35,17 @@
    * @param log receives an entry after a load and after a failed load or save
    */
   constructor (options: StatePersistenceOptions, log: EventLog) {
-    const { store, holders, quarantine } = options
+    const { store, holders, otherParts } = options
     this._options = options
     this._log = log
     this._parts = [
-      { name: 'holders', revision: () => holders.cursor, save: async (signal) => await store.saveHolders(holders.recent(MAXIMUM_KEYS), signal) },
-      { name: 'quarantine', revision: () => quarantine.revision, save: async (signal) => await store.saveCrashes(quarantine.quarantinedCrashes(), signal) }
+      {
+        name: 'holders',
+        intervalMs: SAVE_HOLDERS_INTERVAL_MS,
+        revision: () => holders.cursor,
+        save: async (signal) => await store.saveHolders(holders.recent(MAXIMUM_KEYS), signal)
+      },
+      ...otherParts
     ]
   }
 
@@ -51,23 +55,24 @@
    */
   async run (signal: AbortSignal): Promise<void> {
     await this._load(signal)
+    await Promise.all(this._parts.map(async (part) => await this._saveRepeatedly(part, signal)))
+  }
+
+  private async _saveRepeatedly (part: SavedPart, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await pause(SAVE_INTERVAL_MS, signal)
-      for (const part of this._parts) {
-        if (!signal.aborted && this._options.isSaving()) await this._save(part, signal)
-      }
+      await pause(part.intervalMs, signal)
+      if (!signal.aborted && this._options.isSaving()) await this._save(part, signal)
     }
   }
 
   private async _load (signal: AbortSignal): Promise<void> {
-    const { store, holders, quarantine } = this._options
+    const { store, holders } = this._options
     const timeout = new ProgressTimeout(LOAD_LIMITS)
     try {
-      const saved = await store.loadSaved(AbortSignal.any([signal, timeout.signal]), () => timeout.recordProgress())
-      for (const note of saved.holders) holders.learn(note.key, note.endpointId)
-      quarantine.apply({ crashes: saved.crashes, clearances: [] }, true)
+      const notes = await store.loadHolders(AbortSignal.any([signal, timeout.signal]), () => timeout.recordProgress())
+      for (const note of notes) holders.learn(note.key, note.endpointId)
       for (const part of this._parts) this._lastSaves.set(part, { revision: 0, era: store.era.number })
-      this._log.info('holders-loaded', { notes: saved.holders.length, crashes: saved.crashes.length })
+      this._log.info('holders-loaded', { notes: notes.length })
     } catch (error) {
       this._log.info('holders-not-loaded', { problem: (error as Error).message })
     } finally {
--- a/packages/gateway/src/model/fleet-store.ts
+++ b/packages/gateway/src/model/fleet-store.ts
@@ -1,5 +1,4 @@
 import type { HolderNote } from '../choice/holder-note.js'
-import type { SavedState } from '../membership/saved-state.js'
 import type { CrashNote } from '../quarantine/crash-note.js'
 import type { EndpointEntry } from './endpoint-entry.js'
 import type { GatewayConfiguration } from './gateway-configuration.js'
@@ -17,6 +16,8 @@
   readonly endpoints: TopicReader<EndpointEntry>
   /** Announced routers. */
   readonly routers: TopicReader<RouterEntry>
+  /** Saved crashes of quarantined suspects; one record. */
+  readonly crashes: TopicReader<readonly CrashNote[]>
   /**
    * Announces routers to the fleet.
    * @param entries routers to announce
@@ -30,15 +31,15 @@
    */
   saveHolders (notes: readonly HolderNote[], signal: AbortSignal): Promise<void>
   /**
-   * Saves the crashes because of which prompt parts are quarantined; replaces the saved ones.
+   * Saves the crashes because of which suspects are quarantined or may be; replaces the saved ones.
    * @param crashes all crashes to save
    * @param signal aborts the call
    */
   saveCrashes (crashes: readonly CrashNote[], signal: AbortSignal): Promise<void>
   /**
-   * Loads what was saved last.
+   * Loads the cache index that was saved last.
    * @param signal aborts the call
    * @param onProgress called for each received part of the answer
    */
-  loadSaved (signal: AbortSignal, onProgress?: () => void): Promise<SavedState>
+  loadHolders (signal: AbortSignal, onProgress?: () => void): Promise<readonly HolderNote[]>
 }
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -22,6 +22,8 @@
 const MAXIMUM_ANSWERED_PARTS = 8_192
 /** Maximum number of requests whose last answer is remembered, for news of crashes before it that arrive late. */
 const MAXIMUM_ANSWERED_REQUESTS = 2_048
+/** Number of crashes from which a request is stored, although it is not quarantined yet. */
+const STORED_CRASHES = 2
 /** Time after a quarantine between the first trials of two routers, in which the first one learns and tells how its trial ended. */
 const TRIAL_SPACING_MS = 2_000
 
@@ -74,15 +76,15 @@
     return this._quarantined().filter(({ isRequest }) => isRequest).length
   }
 
-  /** Number that changes when a suspect is quarantined or released. */
+  /** Number that changes with the crashes to store. */
   get revision (): number {
     return this._revision
   }
 
-  /** Returns the crashes because of which suspects are quarantined, which restore the quarantines of another router. */
-  quarantinedCrashes (): CrashNote[] {
+  /** Returns the crashes because of which suspects are quarantined, and requests may soon be, for routers that get no news from this one. */
+  crashesToStore (): CrashNote[] {
     const now = this._options.clock.now()
-    return this._quarantined().flatMap(({ id, depth, crashes }) => {
+    return [...this._records.values()].filter(isStored).flatMap(({ id, depth, crashes }) => {
       return [...crashes].map(([crashId, at]) => ({ crashId, parts: [{ id, depth }], ageMs: Math.ceil(now - at) }))
     })
   }
@@ -212,6 +214,7 @@
     const news = parts.filter((suspect) => this._addCrash(suspect, crashId, at))
     if (news.length === 0) return
     this._changes.append({ crashId, parts: news, at }, isFromUpstream)
+    if (news.some(({ id }) => this._isStored(id))) this._revision += 1
     for (const { id } of news) this._tellOfEarlierAnswer(id, now)
     this._isOutdated = true
   }
@@ -229,6 +232,11 @@
     return true
   }
 
+  private _isStored (id: string): boolean {
+    const record = this._records.get(id)
+    return record !== undefined && isStored(record)
+  }
+
   private _forgetOne (): void {
     const records = [...this._records.values()]
     const forgotten = records.find(({ isQuarantined }) => !isQuarantined) ?? records[0] as SuspectRecord
@@ -247,6 +255,7 @@
     const record = this._records.get(id)
     if (record === undefined) return
     const wasQuarantined = record.isQuarantined
+    if (isStored(record)) this._revision += 1
     const isNews = record.clear(at) || !record.wasAnswered
     record.wasAnswered = true
     if (record.crashes.size === 0) this._records.delete(id)
@@ -314,3 +323,7 @@
     return { crashes, clearances }
   }
 }
+
+function isStored (record: SuspectRecord): boolean {
+  return record.isQuarantined || (record.isRequest && !record.wasAnswered && record.crashes.size >= STORED_CRASHES)
+}
--- a/packages/gateway/src/test/gateway-fleet.ts
+++ b/packages/gateway/src/test/gateway-fleet.ts
@@ -11,7 +11,11 @@
   private readonly _routerCount: number
   private readonly _reachEachOther: boolean
 
-  /** @param reachEachOther whether the routers reach each other, or only the store */
+  /**
+   * @param routerCount number of routers
+   * @param endpointCount number of endpoints
+   * @param reachEachOther whether the routers reach each other, or only the store
+   */
   constructor (routerCount: number, endpointCount: number, reachEachOther = true) {
     this._routerCount = routerCount
     this._reachEachOther = reachEachOther
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -4,7 +4,6 @@
 import type { FleetStore } from '@mimosarock/gateway/model/fleet-store.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
 import type { RouterEntry } from '@mimosarock/gateway/model/router-entry.js'
-import type { SavedState } from '@mimosarock/gateway/membership/saved-state.js'
 import type { CrashNote } from '@mimosarock/gateway/quarantine/crash-note.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
 import type { StorePosition } from '@mimosarock/gateway/model/store-position.js'
@@ -52,8 +51,8 @@
   readonly configurations = new MemoryTopic<GatewayConfiguration>(this.era)
   readonly endpoints = new MemoryTopic<EndpointEntry>(this.era)
   readonly routers = new MemoryTopic<RouterEntry>(this.era)
+  readonly crashes = new MemoryTopic<readonly CrashNote[]>(this.era)
   holders: readonly HolderNote[] = []
-  crashes: readonly CrashNote[] = []
 
   async announce (entries: readonly RouterEntry[]): Promise<void> {
     for (const entry of entries) this.routers.put(entry.name, entry)
@@ -64,10 +63,10 @@
   }
 
   async saveCrashes (crashes: readonly CrashNote[]): Promise<void> {
-    this.crashes = crashes
+    this.crashes.put('quarantine', JSON.parse(JSON.stringify(crashes)))
   }
 
-  async loadSaved (_signal?: AbortSignal, _onProgress?: () => void): Promise<SavedState> {
-    return { holders: this.holders, crashes: this.crashes }
+  async loadHolders (_signal?: AbortSignal, _onProgress?: () => void): Promise<readonly HolderNote[]> {
+    return this.holders
   }
 }
--- a/packages/gateway/src/test/state-persistence_test.ts
+++ b/packages/gateway/src/test/state-persistence_test.ts
@@ -3,13 +3,8 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
 import { StatePersistence } from '@mimosarock/gateway/membership/state-persistence.js'
-import { RequestQuarantine } from '@mimosarock/gateway/quarantine/request-quarantine.js'
 import { MemoryStore } from './memory-store.js'
 
-function createQuarantine (): RequestQuarantine {
-  return new RequestQuarantine({ clock: { now: () => performance.now() }, log: new SilentEventLog(), rank: () => 0 })
-}
-
 test('a router that starts loads the saved holders and does not announce them to other routers', async () => {
   const store = new MemoryStore()
   const before = new HolderTable()
@@ -18,7 +13,7 @@
   await store.saveHolders(before.recent(10))
   const after = new HolderTable()
   const abortController = new AbortController()
-  const running = new StatePersistence({ store, holders: after, quarantine: createQuarantine(), isSaving: () => false }, new SilentEventLog()).run(abortController.signal)
+  const running = new StatePersistence({ store, holders: after, otherParts: [], isSaving: () => false }, new SilentEventLog()).run(abortController.signal)
   while (after.holders('a').length < 2) await sleep(5)
   abortController.abort()
   await running
@@ -31,18 +26,18 @@
   const partMs = 100
   const parts = 18
   const store = new MemoryStore()
-  store.loadSaved = async (signal, onProgress) => {
+  store.loadHolders = async (signal, onProgress) => {
     for (let part = 0; part < parts; part += 1) {
       await sleep(partMs, undefined, { signal })
       onProgress?.()
     }
-    return { holders: [{ key: 'a', endpointId: 'e1' }], crashes: [] }
+    return [{ key: 'a', endpointId: 'e1' }]
   }
   const holders = new HolderTable()
   const abortController = new AbortController()
   const events: string[] = []
   const record = (event: string): void => { events.push(event) }
-  const running = new StatePersistence({ store, holders, quarantine: createQuarantine(), isSaving: () => false }, { info: record, warn: record }).run(abortController.signal)
+  const running = new StatePersistence({ store, holders, otherParts: [], isSaving: () => false }, { info: record, warn: record }).run(abortController.signal)
   while (events.length === 0) await sleep(5)
   abortController.abort()
   await running
@@ -62,7 +57,7 @@
   store.era.observe(1)
   const holders = new HolderTable()
   const abortController = new AbortController()
-  const running = new StatePersistence({ store, holders, quarantine: createQuarantine(), isSaving: () => true }, new SilentEventLog()).run(abortController.signal)
+  const running = new StatePersistence({ store, holders, otherParts: [], isSaving: () => true }, new SilentEventLog()).run(abortController.signal)
   holders.add('a', 'e1')
   await vi.waitUntil(() => store.holders.length === 1, { timeout: 10_000 })
   store.holders = []
@@ -72,46 +67,18 @@
   await running
 })
 
-test('a quarantine outlasts a restart of all routers', async () => {
-  const store = new MemoryStore()
-  store.era.observe(1)
-  const [before, after] = [createQuarantine(), createQuarantine()]
-  const withPart = { prompt: ['a', 'd', 'x'].map((id) => ({ id, tokens: 1 })), fingerprint: 'f' }
-  const repeated = { prompt: [], fingerprint: 'r' }
-  const first = new AbortController()
-  const saving = new StatePersistence({ store, holders: new HolderTable(), quarantine: before, isSaving: () => true }, new SilentEventLog()).run(first.signal)
-  before.apply({
-    crashes: [
-      ...['e1@1', 'e2@1', 'e3@1'].map((crashId, index) => ({ crashId, parts: [{ id: 'd', depth: 1 }], ageMs: 3_000 - index * 1_000 })),
-      // Within a moment of each other.
-      ...['e4@1', 'e5@1', 'e6@1'].map((crashId, index) => ({ crashId, parts: [{ id: 'request:r', depth: 9 }], ageMs: 3_000 - index * 20 }))
-    ],
-    clearances: []
-  }, false)
-  await vi.waitUntil(() => store.crashes.length === 6, { timeout: 10_000 })
-  first.abort()
-  await saving
-  const second = new AbortController()
-  const running = new StatePersistence({ store, holders: new HolderTable(), quarantine: after, isSaving: () => false }, new SilentEventLog()).run(second.signal)
-  await vi.waitUntil(() => after.partCount + after.requestCount === 2, { timeout: 10_000 })
-  second.abort()
-  await running
-  expect([before, after].map((quarantine) => quarantine.findBlock(withPart)?.suspectId)).toEqual(['d', 'd'])
-  expect([before, after].map((quarantine) => quarantine.findBlock(repeated)?.suspectId)).toEqual(['request:r', 'request:r'])
-})
-
 test('a router that could not load the saved state does not replace it with nothing', async () => {
   const store = new MemoryStore()
   store.era.observe(1)
   store.holders = [{ key: 'a', endpointId: 'e1' }]
-  store.loadSaved = async () => { throw new Error('down') }
+  store.loadHolders = async () => { throw new Error('down') }
   let rounds = 0
   const abortController = new AbortController()
   const isSaving = (): boolean => {
     rounds += 1
     return true
   }
-  const running = new StatePersistence({ store, holders: new HolderTable(), quarantine: createQuarantine(), isSaving }, new SilentEventLog()).run(abortController.signal)
+  const running = new StatePersistence({ store, holders: new HolderTable(), otherParts: [], isSaving }, new SilentEventLog()).run(abortController.signal)
   await vi.waitUntil(() => rounds >= 4, { timeout: 10_000 })
   abortController.abort()
   await running
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -7,6 +7,7 @@
 import { RouterAnnouncer } from '../membership/router-announcer.js'
 import { StatePersistence } from '../membership/state-persistence.js'
 import { StoreFeed } from '../membership/store-feed.js'
+import { StoredQuarantine } from '../membership/stored-quarantine.js'
 import { SyncClient } from '../membership/sync-client.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { GatewayConfiguration } from '../model/gateway-configuration.js'
@@ -64,11 +65,13 @@
    */
   async run (signal: AbortSignal): Promise<void> {
     this._isRunning = true
-    const { state: { holders, quarantine, routers }, store, log } = this._options
-    const persistence = new StatePersistence({ store, holders, quarantine, isSaving: () => this._mayWriteToStore }, log)
+    const { state: { holders, quarantine, routers }, store, clock, log } = this._options
+    const storedQuarantine = new StoredQuarantine({ store, quarantine, isReader: () => this._sync.isReader }, clock, log)
+    const otherParts = [storedQuarantine.savedPart]
+    const persistence = new StatePersistence({ store, holders, otherParts, isSaving: () => this._mayWriteToStore }, log)
     const announcer = new RouterAnnouncer(store, routers, () => this._mayWriteToStore, log)
     announcer.onLearned((learned) => this._sync.contactSoon(learned))
-    const tasks = [persistence, this._configurationFeed, this._endpointFeed, this._sync, announcer]
+    const tasks = [persistence, storedQuarantine, this._configurationFeed, this._endpointFeed, this._sync, announcer]
     await Promise.all(tasks.map((task) => task.run(signal)))
   }
 
