--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -38,6 +38,8 @@
   /** Last applied endpoint revision of another router, and the revision of this router's endpoints afterwards. */
   private _appliedRevision: string | undefined
   private _localRevisionAfterApply = -1
+  /** Time as of which the endpoints were verified by the last applied answer. */
+  private _appliedVerifiedAt = -Infinity
   private readonly _quarantineExchange: QuarantineExchange
   private readonly _limitExchange: LimitExchange
   private _isAwaitingSource = false
@@ -175,9 +177,11 @@
     const mirror = this._mirror(address)
     mirror.apply(answer)
     const verifiedAt = sentAt - answer.endpointsAgeMs
+    if (answer.endpointsAgeMs < 0) return
     // The endpoints of this router may be more recent.
-    if (answer.endpointsAgeMs < 0 || verifiedAt < endpointsFreshness.verifiedAt) return
-    endpointsFreshness.verifiedAt = verifiedAt
+    if (verifiedAt < endpointsFreshness.verifiedAt && !this._followsLastApplied(answer)) return
+    endpointsFreshness.verifiedAt = Math.max(verifiedAt, endpointsFreshness.verifiedAt)
+    this._appliedVerifiedAt = endpointsFreshness.verifiedAt
     const isUnchanged = this._appliedRevision === answer.endpointsRevision && this._localRevisionAfterApply === endpoints.revision
     if (isUnchanged) return
     endpoints.replace(mirror.entries, undefined)
@@ -185,6 +189,17 @@
     this._localRevisionAfterApply = endpoints.revision
   }
 
+  /**
+   * Whether an answer follows the one that was applied last, of the same process, and nothing newer became known since. Such an answer is at least as recent, also
+   * if it seems to be verified some milliseconds earlier because its request took longer.
+   */
+  private _followsLastApplied ({ endpointsRevision }: SyncAnswer): boolean {
+    if (this._appliedVerifiedAt !== this._state.endpointsFreshness.verifiedAt) return false
+    const [instance, revision] = endpointsRevision.split(':')
+    const [appliedInstance, appliedRevision] = (this._appliedRevision ?? '').split(':')
+    return instance === appliedInstance && Number(revision) >= Number(appliedRevision)
+  }
+
   private _mirror (address: string): EndpointMirror {
     let mirror = this._mirrors.get(address)
     if (mirror === undefined) {
