--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -11,6 +11,7 @@
 import type { QuarantineBlock } from './quarantine-block.js'
 import type { QuarantineChange } from './quarantine-change.js'
 import type { QuarantineChanges } from './quarantine-changes.js'
+import { QuarantineLog } from './quarantine-log.js'
 import type { QuarantineNotes } from './quarantine-notes.js'
 import { RecentAnswers } from './recent-answers.js'
 import { sharedParts } from './shared-parts.js'
@@ -37,6 +38,7 @@
  */
 export class RequestQuarantine {
   private readonly _options: RequestQuarantineOptions
+  private readonly _log: QuarantineLog
   private readonly _records = new Map<string, SuspectRecord>()
   private readonly _partAnswers = new RecentAnswers(MAXIMUM_ANSWERED_PARTS)
   private readonly _requestAnswers = new RecentAnswers(MAXIMUM_ANSWERED_REQUESTS)
@@ -51,6 +53,7 @@
    */
   constructor (options: RequestQuarantineOptions) {
     this._options = options
+    this._log = new QuarantineLog(options.log)
   }
 
   /**
@@ -151,7 +154,7 @@
    */
   recordCrash (endpoint: EndpointEntry, calls: readonly LostCall[]): void {
     const parts = findSuspects(calls)
-    this._reportCrash(endpoint, parts)
+    this._log.crashed(endpoint, parts)
     const lostAt = Math.min(...calls.map((call) => call.lostAt))
     const ageMs = this._options.clock.now() - lostAt
     this._applyCrash({ crashId: `${endpoint.id}@${endpoint.startedAt}`, parts, ageMs }, false)
@@ -282,34 +285,20 @@
   private _quarantine (record: SuspectRecord): void {
     record.quarantine(record.lastCrashAt)
     this._revision += 1
-    const fingerprint = requestSuspectId.fingerprintOf(record.id)
-    const crashes = record.crashes.size
-    if (fingerprint !== undefined) this._options.log.warn('request-quarantined', { fingerprint, crashes })
-    else this._options.log.warn('prompt-part-quarantined', { part: record.id, depth: record.depth, crashes })
+    this._log.quarantined(record)
   }
 
   private _reportRelease (id: string): void {
     this._revision += 1
-    const fingerprint = requestSuspectId.fingerprintOf(id)
-    if (fingerprint !== undefined) this._options.log.warn('request-released', { fingerprint })
-    else this._options.log.warn('prompt-part-released', { part: id })
-  }
-
-  private _reportCrash (endpoint: EndpointEntry, suspects: readonly Suspect[]): void {
-    const parts = suspects.filter(({ id }) => requestSuspectId.fingerprintOf(id) === undefined).map(({ id }) => id)
-    const fingerprints = suspects.flatMap(({ id }) => requestSuspectId.fingerprintOf(id) ?? [])
-    this._options.log.warn('endpoint-crashed', {
-      endpoint: endpoint.id,
-      service: endpoint.service,
-      lost_requests: fingerprints.join(','),
-      unanswered_parts: parts.length === 0 ? undefined : parts.join(',')
-    })
+    this._log.released(id)
   }
 
   private _expire (now: number): void {
     for (const [id, record] of this._records) {
+      const wasStored = isStored(record)
       if (!record.expire(now)) continue
       this._records.delete(id)
+      if (wasStored) this._revision += 1
       if (record.isQuarantined) this._reportRelease(id)
     }
   }
--- a/packages/gateway/src/test/stored-quarantine_test.ts
+++ b/packages/gateway/src/test/stored-quarantine_test.ts
@@ -10,6 +10,7 @@
 const WITH_PART = { prompt: ['a', 'd', 'x'].map((id) => ({ id, tokens: 1 })), fingerprint: 'f' }
 const REPEATED = { prompt: [], fingerprint: 'r' }
 const WAIT = { timeout: 10_000 }
+const CRASH_RETENTION_MS = 300_000
 const clock = { now: () => performance.now() }
 const log = new SilentEventLog()
 
@@ -84,3 +85,17 @@
   await vi.waitUntil(() => store.crashes.changes.at(-1)?.value?.length === 0, WAIT)
   await end()
 })
+
+test('a request that crashed endpoints long ago leaves the store', async () => {
+  const store = new MemoryStore()
+  store.era.observe(1)
+  const skewed = { skewMs: 0, now (): number { return performance.now() + this.skewMs } }
+  const quarantine = new RequestQuarantine({ clock: skewed, log, rank: () => 0 })
+  const end = keep(quarantine, store)
+  quarantine.apply({ crashes: crashesOf('request:r', ['e1', 'e2']), clearances: [] }, false)
+  await vi.waitUntil(() => store.crashes.changes.at(-1)?.value?.length === 2, WAIT)
+  skewed.skewMs = CRASH_RETENTION_MS
+  quarantine.apply({ crashes: crashesOf('request:other', ['e3']), clearances: [] }, false)
+  await vi.waitUntil(() => store.crashes.changes.at(-1)?.value?.length === 0, WAIT)
+  await end()
+})
