--- a/packages/gateway/src/test/deadly-request_test.ts
+++ b/packages/gateway/src/test/deadly-request_test.ts
@@ -1,5 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { RunState } from '@mimosarock/schema/run-state.js'
 import type { CallerResponse } from './caller-response.js'
 import { GatewayFleet } from './gateway-fleet.js'
 import type { GatewayFixture } from './gateway-fixture.js'
@@ -50,6 +52,7 @@
   const atStarted = await send(started, path, prompt, 'deadly-at-started', DEADLY_BODY)
   expect(fleet.arrivals((_prompt, body) => body === DEADLY_BODY)).toBeLessThanOrEqual(MAXIMUM_ARRIVALS)
   expect([response?.status, Number(response?.headers['retry-after']) > 1, atStarted?.status]).toEqual([503, true, 503])
+  expect(JSON.parse(response?.body ?? '')).toMatchObject({ code: ResultCode.REQUEST_QUARANTINED, run: RunState.NOT_RUN })
   const sound = await Promise.all(fleet.routers.map(async (router, number) => await send(router, path, prompt, `sound${number}`, 'sound')))
   expect(sound.map((answer) => answer?.status)).toEqual([200, 200, 200, 200])
 }, 30_000)
@@ -65,3 +68,21 @@
   }
   expect(fleet.arrivals((_prompt, body) => body === DEADLY_BODY)).toBeLessThanOrEqual(MAXIMUM_ARRIVALS)
 }, 30_000)
+
+// Guards against issue 32 in a form that the begin of a response hides, which clears the parts of its prompt.
+test.each(['/stream/a', '/resume/a'])('a request that crashes endpoints in the middle of its stream stops reaching them (%s)', async (path) => {
+  for (const endpoint of fleet.endpoints) {
+    endpoint.behavior = (request, response) => {
+      response.writeHead(200, { 'request-id': request.headers['request-id'], signature: 'signed', 'content-type': 'text/event-stream' })
+      response.write('id: 1\ndata: a\n\n', () => endpoint.crash())
+    }
+  }
+  for (let number = 0; number < REPEATS; number += 1) {
+    await send(fleet.routers[number % fleet.routers.length], path, 'a,b', `deadly${number}`, DEADLY_BODY)
+    await sleep(SPREADING_MS)
+    await fleet.restartEndpoints()
+  }
+  const last = await send(fleet.routers[0], path, 'a,b', 'deadly-last', DEADLY_BODY)
+  expect(fleet.arrivals((_prompt, body) => body === DEADLY_BODY)).toBeLessThanOrEqual(MAXIMUM_ARRIVALS)
+  expect([last?.status, JSON.parse(last?.body ?? '').code]).toEqual([503, ResultCode.REQUEST_QUARANTINED])
+}, 30_000)
