--- a/packages/gateway/src/membership/stored-quarantine.ts
+++ b/packages/gateway/src/membership/stored-quarantine.ts
@@ -25,6 +25,8 @@
   private readonly _feed: StoreFeed<readonly CrashNote[]>
   private readonly _options: StoredQuarantineOptions
   private _overwrites = 0
+  /** Ids of the crashes that this router saved last; reading them again is no news, and their ages are those of the save. */
+  private _savedIds: readonly string[] = []
   private _hasRead = false
 
   /**
@@ -51,7 +53,7 @@
       name: 'quarantine',
       intervalMs: SAVE_INTERVAL_MS,
       revision: () => this._quarantine.revision + this._overwrites,
-      save: async (signal) => await this._options.store.saveCrashes(this._quarantine.crashesToStore(), signal)
+      save: async (signal) => await this._save(signal)
     }
   }
 
@@ -63,12 +65,19 @@
     await this._feed.run(signal)
   }
 
+  private async _save (signal: AbortSignal): Promise<void> {
+    const crashes = this._quarantine.crashesToStore()
+    this._savedIds = crashes.flatMap(idsOf)
+    await this._options.store.saveCrashes(crashes, signal)
+  }
+
   private _apply ({ changes }: TopicPage<readonly CrashNote[]>): void {
     this._hasRead = true
     const stored = changes.at(-1)?.value
     if (stored === undefined) return
-    this._quarantine.apply({ crashes: stored, clearances: [] }, true)
     const ids = new Set(stored.flatMap(idsOf))
+    if (ids.size === this._savedIds.length && this._savedIds.every((id) => ids.has(id))) return
+    this._quarantine.apply({ crashes: stored, clearances: [] }, true)
     if (this._quarantine.crashesToStore().flatMap(idsOf).some((id) => !ids.has(id))) this._overwrites += 1
   }
 }
--- a/packages/gateway/src/test/stored-quarantine_test.ts
+++ b/packages/gateway/src/test/stored-quarantine_test.ts
@@ -86,16 +86,25 @@
   await end()
 })
 
-test('a request that crashed endpoints long ago leaves the store', async () => {
+// Guards against a router that reads what it wrote itself, late, and takes the crashes in it for new ones.
+test('a request that crashed endpoints long ago leaves the store, also if its record is read after that', async () => {
   const store = new MemoryStore()
   store.era.observe(1)
   const skewed = { skewMs: 0, now (): number { return performance.now() + this.skewMs } }
   const quarantine = new RequestQuarantine({ clock: skewed, log, rank: () => 0 })
+  const read = store.crashes.read.bind(store.crashes)
+  let letRead: () => void = () => undefined
+  const mayRead = new Promise<void>((resolve) => { letRead = resolve })
+  store.crashes.read = async (...options) => {
+    await mayRead
+    return await read(...options)
+  }
   const end = keep(quarantine, store)
   quarantine.apply({ crashes: crashesOf('request:r', ['e1', 'e2']), clearances: [] }, false)
   await vi.waitUntil(() => store.crashes.changes.at(-1)?.value?.length === 2, WAIT)
   skewed.skewMs = CRASH_RETENTION_MS
   quarantine.apply({ crashes: crashesOf('request:other', ['e3']), clearances: [] }, false)
+  letRead()
   await vi.waitUntil(() => store.crashes.changes.at(-1)?.value?.length === 0, WAIT)
   await end()
 })
