Interfaces of slow start, zone evacuation, home regions, slot grants and reported load

Cause: the router knows nothing of cold endpoints, evacuated zones, home regions or the load that endpoints state, and services with fewer slots than routers have no place where their slots are counted (docs/design/hard-load.md).

Change: the design, result codes 3022 to 3026 and 5011 to 5014, fields of services, routes, workspaces, registrations and responses, settings [regions], [warm_up], [dispatch] and vm.memory_mb, the parsed load header, and an options object for the choice of an endpoint. Nothing reads the new fields yet.

--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -65,7 +65,7 @@
   const excluded = new Set<string>()
   return measureShortestUs(() => {
     for (let index = 0; index < DECISIONS; index += 1) {
-      selector.choose('service-0', [{ id: index.toString(16).padStart(16, '0'), tokens: 9_000 }, { id: 'own', tokens: 100 }], excluded)
+      selector.choose('service-0', [{ id: index.toString(16).padStart(16, '0'), tokens: 9_000 }, { id: 'own', tokens: 100 }], { excluded })
     }
   }, REPETITIONS) / DECISIONS
 }
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -96,7 +96,7 @@
   private _choose (excluded: ReadonlySet<string>): ChosenEndpoint | undefined {
     const { endpointSelector, routeTimes } = this._dependencies
     const { service, route, caller } = this._options.authorized
-    return endpointSelector.choose(service, caller.prompt, excluded, routeTimes.isShort(service, route.name))
+    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name) })
   }
 
   /** Returns the milliseconds until an endpoint may be available; undefined if it is not known. */
--- /dev/null
+++ b/packages/gateway/src/choice/choice-constraints.ts
@@ -0,0 +1,11 @@
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+
+/** What restricts the choice of an endpoint for one request. */
+export interface ChoiceConstraints {
+  /** Ids of endpoints to which the request was already sent. */
+  readonly excluded: ReadonlySet<string>
+  /** Whether the request takes much less time than most; a rate limit counts it as much as any. False if left out. */
+  readonly isShort?: boolean
+  /** Returns whether the request may run at an endpoint; left out if it may run at all of them. */
+  readonly mayRunAt?: (endpoint: EndpointEntry) => boolean
+}
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -1,6 +1,7 @@
 import { RendezvousOrder } from '@mimosarock/placement/rendezvous-order.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { PromptPart } from '../model/prompt-part.js'
+import type { ChoiceConstraints } from './choice-constraints.js'
 import { ChoiceReason } from './choice-reason.js'
 import type { ChosenEndpoint } from './chosen-endpoint.js'
 import type { EndpointSelectorOptions } from './endpoint-selector-options.js'
@@ -53,13 +54,14 @@
    * Selects an endpoint for a request.
    * @param service name of the service
    * @param prompt parts of the prompt; empty for requests without one
-   * @param excluded ids of endpoints to which the request was already sent
-   * @param isShort whether the request takes much less time than most; a rate limit counts it as much as any
+   * @param constraints what restricts the choice
    * @returns undefined if no endpoint is left
    */
-  choose (service: string, prompt: readonly PromptPart[], excluded: ReadonlySet<string>, isShort = false): ChosenEndpoint | undefined {
+  choose (service: string, prompt: readonly PromptPart[], { excluded, isShort = false, mayRunAt }: ChoiceConstraints): ChosenEndpoint | undefined {
     const { endpoints, pauses, permits } = this._options
-    const ready = pauses.withoutPaused(endpoints.ready(service)).filter((endpoint) => !excluded.has(endpoint.id) && permits.allows(endpoint))
+    const ready = pauses.withoutPaused(endpoints.ready(service)).filter((endpoint) => {
+      return !excluded.has(endpoint.id) && permits.allows(endpoint) && mayRunAt?.(endpoint) !== false
+    })
     if (ready.length === 0) return undefined
     const bound = this._loadBound(service)
     const healthy = this._options.health.preferHealthy(ready)
--- a/packages/gateway/src/model/endpoint-entry.ts
+++ b/packages/gateway/src/model/endpoint-entry.ts
@@ -16,4 +16,6 @@
   readonly startedAt: number
   /** Counter that rises with each registration of this incarnation; 0 if unknown. */
   readonly revision: number
+  /** Time for which the endpoint stayed cold when it registered, in milliseconds; undefined if it is warm. */
+  readonly warmUpLeftMs?: number | undefined
 }
--- a/packages/gateway/src/model/response-head.ts
+++ b/packages/gateway/src/model/response-head.ts
@@ -1,3 +1,5 @@
+import type { StatedLoad } from './stated-load.js'
+
 /** Status and headers of an endpoint's response, as the wire codec reads them. */
 export interface ResponseHead {
   /** HTTP status. */
@@ -16,6 +18,10 @@
   readonly retryAfterMs: number | undefined
   /** Requests a second that the endpoint takes from all routers together; undefined if it states no limit. */
   readonly requestsPerSecond: number | undefined
+  /** Load that the endpoint states; undefined if it states none, or in an invalid form. */
+  readonly load?: StatedLoad | undefined
+  /** Whether the endpoint states its load in an invalid form. */
+  readonly isLoadInvalid?: boolean | undefined
   /** Whether the end of the body is marked, by a length or chunks; otherwise it ends with the connection. */
   readonly isDelimited: boolean
   /** Media type; undefined if the response states none. */
--- a/packages/gateway/src/model/route.ts
+++ b/packages/gateway/src/model/route.ts
@@ -25,4 +25,6 @@
   readonly isPublic: boolean
   /** Whether a broken stream may be resumed at another endpoint. */
   readonly isResumable: boolean
+  /** Regions in which alone requests may run; undefined if they may run everywhere. */
+  readonly homeRegions?: readonly string[] | undefined
 }
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -16,6 +16,12 @@
   readonly seeds: readonly string[]
   /** Address of the platform's store, host:port. */
   readonly store: string
+  /** Region of the VM; undefined if the settings name none. */
+  readonly region: string | undefined
+  /** Region of each availability zone, by name of the zone. */
+  readonly regions: Readonly<Record<string, string>>
+  /** Memory limit of the process, in bytes; undefined if the settings state none. */
+  readonly memoryBytes: number | undefined
   /** Maximum number of file descriptors of the process. */
   readonly fileDescriptors: number
   /** Grace period for shutdown, in milliseconds; the process is killed after it. */
@@ -30,4 +36,10 @@
   readonly retryWindowMs: number
   /** Upper bound of an endpoint's load, as a multiple of the mean load in its service. */
   readonly loadBoundFactor: number
+  /** Requests that may arrive at a cold endpoint in any second, as a multiple of its warm-up rate, in addition to `warmUpTolerance`. */
+  readonly warmUpOverage: number
+  /** Requests that may arrive at a cold endpoint in any second in addition to the multiple `warmUpOverage` of its rate. */
+  readonly warmUpTolerance: number
+  /** Whether services with fewer slots than the fleet has routers are served by slot grants. */
+  readonly grantsSlots: boolean
 }
--- a/packages/gateway/src/settings/live-settings.ts
+++ b/packages/gateway/src/settings/live-settings.ts
@@ -5,7 +5,7 @@
 
 /** Settings for listen addresses, identity and process limits; a change takes effect at the next start. */
 const STARTUP_ONLY: ReadonlySet<SettingName> = new Set([
-  'name', 'availabilityZone', 'callers', 'readiness', 'peers', 'metrics', 'seeds', 'store', 'fileDescriptors'
+  'name', 'availabilityZone', 'region', 'regions', 'callers', 'readiness', 'peers', 'metrics', 'seeds', 'store', 'fileDescriptors', 'memoryBytes'
 ])
 
 /** Holds the settings in force, most of which can be reloaded while the process runs. */
@@ -31,7 +31,7 @@
    */
   replace (next: GatewaySettings): SettingsChange {
     const names = Object.keys(next) as SettingName[]
-    const changed = names.filter((name) => String(next[name]) !== String(this._current[name]))
+    const changed = names.filter((name) => JSON.stringify(next[name]) !== JSON.stringify(this._current[name]))
     const applied = changed.filter((name) => !STARTUP_ONLY.has(name))
     const startupValues = Object.fromEntries([...STARTUP_ONLY].map((name) => [name, this._current[name]]))
     this._current = { ...next, ...startupValues }
--- a/packages/gateway/src/settings/read-gateway-settings.ts
+++ b/packages/gateway/src/settings/read-gateway-settings.ts
@@ -5,6 +5,10 @@
 import type { GatewaySettings } from './gateway-settings.js'
 
 const MS_PER_SECOND = 1_000
+const BYTES_PER_MEGABYTE = 1_000_000
+/** Warm-up bounds that hold without settings: the rate of the configuration, and nothing in addition. */
+const DEFAULT_WARM_UP_OVERAGE = 1
+const DEFAULT_WARM_UP_TOLERANCE = 0
 const ADDRESS = /^[^\s:]+:\d{1,5}$/
 
 /** Keys and values of one section. */
@@ -20,9 +24,14 @@
   const value = (section: string, key: string) => readValue(sections, section, key)
   const address = (section: string, key: string) => readAddress(value(section, key), `${section}.${key}`)
   const number = (section: string, key: string) => readNumber(value(section, key), `${section}.${key}`)
+  const optionalNumber = (section: string, key: string) => value(section, key) === undefined ? undefined : number(section, key)
+  const memoryMegabytes = optionalNumber('vm', 'memory_mb')
   return {
     name: required(value('vm', 'name'), 'vm.name'),
     availabilityZone: required(value('vm', 'availability_zone'), 'vm.availability_zone'),
+    region: value('vm', 'region'),
+    regions: readRegions(sections.regions),
+    memoryBytes: memoryMegabytes === undefined ? undefined : memoryMegabytes * BYTES_PER_MEGABYTE,
     fileDescriptors: number('vm', 'file_descriptors'),
     callers: address('listen', 'callers'),
     readiness: address('listen', 'readiness'),
@@ -35,7 +44,10 @@
     retryRatio: number('retries', 'ratio'),
     retryAllowance: number('retries', 'allowance'),
     retryWindowMs: number('retries', 'window_seconds') * MS_PER_SECOND,
-    loadBoundFactor: number('load', 'bound_factor')
+    loadBoundFactor: number('load', 'bound_factor'),
+    warmUpOverage: optionalNumber('warm_up', 'overage') ?? DEFAULT_WARM_UP_OVERAGE,
+    warmUpTolerance: optionalNumber('warm_up', 'tolerance') ?? DEFAULT_WARM_UP_TOLERANCE,
+    grantsSlots: value('dispatch', 'slot_grants') !== 'false'
   }
 }
 
@@ -52,6 +64,10 @@
   return value === undefined || value === '' ? undefined : String(value)
 }
 
+function readRegions (section: Section | undefined): Readonly<Record<string, string>> {
+  return Object.fromEntries(Object.entries(section ?? {}).map(([zone, region]) => [zone, String(region)]))
+}
+
 function required (value: string | undefined, field: string): string {
   if (value === undefined) throw new MimosarockError(ResultCode.SETTINGS_MISSING_KEY, `${field} is not set`, { field })
   return value
--- a/packages/gateway/src/test/endpoint-selector_test.ts
+++ b/packages/gateway/src/test/endpoint-selector_test.ts
@@ -9,7 +9,7 @@
 import { createPermits } from './create-permits.js'
 
 const ENDPOINTS = 8
-const NONE = new Set<string>()
+const NONE = { excluded: new Set<string>() }
 
 function createFixture (isLarge = false) {
   const clock = { ms: 50_000, now (): number { return this.ms } }
@@ -120,6 +120,6 @@
 })
 
 test('no endpoint is selected after all of them were tried', () => {
-  const tried = new Set(Array.from({ length: ENDPOINTS }, (_, index) => `e${index}`))
-  expect(createFixture().selector.choose('s', [], tried)).toBeUndefined()
+  const excluded = new Set(Array.from({ length: ENDPOINTS }, (_, index) => `e${index}`))
+  expect(createFixture().selector.choose('s', [], { excluded })).toBeUndefined()
 })
--- a/packages/gateway/src/test/few-endpoints-simulation.ts
+++ b/packages/gateway/src/test/few-endpoints-simulation.ts
@@ -85,7 +85,7 @@
   })
   const times: number[] = []
   const send = ({ loads, selector }: typeof routers[number]): void => {
-    const chosen = selector.choose(SERVICE, [], new Set())?.endpoint.id
+    const chosen = selector.choose(SERVICE, [], { excluded: new Set() })?.endpoint.id
     const endpoint = endpoints.find(({ id }) => id === chosen) as SimulatedEndpoint
     const sentAt = clock.now()
     loads.begin(endpoint.id)
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -54,7 +54,13 @@
       retryRatio: 0.2,
       retryAllowance: 50,
       retryWindowMs: 10_000,
-      loadBoundFactor: 2
+      loadBoundFactor: 2,
+      region: undefined,
+      regions: {},
+      memoryBytes: undefined,
+      warmUpOverage: 1,
+      warmUpTolerance: 0,
+      grantsSlots: true
     }
     this._gateway = new Gateway({
       settings: this._settings,
--- a/packages/gateway/src/test/limited-fleet.ts
+++ b/packages/gateway/src/test/limited-fleet.ts
@@ -13,7 +13,7 @@
 /** Half of the objective of the service; a request that has waited for so long is refused. */
 const MAXIMUM_WAIT_MS = 190
 const MS_PER_SECOND = 1_000
-const NONE: ReadonlySet<string> = new Set()
+const NONE = { excluded: new Set<string>() }
 const clock = { now: () => Date.now() }
 
 /** Fleet, its endpoints and the requests that arrive. */
--- a/packages/gateway/src/test/limited-selection_test.ts
+++ b/packages/gateway/src/test/limited-selection_test.ts
@@ -18,9 +18,9 @@
 /** Endpoint with a limit that holds the context of the tests' prompts. */
 const LIMITED = 'e0'
 const LIMIT = 10
-const NONE = new Set<string>()
+const NONE = { excluded: new Set<string>() }
 const PROMPT = [{ id: 'abc', tokens: 9_000 }, { id: 'ff', tokens: 100 }]
-const IS_SHORT = true
+const SHORT = { ...NONE, isShort: true }
 
 let clock: { ms: number, now: () => number }
 let endpoints: EndpointTable
@@ -94,9 +94,9 @@
 // Pattern: a limit counts requests, so short ones would use it up, while long ones fill the other endpoints.
 test('a short request leaves the permit to others while another endpoint has capacity', () => {
   getPermit()
-  expect(selector.choose(SERVICE, PROMPT, NONE, IS_SHORT)?.endpoint.id).not.toBe(LIMITED)
+  expect(selector.choose(SERVICE, PROMPT, SHORT)?.endpoint.id).not.toBe(LIMITED)
   for (const id of ['e1', 'e2', 'e3']) setLoad(id, SLOTS)
-  expect(selector.choose(SERVICE, PROMPT, NONE, IS_SHORT)?.endpoint.id).toBe(LIMITED)
+  expect(selector.choose(SERVICE, PROMPT, SHORT)?.endpoint.id).toBe(LIMITED)
 })
 
 // Pattern: copies to endpoints with a limit serve few requests, but once the others are busy their permits would expire unused.
--- a/packages/gateway/src/test/read-gateway-settings_test.ts
+++ b/packages/gateway/src/test/read-gateway-settings_test.ts
@@ -11,8 +11,10 @@
   const values: Record<string, string> = {
     nodeName: 'vm-1',
     zone: 'z-a',
+    region: 'r-1',
     ip: '10.1.0.40',
     'limits.maxFds': '4200',
+    'limits.memoryMb': '350',
     'listen.frontend': '10.1.0.40:8227',
     'listen.readiness': '10.1.0.40:8220',
     'listen.controlPlane': '10.1.0.40:8229',
@@ -24,10 +26,14 @@
     'bounds.retryRatio': '0.2',
     'bounds.budgetSlack': '52',
     'bounds.retryWindowS': '10',
-    'bounds.capFactor': '2'
+    'bounds.capFactor': '2',
+    'bounds.warmupOverage': '1.5',
+    'bounds.warmupTolerance': '5'
   }
   const template = readFileSync(new URL('../../../../deploy/router.ini.template', import.meta.url), 'utf8')
-  return template.replace(/\{\{([^}]+)\}\}/g, (_, name: string) => values[name] ?? '')
+  const zones = { 'z-a': 'r-1', 'z-b': 'r-2' }
+  const zoneLines = Object.entries(zones).map(([zone, region]) => `${zone} = ${region}\n`).join('')
+  return template.replace(/\{\{#zones\}\}\n.*\n\{\{\/zones\}\}\n/, zoneLines).replace(/\{\{([^}]+)\}\}/g, (_, name: string) => values[name] ?? '')
 }
 
 function read (text: string): unknown {
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -261,6 +261,36 @@
     ran: 'no',
     action: 'Change the request, or retry after `Retry-After`; the operator finds it in the log by its fingerprint (`request-quarantined`).'
   },
+  ENDPOINTS_EVACUATED: {
+    meaning: 'All endpoints of the service are in availability zones that the operator has evacuated.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'Retry after `Retry-After`; the operator ends the evacuation or adds endpoints in another zone.'
+  },
+  HOME_UNAVAILABLE: {
+    meaning: 'No endpoint is available in a region in which the request may run, by the home regions of its route and its workspace.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'Retry after `Retry-After`; the operator checks `allowedRegions` and the regions of the zones in the settings.'
+  },
+  ENDPOINT_LOAD_INVALID: {
+    meaning: 'An endpoint states its load in an invalid form; the statement is ignored.',
+    httpStatus: 500,
+    ran: 'no',
+    action: 'Check the endpoint given in the log. Requests are routed without the statement.'
+  },
+  REQUEST_SIZE_INVALID: {
+    meaning: 'A caller states the size of a request in an invalid form; the statement is ignored.',
+    httpStatus: 400,
+    ran: 'no',
+    action: 'Correct the number of tokens. Such requests count with the mean size of their route.'
+  },
+  CALLER_TOO_SLOW: {
+    meaning: 'The caller reads its response too slowly, and the router needs the memory that the response occupies.',
+    httpStatus: 503,
+    ran: 'unknown',
+    action: 'Read responses as they arrive.'
+  },
   KEY_MISSING: {
     meaning: 'Calls to the route may run at most once, and the call has no key.',
     httpStatus: 400,
@@ -393,6 +423,30 @@
     ran: 'no',
     action: 'Choose a value within the bound given in the response.'
   },
+  ZONE_UNKNOWN: {
+    meaning: 'A record of the operator names an availability zone in which no endpoint and no router is known.',
+    httpStatus: 422,
+    ran: 'no',
+    action: 'Check the name of the zone. The record stays in force.'
+  },
+  REGION_UNKNOWN: {
+    meaning: 'The configuration names a region that the settings of the router do not know.',
+    httpStatus: 422,
+    ran: 'no',
+    action: 'Check the name, and the section `regions` of the settings. No endpoint of that region is used.'
+  },
+  WARM_UP_INVALID: {
+    meaning: 'A warm-up time or rate is negative or not a number; the last valid one stays in force.',
+    httpStatus: 422,
+    ran: 'no',
+    action: 'Correct the value given in the log.'
+  },
+  HOME_REGIONS_INVALID: {
+    meaning: 'The home regions of a route or workspace are not a list of names; the last valid list stays in force.',
+    httpStatus: 422,
+    ran: 'no',
+    action: 'Correct the list. Without a valid one, requests are refused with 3023.'
+  },
   UNAUTHENTICATED: {
     meaning: 'The caller, operator or peer did not present a valid API key or token.',
     httpStatus: 401,
