FleetSync: the followed router, the seeds and the rotation of peers in classes of their own

Change: FollowingState, SeedDiscovery and PeerRotation; FleetSync decides only whom to ask in a round. No change of behavior.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -1,14 +1,16 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { RouterEntry } from '../model/router-entry.js'
-import { pause } from './pause.js'
+import { FollowingState } from './following-state.js'
 import { peerCallFields } from './peer-call-fields.js'
 import type { FleetSyncOptions } from './fleet-sync-options.js'
 import { isFresh } from './is-fresh.js'
 import { PeerBackoffs } from './peer-backoffs.js'
+import { PeerRotation } from './peer-rotation.js'
 import { readingDelayMs } from './reading-delay-ms.js'
 import { RoundPause } from './round-pause.js'
 import type { RouterTable } from './router-table.js'
+import { SeedDiscovery } from './seed-discovery.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncClient } from './sync-client.js'
 import type { SyncOptions } from './sync-options.js'
@@ -22,8 +24,8 @@
 const ZONE_FOLLOWER_INTERVAL_MS = 500
 /** Interval between sync requests while this router waits for a router that can send it a large change. */
 const AWAITING_SOURCE_INTERVAL_MS = 100
-/** How long a router counts as a follower after the last answer of its source. */
-const FOLLOWING_TIMEOUT_MS = 1_500
+/** Time since the last round after which a router may no longer be the reader, since another one may have taken over. */
+const CONFIRMATION_TIMEOUT_MS = 1_500
 /** Options of a sync with a router that is not followed: exchanges state and known routers, without reporting loads. */
 const DISCOVERY_OPTIONS: SyncOptions = { reportsLoad: false, followers: [] }
 /** Options of a follower that has no followers itself. */
@@ -35,10 +37,6 @@
 const MAXIMUM_SOURCE_DISTANCE = 1
 /** Maximum number of routers contacted in one round. */
 const MAXIMUM_PEERS_PER_ROUND = 4
-/** Number of rounds between two sync requests of a reader. */
-const ROUNDS_PER_READER_SYNC = 4
-/** How long a router that starts waits for an answer of a seed before it serves with what the store holds. */
-const MAXIMUM_SEED_WAIT_MS = 250
 /** Number of the first routers of the zone order that look for a fresh router outside of their zone. */
 const ZONE_ROUTERS_THAT_LOOK_OUTSIDE = 2
 
@@ -51,24 +49,16 @@
 export class FleetSync {
   private readonly _routers: RouterTable
   private readonly _client: SyncClient
-  private readonly _clock: ElapsedClock
   private readonly _log: EventLog
-  private readonly _seeds: readonly string[]
+  private readonly _following: FollowingState
+  private readonly _seedDiscovery: SeedDiscovery
+  private readonly _rotation: PeerRotation
   private readonly _isStoreFailing: () => boolean
   private readonly _backoffs: PeerBackoffs
   private readonly _pause: RoundPause
-  private _source: string | undefined
-  private _isReader = false
-  private _rounds = 0
   private _followsZonePeer = false
-  private _sourceDistance = Infinity
-  private _lastFollowedAt = -Infinity
-  private _hasAskedSeeds = false
-  /** Addresses of routers to contact in the next rounds. */
-  private readonly _toContact: string[] = []
   /** Whether a router that was contacted in this round answered with stale state. */
   private _hasMetStale = false
-  private _onSeedsAsked: () => void = () => undefined
   private _onRoundEnd: () => void = () => undefined
 
   /**
@@ -79,17 +69,19 @@
   constructor (options: FleetSyncOptions, clock: ElapsedClock, log: EventLog) {
     this._routers = options.routers
     this._client = options.client
-    this._clock = clock
+    this._following = new FollowingState(clock, log)
     this._backoffs = new PeerBackoffs(clock)
     this._pause = new RoundPause(clock)
     this._log = log
-    this._seeds = options.seeds.filter((seed) => seed !== options.routers.self.address)
+    const seeds = options.seeds.filter((seed) => seed !== options.routers.self.address)
+    this._seedDiscovery = new SeedDiscovery(seeds, async (seed) => await this._syncWith(seed, DISCOVERY_OPTIONS))
+    this._rotation = new PeerRotation(options.routers)
     this._isStoreFailing = options.isStoreFailing
   }
 
   /** Whether this router has to read the store, because no router ahead of it in the order is known to be fresh. */
   get isReader (): boolean {
-    return this._isReader
+    return this._following.isReader
   }
 
   /**
@@ -97,12 +89,12 @@
    * next round: another one may have become the reader meanwhile, and writing to the store is left to that one.
    */
   get isConfirmedReader (): boolean {
-    return this._isReader && this._pause.sinceRoundMs < FOLLOWING_TIMEOUT_MS
+    return this.isReader && this._pause.sinceRoundMs < CONFIRMATION_TIMEOUT_MS
   }
 
   /** Name of the router that this one follows; undefined if it reads the store itself and follows none. */
   get source (): string | undefined {
-    return this._source
+    return this._following.source
   }
 
   /**
@@ -110,7 +102,7 @@
    * none.
    */
   get followingDistance (): number {
-    return this._clock.now() - this._lastFollowedAt < FOLLOWING_TIMEOUT_MS ? this._sourceDistance + 1 : Infinity
+    return this._following.distance
   }
 
   /**
@@ -118,7 +110,7 @@
    * back from an older copy, and a newer configuration than the one it holds.
    */
   get hasAskedSeeds (): boolean {
-    return this._hasAskedSeeds
+    return this._seedDiscovery.hasAsked
   }
 
   /**
@@ -126,7 +118,7 @@
    * @param onSeedsAsked listener; it is called without arguments
    */
   onSeedsAsked (onSeedsAsked: () => void): void {
-    this._onSeedsAsked = onSeedsAsked
+    this._seedDiscovery.onAsked(onSeedsAsked)
   }
 
   /**
@@ -142,7 +134,7 @@
    * @param signal aborts the loop
    */
   async run (signal: AbortSignal): Promise<void> {
-    await this._askSeeds(signal)
+    await this._seedDiscovery.run(signal)
     signal.addEventListener('abort', () => this._pause.close(), { once: true })
     while (!signal.aborted) {
       this._pause.beginRound()
@@ -168,8 +160,7 @@
 
   /** Whether this router gets from another one what it does not read from the store itself. */
   get isFollowing (): boolean {
-    const readsForItself = this._isReader && this._source === undefined
-    return !readsForItself && this.followingDistance < Infinity
+    return this._following.isFollowing
   }
 
   /**
@@ -177,19 +168,7 @@
    * @param routers routers that this one has never heard
    */
   contactSoon (routers: readonly RouterEntry[]): void {
-    this._toContact.push(...routers.map(({ address }) => address))
-  }
-
-  private async _askSeeds (signal: AbortSignal): Promise<void> {
-    const answers = this._seeds.map((seed) => this._syncWith(seed, DISCOVERY_OPTIONS))
-    const allAsked = Promise.all(answers)
-    const firstAnswer = new Promise<void>((resolve) => {
-      for (const answer of answers) answer.then((received) => { if (received !== undefined) resolve() }, () => undefined)
-    })
-    await Promise.race([firstAnswer, allAsked, pause(MAXIMUM_SEED_WAIT_MS, signal)])
-    this._hasAskedSeeds = true
-    this._onSeedsAsked()
-    await allAsked
+    this._rotation.addUnheard(routers)
   }
 
   private get _intervalMs (): number {
@@ -246,7 +225,7 @@
   }
 
   private _readIfDue (): void {
-    if (this._isReadingDue()) this._becomeReader()
+    if (this._isReadingDue()) this._following.becomeReader(this._isStoreFailing())
   }
 
   /**
@@ -255,8 +234,8 @@
    * the longer it lasts, in case the store refuses just the first ones.
    */
   private _isReadingDue (): boolean {
-    if (!this._hasMetStale || this._isReader) return true
-    return this._clock.now() - this._lastFollowedAt >= readingDelayMs(this._routers.ownRank, this._isFirstOfZone())
+    if (!this._hasMetStale || this.isReader) return true
+    return this._following.sinceFollowedMs >= readingDelayMs(this._routers.ownRank, this._isFirstOfZone())
   }
 
   private _isFirstOfZone (): boolean {
@@ -264,21 +243,9 @@
     return first.some(({ name }) => name === this._routers.self.name)
   }
 
-  /**
-   * Every few rounds, syncs with one of the other routers in round-robin order. Followers contact a reader by
-   * themselves; this request lets two concurrent readers discover each other.
-   */
   private async _syncWithNextPeer (): Promise<void> {
-    const unheard = this._toContact.shift()
-    if (unheard !== undefined) {
-      await this._syncWith(unheard, DISCOVERY_OPTIONS)
-      return
-    }
-    const peers = this._routers.inReaderOrder().filter((router) => router.name !== this._routers.self.name)
-    this._rounds += 1
-    if (peers.length === 0 || this._rounds % ROUNDS_PER_READER_SYNC !== 0) return
-    const peer = peers[(this._rounds / ROUNDS_PER_READER_SYNC) % peers.length] as RouterEntry
-    await this._syncWith(peer.address, DISCOVERY_OPTIONS)
+    const address = this._rotation.next()
+    if (address !== undefined) await this._syncWith(address, DISCOVERY_OPTIONS)
   }
 
   private async _syncWith (address: string, options: SyncOptions): Promise<SyncAnswer | undefined> {
@@ -305,20 +272,8 @@
 
   private _follow (router: RouterEntry, answer: SyncAnswer, followers: readonly string[]): void {
     this._client.applyFollowed(router.address, answer, followers.length > 0)
-    this._sourceDistance = answer.distance ?? Infinity
-    this._lastFollowedAt = this._clock.now()
     const order = this._routers.inReaderOrder()
     const precedesSelf = order.indexOf(router) < order.indexOf(this._routers.self)
-    if (this._source === router.name && this._isReader !== precedesSelf) return
-    this._isReader = !precedesSelf
-    this._source = router.name
-    this._log.info('knowledge-source', { source: router.name, reads_store: this._isReader })
-  }
-
-  private _becomeReader (): void {
-    if (this._isReader && (this._source === undefined || this._isStoreFailing())) return
-    this._isReader = true
-    this._source = undefined
-    this._log.info('knowledge-source', { source: 'store' })
+    this._following.follow(router, answer.distance ?? Infinity, precedesSelf)
   }
 }
