--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -5,7 +5,7 @@
 import { findCulprits } from './find-culprits.js'
 import { findSuspects } from './find-suspects.js'
 import type { LostCall } from './lost-call.js'
-import { SuspectRecord } from './suspect-record.js'
+import type { SuspectRecord } from './suspect-record.js'
 import type { RequestQuarantineOptions } from './request-quarantine-options.js'
 import { requestSuspectId } from './request-suspect-id.js'
 import type { QuarantineBlock } from './quarantine-block.js'
@@ -16,15 +16,12 @@
 import { RecentAnswers } from './recent-answers.js'
 import { sharedParts } from './shared-parts.js'
 import type { Suspect } from './suspect.js'
+import { SuspectTable } from './suspect-table.js'
 
-/** Maximum number of suspects; those that crashed endpoints least recently are forgotten first, quarantined ones last. */
-const MAXIMUM_SUSPECTS = 4_096
 /** Maximum number of prompt parts whose last answer is remembered. */
 const MAXIMUM_ANSWERED_PARTS = 8_192
 /** Maximum number of requests whose last answer is remembered, for news of crashes before it that arrive late. */
 const MAXIMUM_ANSWERED_REQUESTS = 2_048
-/** Number of crashes from which a request is stored, although it is not quarantined yet. */
-const STORED_CRASHES = 2
 /** Time after a quarantine between the first trials of two routers, in which the first one learns and tells how its trial ended. */
 const TRIAL_SPACING_MS = 2_000
 
@@ -39,7 +36,7 @@
 export class RequestQuarantine {
   private readonly _options: RequestQuarantineOptions
   private readonly _log: QuarantineLog
-  private readonly _records = new Map<string, SuspectRecord>()
+  private readonly _suspects = new SuspectTable()
   private readonly _partAnswers = new RecentAnswers(MAXIMUM_ANSWERED_PARTS)
   private readonly _requestAnswers = new RecentAnswers(MAXIMUM_ANSWERED_REQUESTS)
   private readonly _changes = new ChangeLog<QuarantineChange>()
@@ -66,17 +63,17 @@
 
   /** Number of suspects, quarantined or not. */
   get suspectCount (): number {
-    return this._records.size
+    return this._suspects.size
   }
 
   /** Number of quarantined prompt parts, including those on trial. */
   get partCount (): number {
-    return this._quarantined().length - this.requestCount
+    return this._suspects.quarantined.length - this.requestCount
   }
 
   /** Number of quarantined requests, including those on trial. */
   get requestCount (): number {
-    return this._quarantined().filter(({ isRequest }) => isRequest).length
+    return this._suspects.quarantined.filter(({ isRequest }) => isRequest).length
   }
 
   /** Number that changes with the crashes to store. */
@@ -87,7 +84,7 @@
   /** Returns the crashes because of which suspects are quarantined, and requests may soon be, for routers that get no news from this one. */
   crashesToStore (): CrashNote[] {
     const now = this._options.clock.now()
-    return [...this._records.values()].filter(isStored).flatMap(({ id, depth, crashes }) => {
+    return this._suspects.stored.flatMap(({ id, depth, crashes }) => {
       return [...crashes].map(([crashId, at]) => ({ crashId, parts: [{ id, depth }], ageMs: Math.ceil(now - at) }))
     })
   }
@@ -97,7 +94,7 @@
    * @param content what it asks for
    */
   findBlock (content: RequestContent): QuarantineBlock | undefined {
-    for (const record of this._quarantinedOf(content)) {
+    for (const record of this._suspects.quarantinedOf(content)) {
       const remainingMs = this._trialTime(record) - this._options.clock.now()
       if (remainingMs > 0) return { suspectId: record.id, remainingMs }
       if (record.trials > 0) return { suspectId: record.id, remainingMs: TRIAL_SPACING_MS }
@@ -110,7 +107,7 @@
    * @param content what the request asks for
    */
   includes (content: RequestContent): boolean {
-    return this._quarantinedOf(content).length > 0
+    return this._suspects.quarantinedOf(content).length > 0
   }
 
   /**
@@ -118,7 +115,7 @@
    * @param content what the request asks for
    */
   beginCall (content: RequestContent): void {
-    for (const record of this._quarantinedOf(content)) record.trials += 1
+    for (const record of this._suspects.quarantinedOf(content)) record.trials += 1
   }
 
   /**
@@ -126,7 +123,7 @@
    * @param content what the request asks for
    */
   endCall (content: RequestContent): void {
-    for (const record of this._quarantinedOf(content)) record.trials = Math.max(0, record.trials - 1)
+    for (const record of this._suspects.quarantinedOf(content)) record.trials = Math.max(0, record.trials - 1)
   }
 
   /**
@@ -183,19 +180,6 @@
     return { notes: this._toNotes(changes), notesForUpstream: this._toNotes(changesForUpstream), cursor: next }
   }
 
-  private _quarantined (): SuspectRecord[] {
-    return [...this._records.values()].filter(({ isQuarantined }) => isQuarantined)
-  }
-
-  private _quarantinedOf ({ prompt, fingerprint }: RequestContent): SuspectRecord[] {
-    if (this._records.size === 0) return []
-    const ids = [requestSuspectId.of(fingerprint), ...sharedParts(prompt).map(({ id }) => id)]
-    return ids.flatMap((id) => {
-      const record = this._records.get(id)
-      return record?.isQuarantined === true ? [record] : []
-    })
-  }
-
   private _answersOf (id: string): RecentAnswers {
     return requestSuspectId.fingerprintOf(id) === undefined ? this._partAnswers : this._requestAnswers
   }
@@ -203,7 +187,7 @@
   private _recordAnswer (id: string): void {
     const at = this._options.clock.now()
     this._answersOf(id).record(id, at)
-    if (this._records.has(id)) this._clear(id, at, false)
+    if (this._suspects.find(id) !== undefined) this._clear(id, at, false)
   }
 
   private _trialTime (record: SuspectRecord): number {
@@ -225,43 +209,31 @@
   /** Adds a crash to the record of a suspect. Returns false if it is known, or the suspect was answered since. */
   private _addCrash (suspect: Suspect, crashId: string, at: number): boolean {
     const lastAnswer = this._answersOf(suspect.id).lastAnswer(suspect.id, this._options.clock.now())
-    const record = this._records.get(suspect.id) ?? new SuspectRecord(suspect)
-    if (record.has(crashId) || (lastAnswer ?? -Infinity) > at) return false
-    record.wasAnswered ||= lastAnswer !== undefined
-    record.add(crashId, at)
-    this._records.delete(suspect.id)
-    this._records.set(suspect.id, record)
-    if (this._records.size > MAXIMUM_SUSPECTS) this._forgetOne()
+    if (!this._suspects.addCrash(suspect, crashId, at, lastAnswer)) return false
+    for (const { id, isQuarantined } of this._suspects.removeExcess()) if (isQuarantined) this._reportRelease(id)
     return true
   }
 
   private _isStored (id: string): boolean {
-    const record = this._records.get(id)
-    return record !== undefined && isStored(record)
-  }
-
-  private _forgetOne (): void {
-    const records = [...this._records.values()]
-    const forgotten = records.find(({ isQuarantined }) => !isQuarantined) ?? records[0] as SuspectRecord
-    this._records.delete(forgotten.id)
-    if (forgotten.isQuarantined) this._reportRelease(forgotten.id)
+    const record = this._suspects.find(id)
+    return record !== undefined && SuspectTable.isStored(record)
   }
 
   /** Tells the other routers that a suspect was answered before its first crash, which makes it less suspect than its company. */
   private _tellOfEarlierAnswer (id: string, now: number): void {
     const lastAnswer = this._answersOf(id).lastAnswer(id, now)
-    if (lastAnswer !== undefined && this._records.get(id)?.crashes.size === 1) this._changes.append({ partId: id, at: lastAnswer }, false)
+    if (lastAnswer !== undefined && this._suspects.find(id)?.crashes.size === 1) this._changes.append({ partId: id, at: lastAnswer }, false)
   }
 
   private _clear (id: string, at: number, isFromUpstream: boolean): void {
     this._answersOf(id).record(id, at)
-    const record = this._records.get(id)
+    const record = this._suspects.find(id)
     if (record === undefined) return
     const wasQuarantined = record.isQuarantined
-    if (isStored(record)) this._revision += 1
+    if (SuspectTable.isStored(record)) this._revision += 1
     const isNews = record.clear(at) || !record.wasAnswered
     record.wasAnswered = true
-    if (record.crashes.size === 0) this._records.delete(id)
+    if (record.crashes.size === 0) this._suspects.delete(id)
     if (!isNews) return
     this._changes.append({ partId: id, at }, isFromUpstream)
     if (wasQuarantined && !record.isQuarantined) this._reportRelease(id)
@@ -272,8 +244,8 @@
   private _updateQuarantines (): void {
     if (!this._isOutdated) return
     this._isOutdated = false
-    const culprits = findCulprits(this._records.values())
-    for (const record of this._records.values()) {
+    const culprits = findCulprits(this._suspects.records)
+    for (const record of this._suspects.records) {
       if (record.isQuarantined === culprits.has(record)) continue
       if (record.isQuarantined) {
         record.release()
@@ -294,10 +266,11 @@
   }
 
   private _expire (now: number): void {
-    for (const [id, record] of this._records) {
-      const wasStored = isStored(record)
+    for (const record of [...this._suspects.records]) {
+      const { id } = record
+      const wasStored = SuspectTable.isStored(record)
       if (!record.expire(now)) continue
-      this._records.delete(id)
+      this._suspects.delete(id)
       if (wasStored) this._revision += 1
       if (record.isQuarantined) this._reportRelease(id)
     }
@@ -312,7 +285,3 @@
     return { crashes, clearances }
   }
 }
-
-function isStored (record: SuspectRecord): boolean {
-  return record.isQuarantined || (record.isRequest && !record.wasAnswered && record.crashes.size >= STORED_CRASHES)
-}
