Max-min fair shares of workspaces in services that refuse requests, over all routers

Cause: each router queues fairly what it sees, a small part of the requests. A surge of one workspace reaches all routers, and what it takes is decided by the order of arrival at each of them.

Change: routers report the demand of services that refuse requests with their sync requests; the router that follows no other computes the max-min level and, for workspaces above it, the fraction of their requests that may queue. What is admitted at once is never refused.

--- a/packages/gateway/src/admission/service-admission-options.ts
+++ b/packages/gateway/src/admission/service-admission-options.ts
@@ -1,4 +1,5 @@
 import type { PlacementClock } from '@mimosarock/placement/placement-clock.js'
+import type { QueueFairness } from '../fairness/queue-fairness.js'
 import type { RateLimit } from './rate-limit.js'
 
 /** Settings and dependencies of the admission control of one service. */
@@ -11,6 +12,8 @@
   readonly limit: () => number
   /** Rate limits of the endpoints; undefined if they have none. */
   readonly rateLimit?: RateLimit | undefined
+  /** Fairness between workspaces over all routers; undefined to queue all requests. */
+  readonly fairness?: QueueFairness | undefined
   /** Returns a random number from 0 (inclusive) to 1 (exclusive), which jitters the retry delays of rejected callers. */
   readonly random: () => number
 }
--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -62,8 +62,9 @@
    */
   tryAdmit (request: ServiceRequest): boolean {
     this._queues.countArrival(request)
+    this._options.fairness?.countArrival(request.workspace ?? '')
     if (this._queues.size > 0 || !this._hasCapacity()) return false
-    this._countAdmitted(request)
+    this._countAdmitted(request, request.workspace)
     return true
   }
 
@@ -74,6 +75,9 @@
    * @throws {MimosarockError} if the request is rejected or the signal is aborted; the request has not run
    */
   async wait (request: ServiceRequest, signal: AbortSignal): Promise<void> {
+    if (this._options.fairness?.mayQueue(request.workspace ?? '') === false) {
+      throw this._rejectionError(`is full, and the workspace ${request.workspace} exceeds its share`, ResultCode.WORKSPACE_OVER_SHARE)
+    }
     const waitMs = Math.min(request.objectiveMs * WAIT_FRACTION_OF_OBJECTIVE, request.timeLeftMs * WAIT_FRACTION_OF_TIME_LEFT)
     const waitController = new AbortController()
     await new Promise<void>((resolve, reject) => {
@@ -120,7 +124,7 @@
   admitQueued (): void {
     while (this._queues.size > 0 && this._hasCapacity()) {
       const next = this._queues.take() as QueuedRequest
-      this._countAdmitted(next)
+      this._countAdmitted(next, next.workspace)
       next.settle()
     }
   }
@@ -135,22 +139,24 @@
     return Math.max(byCapacity, this._options.rateLimit?.intervalMs() ?? 0)
   }
 
-  private _countAdmitted (rank: RequestRank): void {
+  private _countAdmitted (rank: RequestRank, workspace = ''): void {
     this._inFlight += 1
     this._queues.countAdmission(rank)
+    this._options.fairness?.countAdmission(workspace)
   }
 
   private _drop (queued: QueuedRequest, error: () => Error): void {
     if (this._queues.remove(queued)) queued.settle(error())
   }
 
-  private _rejectionError (reason: string): MimosarockError {
+  private _rejectionError (reason: string, code: ResultCode = ResultCode.OVERLOADED): MimosarockError {
     this._rejections.increment()
+    this._options.fairness?.recordRefusal()
     const random = this._options.random()
     const delayMs = retryDelay(this._rejections.perSecond, this._queues.admissionsPerSecond, random)
     const rateLimitMs = Math.min(MAXIMUM_RATE_LIMIT_DELAY_MS, this._options.rateLimit?.intervalMs() ?? 0)
     const retryAfterMs = Math.max(delayMs, Math.round(rateLimitMs * (0.5 + random)))
-    return new MimosarockError(ResultCode.OVERLOADED, `service ${this._options.service} ${reason}`, { run: RunState.NOT_RUN, retryAfterMs })
+    return new MimosarockError(code, `service ${this._options.service} ${reason}`, { run: RunState.NOT_RUN, retryAfterMs })
   }
 }
 
--- a/packages/gateway/src/admission/service-admissions-options.ts
+++ b/packages/gateway/src/admission/service-admissions-options.ts
@@ -1,4 +1,5 @@
 import type { PlacementClock } from '@mimosarock/placement/placement-clock.js'
+import type { QueueFairness } from '../fairness/queue-fairness.js'
 import type { RateLimit } from './rate-limit.js'
 
 /** Settings and dependencies of the admission control of all services. */
@@ -17,6 +18,11 @@
    * @param service name of the service
    */
   readonly rateLimitOf: (service: string) => RateLimit
+  /**
+   * Returns the fairness between workspaces in the queue of a service.
+   * @param service name of the service
+   */
+  readonly fairnessOf: (service: string) => QueueFairness
   /** Returns a random number from 0 (inclusive) to 1 (exclusive), which jitters the retry delays of rejected callers. */
   readonly random: () => number
 }
--- a/packages/gateway/src/admission/service-admissions.ts
+++ b/packages/gateway/src/admission/service-admissions.ts
@@ -20,8 +20,8 @@
   get (service: string): ServiceAdmission {
     let admission = this._services.get(service)
     if (admission === undefined) {
-      const { clock, random, rateLimitOf } = this._options
-      admission = new ServiceAdmission({ service, clock, random, limit: () => this._limit(service), rateLimit: rateLimitOf(service) })
+      const { clock, random, rateLimitOf, fairnessOf } = this._options
+      admission = new ServiceAdmission({ service, clock, random, limit: () => this._limit(service), rateLimit: rateLimitOf(service), fairness: fairnessOf(service) })
       this._services.set(service, admission)
     }
     return admission
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -1,4 +1,5 @@
 import type { HolderTable } from '../choice/holder-table.js'
+import type { WorkspaceFairness } from '../fairness/workspace-fairness.js'
 import type { LoadView } from '../choice/load-view.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
 import type { StoreEra } from '../model/store-era.js'
@@ -29,6 +30,8 @@
   readonly limits: EndpointLimits
   /** Permits for requests to endpoints with a rate limit. */
   readonly permits: FleetPermits
+  /** Fair shares of workspaces in services that refuse requests. */
+  readonly fairness: WorkspaceFairness
   /** Requests in flight per endpoint. */
   readonly loads: LoadView
 }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -1,4 +1,5 @@
 import type { HolderNote } from '../choice/holder-note.js'
+import type { WorkspaceShare } from '../fairness/workspace-share.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { EraNews } from '../model/era-news.js'
 import type { ConfigurationPatch } from '../configuration/configuration-patch.js'
@@ -61,6 +62,8 @@
   readonly limits?: readonly LimitNote[] | undefined
   /** Revision of the limits, as `instance:number`; undefined from an earlier version. */
   readonly limitsRevision?: string | undefined
+  /** Shares of workspaces that exceed theirs; undefined for none. */
+  readonly workspaceShares?: readonly WorkspaceShare[] | undefined
   /** Permits issued to the requester; undefined for none. */
   readonly permits?: readonly EndpointPermits[] | undefined
   /**
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -89,7 +89,8 @@
       notes: holderChanges.changesForUpstream,
       notesCursor: this._receivedCursors.get(address),
       ...quarantineNews.fields,
-      ...(reportsLoad ? this._limitExchange.requestFields(address) : {})
+      ...(reportsLoad ? this._limitExchange.requestFields(address) : {}),
+      demand: reportsLoad ? this._state.fairness.demand() : undefined
     })
     quarantineNews.confirm()
     this._quarantineExchange.applyAnswer(address, answer, reportsLoad)
@@ -118,6 +119,7 @@
     }
     this._receivedCursors.set(address, answer.notesCursor)
     this._limitExchange.applyFollowed(address, answer)
+    this._state.fairness.adopt(answer.workspaceShares ?? [])
   }
 
   /**
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -1,6 +1,7 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
 import type { EraNews } from '../model/era-news.js'
+import type { DemandReport } from '../fairness/demand-report.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import type { LimitNote } from '../limits/limit-note.js'
 import type { PermitRequest } from '../limits/permit-request.js'
@@ -35,6 +36,8 @@
   readonly limitsRevision?: string | undefined
   /** Permits that the requester wants for endpoints with a limit. Only the router that is followed is asked. */
   readonly permitRequest?: PermitRequest | undefined
+  /** Demand for services that refuse requests, of the requester and its followers; undefined for none. Only the router that is followed gets it. */
+  readonly demand?: readonly DemandReport[] | undefined
   /** The requester's position in the notes of the answering router, as `instance:number`. */
   readonly notesCursor: string | undefined
 }
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -44,7 +44,7 @@
    * @param request request of the other router
    */
   answer (request: SyncRequest): SyncAnswer {
-    const { configuration, endpoints, routers, holders, limits, loads, quarantine } = this._state
+    const { configuration, endpoints, routers, holders, limits, loads, quarantine, fairness } = this._state
     this._state.storeEra.learn(request.storeEra, request.router.name)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
@@ -55,6 +55,7 @@
     const quarantineChanges = quarantine.notesSince(this._positionIn(request.quarantineCursor), MAXIMUM_QUARANTINE_CHANGES)
     if (request.quarantine !== undefined) quarantine.apply(request.quarantine, false)
     if (request.limits !== undefined) limits.report(request.limits, request.router.name)
+    if (request.demand !== undefined) fairness.recordDemand(request.router.name, request.demand)
     return {
       name: routers.self.name,
       storeEra: this._state.storeEra.news,
@@ -71,6 +72,7 @@
       quarantine: isEmpty(quarantineChanges.notes) ? undefined : quarantineChanges.notes,
       quarantineCursor: `${this._instance}:${quarantineChanges.cursor}`,
       ...this._limitUpdate(request),
+      workspaceShares: fairness.shares.length === 0 ? undefined : fairness.shares,
       routers: request.routers === undefined && request.routerCount >= routers.size ? undefined : routers.contacts()
     }
   }
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -17,7 +17,8 @@
  */
 export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState): Server {
   return createServer((_request, response) => {
-    const { configuration, endpointsFreshness, limits, quarantine, storeEra } = fleetState
+    const { configuration, endpointsFreshness, fairness, limits, quarantine, storeEra } = fleetState
+    metrics.limitedWorkspaces.set(fairness.limitedCount)
     metrics.limitedEndpoints.set(limits.limitedIds.length)
     metrics.quarantinedParts.set(quarantine.partCount)
     metrics.quarantinedRequests.set(quarantine.requestCount)
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -53,6 +53,13 @@
     registers: [this.registry]
   })
 
+  /** Workspaces that are limited to a share of a service. */
+  readonly limitedWorkspaces = new Gauge({
+    name: 'mimosarock_workspaces_over_share',
+    help: 'Workspaces that ask for more than their fair share of a service that refuses requests, and are limited to it.',
+    registers: [this.registry]
+  })
+
   /** Endpoints that state a rate limit. */
   readonly limitedEndpoints = new Gauge({
     name: 'mimosarock_limited_endpoints',
--- a/packages/gateway/src/test/create-sync.ts
+++ b/packages/gateway/src/test/create-sync.ts
@@ -28,5 +28,6 @@
   const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => isStoreFailing }, clock, log)
   transfer.onAdopted(() => sync.syncSoon())
   connectLimits(state, sync)
+  state.fairness.setFollowing(() => sync.isFollowing)
   return sync
 }
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import { HolderTable } from '../choice/holder-table.js'
 import { LoadView } from '../choice/load-view.js'
+import { WorkspaceFairness } from '../fairness/workspace-fairness.js'
 import { EndpointLimits } from '../limits/endpoint-limits.js'
 import { FleetPermits } from '../limits/fleet-permits.js'
 import { ConfigurationState } from '../configuration/configuration-state.js'
@@ -34,6 +35,7 @@
     holders: new HolderTable(),
     limits,
     permits,
+    fairness: new WorkspaceFairness(clock, log, random),
     loads: new LoadView(() => clock.now()),
     quarantine: new RequestQuarantine({ clock, log, rank: () => routers.ownRank })
   }
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -129,6 +129,7 @@
     state.quarantine.onNews(() => sync.syncSoon())
     sync.onSeedsAsked(onProgress)
     connectLimits(state, sync)
+    state.fairness.setFollowing(() => sync.isFollowing)
     return sync
   }
 }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -186,7 +186,7 @@
 
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
-    const { endpoints, loads, permits, routers } = this._fleetState
+    const { endpoints, fairness, loads, permits, routers } = this._fleetState
     const availableEndpoints = (service: string): readonly EndpointEntry[] => {
       return this._health.preferHealthy(this._pauses.withoutPaused(endpoints.ready(service)))
     }
@@ -207,6 +207,12 @@
         intervalMs: () => permits.intervalMs(service, availableEndpoints(service)),
         requestQueued: () => permits.getForWaiting()
       }),
+      fairnessOf: (service) => ({
+        countArrival: (workspace) => fairness.countArrival(service, workspace),
+        countAdmission: (workspace) => fairness.countAdmission(service, workspace),
+        recordRefusal: () => fairness.recordRefusal(service),
+        mayQueue: (workspace) => fairness.mayQueue(service, workspace)
+      }),
       random: Math.random
     })
     loads.onReport(() => admissions.admitQueued())
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -291,6 +291,12 @@
     ran: 'unknown',
     action: 'Read responses as they arrive.'
   },
+  WORKSPACE_OVER_SHARE: {
+    meaning: 'The service has no free capacity, and the workspace asks for more than its max-min fair share of it.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'Retry after `Retry-After`, or send fewer requests.'
+  },
   KEY_MISSING: {
     meaning: 'Calls to the route may run at most once, and the call has no key.',
     httpStatus: 400,
