Slow start: cold endpoints get permits by their warm-up rule

Cause: an endpoint that has just started crashes at a rate well above the one it tolerates, and routers know neither that it is cold nor what it tolerates (docs/design/hard-load.md, section 1).

Change: warmupS, warmupPerS and warmupLeftMs are decoded; WarmUpTable holds until when each incarnation is cold, by its registration or by presumption; permits are issued at the permit rate of the rule; requests that are urgent, may run at most once or take long go to warm endpoints while these have capacity.

--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -39,7 +39,7 @@
 
 function createFleetState (endpoints: number, services: number): FleetState {
   const log = new SilentEventLog()
-  const state = createState({ name: 'self', availabilityZone: 'z', address: 'self' }, new StoreEra(clock, log), clock, log, Math.random)
+  const state = createState({ name: 'self', availabilityZone: 'z', address: 'self' }, new StoreEra(clock, log), clock, log, Math.random, () => ({ overage: 1, tolerance: 0 }))
   state.endpointsFreshness.verifiedAt = clock.now()
   state.endpoints.apply(Array.from({ length: endpoints }, (_, index) => ({
     key: `engine-${index}`,
--- a/packages/gateway/src/admission/route-times.ts
+++ b/packages/gateway/src/admission/route-times.ts
@@ -2,6 +2,8 @@
 
 /** Fraction of the mean time of a service below which a route's requests are short. */
 const SHORT_FRACTION = 0.5
+/** Multiple of the mean time of a service above which a route's requests are long. */
+const LONG_MULTIPLE = 2
 
 /** Mean times of one service, in all and by route. */
 interface ServiceRecord {
@@ -38,6 +40,17 @@
     return times !== undefined && times.serviceMs < all.serviceMs * SHORT_FRACTION
   }
 
+  /**
+   * Returns whether the requests of a route take much more time than most requests of the service.
+   * @param service name of the service
+   * @param route name of the route
+   */
+  isLong (service: string, route: string): boolean {
+    const { all, byRoute } = this._record(service)
+    const times = byRoute.get(route)
+    return times !== undefined && times.serviceMs > all.serviceMs * LONG_MULTIPLE
+  }
+
   private _record (service: string): ServiceRecord {
     let record = this._services.get(service)
     if (record === undefined) {
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -16,10 +16,13 @@
 import { createDeadlineError } from './create-deadline-error.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
 import type { EndpointAttemptsOptions } from './endpoint-attempts-options.js'
+import { recordWarmth } from './record-warmth.js'
 import { reportCallFailure } from './report-call-failure.js'
 import type { RequestDependencies } from './request-dependencies.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
 
+/** Priority of urgent requests. */
+const URGENT = 0
 /** Minimum time left to call an endpoint; no response arrives in less. */
 const MINIMUM_CALL_MS = 5
 /** Minimum time left for which a call without progress is given up. */
@@ -45,6 +48,8 @@
   private _runs = 0
   private _lossesBeforeAnswer = 0
   private _hasTakenRetry = false
+  /** Whether the chosen endpoint had a rate limit when it was chosen, for which the request used a permit. */
+  private _hasPermit = false
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -85,6 +90,7 @@
       const chosen = this._choose(excluded)
       if (chosen === undefined) throw createNoEndpointError(this._runs, this._retryAfterMs(authorized.service))
       this._chosen = chosen
+      this._hasPermit = this._dependencies.permits.isLimited(chosen.endpoint)
       this._dependencies.permits.take(chosen.endpoint)
       excluded.add(chosen.endpoint.id)
       const result = await this._callEndpoint(chosen)
@@ -95,8 +101,9 @@
 
   private _choose (excluded: ReadonlySet<string>): ChosenEndpoint | undefined {
     const { endpointSelector, routeTimes } = this._dependencies
-    const { service, route, caller } = this._options.authorized
-    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name) })
+    const { service, route, caller, priority } = this._options.authorized
+    const needsWarm = !this._mayRepeat || priority === URGENT || routeTimes.isLong(service, route.name)
+    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name), needsWarm })
   }
 
   /** Returns the milliseconds until an endpoint may be available; undefined if it is not known. */
@@ -124,13 +131,15 @@
     loads.end(endpoint.id)
     quarantine.endCall(content)
     this._recordHealth(endpoint.id, result)
+    recordWarmth(this._dependencies.warmUps, endpoint, result)
     if (result.isConnectionLost) this._recordLoss(chosen)
     return result
   }
 
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
-    const { codec, endpointSelector } = this._dependencies
+    const { codec, endpointSelector, warmUps } = this._dependencies
+    const hadPermit = this._hasPermit
     const headers = codec.writeDispatchHeaders(request.rawHeaders, {
       endpointId: endpoint.id,
       deadlineMs: Math.floor(this._options.timeLeftMs()),
@@ -141,7 +150,8 @@
     })
     const { id } = authorized.caller
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
-      mayStart: () => endpointSelector.isUsable(endpoint),
+      // The endpoint may have become cold while the request waited for a connection.
+      mayStart: () => endpointSelector.isUsable(endpoint) && (hadPermit || !warmUps.isCold(endpoint)),
       headReceived: (head) => this._recordWishes(endpoint, head)
     })
   }
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -14,6 +14,7 @@
 import type { CrashDetector } from '../quarantine/crash-detector.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
+import type { WarmUpTable } from '../warm-up/warm-up-table.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
 import type { StallWatch } from '../sending/stall-watch.js'
@@ -48,6 +49,8 @@
   readonly limits: EndpointLimits
   /** Permits for requests to endpoints with a rate limit. */
   readonly permits: FleetPermits
+  /** Cold endpoints. */
+  readonly warmUps: WarmUpTable
   /** Recent failures of endpoints. */
   readonly health: EndpointHealth
   /** Cache index: endpoints that hold the context of a prompt. */
--- a/packages/gateway/src/choice/choice-constraints.ts
+++ b/packages/gateway/src/choice/choice-constraints.ts
@@ -6,6 +6,11 @@
   readonly excluded: ReadonlySet<string>
   /** Whether the request takes much less time than most; a rate limit counts it as much as any. False if left out. */
   readonly isShort?: boolean
+  /**
+   * Whether the request is urgent, may run at most once or takes long, and goes to a warm endpoint while one has capacity. False if left
+   * out.
+   */
+  readonly needsWarm?: boolean
   /** Returns whether the request may run at an endpoint; left out if it may run at all of them. */
   readonly mayRunAt?: (endpoint: EndpointEntry) => boolean
 }
--- a/packages/gateway/src/choice/endpoint-selector-options.ts
+++ b/packages/gateway/src/choice/endpoint-selector-options.ts
@@ -1,4 +1,5 @@
 import type { FleetPermits } from '../limits/fleet-permits.js'
+import type { WarmUpTable } from '../warm-up/warm-up-table.js'
 import type { EndpointTable } from '../membership/endpoint-table.js'
 import type { EndpointHealth } from './endpoint-health.js'
 import type { EndpointPauses } from './endpoint-pauses.js'
@@ -19,6 +20,8 @@
   readonly pauses: EndpointPauses
   /** Permits for requests to endpoints with a rate limit. */
   readonly permits: FleetPermits
+  /** Cold endpoints; left out if there are none. */
+  readonly warmUps?: Pick<WarmUpTable, 'isCold'>
   /** Availability zone of this router; requests to endpoints in it cause no traffic between zones. */
   readonly availabilityZone: string
   /** Returns the number of live routers, which all choose by the same load reports. */
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -1,5 +1,6 @@
 import { RendezvousOrder } from '@mimosarock/placement/rendezvous-order.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import { ColdPreference } from '../warm-up/cold-preference.js'
 import type { PromptPart } from '../model/prompt-part.js'
 import type { ChoiceConstraints } from './choice-constraints.js'
 import { ChoiceReason } from './choice-reason.js'
@@ -41,6 +42,7 @@
  */
 export class EndpointSelector {
   private readonly _options: EndpointSelectorOptions
+  private readonly _coldPreference: ColdPreference
   private readonly _orders = new Map<string, { revision: number, order: RendezvousOrder<RendezvousMember> }>()
 
   /**
@@ -48,6 +50,7 @@
    */
   constructor (options: EndpointSelectorOptions) {
     this._options = options
+    this._coldPreference = new ColdPreference(options.warmUps)
   }
 
   /**
@@ -57,7 +60,7 @@
    * @param constraints what restricts the choice
    * @returns undefined if no endpoint is left
    */
-  choose (service: string, prompt: readonly PromptPart[], { excluded, isShort = false, mayRunAt }: ChoiceConstraints): ChosenEndpoint | undefined {
+  choose (service: string, prompt: readonly PromptPart[], { excluded, isShort = false, needsWarm = false, mayRunAt }: ChoiceConstraints): ChosenEndpoint | undefined {
     const { endpoints, pauses, permits } = this._options
     const ready = pauses.withoutPaused(endpoints.ready(service)).filter((endpoint) => {
       return !excluded.has(endpoint.id) && permits.allows(endpoint) && mayRunAt?.(endpoint) !== false
@@ -65,8 +68,12 @@
     if (ready.length === 0) return undefined
     const bound = this._loadBound(service)
     const healthy = this._options.health.preferHealthy(ready)
-    const candidates = isShort ? this._preferCapacity(healthy, bound) : healthy
+    const suited = this._coldPreference.apply(healthy, needsWarm, (endpoint) => this._hasCapacity(endpoint, bound))
     const key = EndpointSelector.keyOf(prompt)
+    // A cached context saves more than a cold endpoint gains.
+    const isForHolder = key !== undefined && suited !== healthy && !needsWarm && this._holderWithCapacity(key, healthy, bound) !== undefined
+    const chosenFrom = isForHolder ? healthy : suited
+    const candidates = isShort && chosenFrom === healthy ? this._preferCapacity(healthy, bound) : chosenFrom
     if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, [], undefined, bound)
     return this._chooseForKey(key, service, candidates, bound)
   }
@@ -100,10 +107,7 @@
 
   private _chooseForKey (key: string, service: string, candidates: readonly EndpointEntry[], bound: number): ChosenEndpoint {
     const holders = this._options.holders.holders(key)
-    const holdingCandidates = candidates.filter((endpoint) => holders.includes(endpoint.id))
-    const withCapacity = holdingCandidates.filter((endpoint) => this._hasCapacity(endpoint, bound))
-    const sameZone = withCapacity.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
-    const holder = this._leastLoaded(sameZone.length > 0 ? sameZone : withCapacity)
+    const holder = this._holderWithCapacity(key, candidates, bound)
     if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, [], undefined, bound)
     const lookup = this._options.permits.isNeeded ? RENDEZVOUS_LOOKUP_WITH_LIMITS : RENDEZVOUS_CANDIDATES
     const order = this._order(service).first(key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS), lookup).map((member) => member.endpoint)
@@ -114,6 +118,14 @@
     return this._createChosen(leastLoaded, ChoiceReason.LEAST_LOADED, order, source, bound)
   }
 
+  /** Returns the least loaded of the candidates that hold the context of a key and have capacity, those of the own availability zone first. */
+  private _holderWithCapacity (key: string, candidates: readonly EndpointEntry[], bound: number): EndpointEntry | undefined {
+    const holders = this._options.holders.holders(key)
+    const withCapacity = candidates.filter((endpoint) => holders.includes(endpoint.id) && this._hasCapacity(endpoint, bound))
+    const sameZone = withCapacity.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
+    return this._leastLoaded(sameZone.length > 0 ? sameZone : withCapacity)
+  }
+
   /**
    * Returns the first endpoint of a rendezvous order that has capacity, among the first few that can be chosen. A context that has to be
    * copied is better copied to an endpoint without a rate limit, which can also take the next requests for it; if that is busy, it is
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -2,6 +2,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { GatewayConfiguration } from '../model/gateway-configuration.js'
 import { applyPatch } from './apply-patch.js'
+import { completeWarmUps } from './complete-warm-ups.js'
 import { ConfigurationInForce } from './configuration-in-force.js'
 import type { ConfigurationPatch } from './configuration-patch.js'
 import { diffConfigurations } from './diff-configurations.js'
@@ -60,12 +61,13 @@
 
   /**
    * Adopts a version unless it is older than or the same as the version in force.
-   * @param configuration version to adopt
+   * @param stated version to adopt
    * @param source where it was received from, for the log
    */
-  adopt (configuration: GatewayConfiguration, source: string): void {
-    if (configuration.version <= this.version) return
+  adopt (stated: GatewayConfiguration, source: string): void {
+    if (stated.version <= this.version) return
     const startedAt = performance.now()
+    const configuration = completeWarmUps(stated, this._inForce?.configuration)
     this._retain(this._patchesTo(configuration))
     this._putInForce(configuration, source, startedAt)
   }
--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -3,6 +3,7 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { KnownLimit } from './known-limit.js'
 import type { LimitNote } from './limit-note.js'
+import type { RateLimits } from './rate-limits.js'
 
 /** Source of statements that this router has read in a response itself. */
 const RESPONSE = 'response'
@@ -14,12 +15,17 @@
 const ENDED_RETENTION_MS = 5_000
 /** Time after which a limit is forgotten that no endpoint and no router has repeated, since the endpoint may be gone. */
 const LIMIT_LIFETIME_MS = 60_000
+/**
+ * Rate of permits below which no limit goes, in requests a second: only a response shows that a limit has ended, even one of
+ * no requests at all.
+ */
+const MINIMUM_PER_SECOND = 0.25
 
 /**
  * Rate limits that endpoints state in their responses. The newest statement counts, whichever router has read it: routers report
  * what they read to the router that they follow, and adopt what that one knows.
  */
-export class EndpointLimits {
+export class EndpointLimits implements RateLimits {
   private readonly _known = new Map<string, KnownLimit>()
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
@@ -67,6 +73,15 @@
     return known?.startedAt === startedAt ? known.requestsPerSecond : undefined
   }
 
+  /**
+   * Returns the rate at which permits for an endpoint are issued, in requests a second; undefined if it has no limit.
+   * @param endpoint the endpoint
+   */
+  permitRateOf (endpoint: EndpointEntry): number | undefined {
+    const limit = this.limitOf(endpoint)
+    return limit === undefined ? undefined : Math.max(MINIMUM_PER_SECOND, limit)
+  }
+
   /**
    * Records what a response of an endpoint states.
    * @param endpoint the endpoint
--- a/packages/gateway/src/limits/fleet-permits-options.ts
+++ b/packages/gateway/src/limits/fleet-permits-options.ts
@@ -1,6 +1,6 @@
 import type { EndpointTable } from '../membership/endpoint-table.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
-import type { EndpointLimits } from './endpoint-limits.js'
+import type { RateLimits } from './rate-limits.js'
 
 /** Inputs of `FleetPermits`. */
 export interface FleetPermitsOptions {
@@ -9,7 +9,7 @@
   /** Registered endpoints. */
   readonly endpoints: EndpointTable
   /** Their limits. */
-  readonly limits: EndpointLimits
+  readonly limits: RateLimits
   /** Returns the number of live routers, including this one. */
   readonly routerCount: () => number
   /** Clock of the router. */
--- a/packages/gateway/src/limits/permit-issuer-options.ts
+++ b/packages/gateway/src/limits/permit-issuer-options.ts
@@ -1,13 +1,13 @@
 import type { EndpointTable } from '../membership/endpoint-table.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
-import type { EndpointLimits } from './endpoint-limits.js'
+import type { RateLimits } from './rate-limits.js'
 
 /** Inputs of a `PermitIssuer`. */
 export interface PermitIssuerOptions {
   /** Registered endpoints. */
   readonly endpoints: EndpointTable
   /** Their limits. */
-  readonly limits: EndpointLimits
+  readonly limits: RateLimits
   /** Returns the number of live routers, including this one. */
   readonly routerCount: () => number
   /** Returns whether this router gets permits from another one that it follows. If not, it issues them by itself. */
--- a/packages/gateway/src/limits/permit-issuer.ts
+++ b/packages/gateway/src/limits/permit-issuer.ts
@@ -6,11 +6,6 @@
 
 /** Time for which the demand of a router counts, in milliseconds; one that does not ask again for this time has stopped. */
 const DEMAND_LIFETIME_MS = 1_500
-/**
- * Rate of permits below which no limit goes, in requests a second: only a response shows that a limit has ended, even one of
- * no requests at all.
- */
-const MINIMUM_PER_SECOND = 0.25
 /** Multiple of its proportional share that a router may get at once. Shares are taken one after the other of what is left. */
 const SHARE_MULTIPLE = 2
 
@@ -122,10 +117,10 @@
     const isIssuing = !isFollowing()
     const fraction = isIssuing ? Math.min(1, this._askingRouters / Math.max(1, routerCount())) : 0
     return endpoints.ready(service).flatMap((endpoint) => {
-      const limit = limits.limitOf(endpoint)
-      if (limit === undefined) return []
+      const permitsPerSecond = limits.permitRateOf(endpoint)
+      if (permitsPerSecond === undefined) return []
       const pool = this._pool(endpoint.id)
-      if (isIssuing) pool.accrue(Math.max(MINIMUM_PER_SECOND, limit) * fraction)
+      if (isIssuing) pool.accrue(permitsPerSecond * fraction)
       else pool.stopAccruing()
       return [{ endpointId: endpoint.id, pool }]
     })
--- a/packages/gateway/src/membership/connect-limits.ts
+++ b/packages/gateway/src/membership/connect-limits.ts
@@ -11,9 +11,10 @@
  * @param state state of the router
  * @param sync sync of the router
  */
-export function connectLimits ({ limits, permits, routers }: Pick<FleetState, 'limits' | 'permits' | 'routers'>, sync: FleetSync): void {
+export function connectLimits ({ limits, permits, routers, warmUps }: Pick<FleetState, 'limits' | 'permits' | 'routers' | 'warmUps'>, sync: FleetSync): void {
   const askSoon = (): void => sync.syncAfter(routers.isLarge ? LARGE_FLEET_PERMIT_INTERVAL_MS : PERMIT_INTERVAL_MS)
   permits.setSource({ isFollowing: () => sync.isFollowing, askSoon })
   limits.onNews(askSoon)
+  warmUps.onNews(askSoon)
   sync.onRoundEnd(() => permits.refill())
 }
--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -4,6 +4,7 @@
 import type { TopicChange } from '../model/topic-change.js'
 import type { EndpointChange } from './endpoint-change.js'
 import type { EndpointListener } from './endpoint-listener.js'
+import type { RegistrationRecorder } from './registration-recorder.js'
 import { RemovedEndpoints } from './removed-endpoints.js'
 
 /** How long contexts can be copied from an endpoint after its removal. Its address may be reassigned afterwards. */
@@ -51,6 +52,7 @@
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private readonly _listeners: EndpointListener[] = []
+  private _recorder: RegistrationRecorder | undefined
   private _byService: Map<string, EndpointEntry[]> | undefined
   private readonly _changes: EndpointChange[] = []
   private _revision = 0
@@ -98,6 +100,14 @@
     this._listeners.push(listener)
   }
 
+  /**
+   * Sets what records each registration that is not outdated; it replaces the previous one.
+   * @param recorder decides whether other routers have to hear of a registration that changes nothing in this table
+   */
+  setRecorder (recorder: RegistrationRecorder): void {
+    this._recorder = recorder
+  }
+
   /**
    * Returns an endpoint, also if it is draining; undefined if it is not registered.
    * @param id id of the endpoint
@@ -189,7 +199,8 @@
     const departed = this._departed.get(entry.id)
     if (departed !== undefined) this._expireDeparted(entry.id, departed.entry)
     this._lapsed.delete(entry.id)
-    if (current !== undefined && isSameEntry(current, entry)) {
+    const isNews = this._recorder?.record(entry, current) === true
+    if (current !== undefined && !isNews && isSameEntry(current, entry)) {
       this._entries.set(entry.id, entry)
       return
     }
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -2,6 +2,7 @@
 import type { LoadView } from '../choice/load-view.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
 import type { StoreEra } from '../model/store-era.js'
+import type { WarmUpTable } from '../warm-up/warm-up-table.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
@@ -27,6 +28,8 @@
   readonly quarantine: RequestQuarantine
   /** Rate limits that endpoints state. */
   readonly limits: EndpointLimits
+  /** Cold endpoints. */
+  readonly warmUps: WarmUpTable
   /** Permits for requests to endpoints with a rate limit. */
   readonly permits: FleetPermits
   /** Requests in flight per endpoint. */
--- a/packages/gateway/src/membership/limit-exchange.ts
+++ b/packages/gateway/src/membership/limit-exchange.ts
@@ -2,6 +2,7 @@
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { LimitNote } from '../limits/limit-note.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
+import type { WarmUpTable } from '../warm-up/warm-up-table.js'
 import type { FleetState } from './fleet-state.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
@@ -21,6 +22,7 @@
 export class LimitExchange {
   private readonly _limits: EndpointLimits
   private readonly _permits: FleetPermits
+  private readonly _warmUps: WarmUpTable
   private readonly _clock: ElapsedClock
   private _upstream: Upstream | undefined
   /** Time of the last request to the followed router, and of the last one that it has answered. */
@@ -31,9 +33,10 @@
    * @param state limits and permits
    * @param clock clock of the router
    */
-  constructor ({ limits, permits }: Pick<FleetState, 'limits' | 'permits'>, clock: ElapsedClock) {
+  constructor ({ limits, permits, warmUps }: Pick<FleetState, 'limits' | 'permits' | 'warmUps'>, clock: ElapsedClock) {
     this._limits = limits
     this._permits = permits
+    this._warmUps = warmUps
     this._clock = clock
   }
 
@@ -42,14 +45,16 @@
    * issued for the same routers would issue more than the limits allow.
    * @param address address of the router
    */
-  requestFields (address: string): Pick<SyncRequest, 'limits' | 'limitsRevision' | 'permitRequest'> {
+  requestFields (address: string): Pick<SyncRequest, 'limits' | 'coldEndpoints' | 'limitsRevision' | 'permitRequest'> {
     const upstream = this._upstream
     if (upstream === undefined || upstream.address !== address || this._clock.now() - upstream.answeredAt > FOLLOWING_TIMEOUT_MS) return {}
     this._requestedAt = this._clock.now()
     this._permits.recordDemand()
     const observed = this._limits.observedSince(this._reportedAt)
+    const cold = this._warmUps.observedSince(this._reportedAt)
     return {
       limits: observed.length === 0 ? undefined : observed,
+      coldEndpoints: cold.length === 0 ? undefined : cold,
       limitsRevision: upstream.revision,
       permitRequest: this._permits.wanted
     }
@@ -60,8 +65,9 @@
    * @param answer the answer
    * @param sentAt time at which the request was sent
    */
-  learn ({ limits, name }: SyncAnswer, sentAt: number): void {
+  learn ({ limits, coldEndpoints, name }: SyncAnswer, sentAt: number): void {
     if (limits !== undefined) this._limits.learn(limits, sentAt, name)
+    if (coldEndpoints !== undefined) this._warmUps.learn(coldEndpoints, sentAt)
   }
 
   /**
@@ -77,6 +83,7 @@
     this._upstream = { address, answeredAt: this._clock.now(), revision: answer.limitsRevision, notes }
     const issuesPermits = answer.limitsRevision !== undefined
     if (issuesPermits) this._limits.retain(notes, answer.name)
+    if (answer.coldEndpoints !== undefined) this._warmUps.retain(answer.coldEndpoints)
     this._permits.deposit(issuesPermits ? answer.permits ?? [] : undefined)
   }
 }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -5,6 +5,7 @@
 import type { EndpointPermits } from '../limits/endpoint-permits.js'
 import type { LimitNote } from '../limits/limit-note.js'
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
+import type { ColdNote } from '../warm-up/cold-note.js'
 import type { EndpointChange } from './endpoint-change.js'
 import type { RouterContact } from './router-contact.js'
 
@@ -59,7 +60,9 @@
   readonly quarantineCursor?: string | undefined
   /** All limits of endpoints that the answering router knows; undefined if the requester has this revision. */
   readonly limits?: readonly LimitNote[] | undefined
-  /** Revision of the limits, as `instance:number`; undefined from an earlier version. */
+  /** All endpoints that the answering router presumes to be cold; undefined if the requester has this revision of the limits. */
+  readonly coldEndpoints?: readonly ColdNote[] | undefined
+  /** Revision of the limits and of the endpoints presumed to be cold, as `instance:number`; undefined from an earlier version. */
   readonly limitsRevision?: string | undefined
   /** Permits issued to the requester; undefined for none. */
   readonly permits?: readonly EndpointPermits[] | undefined
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -5,6 +5,7 @@
 import type { LimitNote } from '../limits/limit-note.js'
 import type { PermitRequest } from '../limits/permit-request.js'
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
+import type { ColdNote } from '../warm-up/cold-note.js'
 import type { RouterContact } from './router-contact.js'
 
 /** Sync request of a router to another one. */
@@ -31,6 +32,8 @@
   readonly quarantineCursor?: string | undefined
   /** Limits of endpoints that the requester and its followers have observed; undefined for none. */
   readonly limits?: readonly LimitNote[] | undefined
+  /** Endpoints that the requester and its followers presume to be cold; undefined for none. */
+  readonly coldEndpoints?: readonly ColdNote[] | undefined
   /** Last received revision of the answering router's limits, as `instance:number`; undefined for none. */
   readonly limitsRevision?: string | undefined
   /** Permits that the requester wants for endpoints with a limit. Only the router that is followed is asked. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -55,6 +55,7 @@
     const quarantineChanges = quarantine.notesSince(this._positionIn(request.quarantineCursor), MAXIMUM_QUARANTINE_CHANGES)
     if (request.quarantine !== undefined) quarantine.apply(request.quarantine, false)
     if (request.limits !== undefined) limits.report(request.limits, request.router.name)
+    if (request.coldEndpoints !== undefined) this._state.warmUps.report(request.coldEndpoints)
     return {
       name: routers.self.name,
       storeEra: this._state.storeEra.news,
@@ -111,23 +112,25 @@
     return { configurationVersion, configurationPatches: undefined, configurationSource: source?.address }
   }
 
-  private _limitUpdate ({ router, limitsRevision, permitRequest }: SyncRequest): Pick<SyncAnswer, 'limits' | 'limitsRevision' | 'permits'> {
-    const { limits, permits } = this._state
-    const revision = `${this._instance}:${limits.revision}`
+  private _limitUpdate ({ router, limitsRevision, permitRequest }: SyncRequest): Pick<SyncAnswer, 'limits' | 'coldEndpoints' | 'limitsRevision' | 'permits'> {
+    const { limits, permits, warmUps } = this._state
+    const revision = `${this._instance}:${limits.revision + warmUps.revision}`
     const issued = permitRequest === undefined ? [] : permits.issue(router.name, permitRequest)
     return {
       limits: revision === limitsRevision || limits.revision === 0 ? undefined : limits.notes(),
+      coldEndpoints: revision === limitsRevision || warmUps.revision === 0 ? undefined : warmUps.notes(),
       limitsRevision: revision,
       permits: issued.length === 0 ? undefined : issued
     }
   }
 
   private _endpointUpdate (knownRevision: string | undefined): Pick<SyncAnswer, 'endpoints' | 'endpointChanges'> {
-    const { endpoints } = this._state
+    const { endpoints, warmUps } = this._state
     const [instance, revision] = (knownRevision ?? '').split(':')
     const changes = instance === this._instance ? endpoints.changesSince(Number(revision)) : undefined
-    if (changes === undefined) return { endpoints: [...endpoints.entries], endpointChanges: undefined }
-    return { endpoints: undefined, endpointChanges: changes.length > 0 ? changes : undefined }
+    if (changes === undefined) return { endpoints: Array.from(endpoints.entries, (entry) => warmUps.withTimeLeft(entry)), endpointChanges: undefined }
+    const endpointChanges = changes.map(({ id, entry }) => ({ id, entry: entry === undefined ? undefined : warmUps.withTimeLeft(entry) }))
+    return { endpoints: undefined, endpointChanges: endpointChanges.length > 0 ? endpointChanges : undefined }
   }
 
   private _ageMs (verifiedAt: number): number {
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -60,6 +60,13 @@
     registers: [this.registry]
   })
 
+  /** Cold endpoints of services with a warm-up rule. */
+  readonly coldEndpoints = new Gauge({
+    name: 'mimosarock_cold_endpoints',
+    help: 'Endpoints that take few requests a second since they have started or are presumed to have.',
+    registers: [this.registry]
+  })
+
   /** Permits for requests to endpoints with a rate limit that this router got. */
   readonly permitsReceived = new Counter({
     name: 'mimosarock_rate_limit_permits_total',
--- a/packages/gateway/src/test/create-fleet-state.ts
+++ b/packages/gateway/src/test/create-fleet-state.ts
@@ -17,5 +17,6 @@
   name: string, clock: ElapsedClock, location: { readonly availabilityZone?: string, readonly address?: string } = {}, log: EventLog = new SilentEventLog()
 ): FleetState {
   const self = { name, availabilityZone: location.availabilityZone ?? 'z', address: location.address ?? name }
-  return createState(self, new StoreEra(clock, log), clock, log, seededRandom([...name].reduce((sum, letter) => sum * 31 + letter.charCodeAt(0), 7) % 65_536))
+  const random = seededRandom([...name].reduce((sum, letter) => sum * 31 + letter.charCodeAt(0), 7) % 65_536)
+  return createState(self, new StoreEra(clock, log), clock, log, random, () => ({ overage: 1.5, tolerance: 5 }))
 }
--- /dev/null
+++ b/packages/gateway/src/warm-up/cold-preference.ts
@@ -0,0 +1,38 @@
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { WarmUpTable } from './warm-up-table.js'
+
+/** Divides the candidates for a request by whether they are cold. */
+export class ColdPreference {
+  private readonly _warmUps: Pick<WarmUpTable, 'isCold'> | undefined
+
+  /**
+   * @param warmUps cold endpoints; undefined if there are none
+   */
+  constructor (warmUps: Pick<WarmUpTable, 'isCold'> | undefined) {
+    this._warmUps = warmUps
+  }
+
+  /**
+   * Returns the endpoints that a request should go to. One that needs a warm endpoint gets one while any has capacity. Others go to
+   * cold endpoints, which need requests to return to their share, while permits for them are available.
+   * @param candidates endpoints that the request may go to, cold ones only with a permit
+   * @param needsWarm whether the request is urgent, may run at most once or takes long
+   * @param hasCapacity returns whether an endpoint has capacity
+   * @returns the cold candidates with capacity, the warm ones, or all candidates
+   */
+  apply (candidates: readonly EndpointEntry[], needsWarm: boolean, hasCapacity: (endpoint: EndpointEntry) => boolean): readonly EndpointEntry[] {
+    const cold = this.coldAmong(candidates)
+    if (cold.length === 0) return candidates
+    const preferred = needsWarm ? candidates.filter((endpoint) => !cold.includes(endpoint)) : cold
+    return preferred.some(hasCapacity) ? preferred.filter((endpoint) => needsWarm || hasCapacity(endpoint)) : candidates
+  }
+
+  /**
+   * Returns the candidates that are cold.
+   * @param candidates endpoints that a request may go to
+   */
+  coldAmong (candidates: readonly EndpointEntry[]): readonly EndpointEntry[] {
+    const { _warmUps: warmUps } = this
+    return warmUps === undefined ? [] : candidates.filter((endpoint) => warmUps.isCold(endpoint))
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/warm-up/permit-rate.ts
@@ -0,0 +1,21 @@
+import type { WarmUpRule } from '../model/warm-up-rule.js'
+import type { WarmUpBounds } from './warm-up-bounds.js'
+
+/**
+ * Time whose permits can be used within one second, in seconds: that second, 0.75 s for which a router may hold a permit, 1 s for which
+ * another one may pass it on, and the half second that a pool holds.
+ */
+const ISSUING_TIME_S = 3.25
+/** Permit that a pool holds in addition. */
+const EXTRA_PERMITS = 1
+
+/**
+ * Returns the rate at which permits for a cold endpoint are issued, in requests a second. Even if permits of the longest possible time are
+ * used within one second, the bound holds.
+ * @param rule warm-up rule of the service
+ * @param bounds settings of the bound
+ */
+export function permitRate ({ requestsPerSecond }: WarmUpRule, { overage, tolerance }: WarmUpBounds): number {
+  const allowed = requestsPerSecond * overage + tolerance
+  return Math.max(0, Math.min(requestsPerSecond, (allowed - EXTRA_PERMITS) / ISSUING_TIME_S))
+}
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -11,6 +11,9 @@
 import type { RouterEntry } from '../model/router-entry.js'
 import type { StoreEra } from '../model/store-era.js'
 import { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import { EffectiveLimits } from '../warm-up/effective-limits.js'
+import type { WarmUpBounds } from '../warm-up/warm-up-bounds.js'
+import { WarmUpTable } from '../warm-up/warm-up-table.js'
 
 /**
  * Creates the state that routers exchange with each other, of a router that knows nothing yet.
@@ -19,20 +22,31 @@
  * @param clock clock of the router
  * @param log event log
  * @param random returns a random number from 0 (inclusive) to 1 (exclusive)
+ * @param warmUpBounds returns the settings that bound the requests to cold endpoints
  */
-export function createFleetState (self: RouterEntry, storeEra: StoreEra, clock: ElapsedClock, log: EventLog, random: () => number): FleetState {
+export function createFleetState (
+  self: RouterEntry, storeEra: StoreEra, clock: ElapsedClock, log: EventLog, random: () => number, warmUpBounds: () => WarmUpBounds
+): FleetState {
   const routers = new RouterTable(self, clock)
   const endpoints = new EndpointTable(clock, log)
   const limits = new EndpointLimits(clock, log)
-  const permits = new FleetPermits({ router: self.name, endpoints, limits, routerCount: () => routers.size, clock, random })
+  const configuration = new ConfigurationState(clock, log)
+  const warmUps = new WarmUpTable({ endpoints, ruleOf: (service) => configuration.inForce?.service(service)?.warmUp, bounds: warmUpBounds, clock, log })
+  const permits = new FleetPermits({
+    router: self.name, endpoints, limits: new EffectiveLimits(limits, warmUps), routerCount: () => routers.size, clock, random
+  })
+  // Permits that were issued before allow more than a cold endpoint takes.
+  warmUps.onCold((endpointId) => permits.remove(endpointId))
+  endpoints.setRecorder(warmUps)
   return {
     storeEra,
-    configuration: new ConfigurationState(clock, log),
+    configuration,
     endpoints,
     endpointsFreshness: { verifiedAt: -Infinity },
     routers,
     holders: new HolderTable(),
     limits,
+    warmUps,
     permits,
     loads: new LoadView(() => clock.now()),
     quarantine: new RequestQuarantine({ clock, log, rank: () => routers.ownRank })
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -41,6 +41,7 @@
 const RESERVED_DESCRIPTORS = 1_000
 /** Maximum connections to an endpoint if the configuration has no entry for its service. */
 const DEFAULT_MAXIMUM_CONNECTIONS = 64
+const MS_PER_SECOND = 1_000
 
 /**
  * A router process. Accepts callers' requests, sends each directly to the endpoint that suits it best, and shares
@@ -73,7 +74,10 @@
     this._settings = new LiveSettings(settings)
     this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId))
     this._pauses = new EndpointPauses(clock)
-    this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log, Math.random)
+    this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log, Math.random, () => {
+      const { warmUpOverage: overage, warmUpTolerance: tolerance } = this._settings.current
+      return { overage, tolerance }
+    })
     this._tasks = new FleetTasks({
       state: this._fleetState,
       store: options.store,
@@ -134,7 +138,7 @@
 
   private _requestDependencies (): RequestDependencies {
     const { clock, log, codec, settings } = this._options
-    const { configuration, endpoints, loads, holders, limits, permits, quarantine } = this._fleetState
+    const { configuration, endpoints, loads, holders, limits, permits, quarantine, warmUps } = this._fleetState
     const pressure = new ProcessPressure(clock, log)
     return {
       admissions: this._createAdmissions(pressure),
@@ -151,6 +155,7 @@
       pauses: this._pauses,
       limits,
       permits,
+      warmUps,
       health: this._health,
       stallWatch: this._stallWatch,
       quarantine,
@@ -168,6 +173,7 @@
         health: this._health,
         pauses: this._pauses,
         permits,
+        warmUps,
         availabilityZone: settings.availabilityZone,
         isFleetLarge: () => this._fleetState.routers.isLarge,
         routerCount: () => this._fleetState.routers.size,
@@ -186,7 +192,7 @@
 
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
-    const { endpoints, loads, permits, routers } = this._fleetState
+    const { endpoints, loads, permits, routers, warmUps } = this._fleetState
     const availableEndpoints = (service: string): readonly EndpointEntry[] => {
       return this._health.preferHealthy(this._pauses.withoutPaused(endpoints.ready(service)))
     }
@@ -209,6 +215,7 @@
       }),
       random: Math.random
     })
+    warmUps.setCapacityOf(({ service, slots }) => slots * MS_PER_SECOND / Math.max(1, admissions.get(service).serviceMs ?? 0))
     loads.onReport(() => admissions.admitQueued())
     permits.setQueues({
       queued: (service) => admissions.get(service).queued,
