--- a/packages/gateway/src/test/limited-fleet.ts
+++ b/packages/gateway/src/test/limited-fleet.ts
@@ -38,6 +38,8 @@
   readonly idle = new Set<string>()
   readonly arrivals = new Map<string, number[]>()
   refusals = 0
+  /** Fraction of the requests that go to warm endpoints while these have capacity. */
+  needsWarmFraction = 0
   private readonly _load: Load
   private readonly _random: () => number
   private readonly _selectors = new Map<string, EndpointSelector>()
@@ -69,6 +71,15 @@
     }))
   }
 
+  /**
+   * Largest number of requests that reached one of the first endpoints in a span of some time between two moments.
+   */
+  mostBetween (endpointCount: number, windowMs: number, from: number, to: number): number {
+    return Math.max(...Array.from({ length: endpointCount }, (_, index) => {
+      return mostInWindow((this.arrivals.get(`e${index}`) ?? []).filter((time) => time >= from && time < to), windowMs)
+    }))
+  }
+
   /** Requests a second that reached the first endpoints between two moments, all together. */
   rate (endpointCount: number, from: number, to: number): number {
     const counts = Array.from({ length: endpointCount }, (_, index) => {
@@ -107,8 +118,9 @@
 
   /** Sends a request to a random endpoint that the router may use; returns false if there is none. */
   private _send (name: string): boolean {
-    const { permits, limits, loads } = this.fleet.stateOf(name)
-    const endpoint = this._selectors.get(name)?.choose(SERVICE, [], NONE)?.endpoint
+    const { permits, limits, loads, warmUps } = this.fleet.stateOf(name)
+    const needsWarm = this.needsWarmFraction > 0 && this._random() < this.needsWarmFraction
+    const endpoint = this._selectors.get(name)?.choose(SERVICE, [], { ...NONE, needsWarm })?.endpoint
     if (endpoint === undefined) return false
     permits.take(endpoint)
     loads.begin(endpoint.id)
@@ -116,17 +128,19 @@
     pause(RESPONSE_MS).then(() => {
       loads.end(endpoint.id)
       limits.record(endpoint, this.limits.get(endpoint.id))
+      warmUps.succeeded(endpoint)
     }, () => undefined)
     return true
   }
 
   private _createSelector (name: string): EndpointSelector {
-    const { endpoints, loads, holders, permits, routers } = this.fleet.stateOf(name)
+    const { endpoints, loads, holders, permits, routers, warmUps } = this.fleet.stateOf(name)
     return new EndpointSelector({
       endpoints,
       loads,
       holders,
       permits,
+      warmUps,
       health: new EndpointHealth(clock),
       pauses: new EndpointPauses(clock),
       availabilityZone: routers.self.availabilityZone,
--- a/packages/gateway/src/test/slow-fleet.ts
+++ b/packages/gateway/src/test/slow-fleet.ts
@@ -1,6 +1,7 @@
 import { gzipSync } from 'node:zlib'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import type { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
+import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
 import { pause } from '@mimosarock/gateway/membership/pause.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
@@ -26,6 +27,8 @@
   readonly goneAt = new Map<string, number>()
   stored: GatewayConfiguration = createLargeConfiguration(1, FIRST_ROUTES)
   isLeaving = false
+  /** Returns what the store holds of an endpoint instead of its usual registration; undefined if it is not registered. */
+  registrationOf: (usual: EndpointEntry) => EndpointEntry | undefined = (usual) => usual
   private readonly _signal: AbortSignal
   private readonly _endpointCount: number
   private readonly _routers = new Map<string, { readonly state: FleetState, readonly sync: FleetSync, readonly server: SyncServer }>()
@@ -108,7 +111,7 @@
     const entries = Array.from({ length: this._endpointCount }, (_, index) => ({
       id: `e${index}`, service: 'app', address: `10.0.0.${index}:1`, availabilityZone: 'z', slots: 16, isDraining: this.isLeaving && index === 0, startedAt: 1, revision: 0
     }))
-    endpoints.replace(entries, undefined)
+    endpoints.replace(entries.flatMap((entry) => this.registrationOf(entry) ?? []), undefined)
     endpointsFreshness.verifiedAt = clock.now()
   }
 
