--- a/packages/gateway/src/warm-up/warm-up-table.ts
+++ b/packages/gateway/src/warm-up/warm-up-table.ts
@@ -59,7 +59,8 @@
 
   /** Number of registered endpoints that are cold. */
   get coldCount (): number {
-    return [...this._tracked.values()].filter(({ endpoint }) => this.isCold(endpoint) && this._options.endpoints.find(endpoint.id) !== undefined).length
+    const { endpoints } = this._options
+    return [...this._tracked.values()].filter(({ endpoint }) => this.isCold(endpoint) && endpoints.find(endpoint.id)?.startedAt === endpoint.startedAt).length
   }
 
   /**
@@ -127,6 +128,9 @@
    * @returns whether routers that know the registration in force have to hear of this one
    */
   record (entry: EndpointEntry, current: EndpointEntry | undefined): boolean {
+    const tracked = this._tracked.get(entry.id)
+    if (tracked !== undefined && tracked.endpoint.startedAt !== entry.startedAt) this._tracked.delete(entry.id)
+    this._noticeWarm(entry.id)
     const isNews = this._registered.record(entry, current)
     const isNewer = current?.startedAt === entry.startedAt && entry.revision > current.revision
     if (isNewer) this._presumptions.registered(entry)
@@ -151,6 +155,7 @@
   connectionLost (endpoint: EndpointEntry): void {
     const rule = this._options.ruleOf(endpoint.service)
     if (rule === undefined) return
+    this._noticeWarm(endpoint.id)
     const isNews = this._presumptions.connectionLost(endpoint, rule.durationMs)
     this._track(endpoint, ColdCause.CONNECTION_LOST)
     if (isNews) this._onNews()
@@ -175,6 +180,7 @@
     for (const endpoint of this._options.endpoints.entries) {
       const rule = endpoint.availabilityZone === zone ? this._options.ruleOf(endpoint.service) : undefined
       if (rule === undefined) continue
+      this._noticeWarm(endpoint.id)
       this._presumptions.presume(endpoint, rule.durationMs)
       this._track(endpoint, ColdCause.EVACUATION_ENDED)
     }
@@ -198,9 +204,7 @@
    * @param notes the presumptions
    */
   report (notes: readonly ColdNote[]): void {
-    const isNews = this._presumptions.apply(notes, this._options.clock.now(), false)
-    this._trackNoted(notes)
-    if (isNews) this._onNews()
+    if (this._apply(notes, this._options.clock.now(), false)) this._onNews()
   }
 
   /**
@@ -209,8 +213,7 @@
    * @param sentAt time at which they were requested
    */
   learn (notes: readonly ColdNote[], sentAt: number): void {
-    this._presumptions.apply(notes, sentAt, true)
-    this._trackNoted(notes)
+    this._apply(notes, sentAt, true)
   }
 
   /**
@@ -227,9 +230,8 @@
     this._presumptions.removeExpired()
     const now = this._options.clock.now()
     for (const [id, tracked] of this._tracked) {
-      const warmMs = now - this._coldUntil(tracked.endpoint)
-      if (warmMs >= 0 && tracked.isLogged) this._logWarm(tracked)
-      if (warmMs >= RETURN_TO_FULL_SHARE_MS) this._tracked.delete(id)
+      this._noticeWarm(id)
+      if (now - this._coldUntil(tracked.endpoint) >= RETURN_TO_FULL_SHARE_MS) this._tracked.delete(id)
     }
   }
 
@@ -237,11 +239,14 @@
     return Math.max(this._registered.coldUntil(endpoint), this._presumptions.coldUntil(endpoint))
   }
 
-  private _trackNoted (notes: readonly ColdNote[]): void {
+  private _apply (notes: readonly ColdNote[], sentAt: number, isFromUpstream: boolean): boolean {
+    for (const { endpointId } of notes) this._noticeWarm(endpointId)
+    const isNews = this._presumptions.apply(notes, sentAt, isFromUpstream)
     for (const { endpointId } of notes) {
       const endpoint = this._options.endpoints.find(endpointId)
       if (endpoint !== undefined) this._track(endpoint, ColdCause.OTHER_ROUTER)
     }
+    return isNews
   }
 
   private _track (endpoint: EndpointEntry, cause: ColdCause): void {
@@ -257,9 +262,11 @@
     this._onCold(endpoint.id)
   }
 
-  private _logWarm (tracked: TrackedEndpoint): void {
-    const { id, service } = tracked.endpoint
+  /** Logs that an endpoint is warm again if it was cold before. To be called before its cold time changes, which may begin anew. */
+  private _noticeWarm (id: string): void {
+    const tracked = this._tracked.get(id)
+    if (tracked === undefined || !tracked.isLogged || this._coldUntil(tracked.endpoint) > this._options.clock.now()) return
     tracked.isLogged = false
-    this._options.log.info('endpoint-warm', { endpoint: id, service })
+    this._options.log.info('endpoint-warm', { endpoint: id, service: tracked.endpoint.service })
   }
 }
