--- a/packages/gateway/src/caller/report-request.ts
+++ b/packages/gateway/src/caller/report-request.ts
@@ -9,7 +9,7 @@
  * @param dependencies log, metrics and configuration
  * @param record outcome of the request
  */
-export function reportRequest ({ log, metrics, configuration, limits }: RequestDependencies, record: RequestRecord): void {
+export function reportRequest ({ log, metrics, configuration, limits, warmUps }: RequestDependencies, record: RequestRecord): void {
   const { authorized, chosen, status, code, elapsedMs } = record
   const route = authorized?.route.name ?? 'none'
   metrics.requests.inc({ route, status, code })
@@ -31,6 +31,7 @@
     load: chosen?.load,
     bound: chosen === undefined ? undefined : Math.round(chosen.bound),
     endpoint_limit: chosen === undefined ? undefined : limits.limitOf(chosen.endpoint),
+    cold: chosen !== undefined && warmUps.isCold(chosen.endpoint) ? true : undefined,
     waited_ms: Math.round(record.waitedMs),
     tries: record.attempts,
     status,
