Slow start: tests of the exchange and the selection share the fixtures of limits

Cause: two test files repeated the fixtures of limit-exchange_test and limited-selection_test.

Change: their tests stand in those files; the same promises are checked.

--- a/packages/gateway/src/test/cold-fleet.ts
+++ b/packages/gateway/src/test/cold-fleet.ts
@@ -41,7 +41,7 @@
 
   /** Largest number of requests that reached one of them in any second while it was cold, from some time after that on. */
   mostInASecond (afterMs = 0): number {
-    return this.fleet.mostBetween(this._coldCount, HEARTBEAT_MS, this.coldAt + afterMs, this.coldUntil)
+    return this.fleet.most(this._coldCount, HEARTBEAT_MS, this.coldAt + afterMs, this.coldUntil)
   }
 
   /** Requests a second that reached each of them from some time after they became cold until another one. */
--- a/packages/gateway/src/test/limit-exchange_test.ts
+++ b/packages/gateway/src/test/limit-exchange_test.ts
@@ -67,3 +67,37 @@
   }
   expect(follower.permits.allows(ENDPOINT)).toBe(true)
 })
+
+/** Creates a pair of routers that know a warm-up rule, and lets the reader verify its endpoints. */
+function createRuledPair () {
+  const pair = createPair()
+  const services = [{ name: 's', maximumConnections: undefined, warmUp: { durationMs: 3_000, requestsPerSecond: 20 } }]
+  for (const { configuration } of [pair.reader, pair.follower]) configuration.adopt({ version: 1, routes: [], services, limits: undefined, workspaces: undefined }, 'store')
+  pair.reader.endpointsFreshness.verifiedAt = pair.clock.now()
+  return pair
+}
+
+// Guards against a router that starts late and counts the whole cold time again.
+test('a cold time that is new in a known registration reaches routers that follow; they tell others the time that is left', async () => {
+  const { clock, reader, follower, sync } = createRuledPair()
+  await sync()
+  reader.endpoints.apply([{ key: 'e', value: { ...ENDPOINT, revision: 1, warmUpLeftMs: 3_000 } }], undefined)
+  await sync()
+  expect(follower.warmUps.isCold(ENDPOINT)).toBe(true)
+  clock.time += 2_000
+  const [entry] = [...follower.endpoints.entries].map((known) => follower.warmUps.withTimeLeft(known))
+  expect(entry?.warmUpLeftMs).toBe(750)
+})
+
+// Guards against permits that one router needs and no other issues, because only it presumes that the endpoint is cold.
+test('a presumption reaches the followed router, and its end there reaches the followers', async () => {
+  const { clock, reader, follower, sync } = createRuledPair()
+  await sync()
+  follower.warmUps.connectionLost(ENDPOINT)
+  await sync()
+  expect([reader, follower].map(({ warmUps }) => warmUps.isCold(ENDPOINT))).toEqual([true, true])
+  clock.time += 2_000
+  reader.endpoints.apply([{ key: 'e', value: { ...ENDPOINT, revision: 1 } }], undefined)
+  await sync()
+  expect([reader, follower].map(({ warmUps }) => warmUps.isCold(ENDPOINT))).toEqual([false, false])
+})
--- a/packages/gateway/src/test/limited-fleet.ts
+++ b/packages/gateway/src/test/limited-fleet.ts
@@ -64,19 +64,10 @@
     }
   }
 
-  /** Largest number of requests that reached one of the first endpoints in a span of some time since a moment. */
-  most (endpointCount: number, windowMs: number, since: number): number {
+  /** Largest number of requests that reached one of the first endpoints in a span of some time between two moments. */
+  most (endpointCount: number, windowMs: number, since: number, until = Infinity): number {
     return Math.max(...Array.from({ length: endpointCount }, (_, index) => {
-      return mostInWindow((this.arrivals.get(`e${index}`) ?? []).filter((time) => time >= since), windowMs)
-    }))
-  }
-
-  /**
-   * Largest number of requests that reached one of the first endpoints in a span of some time between two moments.
-   */
-  mostBetween (endpointCount: number, windowMs: number, from: number, to: number): number {
-    return Math.max(...Array.from({ length: endpointCount }, (_, index) => {
-      return mostInWindow((this.arrivals.get(`e${index}`) ?? []).filter((time) => time >= from && time < to), windowMs)
+      return mostInWindow((this.arrivals.get(`e${index}`) ?? []).filter((time) => time >= since && time < until), windowMs)
     }))
   }
 
--- a/packages/gateway/src/test/limited-selection_test.ts
+++ b/packages/gateway/src/test/limited-selection_test.ts
@@ -21,14 +21,17 @@
 const NONE = { excluded: new Set<string>() }
 const PROMPT = [{ id: 'abc', tokens: 9_000 }, { id: 'ff', tokens: 100 }]
 const SHORT = { ...NONE, isShort: true }
+const URGENT = { ...NONE, needsWarm: true }
 
 let clock: { ms: number, now: () => number }
 let endpoints: EndpointTable
+let holders: HolderTable
 let limits: EndpointLimits
 let loads: LoadView
 let permits: FleetPermits
 let selector: EndpointSelector
 let wanted: number
+let isLimitedCold: boolean
 
 beforeEach(() => {
   clock = { ms: 50_000, now (): number { return this.ms } }
@@ -43,14 +46,16 @@
   loads = new LoadView(() => clock.now())
   permits = createPermits(endpoints, clock, limits)
   wanted = 1
+  isLimitedCold = false
   permits.setQueues({ queued: () => wanted, permitsArrived: () => { wanted = 0 } })
-  const holders = new HolderTable()
+  holders = new HolderTable()
   holders.add('abc', LIMITED)
   selector = new EndpointSelector({
     endpoints,
     loads,
     holders,
     permits,
+    warmUps: { isCold: ({ id }) => isLimitedCold && id === LIMITED },
     health: new EndpointHealth(clock),
     pauses: new EndpointPauses(clock),
     availabilityZone: 'z',
@@ -134,3 +139,30 @@
   setLoad(LIMITED, 1)
   expect(limit.limit(SERVICE)).toBe(capacity + 1)
 })
+
+test('without a permit no request goes to a cold endpoint, with one those go there that need no warm endpoint', () => {
+  isLimitedCold = true
+  expect(selector.choose(SERVICE, [], NONE)?.endpoint.id).not.toBe(LIMITED)
+  getPermit()
+  expect([NONE, SHORT, URGENT].map((constraints) => selector.choose(SERVICE, [], constraints)?.endpoint.id === LIMITED)).toEqual([true, true, false])
+})
+
+// Guards against urgent requests that are refused although only cold endpoints have capacity.
+test('requests that need a warm endpoint go to a cold one only if no warm one has capacity', () => {
+  isLimitedCold = true
+  getPermit()
+  for (const id of ['e1', 'e2']) setLoad(id, SLOTS)
+  expect(selector.choose(SERVICE, [], URGENT)?.endpoint.id).toBe('e3')
+  setLoad('e3', SLOTS)
+  expect(selector.choose(SERVICE, [], URGENT)?.endpoint.id).toBe(LIMITED)
+})
+
+test('a request stays with the warm endpoint that holds its context while that has capacity, then the context is copied', () => {
+  isLimitedCold = true
+  getPermit()
+  holders.add('abc', 'e1')
+  holders.removeEndpoint(LIMITED)
+  expect(selector.choose(SERVICE, PROMPT, NONE)?.endpoint.id).toBe('e1')
+  setLoad('e1', SLOTS)
+  expect(selector.choose(SERVICE, PROMPT, NONE)).toMatchObject({ endpoint: { id: LIMITED }, contextHolder: { id: 'e1' } })
+})
