Slow start: repeated losses of connections and news of earlier incarnations change nothing

Cause: an endpoint that is down refuses many connections, and each moved the end of its presumption, which all routers are told; the loss of a call to an earlier incarnation replaced what was tracked of the present one; an own observation came back from the followed router and no longer counted from the next success. Found by reading the code.

Change: a loss within 2.5 s of the last one changes nothing; losses of another incarnation than the registered one are ignored; a note with the same end as the known presumption is ignored.

--- a/packages/gateway/src/test/warm-up-table_test.ts
+++ b/packages/gateway/src/test/warm-up-table_test.ts
@@ -109,6 +109,18 @@
   expect(limitsAfter(999, 1)).toEqual([PERMIT_RATE, PERMIT_RATE * 2])
 })
 
+// Guards against a change for all routers with each connection that an endpoint refuses, and against news of an earlier incarnation.
+test('further lost connections change nothing for a while, those of an earlier incarnation nothing at all', () => {
+  register({ ...COLD, startedAt: 2 })
+  state.warmUps.connectionLost(WARM)
+  expect([state.warmUps.revision, state.warmUps.coldCount]).toEqual([0, 1])
+  for (let step = 0; step < 20; step += 1) {
+    state.warmUps.connectionLost({ ...WARM, startedAt: 2 })
+    clock.time += 100
+  }
+  expect(state.warmUps.revision).toBe(1)
+})
+
 // Guards against a registration from before the loss that is read after it.
 test('a presumption ends with a newer registration, but not with one that may be from before', () => {
   register(WARM)
--- a/packages/gateway/src/warm-up/cold-presumptions.ts
+++ b/packages/gateway/src/warm-up/cold-presumptions.ts
@@ -2,6 +2,8 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { ColdNote } from './cold-note.js'
 
+/** Time in which further losses of connections change nothing: an endpoint that is down refuses many, and each change is told to all routers. */
+const REFRESH_MS = 2_500
 /** Time for which an own observation counts more than what the followed router says; that router knows of it within this time. */
 const OWN_OBSERVATION_MS = 1_500
 /** Time within which an endpoint that lost its connections returns or is removed by the store. */
@@ -53,6 +55,9 @@
    */
   connectionLost ({ id, startedAt }: EndpointEntry, durationMs: number): boolean {
     const now = this._clock.now()
+    const known = this._known.get(id)
+    const isKnown = known?.startedAt === startedAt && known.isAwaitingSuccess
+    if (isKnown && known.coldUntil - now > durationMs + RETURN_MS - REFRESH_MS) return false
     return this._set(id, { startedAt, coldUntil: now + RETURN_MS + durationMs, observedAt: now, isAwaitingSuccess: true, isFromUpstream: false })
   }
 
@@ -126,6 +131,8 @@
       const observedAt = sentAt - ageMs
       if (known !== undefined && (known.observedAt >= observedAt || known.startedAt > startedAt)) return false
       if (known === undefined && leftMs === 0) return false
+      // What this router has observed comes back from the followed one, dated by its clock.
+      if (known?.startedAt === startedAt && Math.abs(now + leftMs - known.coldUntil) <= NEWS_MS) return false
       return this._set(endpointId, { startedAt, coldUntil: now + leftMs, observedAt, isAwaitingSuccess: false, isFromUpstream })
     })
     return changes.includes(true)
--- a/packages/gateway/src/warm-up/warm-up-table.ts
+++ b/packages/gateway/src/warm-up/warm-up-table.ts
@@ -154,7 +154,8 @@
    */
   connectionLost (endpoint: EndpointEntry): void {
     const rule = this._options.ruleOf(endpoint.service)
-    if (rule === undefined) return
+    // A call to an earlier incarnation tells nothing of the present one.
+    if (rule === undefined || this._options.endpoints.find(endpoint.id)?.startedAt !== endpoint.startedAt) return
     this._noticeWarm(endpoint.id)
     const isNews = this._presumptions.connectionLost(endpoint, rule.durationMs)
     this._track(endpoint, ColdCause.CONNECTION_LOST)
