Evacuation of an availability zone in the router

Cause: an operator cannot take requests off an availability zone; the router knows nothing of evacuated zones (docs/design/hard-load.md, section 2).

Change: the store's records of the operator are configurations and evacuations. ZoneEvacuations keeps evacuated zones with the era and offset as of which they are known; sync requests and answers carry them, and newer ones win. Zones of the previous era stay evacuated until a reading after the settling time. Endpoints of evacuated zones get no requests, do not count as capacity, and remain sources of contexts. Requests to a service without other endpoints are refused at once with 3022. Metric, log events, warning 5011, a column of 'fleet knowledge'.

--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -18,6 +18,7 @@
 import type { EndpointAttemptsOptions } from './endpoint-attempts-options.js'
 import { reportCallFailure } from './report-call-failure.js'
 import type { RequestDependencies } from './request-dependencies.js'
+import { requireNotEvacuated } from './require-not-evacuated.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
 
 /** Minimum time left to call an endpoint; no response arrives in less. */
@@ -45,6 +46,8 @@
   private _runs = 0
   private _lossesBeforeAnswer = 0
   private _hasTakenRetry = false
+  /** Whether the call in progress was not sent because the zone of its endpoint is evacuated, which says nothing about its health. */
+  private _isHeldBack = false
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -83,6 +86,7 @@
       if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
       requireNotQuarantined(this._dependencies.quarantine, this._options.content, this._runs)
       const chosen = this._choose(excluded)
+      if (chosen === undefined && this._runs === 0) requireNotEvacuated(this._dependencies.endpoints, authorized.service)
       if (chosen === undefined) throw createNoEndpointError(this._runs, this._retryAfterMs(authorized.service))
       this._chosen = chosen
       this._dependencies.permits.take(chosen.endpoint)
@@ -123,14 +127,14 @@
     stallWatch.remove(watched)
     loads.end(endpoint.id)
     quarantine.endCall(content)
-    this._recordHealth(endpoint.id, result)
+    if (!this._isHeldBack) this._recordHealth(endpoint.id, result)
     if (result.isConnectionLost) this._recordLoss(chosen)
     return result
   }
 
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
-    const { codec, endpointSelector } = this._dependencies
+    const { codec, endpoints, endpointSelector } = this._dependencies
     const headers = codec.writeDispatchHeaders(request.rawHeaders, {
       endpointId: endpoint.id,
       deadlineMs: Math.floor(this._options.timeLeftMs()),
@@ -140,8 +144,12 @@
       lastEventId: relay.lastEventId
     })
     const { id } = authorized.caller
+    this._isHeldBack = false
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
-      mayStart: () => endpointSelector.isUsable(endpoint),
+      mayStart: () => {
+        this._isHeldBack = endpoints.isEvacuated(endpoint)
+        return endpointSelector.isUsable(endpoint)
+      },
       headReceived: (head) => this._recordWishes(endpoint, head)
     })
   }
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -17,6 +17,7 @@
 import { reportRequest } from './report-request.js'
 import type { RequestDependencies } from './request-dependencies.js'
 import { requestFingerprint } from './request-fingerprint.js'
+import { requireNotEvacuated } from './require-not-evacuated.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
 
 /** Maximum body length if the configuration sets none. */
@@ -76,6 +77,7 @@
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
+      requireNotEvacuated(this._dependencies.endpoints, authorized.service)
       this._requireEndpointWithinWait(authorized)
       admission = await this._waitForAdmission(authorized)
       this._authorizeAgainAfterDelay()
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -32,6 +32,16 @@
   readonly endpoint: EndpointEntry
 }
 
+/** Rendezvous orders of a service. */
+interface ServiceOrders {
+  /** Endpoints that accept requests; a change replaces the array. */
+  readonly ready: readonly EndpointEntry[]
+  /** Order of these endpoints. */
+  readonly order: RendezvousOrder<RendezvousMember>
+  /** Order of these and of the endpoints in evacuated zones; undefined if there are none in such zones. */
+  readonly withEvacuated: RendezvousOrder<RendezvousMember> | undefined
+}
+
 /**
  * Selects the endpoint of a request. A request with a prompt goes to an endpoint that holds the cached context of its key,
  * unless all of these have reached the load bound or have no free slot. In that case it goes to the first endpoint of the
@@ -41,7 +51,7 @@
  */
 export class EndpointSelector {
   private readonly _options: EndpointSelectorOptions
-  private readonly _orders = new Map<string, { revision: number, order: RendezvousOrder<RendezvousMember> }>()
+  private readonly _orders = new Map<string, ServiceOrders>()
 
   /**
    * @param options data and settings that decide the selection
@@ -67,17 +77,19 @@
     const healthy = this._options.health.preferHealthy(ready)
     const candidates = isShort ? this._preferCapacity(healthy, bound) : healthy
     const key = EndpointSelector.keyOf(prompt)
-    if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, [], undefined, bound)
+    if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, undefined, undefined, bound)
     return this._chooseForKey(key, service, candidates, bound)
   }
 
   /**
-   * Returns whether a chosen endpoint still takes requests: the same incarnation is registered, neither leaving nor paused.
+   * Returns whether a chosen endpoint still takes requests: the same incarnation is registered, neither leaving nor paused, and its
+   * zone is not evacuated.
    * @param endpoint the endpoint, as it was chosen
    */
   isUsable (endpoint: EndpointEntry): boolean {
-    const entry = this._options.endpoints.find(endpoint.id)
-    return entry?.startedAt === endpoint.startedAt && !entry.isDraining && this._options.pauses.remainingMs(entry) === 0
+    const { endpoints, pauses } = this._options
+    const entry = endpoints.find(endpoint.id)
+    return entry?.startedAt === endpoint.startedAt && !entry.isDraining && !endpoints.isEvacuated(entry) && pauses.remainingMs(entry) === 0
   }
 
   /**
@@ -104,14 +116,19 @@
     const withCapacity = holdingCandidates.filter((endpoint) => this._hasCapacity(endpoint, bound))
     const sameZone = withCapacity.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
     const holder = this._leastLoaded(sameZone.length > 0 ? sameZone : withCapacity)
-    if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, [], undefined, bound)
+    if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, undefined, undefined, bound)
     const lookup = this._options.permits.isNeeded ? RENDEZVOUS_LOOKUP_WITH_LIMITS : RENDEZVOUS_CANDIDATES
-    const order = this._order(service).first(key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS), lookup).map((member) => member.endpoint)
-    const source = this._contextSource(holders) ?? this._assumedContextSource(order)
+    const orderKey = key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS)
+    const orders = this._ordersOf(service)
+    const order = orders.order.first(orderKey, lookup).map((member) => member.endpoint)
+    // The contexts of an evacuated primary are copied to the endpoints that take its place. Those are announced as holders, since other
+    // routers assume that the primary holds them.
+    const primary = orders.withEvacuated === undefined ? order[0] : orders.withEvacuated.first(orderKey, 1)[0]?.endpoint
+    const source = this._contextSource(holders) ?? this._assumedContextSource(primary)
     const available = this._firstAvailable(order, candidates, bound, source !== undefined)
-    if (available !== undefined) return this._createChosen(available, ChoiceReason.HOME, order, source, bound)
+    if (available !== undefined) return this._createChosen(available, ChoiceReason.HOME, primary, source, bound)
     const leastLoaded = this._leastLoaded(this._preferCapacity(candidates, bound)) as EndpointEntry
-    return this._createChosen(leastLoaded, ChoiceReason.LEAST_LOADED, order, source, bound)
+    return this._createChosen(leastLoaded, ChoiceReason.LEAST_LOADED, primary, source, bound)
   }
 
   /**
@@ -147,21 +164,20 @@
   }
 
   private _createChosen (
-    endpoint: EndpointEntry, reason: ChoiceReason, preferred: readonly EndpointEntry[], source: EndpointEntry | undefined, bound: number
+    endpoint: EndpointEntry, reason: ChoiceReason, primary: EndpointEntry | undefined, source: EndpointEntry | undefined, bound: number
   ): ChosenEndpoint {
     return {
       endpoint,
       contextHolder: source === endpoint ? undefined : source,
       reason,
-      isChosenAsPrimary: endpoint === preferred[0],
+      isChosenAsPrimary: endpoint === primary,
       load: this._options.loads.total(endpoint.id),
       bound
     }
   }
 
   /** In a large fleet, primaries are not announced as holders; the primary of a key is assumed to hold its context. */
-  private _assumedContextSource (preferred: readonly EndpointEntry[]): EndpointEntry | undefined {
-    const [primary] = preferred
+  private _assumedContextSource (primary: EndpointEntry | undefined): EndpointEntry | undefined {
     const assumesPrimary = this._options.isFleetLarge() && primary !== undefined && !this._options.health.isUnreachable(primary.id)
     return assumesPrimary ? primary : undefined
   }
@@ -230,13 +246,19 @@
     return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
   }
 
-  private _order (service: string): RendezvousOrder<RendezvousMember> {
+  private _ordersOf (service: string): ServiceOrders {
     const { endpoints } = this._options
     const ready = endpoints.ready(service)
     const cached = this._orders.get(service)
-    if (cached?.revision === endpoints.revision) return cached.order
-    const order = new RendezvousOrder(ready.map((endpoint) => ({ name: endpoint.id, capacity: endpoint.slots, endpoint })))
-    this._orders.set(service, { revision: endpoints.revision, order })
-    return order
+    if (cached?.ready === ready) return cached
+    const evacuated = endpoints.evacuated(service)
+    const withEvacuated = evacuated.length === 0 ? undefined : createOrder([...ready, ...evacuated])
+    const orders = { ready, order: createOrder(ready), withEvacuated }
+    this._orders.set(service, orders)
+    return orders
   }
 }
+
+function createOrder (endpoints: readonly EndpointEntry[]): RendezvousOrder<RendezvousMember> {
+  return new RendezvousOrder(endpoints.map((endpoint) => ({ name: endpoint.id, capacity: endpoint.slots, endpoint })))
+}
--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -1,4 +1,5 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import type { ZoneEvacuations } from '../evacuation/zone-evacuations.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { TopicChange } from '../model/topic-change.js'
@@ -20,6 +21,8 @@
 
 /** Maximum number of endpoints remembered as leaving; the first ones are forgotten first. */
 const MAXIMUM_LEAVING = 4_096
+/** Evacuations of a table that knows of none. */
+const NO_EVACUATIONS: Pick<ZoneEvacuations, 'includes' | 'revision'> = { revision: 0, includes: () => false }
 /** Start of an incarnation that did not state it. */
 const UNKNOWN_START = 0
 
@@ -29,6 +32,14 @@
   readonly expiresAt: number
 }
 
+/** Endpoints of a service that are not draining. */
+interface ServiceEndpoints {
+  /** Those that accept new requests. */
+  readonly ready: EndpointEntry[]
+  /** Those whose zones are evacuated. */
+  readonly evacuated: EndpointEntry[]
+}
+
 /**
  * Registered endpoints. An entry that is removed while the store is available is deleted immediately. An entry that
  * expires during an outage of the store is retained for a grace period, in which a live endpoint registers again. An
@@ -51,17 +62,22 @@
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private readonly _listeners: EndpointListener[] = []
-  private _byService: Map<string, EndpointEntry[]> | undefined
+  private readonly _evacuations: Pick<ZoneEvacuations, 'includes' | 'revision'>
+  private _byService: Map<string, ServiceEndpoints> | undefined
+  /** Revision of the evacuations that `_byService` takes into account. */
+  private _indexedEvacuations = 0
   private readonly _changes: EndpointChange[] = []
   private _revision = 0
 
   /**
    * @param clock clock for expiry times
    * @param log logs registered, draining, lapsed and removed endpoints
+   * @param evacuations availability zones whose endpoints accept no new requests; none by default
    */
-  constructor (clock: ElapsedClock, log: EventLog) {
+  constructor (clock: ElapsedClock, log: EventLog, evacuations = NO_EVACUATIONS) {
     this._clock = clock
     this._log = log
+    this._evacuations = evacuations
     this._removed = new RemovedEndpoints(clock)
   }
 
@@ -116,13 +132,27 @@
   }
 
   /**
-   * Returns the endpoints of a service that accept new requests.
+   * Returns the endpoints of a service that accept new requests; those in evacuated zones do not.
    * @param service name of the service
    */
   ready (service: string): readonly EndpointEntry[] {
-    this.removeExpired()
-    this._byService ??= this._indexByService()
-    return this._byService.get(service) ?? []
+    return this._endpointsOf(service)?.ready ?? []
+  }
+
+  /**
+   * Returns the endpoints of a service that would accept new requests if their zones were not evacuated.
+   * @param service name of the service
+   */
+  evacuated (service: string): readonly EndpointEntry[] {
+    return this._endpointsOf(service)?.evacuated ?? []
+  }
+
+  /**
+   * Returns whether an endpoint is in an evacuated zone.
+   * @param endpoint the endpoint
+   */
+  isEvacuated ({ availabilityZone }: EndpointEntry): boolean {
+    return this._evacuations.includes(availabilityZone)
   }
 
   /**
@@ -266,13 +296,22 @@
     this._byService = undefined
   }
 
-  private _indexByService (): Map<string, EndpointEntry[]> {
-    const byService = new Map<string, EndpointEntry[]>()
+  private _endpointsOf (service: string): ServiceEndpoints | undefined {
+    this.removeExpired()
+    if (this._indexedEvacuations !== this._evacuations.revision) this._byService = undefined
+    this._byService ??= this._indexByService()
+    return this._byService.get(service)
+  }
+
+  private _indexByService (): Map<string, ServiceEndpoints> {
+    const byService = new Map<string, ServiceEndpoints>()
+    this._indexedEvacuations = this._evacuations.revision
     for (const entry of this._entries.values()) {
       if (entry.isDraining) continue
-      const entries = byService.get(entry.service)
-      if (entries === undefined) byService.set(entry.service, [entry])
-      else entries.push(entry)
+      const endpoints = byService.get(entry.service) ?? { ready: [], evacuated: [] }
+      byService.set(entry.service, endpoints)
+      if (this.isEvacuated(entry)) endpoints.evacuated.push(entry)
+      else endpoints.ready.push(entry)
     }
     return byService
   }
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -1,6 +1,7 @@
 import type { HolderTable } from '../choice/holder-table.js'
 import type { LoadView } from '../choice/load-view.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
+import type { ZoneEvacuations } from '../evacuation/zone-evacuations.js'
 import type { StoreEra } from '../model/store-era.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
@@ -15,6 +16,8 @@
   readonly storeEra: StoreEra
   /** The configuration in force. */
   readonly configuration: ConfigurationState
+  /** Evacuated availability zones. */
+  readonly evacuations: ZoneEvacuations
   /** Registered endpoints. */
   readonly endpoints: EndpointTable
   /** When the endpoints were last verified against the store. */
--- a/packages/gateway/src/membership/router-knowledge.ts
+++ b/packages/gateway/src/membership/router-knowledge.ts
@@ -14,6 +14,8 @@
   readonly configurationAgeMs: number
   /** Milliseconds since the endpoints were last verified against the store; -1 if never. */
   readonly endpointsAgeMs: number
+  /** Names of the evacuated availability zones, in alphabetical order. */
+  readonly evacuatedZones: readonly string[]
   /** Number of live routers known to it, itself included. */
   readonly routerCount: number
 }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -1,5 +1,6 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { EraEvacuations } from '../evacuation/era-evacuations.js'
 import type { EraNews } from '../model/era-news.js'
 import type { ConfigurationPatch } from '../configuration/configuration-patch.js'
 import type { EndpointPermits } from '../limits/endpoint-permits.js'
@@ -36,6 +37,8 @@
   readonly configurationAgeMs: number
   /** Milliseconds since the configuration in the store was last read; -1 if never. */
   readonly configurationReadAgeMs: number
+  /** Evacuated zones, a record for each era of the store that counts; undefined if the requester knows the same. */
+  readonly evacuations?: readonly EraEvacuations[] | undefined
   /** Endpoint changes since the requester's revision; undefined if there are none or they are not retained. */
   readonly endpointChanges: readonly EndpointChange[] | undefined
   /** All endpoints, if the changes are not retained. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -73,7 +73,7 @@
    * @returns the applied answer
    */
   async sync (address: string, { reportsLoad, followers }: SyncOptions): Promise<SyncAnswer> {
-    const { configuration, holders, loads, routers } = this._state
+    const { configuration, evacuations, holders, loads, routers } = this._state
     const sentCursor = this._sentCursors.get(address) ?? 0
     const holderChanges = holders.notesSince(sentCursor, MAXIMUM_NOTES)
     const quarantineNews = this._quarantineExchange.prepareRequest(address)
@@ -84,6 +84,7 @@
       routers: this._includesRouters(address) ? this._contacts(followers) : undefined,
       routerCount: routers.size,
       configurationVersion: configuration.version,
+      evacuations: evacuations.news,
       endpointsRevision: this._mirrors.get(address)?.revision,
       load: reportsLoad ? loads.localLoadsWith(followers) : {},
       notes: holderChanges.changesForUpstream,
@@ -96,6 +97,7 @@
     this._limitExchange.learn(answer, sentAt)
     this._sentCursors.set(address, holderChanges.cursor)
     this._applyAnswer(address, answer, sentAt)
+    evacuations.learn(answer.evacuations, answer.name, reportsLoad)
     this._onAnswer()
     return answer
   }
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -1,5 +1,6 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
+import type { EraEvacuations } from '../evacuation/era-evacuations.js'
 import type { EraNews } from '../model/era-news.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import type { LimitNote } from '../limits/limit-note.js'
@@ -19,6 +20,11 @@
   readonly routerCount: number
   /** Version of the requester's configuration. */
   readonly configurationVersion: number
+  /**
+   * Evacuated zones that the requester knows, a record for each era of the store that counts; empty if it has not learned yet
+   * whether there are any. Undefined if it has never heard of an evacuation.
+   */
+  readonly evacuations?: readonly EraEvacuations[] | undefined
   /** Last received revision of the answering router's endpoints; undefined for none. */
   readonly endpointsRevision: string | undefined
   /** Requests in flight of the requester, and of the routers on whose behalf it syncs. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -44,8 +44,9 @@
    * @param request request of the other router
    */
   answer (request: SyncRequest): SyncAnswer {
-    const { configuration, endpoints, routers, holders, limits, loads, quarantine } = this._state
+    const { configuration, endpoints, evacuations, routers, holders, limits, loads, quarantine } = this._state
     this._state.storeEra.learn(request.storeEra, request.router.name)
+    evacuations.learn(request.evacuations, request.router.name, false)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
     for (const router of request.routers ?? []) routers.recordContact(router, router.heardAgoMs)
@@ -62,6 +63,7 @@
       ...this._configurationChange(request),
       configurationAgeMs: this._ageMs(configuration.verifiedAt),
       configurationReadAgeMs: this._ageMs(configuration.readAt),
+      evacuations: evacuations.newsFor(request.evacuations),
       ...this._endpointUpdate(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
       endpointsAgeMs: this._ageMs(this._state.endpointsFreshness.verifiedAt),
@@ -88,7 +90,7 @@
    * @param role what its sync says about its place in the fleet
    */
   knowledge (role: Pick<RouterKnowledge, 'isReader' | 'source'>): RouterKnowledge {
-    const { configuration, endpointsFreshness, routers, storeEra } = this._state
+    const { configuration, endpointsFreshness, evacuations, routers, storeEra } = this._state
     return {
       router: routers.self.name,
       ...role,
@@ -96,6 +98,7 @@
       configurationVersion: configuration.version,
       configurationAgeMs: this._ageMs(configuration.verifiedAt),
       endpointsAgeMs: this._ageMs(endpointsFreshness.verifiedAt),
+      evacuatedZones: [...evacuations.zones].sort(),
       routerCount: routers.size
     }
   }
--- a/packages/gateway/src/model/fleet-store.ts
+++ b/packages/gateway/src/model/fleet-store.ts
@@ -1,17 +1,17 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { CrashNote } from '../quarantine/crash-note.js'
 import type { EndpointEntry } from './endpoint-entry.js'
-import type { GatewayConfiguration } from './gateway-configuration.js'
+import type { OperatorRecord } from './operator-record.js'
 import type { RouterEntry } from './router-entry.js'
 import type { StoreEra } from './store-era.js'
 import type { TopicReader } from './topic-reader.js'
 
-/** Client of the platform's store, which holds configurations, registrations and the cache index. */
+/** Client of the platform's store, which holds records of the operator, registrations and the cache index. */
 export interface FleetStore {
   /** Era of the store, which each of its answers states. */
   readonly era: StoreEra
-  /** Accepted configurations. */
-  readonly configurations: TopicReader<GatewayConfiguration>
+  /** Records of the operator: accepted configurations and evacuations of availability zones. */
+  readonly operatorRecords: TopicReader<OperatorRecord>
   /** Registered endpoints. */
   readonly endpoints: TopicReader<EndpointEntry>
   /** Announced routers. */
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -60,6 +60,13 @@
     registers: [this.registry]
   })
 
+  /** Evacuated availability zones. */
+  readonly evacuatedZones = new Gauge({
+    name: 'mimosarock_evacuated_zones',
+    help: 'Availability zones that the operator has evacuated, as this router knows.',
+    registers: [this.registry]
+  })
+
   /** Permits for requests to endpoints with a rate limit that this router got. */
   readonly permitsReceived = new Counter({
     name: 'mimosarock_rate_limit_permits_total',
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -3,6 +3,7 @@
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
 import type { FleetStore } from '@mimosarock/gateway/model/fleet-store.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
+import type { OperatorRecord } from '@mimosarock/gateway/model/operator-record.js'
 import type { RouterEntry } from '@mimosarock/gateway/model/router-entry.js'
 import type { CrashNote } from '@mimosarock/gateway/quarantine/crash-note.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
@@ -45,15 +46,42 @@
   }
 }
 
+/** Configurations among the records of the operator. */
+class Configurations {
+  private readonly _records: MemoryTopic<OperatorRecord>
+
+  constructor (records: MemoryTopic<OperatorRecord>) {
+    this._records = records
+  }
+
+  put (key: string, configuration: GatewayConfiguration): void {
+    this._records.put(key, { configuration })
+  }
+
+  get isDown (): boolean {
+    return this._records.isDown
+  }
+
+  set isDown (isDown: boolean) {
+    this._records.isDown = isDown
+  }
+}
+
 /** In-memory implementation of the store, for tests. */
 export class MemoryStore implements FleetStore {
   readonly era = new StoreEra({ now: () => performance.now() }, new SilentEventLog())
-  readonly configurations = new MemoryTopic<GatewayConfiguration>(this.era)
+  readonly operatorRecords = new MemoryTopic<OperatorRecord>(this.era)
+  readonly configurations = new Configurations(this.operatorRecords)
   readonly endpoints = new MemoryTopic<EndpointEntry>(this.era)
   readonly routers = new MemoryTopic<RouterEntry>(this.era)
   readonly crashes = new MemoryTopic<readonly CrashNote[]>(this.era)
   holders: readonly HolderNote[] = []
 
+  /** Writes or deletes the record that evacuates a zone. */
+  putEvacuation (zone: string, isEvacuated: boolean): void {
+    this.operatorRecords.put(`evacuate/${zone}`, { zone, isEvacuated })
+  }
+
   async announce (entries: readonly RouterEntry[]): Promise<void> {
     for (const entry of entries) this.routers.put(entry.name, entry)
   }
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import { HolderTable } from '../choice/holder-table.js'
 import { LoadView } from '../choice/load-view.js'
+import { ZoneEvacuations } from '../evacuation/zone-evacuations.js'
 import { EndpointLimits } from '../limits/endpoint-limits.js'
 import { FleetPermits } from '../limits/fleet-permits.js'
 import { ConfigurationState } from '../configuration/configuration-state.js'
@@ -22,12 +23,14 @@
  */
 export function createFleetState (self: RouterEntry, storeEra: StoreEra, clock: ElapsedClock, log: EventLog, random: () => number): FleetState {
   const routers = new RouterTable(self, clock)
-  const endpoints = new EndpointTable(clock, log)
+  const evacuations = new ZoneEvacuations(storeEra, log)
+  const endpoints = new EndpointTable(clock, log, evacuations)
   const limits = new EndpointLimits(clock, log)
   const permits = new FleetPermits({ router: self.name, endpoints, limits, routerCount: () => routers.size, clock, random })
   return {
     storeEra,
     configuration: new ConfigurationState(clock, log),
+    evacuations,
     endpoints,
     endpointsFreshness: { verifiedAt: -Infinity },
     routers,
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -1,4 +1,6 @@
 import { ConfigurationReadings } from '../configuration/configuration-readings.js'
+import { selectConfigurations } from '../configuration/select-configurations.js'
+import { EvacuationReadings } from '../evacuation/evacuation-readings.js'
 import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
 import { connectLimits } from '../membership/connect-limits.js'
@@ -10,12 +12,12 @@
 import { StoredQuarantine } from '../membership/stored-quarantine.js'
 import { SyncClient } from '../membership/sync-client.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
-import type { GatewayConfiguration } from '../model/gateway-configuration.js'
+import type { OperatorRecord } from '../model/operator-record.js'
 import type { FleetTasksOptions } from './fleet-tasks-options.js'
 
-/** Long-poll wait for a new configuration; bounds the staleness of API keys. */
+/** Long-poll wait for a new record of the operator; bounds the staleness of API keys. */
 const CONFIGURATION_WAIT_MS = 1_000
-/** Pause between two reads of the configuration. */
+/** Pause between two reads of the operator's records. */
 const CONFIGURATION_PAUSE_MS = 20
 /** Long-poll wait for a change of the endpoints. */
 const ENDPOINTS_WAIT_MS = 300
@@ -24,7 +26,7 @@
 /** Background tasks that keep the state of a router up to date from the store and the other routers, and save what only routers know. */
 export class FleetTasks {
   private readonly _options: FleetTasksOptions
-  private readonly _configurationFeed: StoreFeed<GatewayConfiguration>
+  private readonly _operatorFeed: StoreFeed<OperatorRecord>
   private readonly _endpointFeed: StoreFeed<EndpointEntry>
   private readonly _sync: FleetSync
   private _isRunning = false
@@ -34,7 +36,7 @@
    */
   constructor (options: FleetTasksOptions) {
     this._options = options
-    this._configurationFeed = this._createConfigurationFeed()
+    this._operatorFeed = this._createOperatorFeed()
     this._endpointFeed = this._createEndpointFeed()
     this._sync = this._createSync()
   }
@@ -71,29 +73,32 @@
     const persistence = new StatePersistence({ store, holders, otherParts, isSaving: () => this._mayWriteToStore }, log)
     const announcer = new RouterAnnouncer(store, routers, () => this._mayWriteToStore, log)
     announcer.onLearned((learned) => this._sync.contactSoon(learned))
-    const tasks = [persistence, storedQuarantine, this._configurationFeed, this._endpointFeed, this._sync, announcer]
+    const tasks = [persistence, storedQuarantine, this._operatorFeed, this._endpointFeed, this._sync, announcer]
     await Promise.all(tasks.map((task) => task.run(signal)))
   }
 
   private get _readsStore (): boolean {
-    return this._isRunning && this._configurationFeed.isUpToDate && this._endpointFeed.isUpToDate
+    return this._isRunning && this._operatorFeed.isUpToDate && this._endpointFeed.isUpToDate
   }
 
   private get _mayWriteToStore (): boolean {
     return this._sync.isConfirmedReader && this._readsStore
   }
 
-  private _createConfigurationFeed (): StoreFeed<GatewayConfiguration> {
-    const { state: { configuration }, store, clock, log, onProgress } = this._options
-    const readings = new ConfigurationReadings(configuration, store.era)
+  private _createOperatorFeed (): StoreFeed<OperatorRecord> {
+    const { state: { configuration, evacuations }, store, clock, log, onProgress } = this._options
+    const configurationReadings = new ConfigurationReadings(configuration, store.era)
+    const evacuationReadings = new EvacuationReadings(evacuations, store.era)
     return new StoreFeed({
       topic: 'configuration',
-      reader: store.configurations,
+      reader: store.operatorRecords,
       waitMs: CONFIGURATION_WAIT_MS,
       pauseMs: CONFIGURATION_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || configuration.readAt === -Infinity,
+      shouldRead: () => this._sync.isReader || configuration.readAt === -Infinity || !evacuations.isKnown,
       onPage: (page, readAt) => {
-        readings.apply(page, readAt)
+        // Requests that arrive with a new configuration must not reach a zone that was evacuated before.
+        evacuationReadings.apply(page, readAt)
+        configurationReadings.apply(selectConfigurations(page), readAt)
         onProgress()
       }
     }, clock, log)
@@ -123,10 +128,11 @@
       return await peerClient.configurationUpdate(address, fromVersion)
     }, clock, log)
     const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), transfer, onProgress)
-    const isStoreFailing = (): boolean => this._configurationFeed.isFailing || this._endpointFeed.isFailing
+    const isStoreFailing = (): boolean => this._operatorFeed.isFailing || this._endpointFeed.isFailing
     const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing }, clock, log)
     transfer.onAdopted(() => sync.syncSoon())
     state.quarantine.onNews(() => sync.syncSoon())
+    state.evacuations.onNews(() => sync.syncSoon())
     sync.onSeedsAsked(onProgress)
     connectLimits(state, sync)
     return sync
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -6,6 +6,7 @@
 import { ServiceAdmissions } from '../admission/service-admissions.js'
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
+import { UnknownZoneWarning } from '../evacuation/unknown-zone-warning.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { RequestDependencies } from '../caller/request-dependencies.js'
@@ -55,6 +56,7 @@
   private readonly _connections = new EndpointConnections()
   private readonly _peerClient = new PeerRpcClient((bytes) => this._metrics.peerBytesReceived.inc(bytes))
   private readonly _fleetState: FleetState
+  private readonly _unknownZoneWarning: UnknownZoneWarning
   private readonly _stallWatch = new StallWatch()
   private readonly _health: EndpointHealth
   private readonly _pauses: EndpointPauses
@@ -74,6 +76,7 @@
     this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId))
     this._pauses = new EndpointPauses(clock)
     this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log, Math.random)
+    this._unknownZoneWarning = new UnknownZoneWarning(this._fleetState.evacuations, (zone) => this._isZoneKnown(zone), log)
     this._tasks = new FleetTasks({
       state: this._fleetState,
       store: options.store,
@@ -186,7 +189,7 @@
 
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
-    const { endpoints, loads, permits, routers } = this._fleetState
+    const { endpoints, evacuations, loads, permits, routers } = this._fleetState
     const availableEndpoints = (service: string): readonly EndpointEntry[] => {
       return this._health.preferHealthy(this._pauses.withoutPaused(endpoints.ready(service)))
     }
@@ -210,6 +213,8 @@
       random: Math.random
     })
     loads.onReport(() => admissions.admitQueued())
+    // Requests to a service without endpoints in other zones are refused at once instead of after their time in the queue.
+    evacuations.listen({ zoneEvacuated: () => admissions.admitQueued(), zoneRestored: () => undefined })
     permits.setQueues({
       queued: (service) => admissions.get(service).queued,
       permitsArrived: (count) => {
@@ -248,13 +253,19 @@
   }
 
   private _openGateWhenReady (): void {
-    const { configuration, endpointsFreshness } = this._fleetState
+    const { configuration, endpointsFreshness, evacuations } = this._fleetState
+    if (endpointsFreshness.verifiedAt > -Infinity) this._unknownZoneWarning.check()
     if (this._startupGate.isOpen || !this._tasks.hasAskedSeeds) return
-    if (configuration.inForce === undefined || endpointsFreshness.verifiedAt === -Infinity) return
+    if (configuration.inForce === undefined || !evacuations.isKnown || endpointsFreshness.verifiedAt === -Infinity) return
     this._startupGate.open()
     this._options.log.info('ready', { version: configuration.version })
   }
 
+  private _isZoneKnown (zone: string): boolean {
+    const { endpoints, routers } = this._fleetState
+    return [...endpoints.entries, ...routers.inReaderOrder()].some(({ availabilityZone }) => availabilityZone === zone)
+  }
+
   private get _isReady (): boolean {
     return !this._state.isStopping && this._startupGate.isOpen
   }
--- a/packages/operator/src/router-knowledge.ts
+++ b/packages/operator/src/router-knowledge.ts
@@ -9,5 +9,7 @@
   configurationVersion: z.number(),
   configurationAgeMs: z.number(),
   endpointsAgeMs: z.number(),
+  /** Left out by routers of an earlier version. */
+  evacuatedZones: z.array(z.string()).default([]),
   routerCount: z.number()
 })
--- a/packages/operator/src/test/show-knowledge-command_test.ts
+++ b/packages/operator/src/test/show-knowledge-command_test.ts
@@ -23,10 +23,10 @@
   return { code, output: output.replaceAll(/127\.0\.0\.1:\d+/g, 'ADDRESS') }
 }
 
-const KNOWLEDGE = { router: 'a', isReader: true, source: null, storeEra: 3, configurationVersion: 12, configurationAgeMs: 40, endpointsAgeMs: 300, routerCount: 2 }
+const KNOWLEDGE = { router: 'a', isReader: true, source: null, storeEra: 3, configurationVersion: 12, configurationAgeMs: 40, endpointsAgeMs: 300, evacuatedZones: ['z-b', 'z-c'], routerCount: 2 }
 
 test('the era, the reader and the ages that routers know are shown', async () => {
-  const addresses = [await startRouter(KNOWLEDGE), await startRouter({ ...KNOWLEDGE, router: 'b', isReader: false, source: 'a', storeEra: null })]
+  const addresses = [await startRouter(KNOWLEDGE), await startRouter({ ...KNOWLEDGE, router: 'b', isReader: false, source: 'a', storeEra: null, evacuatedZones: undefined })]
   expect(await run(...addresses)).toMatchSnapshot()
 })
 
