Tests of zone evacuation; a router that no other one answers reads the operator's records after 1.5 s

Change: a router that has been answered by none for 1.5 s reads the operator's records beside its search.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -24,6 +24,11 @@
 const AWAITING_SOURCE_INTERVAL_MS = 100
 /** How long a router counts as a follower after the last answer of its source. */
 const FOLLOWING_TIMEOUT_MS = 1_500
+/**
+ * Time without an answer of any router after which this one reads the operator's records itself. The search for a router that answers
+ * may take twice as long, and an evacuation has to be known within 5 s.
+ */
+const CUT_OFF_MS = 1_500
 /** Options of a sync with a router that is not followed: exchanges state and known routers, without reporting loads. */
 const DISCOVERY_OPTIONS: SyncOptions = { reportsLoad: false, followers: [] }
 /** Options of a follower that has no followers itself. */
@@ -63,6 +68,7 @@
   private _followsZonePeer = false
   private _sourceDistance = Infinity
   private _lastFollowedAt = -Infinity
+  private _lastAnsweredAt: number | undefined
   private _hasAskedSeeds = false
   /** Addresses of routers to contact in the next rounds. */
   private readonly _toContact: string[] = []
@@ -153,6 +159,11 @@
     }
   }
 
+  /** Whether routers have answered this one before, but none has for some time. */
+  get isCutOff (): boolean {
+    return this._lastAnsweredAt !== undefined && this._clock.now() - this._lastAnsweredAt >= CUT_OFF_MS
+  }
+
   /** Starts the next round without a pause, to report a change of this router's state. */
   syncSoon (): void {
     this._pause.end()
@@ -283,7 +294,9 @@
 
   private async _syncWith (address: string, options: SyncOptions): Promise<SyncAnswer | undefined> {
     try {
-      return await this._client.sync(address, options)
+      const answer = await this._client.sync(address, options)
+      this._lastAnsweredAt = this._clock.now()
+      return answer
     } catch (error) {
       this._log.info('peer-unreachable', { address, problem: (error as Error).message, ...peerCallFields(error) })
       return undefined
--- a/packages/gateway/src/test/create-sync.ts
+++ b/packages/gateway/src/test/create-sync.ts
@@ -21,11 +21,12 @@
  * @param clock clock of the router
  * @param surroundings calls to other routers, and whether the router fails to read the store
  */
-export function createSync (state: FleetState, clock: ElapsedClock, { sync: call, transfer: transferCall, isStoreFailing }: Surroundings): FleetSync {
+export function createSync (state: FleetState, clock: ElapsedClock, surroundings: Surroundings): FleetSync {
+  const { sync: call, transfer: transferCall } = surroundings
   const log = new SilentEventLog()
   const transfer = new ConfigurationTransfer(state.configuration, transferCall, clock, log)
   const client = new SyncClient(state, clock, call, transfer, () => undefined)
-  const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => isStoreFailing }, clock, log)
+  const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => surroundings.isStoreFailing }, clock, log)
   transfer.onAdopted(() => sync.syncSoon())
   connectLimits(state, sync)
   return sync
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -69,7 +69,8 @@
 
 /** In-memory implementation of the store, for tests. */
 export class MemoryStore implements FleetStore {
-  readonly era = new StoreEra({ now: () => performance.now() }, new SilentEventLog())
+  /** Uses the time of `GatewayFixture.clock`, since the times of readings are compared with it. */
+  readonly era = new StoreEra({ now: () => performance.now() + 1_000_000 }, new SilentEventLog())
   readonly operatorRecords = new MemoryTopic<OperatorRecord>(this.era)
   readonly configurations = new Configurations(this.operatorRecords)
   readonly endpoints = new MemoryTopic<EndpointEntry>(this.era)
--- a/packages/gateway/src/test/simulated-network.ts
+++ b/packages/gateway/src/test/simulated-network.ts
@@ -46,15 +46,18 @@
    * @param bytes length of the message
    */
   async send (from: string, to: string, bytes: number): Promise<void> {
-    if (this._cutOff.has(from) || this._cutOff.has(to)) {
-      await pause(CALL_TIMEOUT_MS)
-      throw new Error('no answer')
-    }
+    if (this._cutOff.has(from) || this._cutOff.has(to)) await this.loseMessage()
     const sentAt = from === 'store' ? Date.now() : this._use(`${from} up`, Date.now(), bytes)
     const arrivedAt = this._use(`${to} down`, sentAt - bytes / this._bytesPerMs + LATENCY_MS, bytes)
     await pause(Math.max(sentAt + LATENCY_MS, arrivedAt) - Date.now())
   }
 
+  /** Rejects after the time for which a sender waits for an answer. */
+  async loseMessage (): Promise<never> {
+    await pause(CALL_TIMEOUT_MS)
+    throw new Error('no answer')
+  }
+
   private _use (link: string, from: number, bytes: number): number {
     const end = Math.max(from, this._usedUntil.get(link) ?? -Infinity) + bytes / this._bytesPerMs
     this._usedUntil.set(link, end)
--- a/packages/gateway/src/test/slow-fleet.ts
+++ b/packages/gateway/src/test/slow-fleet.ts
@@ -26,6 +26,12 @@
   readonly goneAt = new Map<string, number>()
   stored: GatewayConfiguration = createLargeConfiguration(1, FIRST_ROUTES)
   isLeaving = false
+  /** Evacuated zones in the store, and the offset of its next record. */
+  evacuated: readonly string[] = []
+  offset = 1
+  /** Names of the routers that the store does not serve, and of those that reach no other router. */
+  readonly withoutStore = new Set<string>()
+  readonly withoutPeers = new Set<string>()
   private readonly _signal: AbortSignal
   private readonly _endpointCount: number
   private readonly _routers = new Map<string, { readonly state: FleetState, readonly sync: FleetSync, readonly server: SyncServer }>()
@@ -61,19 +67,21 @@
     state.configuration.adopt(this.stored, 'store')
     state.configuration.markVerified(clock.now())
     this._readEndpoints(state)
+    const isWithoutStore = (): boolean => this.withoutStore.has(name)
     const sync = createSync(state, clock, {
       sync: async (address, request) => await this._call(name, address, request, (server) => server.answer(request)),
       transfer: async (address, fromVersion) => {
         return await this._call(name, address, fromVersion, (server) => server.configurationUpdate(fromVersion))
       },
-      isStoreFailing: false
+      get isStoreFailing () { return isWithoutStore() }
     })
-    const server = new SyncServer(state, name, () => clock.now(), () => sync.isReader ? 0 : sync.followingDistance)
+    const server = new SyncServer(state, name, () => clock.now(), () => sync.isReader && !isWithoutStore() ? 0 : sync.followingDistance)
     this._routers.set(name, { state, sync, server })
     sync.run(this._signal).catch(() => undefined)
   }
 
   private async _call<Message> (from: string, to: string, request: unknown, answer: (server: SyncServer) => Message): Promise<Message> {
+    if (this.withoutPeers.has(from) || this.withoutPeers.has(to)) await this.network.loseMessage()
     await this.network.send(from, to, lengthOf(request))
     const text = JSON.stringify(answer(this._routers.get(to)?.server as SyncServer))
     await this.network.send(to, from, lengthOf(text))
@@ -85,7 +93,7 @@
     while (!this._signal.aborted) {
       await pause(STORE_POLL_MS, this._signal)
       for (const [name, { state, sync }] of this._routers) {
-        if (sync.isReader && !this.network.isCutOff(name)) this._readStore(state).catch(() => undefined)
+        if ((sync.isReader || sync.isCutOff) && !this.network.isCutOff(name) && !this.withoutStore.has(name)) this._readStore(state).catch(() => undefined)
         this._observe(name, state)
       }
     }
@@ -97,8 +105,9 @@
     if (readAt - state.endpointsFreshness.verifiedAt >= ENDPOINTS_POLL_MS) this._readEndpoints(state)
     if (this._reading.has(name)) return
     this._reading.add(name)
-    const { stored } = this
+    const { stored, offset, evacuated } = this
     if (stored.version > state.configuration.version) await this.network.send('store', name, JSON.stringify(stored).length)
+    state.evacuations.recordReading({ offset, zones: evacuated, isSettled: true })
     state.configuration.adopt(stored, 'store')
     state.configuration.markVerified(readAt)
     this._reading.delete(name)
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -94,7 +94,7 @@
       reader: store.operatorRecords,
       waitMs: CONFIGURATION_WAIT_MS,
       pauseMs: CONFIGURATION_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || configuration.readAt === -Infinity || !evacuations.isKnown,
+      shouldRead: () => this._sync.isReader || this._sync.isCutOff || configuration.readAt === -Infinity || !evacuations.isKnown,
       onPage: (page, readAt) => {
         // Requests that arrive with a new configuration must not reach a zone that was evacuated before.
         evacuationReadings.apply(page, readAt)
