--- a/packages/gateway/src/test/configuration-readings_test.ts
+++ b/packages/gateway/src/test/configuration-readings_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { ConfigurationReadings } from '@mimosarock/gateway/configuration/configuration-readings.js'
+import { selectConfigurations } from '@mimosarock/gateway/configuration/select-configurations.js'
 import { ConfigurationState } from '@mimosarock/gateway/configuration/configuration-state.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
 import { createConfiguration } from './create-configuration.js'
@@ -17,10 +18,14 @@
     const changes = versions.map((version) => ({ key: 'configuration', value: createConfiguration(version) }))
     readings.apply({ changes, nextPosition: { era: storeEra.number, offset: 1 }, isSnapshot }, clock.now())
   }
+  const readEvacuation = (): void => {
+    const changes = [{ key: 'evacuation', value: { zone: 'z', isEvacuated: true } }]
+    readings.apply(selectConfigurations({ changes, nextPosition: { era: storeEra.number, offset: 1 }, isSnapshot: false }), clock.now())
+  }
   storeEra.observe(1)
   read(true, 10)
   clock.ms += 1_000
-  return { clock, storeEra, configuration, read }
+  return { clock, storeEra, configuration, read, readEvacuation }
 }
 
 test('an older version that the copy holds does not replace the one in force and is no news of the operator', () => {
@@ -52,6 +57,15 @@
   expect(configuration.ageMs).toBe(0)
 })
 
+// Guards against API keys that are served because the operator evacuates a zone while a later configuration may be lost.
+test('an evacuation is no news of the configuration', () => {
+  const { storeEra, configuration, read, readEvacuation } = createRouter()
+  storeEra.observe(2)
+  read(true, 10)
+  readEvacuation()
+  expect(configuration.ageMs).toBe(1_000)
+})
+
 test('a reading of the copy counts as a reading, so that the other routers go on following this one', () => {
   const { clock, storeEra, configuration, read } = createRouter()
   storeEra.observe(2)
--- a/packages/gateway/src/test/zone-evacuations_test.ts
+++ b/packages/gateway/src/test/zone-evacuations_test.ts
@@ -4,7 +4,13 @@
 import { EvacuationReadings } from '@mimosarock/gateway/evacuation/evacuation-readings.js'
 import { UnknownZoneWarning } from '@mimosarock/gateway/evacuation/unknown-zone-warning.js'
 import { ZoneEvacuations } from '@mimosarock/gateway/evacuation/zone-evacuations.js'
+import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
+import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
+import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
+import type { SyncRequest } from '@mimosarock/gateway/membership/sync-request.js'
+import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
+import { createFleetState } from './create-fleet-state.js'
 
 const ZONES = ['za', 'zb', 'zc']
 const SETTLED_MS = 2_200
@@ -51,6 +57,15 @@
   expect(zones()).toEqual(['zb'])
 })
 
+// Pages of a snapshot are read one after the other, so two routers can read different zones as of the same offset.
+test('of two snapshots with the same offset, the zones of both are evacuated until a later record decides', () => {
+  read(1, 10, ['za'], true)
+  evacuations.learn([{ era: 1, offset: 10, zones: ['zb'], isSettled: true }], 'other', true)
+  expect(zones()).toEqual(['za', 'zb'])
+  read(1, 11, ['-zb'])
+  expect(zones()).toEqual(['za'])
+})
+
 test('an older copy without the record ends no evacuation while the store settles, one with another record adds that', () => {
   read(1, 10, ['za'], true)
   read(2, 5, ['zb'], true)
@@ -150,6 +165,26 @@
   expect(evacuations.newsFor(told)).toBeUndefined()
 })
 
+// Guards against a router that reads the store itself, since it was cut off, and does not tell the others what they cannot read.
+test('a router tells the one that it syncs with what it has read, and learns from it', async () => {
+  const [follower, reader] = [createFleetState('follower', clock), createFleetState('reader', clock)]
+  const server = new SyncServer(reader, 'i', () => clock.ms, () => 0)
+  const answers: SyncAnswer[] = []
+  const call = async (_: string, request: SyncRequest): Promise<SyncAnswer> => {
+    answers.push(JSON.parse(JSON.stringify(server.answer(JSON.parse(JSON.stringify(request))))))
+    return answers.at(-1) as SyncAnswer
+  }
+  const transfer = new ConfigurationTransfer(follower.configuration, async () => await Promise.reject(new Error('unused')), clock, { info: () => undefined, warn: () => undefined })
+  const client = new SyncClient(follower, clock, call, transfer, () => undefined)
+  follower.evacuations.recordReading({ era: 1, offset: 11, zones: ['za'], isSettled: true })
+  reader.evacuations.recordReading({ era: 1, offset: 10, zones: ['zb'], isSettled: true })
+  await client.sync('reader', { reportsLoad: true, followers: [] })
+  expect([[...reader.evacuations.zones], [...follower.evacuations.zones], answers[0]?.evacuations]).toEqual([['za'], ['za'], undefined])
+  reader.evacuations.recordReading({ era: 1, offset: 12, zones: [], isSettled: true })
+  await client.sync('reader', { reportsLoad: true, followers: [] })
+  expect([...follower.evacuations.zones]).toEqual([])
+})
+
 test('listeners hear of each start and end once; news of the followed router is not told back to it', () => {
   const heard: string[] = []
   evacuations.listen({ zoneEvacuated: (zone) => heard.push(`+${zone}`), zoneRestored: (zone) => heard.push(`-${zone}`) })
