--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -19,6 +19,7 @@
 import { recordWarmth } from './record-warmth.js'
 import { reportCallFailure } from './report-call-failure.js'
 import type { RequestDependencies } from './request-dependencies.js'
+import { requireNotEvacuated } from './require-not-evacuated.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
 
 /** Priority of urgent requests. */
@@ -50,6 +51,8 @@
   private _hasTakenRetry = false
   /** Whether the chosen endpoint had a rate limit when it was chosen, for which the request used a permit. */
   private _hasPermit = false
+  /** Whether the call in progress was not sent because the zone of its endpoint is evacuated, which says nothing about its health. */
+  private _isHeldBack = false
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -88,6 +91,7 @@
       if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
       requireNotQuarantined(this._dependencies.quarantine, this._options.content, this._runs)
       const chosen = this._choose(excluded)
+      if (chosen === undefined && this._runs === 0) requireNotEvacuated(this._dependencies.endpoints, authorized.service)
       if (chosen === undefined) throw createNoEndpointError(this._runs, this._retryAfterMs(authorized.service))
       this._chosen = chosen
       this._hasPermit = this._dependencies.permits.isLimited(chosen.endpoint)
@@ -130,7 +134,7 @@
     stallWatch.remove(watched)
     loads.end(endpoint.id)
     quarantine.endCall(content)
-    this._recordHealth(endpoint.id, result)
+    if (!this._isHeldBack) this._recordHealth(endpoint.id, result)
     recordWarmth(this._dependencies.warmUps, endpoint, result)
     if (result.isConnectionLost) this._recordLoss(chosen)
     return result
@@ -138,7 +142,7 @@
 
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
-    const { codec, endpointSelector, warmUps } = this._dependencies
+    const { codec, endpoints, endpointSelector, warmUps } = this._dependencies
     const hadPermit = this._hasPermit
     const headers = codec.writeDispatchHeaders(request.rawHeaders, {
       endpointId: endpoint.id,
@@ -149,9 +153,13 @@
       lastEventId: relay.lastEventId
     })
     const { id } = authorized.caller
+    this._isHeldBack = false
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
-      // The endpoint may have become cold while the request waited for a connection.
-      mayStart: () => endpointSelector.isUsable(endpoint) && (hadPermit || !warmUps.isCold(endpoint)),
+      mayStart: () => {
+        this._isHeldBack = endpoints.isEvacuated(endpoint)
+        // The endpoint may have become cold while the request waited for a connection.
+        return endpointSelector.isUsable(endpoint) && (hadPermit || !warmUps.isCold(endpoint))
+      },
       headReceived: (head) => this._recordWishes(endpoint, head)
     })
   }
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -26,6 +26,11 @@
 const AWAITING_SOURCE_INTERVAL_MS = 100
 /** Time since the last round after which a router may no longer be the reader, since another one may have taken over. */
 const CONFIRMATION_TIMEOUT_MS = 1_500
+/**
+ * Time without an answer of any router after which this one reads the operator's records itself. The search for a router that answers
+ * may take twice as long, and an evacuation has to be known within 5 s.
+ */
+const CUT_OFF_MS = 1_500
 /** Options of a sync with a router that is not followed: exchanges state and known routers, without reporting loads. */
 const DISCOVERY_OPTIONS: SyncOptions = { reportsLoad: false, followers: [] }
 /** Options of a follower that has no followers itself. */
@@ -49,6 +54,7 @@
 export class FleetSync {
   private readonly _routers: RouterTable
   private readonly _client: SyncClient
+  private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private readonly _following: FollowingState
   private readonly _seedDiscovery: SeedDiscovery
@@ -57,6 +63,7 @@
   private readonly _backoffs: PeerBackoffs
   private readonly _pause: RoundPause
   private _followsZonePeer = false
+  private _lastAnsweredAt: number | undefined
   /** Whether a router that was contacted in this round answered with stale state. */
   private _hasMetStale = false
   private _onRoundEnd: () => void = () => undefined
@@ -69,6 +76,7 @@
   constructor (options: FleetSyncOptions, clock: ElapsedClock, log: EventLog) {
     this._routers = options.routers
     this._client = options.client
+    this._clock = clock
     this._following = new FollowingState(clock, log)
     this._backoffs = new PeerBackoffs(clock)
     this._pause = new RoundPause(clock)
@@ -145,6 +153,11 @@
     }
   }
 
+  /** Whether routers have answered this one before, but none has for some time. */
+  get isCutOff (): boolean {
+    return this._lastAnsweredAt !== undefined && this._clock.now() - this._lastAnsweredAt >= CUT_OFF_MS
+  }
+
   /** Starts the next round without a pause, to report a change of this router's state. */
   syncSoon (): void {
     this._pause.end()
@@ -250,7 +263,9 @@
 
   private async _syncWith (address: string, options: SyncOptions): Promise<SyncAnswer | undefined> {
     try {
-      return await this._client.sync(address, options)
+      const answer = await this._client.sync(address, options)
+      this._lastAnsweredAt = this._clock.now()
+      return answer
     } catch (error) {
       this._log.info('peer-unreachable', { address, problem: (error as Error).message, ...peerCallFields(error) })
       return undefined
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -2,6 +2,7 @@
 import { HolderTable } from '../choice/holder-table.js'
 import { LoadView } from '../choice/load-view.js'
 import { WorkspaceFairness } from '../fairness/workspace-fairness.js'
+import { ZoneEvacuations } from '../evacuation/zone-evacuations.js'
 import { EndpointLimits } from '../limits/endpoint-limits.js'
 import { FleetPermits } from '../limits/fleet-permits.js'
 import { ConfigurationState } from '../configuration/configuration-state.js'
@@ -29,7 +30,8 @@
   self: RouterEntry, storeEra: StoreEra, clock: ElapsedClock, log: EventLog, random: () => number, warmUpBounds: () => WarmUpBounds
 ): FleetState {
   const routers = new RouterTable(self, clock)
-  const endpoints = new EndpointTable(clock, log)
+  const evacuations = new ZoneEvacuations(storeEra, log)
+  const endpoints = new EndpointTable(clock, log, evacuations)
   const limits = new EndpointLimits(clock, log)
   const configuration = new ConfigurationState(clock, log)
   const warmUps = new WarmUpTable({ endpoints, ruleOf: (service) => configuration.inForce?.service(service)?.warmUp, bounds: warmUpBounds, clock, log })
@@ -42,6 +44,7 @@
   return {
     storeEra,
     configuration,
+    evacuations,
     endpoints,
     endpointsFreshness: { verifiedAt: -Infinity },
     routers,
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -6,6 +6,7 @@
 import { ServiceAdmissions } from '../admission/service-admissions.js'
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
+import { UnknownZoneWarning } from '../evacuation/unknown-zone-warning.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { RequestDependencies } from '../caller/request-dependencies.js'
@@ -56,6 +57,7 @@
   private readonly _connections = new EndpointConnections()
   private readonly _peerClient = new PeerRpcClient((bytes) => this._metrics.peerBytesReceived.inc(bytes))
   private readonly _fleetState: FleetState
+  private readonly _unknownZoneWarning: UnknownZoneWarning
   private readonly _stallWatch = new StallWatch()
   private readonly _health: EndpointHealth
   private readonly _pauses: EndpointPauses
@@ -78,6 +80,11 @@
       const { warmUpOverage: overage, warmUpTolerance: tolerance } = this._settings.current
       return { overage, tolerance }
     })
+    this._unknownZoneWarning = new UnknownZoneWarning(this._fleetState.evacuations, (zone) => this._isZoneKnown(zone), log)
+    this._fleetState.evacuations.listen({
+      zoneEvacuated: () => undefined,
+      zoneRestored: (zone) => this._fleetState.warmUps.presumeZoneCold(zone)
+    })
     this._tasks = new FleetTasks({
       state: this._fleetState,
       store: options.store,
@@ -192,7 +199,7 @@
 
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
-    const { endpoints, fairness, loads, permits, routers, warmUps } = this._fleetState
+    const { endpoints, evacuations, fairness, loads, permits, routers, warmUps } = this._fleetState
     const availableEndpoints = (service: string): readonly EndpointEntry[] => {
       return this._health.preferHealthy(this._pauses.withoutPaused(endpoints.ready(service)))
     }
@@ -223,6 +230,8 @@
     })
     warmUps.setCapacityOf(({ service, slots }) => slots * MS_PER_SECOND / Math.max(1, admissions.get(service).serviceMs ?? 0))
     loads.onReport(() => admissions.admitQueued())
+    // Requests to a service without endpoints in other zones are refused at once instead of after their time in the queue.
+    evacuations.listen({ zoneEvacuated: () => admissions.admitQueued(), zoneRestored: () => undefined })
     permits.setQueues({
       queued: (service) => admissions.get(service).queued,
       permitsArrived: (count) => {
@@ -261,13 +270,19 @@
   }
 
   private _openGateWhenReady (): void {
-    const { configuration, endpointsFreshness } = this._fleetState
+    const { configuration, endpointsFreshness, evacuations } = this._fleetState
+    if (endpointsFreshness.verifiedAt > -Infinity) this._unknownZoneWarning.check()
     if (this._startupGate.isOpen || !this._tasks.hasAskedSeeds) return
-    if (configuration.inForce === undefined || endpointsFreshness.verifiedAt === -Infinity) return
+    if (configuration.inForce === undefined || !evacuations.isKnown || endpointsFreshness.verifiedAt === -Infinity) return
     this._startupGate.open()
     this._options.log.info('ready', { version: configuration.version })
   }
 
+  private _isZoneKnown (zone: string): boolean {
+    const { endpoints, routers } = this._fleetState
+    return [...endpoints.entries, ...routers.inReaderOrder()].some(({ availabilityZone }) => availabilityZone === zone)
+  }
+
   private get _isReady (): boolean {
     return !this._state.isStopping && this._startupGate.isOpen
   }
