Home regions of routes and workspaces

Cause: a route or workspace may allow its requests to run in some regions only (docs/design/hard-load.md, section 3). The router knew neither the lists nor the regions of zones, and its admission control has one limit and one queue for all requests of a service.

Change: allowedRegions of routes and tenants is decoded; a malformed list is marked and replaced by the last valid one. HomeRegions computes where a request may run, CurrentHomes by the configuration in force at each decision. The choice of endpoints, their rendezvous order and the sources of contexts obey it. Requests with the same homes have a concurrency limit and a queue of their own; the queues of a service take turns.

The whole suite was not run for this commit.

--- a/packages/gateway/src/admission/fleet-concurrency-limit-options.ts
+++ b/packages/gateway/src/admission/fleet-concurrency-limit-options.ts
@@ -1,5 +1,6 @@
 import type { LoadView } from '../choice/load-view.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
+import type { Homes } from '../homes/homes.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 
 /** Inputs of a `FleetConcurrencyLimit`. */
@@ -13,8 +14,9 @@
   /**
    * Returns the endpoints that can take requests now.
    * @param service name of the service
+   * @param homes regions of the endpoints; undefined for all of them
    */
-  readonly availableEndpoints: (service: string) => readonly EndpointEntry[]
+  readonly availableEndpoints: (service: string, homes?: Homes) => readonly EndpointEntry[]
   /** Permits for requests to endpoints with a rate limit; undefined if endpoints have none. */
   readonly permits?: Pick<FleetPermits, 'isNeeded' | 'heldFor'> | undefined
   /** Returns the time of a monotonic clock, in milliseconds. */
@@ -22,6 +24,7 @@
   /**
    * Returns the mean time that a request of a service takes, in milliseconds; undefined if it is not known.
    * @param service name of the service
+   * @param homes regions in which alone the requests may run; undefined if they may run everywhere
    */
-  readonly serviceMs: (service: string) => number | undefined
+  readonly serviceMs: (service: string, homes?: Homes) => number | undefined
 }
--- a/packages/gateway/src/admission/fleet-concurrency-limit.ts
+++ b/packages/gateway/src/admission/fleet-concurrency-limit.ts
@@ -1,4 +1,5 @@
 import type { FleetPermits } from '../limits/fleet-permits.js'
+import type { Homes } from '../homes/homes.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import { LoadForecast } from './load-forecast.js'
 import type { FleetConcurrencyLimitOptions } from './fleet-concurrency-limit-options.js'
@@ -15,6 +16,14 @@
  */
 const SMALL_SHARE_MULTIPLE = 2
 
+/** Requests that share a limit: those of a service, or those of a service with the same home regions. */
+interface LimitedRequests {
+  readonly service: string
+  readonly homes: Homes | undefined
+  /** Identifies them. */
+  readonly key: string
+}
+
 /** State of a service at the time of the last load report. */
 interface ReportSnapshot {
   readonly reportCount: number
@@ -55,14 +64,16 @@
    * Returns the number of requests that this router may have in flight. Without known endpoints the limit is infinite,
    * since there is none that could be overloaded.
    * @param service name of the service
+   * @param homes regions in which alone the requests may run; undefined if they may run everywhere
    */
-  limit (service: string): number {
-    const available = this._options.availableEndpoints(service)
+  limit (service: string, homes?: Homes): number {
+    const available = this._options.availableEndpoints(service, homes)
     if (available.length === 0) return Infinity
     const { permits } = this._options
-    if (permits === undefined || !permits.isNeeded) return this._concurrencyLimit(service, available)
+    const requests = { service, homes, key: homes === undefined ? service : `${service} ${homes.key}` }
+    if (permits === undefined || !permits.isNeeded) return this._concurrencyLimit(requests, available)
     const unlimited = available.filter((endpoint) => permits.heldFor(endpoint) === undefined)
-    return this._limitAtRateLimited(available, permits) + this._concurrencyLimit(service, unlimited)
+    return this._limitAtRateLimited(available, permits) + this._concurrencyLimit(requests, unlimited)
   }
 
   /** Returns how many requests may be in flight at the endpoints with a rate limit: those that are, and as many as there are permits. */
@@ -73,37 +84,37 @@
     }, 0)
   }
 
-  private _concurrencyLimit (service: string, endpoints: readonly EndpointEntry[]): number {
+  private _concurrencyLimit (requests: LimitedRequests, endpoints: readonly EndpointEntry[]): number {
     if (endpoints.length === 0) return 0
     const routers = Math.max(1, this._options.routerCount())
-    const serviceMs = this._options.serviceMs(service)
+    const serviceMs = this._options.serviceMs(requests.service, requests.homes)
     const capacity = endpoints.reduce((sum, { slots }) => sum + slots + queuedRequests(slots, serviceMs), 0)
-    const { local, remote, roundingOffset } = this._snapshot(service, endpoints)
+    const { local, remote, roundingOffset } = this._snapshot(requests, endpoints)
     const total = local + remote
     const spareShare = shareOfSpareCapacity(capacity - total, capacity, routers, local / Math.max(1, total))
     const minimum = total < capacity ? MINIMUM_BELOW_CAPACITY : 0
     return Math.max(minimum, Math.floor(guaranteedShare(capacity / routers) + roundingOffset), Math.floor(local + spareShare + roundingOffset))
   }
 
-  private _snapshot (service: string, endpoints: readonly EndpointEntry[]): ReportSnapshot {
+  private _snapshot (requests: LimitedRequests, endpoints: readonly EndpointEntry[]): ReportSnapshot {
     const { loads } = this._options
-    const cached = this._snapshots.get(service)
+    const cached = this._snapshots.get(requests.key)
     if (cached?.reportCount === loads.reportCount) return cached
     const local = sumOf(endpoints, (id) => loads.localLoad(id))
-    const remote = this._forecastRemote(service, sumOf(endpoints, (id) => loads.total(id)) - local)
+    const remote = this._forecastRemote(requests, sumOf(endpoints, (id) => loads.total(id)) - local)
     const snapshot = { reportCount: loads.reportCount, local, remote, roundingOffset: this._options.random() }
-    this._snapshots.set(service, snapshot)
+    this._snapshots.set(requests.key, snapshot)
     return snapshot
   }
 
-  private _forecastRemote (service: string, reported: number): number {
-    let forecast = this._forecasts.get(service)
+  private _forecastRemote ({ service, homes, key }: LimitedRequests, reported: number): number {
+    let forecast = this._forecasts.get(key)
     if (forecast === undefined) {
       forecast = new LoadForecast()
-      this._forecasts.set(service, forecast)
+      this._forecasts.set(key, forecast)
     }
     forecast.record(reported, this._options.now())
-    return forecast.requests(this._options.serviceMs(service))
+    return forecast.requests(this._options.serviceMs(service, homes))
   }
 }
 
--- a/packages/gateway/src/admission/rank-queues.ts
+++ b/packages/gateway/src/admission/rank-queues.ts
@@ -86,13 +86,15 @@
     this._size += 1
   }
 
+  /** Admitted fraction of the rank that is served next, divided by its weight; undefined if no request is queued. */
+  get nextFraction (): number | undefined {
+    const next = this._next()
+    return next === undefined ? undefined : admittedFraction(next)
+  }
+
   /** Removes and returns the next request in scheduling order; undefined if none is queued. */
   take (): QueuedRequest | undefined {
-    let next: RankQueue | undefined
-    for (const queue of this._rankQueues.values()) {
-      if (queue.requests.size > 0 && (next === undefined || isMoreUnderserved(queue, next))) next = queue
-    }
-    const request = next?.requests.take()
+    const request = this._next()?.requests.take()
     if (request !== undefined) this._size -= 1
     return request
   }
@@ -108,6 +110,14 @@
     return wasQueued
   }
 
+  private _next (): RankQueue | undefined {
+    let next: RankQueue | undefined
+    for (const queue of this._rankQueues.values()) {
+      if (queue.requests.size > 0 && (next === undefined || isMoreUnderserved(queue, next))) next = queue
+    }
+    return next
+  }
+
   private _sumAdmissions (read: (admissions: DecayingCounter) => number): number {
     let sum = 0
     for (const { admissions } of this._rankQueues.values()) sum += read(admissions)
--- a/packages/gateway/src/admission/service-admission-options.ts
+++ b/packages/gateway/src/admission/service-admission-options.ts
@@ -11,6 +11,10 @@
   readonly limit: () => number
   /** Rate limits of the endpoints; undefined if they have none. */
   readonly rateLimit?: RateLimit | undefined
+  /** Called when a request was released, to admit queued ones; undefined if no other queue uses the same endpoints. */
+  readonly onReleased?: (() => void) | undefined
+  /** Returns the number of requests in flight at the endpoints; undefined if all of them are requests of this queue. */
+  readonly inFlightAtEndpoints?: (() => number) | undefined
   /** Returns a random number from 0 (inclusive) to 1 (exclusive), which jitters the retry delays of rejected callers. */
   readonly random: () => number
 }
--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -30,6 +30,7 @@
   private readonly _rejections: DecayingCounter
   private readonly _times = new ServiceTimes()
   private _inFlight = 0
+  private _undispatched = 0
 
   /**
    * @param options settings and dependencies
@@ -45,11 +46,24 @@
     return this._inFlight
   }
 
+  /** Number of requests in flight that have not been dispatched to an endpoint yet. */
+  get undispatched (): number {
+    return this._undispatched
+  }
+
   /** Mean time from the admission of a request to its release, in milliseconds; undefined before the first one. */
   get serviceMs (): number | undefined {
     return this._times.serviceMs === 0 ? undefined : this._times.serviceMs
   }
 
+  /**
+   * Admitted fraction of the rank that is served next, by which the queues of one service take turns; undefined if no
+   * queued request can be admitted.
+   */
+  get nextFraction (): number | undefined {
+    return this._queues.size > 0 && this._hasCapacity() ? this._queues.nextFraction : undefined
+  }
+
   /** Number of queued requests. */
   get queued (): number {
     return this._queues.size
@@ -113,16 +127,37 @@
   release (serviceMs: number): void {
     this._inFlight -= 1
     this._times.recordServiceTime(serviceMs)
-    this.admitQueued()
+    this._admitNextRequests()
+  }
+
+  /** Records that an admitted request was dispatched to an endpoint. */
+  recordDispatch (): void {
+    this._undispatched -= 1
+  }
+
+  /** Releases the capacity of an admitted request that was not dispatched, and admits queued requests. */
+  withdraw (): void {
+    this._inFlight -= 1
+    this._undispatched -= 1
+    this._admitNextRequests()
   }
 
   /** Admits queued requests up to the current limit; call it when the limit may have grown. */
   admitQueued (): void {
-    while (this._queues.size > 0 && this._hasCapacity()) {
-      const next = this._queues.take() as QueuedRequest
-      this._countAdmitted(next)
-      next.settle()
-    }
+    while (this._queues.size > 0 && this._hasCapacity()) this.admitNext()
+  }
+
+  /** Admits the queued request that is served next, whatever the limit is. */
+  admitNext (): void {
+    const next = this._queues.take()
+    if (next === undefined) return
+    this._countAdmitted(next)
+    next.settle()
+  }
+
+  private _admitNextRequests (): void {
+    if (this._options.onReleased === undefined) this.admitQueued()
+    else this._options.onReleased()
   }
 
   private _hasCapacity (): boolean {
@@ -131,12 +166,13 @@
 
   /** Returns the mean time between two admissions from the queue, in milliseconds. */
   private _releaseIntervalMs (): number {
-    const byCapacity = this._times.serviceMs / Math.max(1, this._inFlight)
+    const byCapacity = this._times.serviceMs / Math.max(1, this._inFlight, this._options.inFlightAtEndpoints?.() ?? 0)
     return Math.max(byCapacity, this._options.rateLimit?.intervalMs() ?? 0)
   }
 
   private _countAdmitted (rank: RequestRank): void {
     this._inFlight += 1
+    this._undispatched += 1
     this._queues.countAdmission(rank)
   }
 
--- a/packages/gateway/src/admission/service-admissions-options.ts
+++ b/packages/gateway/src/admission/service-admissions-options.ts
@@ -1,4 +1,5 @@
 import type { PlacementClock } from '@mimosarock/placement/placement-clock.js'
+import type { Homes } from '../homes/homes.js'
 import type { RateLimit } from './rate-limit.js'
 
 /** Settings and dependencies of the admission control of all services. */
@@ -8,15 +9,23 @@
   /**
    * Returns the maximum number of requests of a service that this router may have in flight.
    * @param service name of the service
+   * @param homes regions in which alone the requests may run; undefined if they may run everywhere
    */
-  readonly limitOf: (service: string) => number
+  readonly limitOf: (service: string, homes?: Homes) => number
+  /**
+   * Returns the number of requests that this router has in flight at the endpoints of a service in some regions.
+   * @param service name of the service
+   * @param homes the regions
+   */
+  readonly loadAt: (service: string, homes: Homes) => number
   /** Returns the maximum number of requests that this process may have in flight over all services. */
   readonly processLimit: () => number
   /**
    * Returns the rate limits of the endpoints of a service.
    * @param service name of the service
+   * @param homes regions in which alone the requests may run; undefined if they may run everywhere
    */
-  readonly rateLimitOf: (service: string) => RateLimit
+  readonly rateLimitOf: (service: string, homes?: Homes) => RateLimit
   /** Returns a random number from 0 (inclusive) to 1 (exclusive), which jitters the retry delays of rejected callers. */
   readonly random: () => number
 }
--- a/packages/gateway/src/caller/authorize-request.ts
+++ b/packages/gateway/src/caller/authorize-request.ts
@@ -28,14 +28,18 @@
   if (inForce === undefined) {
     throw notRunError(ResultCode.CONFIGURATION_NOT_LOADED, 'no configuration has been loaded yet', NO_CONFIGURATION_RETRY_MS)
   }
-  const route = inForce.routes.find(host, pathOf(target))
+  const path = pathOf(target)
+  const route = inForce.routes.find(host, path)
   if (route === undefined) throw new MimosarockError(ResultCode.ROUTE_UNKNOWN, 'no route matches the host and path')
   const workspace = workspaceOf(caller, route, inForce, state, keyAgeLimitMs)
   return {
     caller,
     route,
+    host,
+    path,
     service: pickService(route.shares, caller.id),
     workspace: workspace?.name,
+    workspaceHomeRegions: workspace?.homeRegions,
     priority: workspace?.priority ?? route.priority,
     configurationVersion: inForce.configuration.version
   }
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -12,6 +12,7 @@
 import type { CallResult } from '../sending/call-result.js'
 import { EndpointCall } from '../sending/endpoint-call.js'
 import type { WatchedCall } from '../sending/watched-call.js'
+import type { AuthorizedRequest } from './authorized-request.js'
 import { createCallError } from './create-call-error.js'
 import { createDeadlineError } from './create-deadline-error.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
@@ -83,7 +84,7 @@
       if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
       requireNotQuarantined(this._dependencies.quarantine, this._options.content, this._runs)
       const chosen = this._choose(excluded)
-      if (chosen === undefined) throw createNoEndpointError(this._runs, this._retryAfterMs(authorized.service))
+      if (chosen === undefined) throw this._noEndpointError(authorized)
       this._chosen = chosen
       this._dependencies.permits.take(chosen.endpoint)
       excluded.add(chosen.endpoint.id)
@@ -94,16 +95,20 @@
   }
 
   private _choose (excluded: ReadonlySet<string>): ChosenEndpoint | undefined {
-    const { endpointSelector, routeTimes } = this._dependencies
+    const { currentHomes, endpointSelector, routeTimes } = this._dependencies
     const { service, route, caller } = this._options.authorized
-    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name) })
+    const mayRunAt = currentHomes.of(this._options.authorized)?.mayRunAt
+    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name), mayRunAt })
   }
 
-  /** Returns the milliseconds until an endpoint may be available; undefined if it is not known. */
-  private _retryAfterMs (service: string): number | undefined {
-    const { endpoints, endpointSelector, permits } = this._dependencies
-    const pauseMs = endpointSelector.pauseMs(service)
-    return pauseMs > 0 ? pauseMs : permits.intervalMs(service, endpoints.ready(service))
+  private _noEndpointError (authorized: AuthorizedRequest): MimosarockError {
+    const { currentHomes, endpoints, endpointSelector, permits } = this._dependencies
+    const { service } = authorized
+    const homes = currentHomes.of(authorized)
+    const pauseMs = endpointSelector.pauseMs(service, homes?.mayRunAt)
+    const ready = endpoints.ready(service)
+    const intervalMs = permits.intervalMs(service, homes === undefined ? ready : ready.filter(homes.mayRunAt))
+    return createNoEndpointError(this._runs, pauseMs > 0 ? pauseMs : intervalMs, homes)
   }
 
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
@@ -130,7 +135,7 @@
 
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
-    const { codec, endpointSelector } = this._dependencies
+    const { codec, currentHomes, endpointSelector } = this._dependencies
     const headers = codec.writeDispatchHeaders(request.rawHeaders, {
       endpointId: endpoint.id,
       deadlineMs: Math.floor(this._options.timeLeftMs()),
@@ -141,7 +146,7 @@
     })
     const { id } = authorized.caller
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
-      mayStart: () => endpointSelector.isUsable(endpoint),
+      mayStart: () => endpointSelector.isUsable(endpoint) && currentHomes.of(authorized)?.mayRunAt(endpoint) !== false,
       headReceived: (head) => this._recordWishes(endpoint, head)
     })
   }
--- a/packages/gateway/src/caller/report-request.ts
+++ b/packages/gateway/src/caller/report-request.ts
@@ -1,4 +1,6 @@
+import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { EndpointSelector } from '../choice/endpoint-selector.js'
+import type { Homes } from '../homes/homes.js'
 import type { RequestDependencies } from './request-dependencies.js'
 import type { RequestRecord } from './request-record.js'
 
@@ -9,10 +11,11 @@
  * @param dependencies log, metrics and configuration
  * @param record outcome of the request
  */
-export function reportRequest ({ log, metrics, configuration, limits }: RequestDependencies, record: RequestRecord): void {
+export function reportRequest ({ log, metrics, configuration, currentHomes, limits }: RequestDependencies, record: RequestRecord): void {
   const { authorized, chosen, status, code, elapsedMs } = record
   const route = authorized?.route.name ?? 'none'
   metrics.requests.inc({ route, status, code })
+  if (code === ResultCode.HOME_UNAVAILABLE) metrics.homeRefusals.inc({ service: authorized?.service ?? 'none' })
   metrics.responseSeconds.observe({ route }, elapsedMs / MS_PER_SECOND)
   log.info('request', {
     request: record.requestId,
@@ -21,6 +24,7 @@
     service: authorized?.service,
     workspace: authorized?.workspace,
     priority: authorized?.priority,
+    homes: authorized === undefined ? undefined : describe(currentHomes.of(authorized)),
     configuration: authorized?.configurationVersion,
     configuration_age_ms: Math.round(configuration.ageMs),
     key: authorized === undefined ? undefined : EndpointSelector.keyOf(authorized.caller.prompt),
@@ -40,3 +44,7 @@
     problem: record.problem
   })
 }
+
+function describe (homes: Homes | undefined): string | undefined {
+  return homes === undefined ? undefined : homes.regions.join(',') || 'none'
+}
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -19,6 +19,7 @@
 import type { StallWatch } from '../sending/stall-watch.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
 import type { GatewayState } from '../model/gateway-state.js'
+import type { CurrentHomes } from './current-homes.js'
 import type { StartupGate } from './startup-gate.js'
 import type { EventLoopMeter } from './event-loop-meter.js'
 
@@ -38,6 +39,8 @@
   readonly routeTimes: RouteTimes
   /** Measures iterations of the event loop. */
   readonly eventLoopMeter: EventLoopMeter
+  /** Regions in which alone requests may run. */
+  readonly currentHomes: CurrentHomes
   /** Chooses the endpoint of a request. */
   readonly endpointSelector: EndpointSelector
   /** Registered endpoints. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -5,6 +5,7 @@
 import type { ServiceAdmission } from '../admission/service-admission.js'
 import { ResponseRelay } from '../responses/response-relay.js'
 import { sendErrorResponse } from '../responses/send-error-response.js'
+import type { Homes } from '../homes/homes.js'
 import type { RequestContent } from '../model/request-content.js'
 import { RouteKind } from '../model/route-kind.js'
 import { authorizeRequest } from './authorize-request.js'
@@ -76,10 +77,11 @@
       const body = await readRequestBody(this._request, this._maximumBodyBytes())
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
-      this._requireEndpointWithinWait(authorized)
+      this._requireEndpointWithinWait(authorized, this._dependencies.currentHomes.of(authorized))
       admission = await this._waitForAdmission(authorized)
-      this._authorizeAgainAfterDelay()
-      await this._serve(authorized, content, body)
+      const served = this._serve(authorized, content, body)
+      admission.recordDispatch()
+      await served
     } catch (error) {
       code = this._handleError(error as Error)
     }
@@ -130,18 +132,38 @@
     throw notRunError(ResultCode.ROUTER_STOPPING, 'the router is stopping and cannot finish the request in time', 0)
   }
 
-  /** Rejects the request if all endpoints of its service want no requests for longer than it may wait. */
-  private _requireEndpointWithinWait ({ service, route }: AuthorizedRequest): void {
-    const pauseMs = this._dependencies.endpointSelector.pauseMs(service)
-    if (pauseMs > route.objectiveMs * MAXIMUM_WAIT_FRACTION) throw createNoEndpointError(0, pauseMs)
+  /**
+   * Rejects the request if it has home regions and there is no endpoint in them, or if all endpoints where it may run want no
+   * requests for longer than it may wait.
+   */
+  private _requireEndpointWithinWait ({ service, route }: AuthorizedRequest, homes: Homes | undefined): void {
+    const { endpointSelector } = this._dependencies
+    if (homes !== undefined && !endpointSelector.hasEndpoint(service, homes.mayRunAt)) throw createNoEndpointError(0, undefined, homes)
+    const pauseMs = endpointSelector.pauseMs(service, homes?.mayRunAt)
+    if (pauseMs > route.objectiveMs * MAXIMUM_WAIT_FRACTION) throw createNoEndpointError(0, pauseMs, homes)
   }
 
   /** Admits the request to its service; queues it while the service has no capacity. */
   private async _waitForAdmission (authorized: AuthorizedRequest): Promise<ServiceAdmission> {
-    const { admissions, clock, permits } = this._dependencies
     // The caller may have disconnected before its request was read; the disconnect is read in the next iteration.
     await nextEventLoopIteration()
     if (this._isCallerDisconnected || this._request.socket.readableEnded) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+    const { admissions, currentHomes, permits } = this._dependencies
+    permits.countRequest(authorized.service)
+    for (;;) {
+      const homes = currentHomes.of(authorized)
+      const admission = admissions.get(authorized.service, homes)
+      await this._admit(admission, authorized)
+      const newHomes = currentHomes.of(authorized)
+      if (newHomes === homes) return admission
+      // The configuration has changed while the request was queued: there may be no capacity where it may run now.
+      admission.withdraw()
+      this._requireEndpointWithinWait(authorized, newHomes)
+    }
+  }
+
+  private async _admit (admission: ServiceAdmission, authorized: AuthorizedRequest): Promise<void> {
+    const { clock } = this._dependencies
     const request = {
       workspace: authorized.workspace,
       rank: authorized.priority,
@@ -149,23 +171,21 @@
       objectiveMs: authorized.route.objectiveMs,
       timeLeftMs: this._timeLeftMs(authorized)
     }
-    const admission = admissions.get(authorized.service)
-    permits.countRequest(authorized.service)
     this._admittedAt = clock.now()
-    if (admission.tryAdmit(request)) return admission
+    if (admission.tryAdmit(request)) return
     this._admissionWait = new AbortController()
     const queuedAt = this._admittedAt
     try {
       await admission.wait(request, this._admissionWait.signal)
-      return admission
     } finally {
       this._admittedAt = clock.now()
-      this._waitedMs = this._admittedAt - queuedAt
+      this._waitedMs += this._admittedAt - queuedAt
     }
   }
 
   private async _serve (authorized: AuthorizedRequest, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
+    this._authorizeAgainAfterDelay()
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
     const relay = new ResponseRelay({
--- a/packages/gateway/src/choice/choice-constraints.ts
+++ b/packages/gateway/src/choice/choice-constraints.ts
@@ -6,6 +6,9 @@
   readonly excluded: ReadonlySet<string>
   /** Whether the request takes much less time than most; a rate limit counts it as much as any. False if left out. */
   readonly isShort?: boolean
-  /** Returns whether the request may run at an endpoint; left out if it may run at all of them. */
-  readonly mayRunAt?: (endpoint: EndpointEntry) => boolean
+  /**
+   * Returns whether the request may run at an endpoint, and its context may be copied from it; undefined if it may run at all of
+   * them. The same function for all requests with the same constraint, for which an order of the endpoints is kept.
+   */
+  readonly mayRunAt?: ((endpoint: EndpointEntry) => boolean) | undefined
 }
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -25,6 +25,12 @@
 /** Number of hexadecimal digits of a key of the rendezvous order. */
 const KEY_DIGITS = 16
 
+/** Returns whether a request may run at an endpoint. */
+type MayRunAt = NonNullable<ChoiceConstraints['mayRunAt']>
+
+/** Rendezvous orders by service, each with the revision of the endpoints that it was computed from. */
+type OrdersByService = Map<string, { revision: number, order: RendezvousOrder<RendezvousMember> }>
+
 /** Endpoint as a member of a rendezvous order. */
 interface RendezvousMember {
   readonly name: string
@@ -41,7 +47,9 @@
  */
 export class EndpointSelector {
   private readonly _options: EndpointSelectorOptions
-  private readonly _orders = new Map<string, { revision: number, order: RendezvousOrder<RendezvousMember> }>()
+  private readonly _orders: OrdersByService = new Map()
+  /** Orders of the endpoints at which requests with a constraint may run. */
+  private readonly _constrainedOrders = new WeakMap<MayRunAt, OrdersByService>()
 
   /**
    * @param options data and settings that decide the selection
@@ -67,8 +75,8 @@
     const healthy = this._options.health.preferHealthy(ready)
     const candidates = isShort ? this._preferCapacity(healthy, bound) : healthy
     const key = EndpointSelector.keyOf(prompt)
-    if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, [], undefined, bound)
-    return this._chooseForKey(key, service, candidates, bound)
+    if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, undefined, undefined, bound)
+    return this._chooseForKey(key, service, candidates, bound, mayRunAt)
   }
 
   /**
@@ -83,10 +91,19 @@
   /**
    * Returns the milliseconds until the first endpoint of a service takes requests; 0 if one does now, or there is none.
    * @param service name of the service
+   * @param mayRunAt returns whether a request may run at an endpoint; undefined if it may run at all of them
+   */
+  pauseMs (service: string, mayRunAt?: MayRunAt): number {
+    return this._options.pauses.remainingOfAllMs(this._ready(service, mayRunAt))
+  }
+
+  /**
+   * Returns whether a service has an endpoint that is registered and not draining.
+   * @param service name of the service
+   * @param mayRunAt returns whether a request may run at an endpoint; undefined if it may run at all of them
    */
-  pauseMs (service: string): number {
-    const { endpoints, pauses } = this._options
-    return pauses.remainingOfAllMs(endpoints.ready(service))
+  hasEndpoint (service: string, mayRunAt?: MayRunAt): boolean {
+    return this._ready(service, mayRunAt).length > 0
   }
 
   /**
@@ -98,20 +115,30 @@
     return prompt.length > 1 ? prompt[prompt.length - 2]?.id : prompt[0]?.id
   }
 
-  private _chooseForKey (key: string, service: string, candidates: readonly EndpointEntry[], bound: number): ChosenEndpoint {
+  private _ready (service: string, mayRunAt: MayRunAt | undefined): readonly EndpointEntry[] {
+    const ready = this._options.endpoints.ready(service)
+    return mayRunAt === undefined ? ready : ready.filter(mayRunAt)
+  }
+
+  private _chooseForKey (
+    key: string, service: string, candidates: readonly EndpointEntry[], bound: number, mayRunAt: MayRunAt | undefined
+  ): ChosenEndpoint {
     const holders = this._options.holders.holders(key)
     const holdingCandidates = candidates.filter((endpoint) => holders.includes(endpoint.id))
     const withCapacity = holdingCandidates.filter((endpoint) => this._hasCapacity(endpoint, bound))
     const sameZone = withCapacity.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
     const holder = this._leastLoaded(sameZone.length > 0 ? sameZone : withCapacity)
-    if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, [], undefined, bound)
+    if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, undefined, undefined, bound)
     const lookup = this._options.permits.isNeeded ? RENDEZVOUS_LOOKUP_WITH_LIMITS : RENDEZVOUS_CANDIDATES
-    const order = this._order(service).first(key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS), lookup).map((member) => member.endpoint)
-    const source = this._contextSource(holders) ?? this._assumedContextSource(order)
+    const orderKey = key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS)
+    const order = this._order(service, mayRunAt).first(orderKey, lookup).map((member) => member.endpoint)
+    // All routers know the primary among all endpoints, whatever constraints their requests have.
+    const primary = mayRunAt === undefined ? order[0] : this._order(service, undefined).first(orderKey, 1)[0]?.endpoint
+    const source = this._contextSource(holders, mayRunAt) ?? this._assumedContextSource(primary, mayRunAt)
     const available = this._firstAvailable(order, candidates, bound, source !== undefined)
-    if (available !== undefined) return this._createChosen(available, ChoiceReason.HOME, order, source, bound)
+    if (available !== undefined) return this._createChosen(available, ChoiceReason.HOME, primary, source, bound)
     const leastLoaded = this._leastLoaded(this._preferCapacity(candidates, bound)) as EndpointEntry
-    return this._createChosen(leastLoaded, ChoiceReason.LEAST_LOADED, order, source, bound)
+    return this._createChosen(leastLoaded, ChoiceReason.LEAST_LOADED, primary, source, bound)
   }
 
   /**
@@ -147,22 +174,22 @@
   }
 
   private _createChosen (
-    endpoint: EndpointEntry, reason: ChoiceReason, preferred: readonly EndpointEntry[], source: EndpointEntry | undefined, bound: number
+    endpoint: EndpointEntry, reason: ChoiceReason, primary: EndpointEntry | undefined, source: EndpointEntry | undefined, bound: number
   ): ChosenEndpoint {
     return {
       endpoint,
       contextHolder: source === endpoint ? undefined : source,
       reason,
-      isChosenAsPrimary: endpoint === preferred[0],
+      isChosenAsPrimary: endpoint === primary,
       load: this._options.loads.total(endpoint.id),
       bound
     }
   }
 
   /** In a large fleet, primaries are not announced as holders; the primary of a key is assumed to hold its context. */
-  private _assumedContextSource (preferred: readonly EndpointEntry[]): EndpointEntry | undefined {
-    const [primary] = preferred
-    const assumesPrimary = this._options.isFleetLarge() && primary !== undefined && !this._options.health.isUnreachable(primary.id)
+  private _assumedContextSource (primary: EndpointEntry | undefined, mayRunAt: MayRunAt | undefined): EndpointEntry | undefined {
+    if (primary === undefined || mayRunAt?.(primary) === false) return undefined
+    const assumesPrimary = this._options.isFleetLarge() && !this._options.health.isUnreachable(primary.id)
     return assumesPrimary ? primary : undefined
   }
 
@@ -215,10 +242,10 @@
   }
 
   /** Returns a holder from which the context can be copied; an endpoint that is draining or has just left can still export it. */
-  private _contextSource (holders: readonly string[]): EndpointEntry | undefined {
+  private _contextSource (holders: readonly string[], mayRunAt: MayRunAt | undefined): EndpointEntry | undefined {
     for (const id of holders) {
       const entry = this._options.endpoints.findContextSource(id)
-      if (entry !== undefined && !this._options.health.isUnreachable(id)) return entry
+      if (entry !== undefined && !this._options.health.isUnreachable(id) && mayRunAt?.(entry) !== false) return entry
     }
     return undefined
   }
@@ -230,13 +257,24 @@
     return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
   }
 
-  private _order (service: string): RendezvousOrder<RendezvousMember> {
+  private _order (service: string, mayRunAt: MayRunAt | undefined): RendezvousOrder<RendezvousMember> {
     const { endpoints } = this._options
-    const ready = endpoints.ready(service)
-    const cached = this._orders.get(service)
+    const orders = this._ordersWith(mayRunAt)
+    const ready = this._ready(service, mayRunAt)
+    const cached = orders.get(service)
     if (cached?.revision === endpoints.revision) return cached.order
     const order = new RendezvousOrder(ready.map((endpoint) => ({ name: endpoint.id, capacity: endpoint.slots, endpoint })))
-    this._orders.set(service, { revision: endpoints.revision, order })
+    orders.set(service, { revision: endpoints.revision, order })
     return order
   }
+
+  private _ordersWith (mayRunAt: MayRunAt | undefined): OrdersByService {
+    if (mayRunAt === undefined) return this._orders
+    let orders = this._constrainedOrders.get(mayRunAt)
+    if (orders === undefined) {
+      orders = new Map()
+      this._constrainedOrders.set(mayRunAt, orders)
+    }
+    return orders
+  }
 }
--- a/packages/gateway/src/configuration/configuration-in-force.ts
+++ b/packages/gateway/src/configuration/configuration-in-force.ts
@@ -11,6 +11,8 @@
   readonly routes: RouteTable
   private readonly _services = new Map<string, Service>()
   private readonly _workspaces = new Map<string, Workspace>()
+  /** Workspaces by name; undefined until it is needed. */
+  private _workspacesByName: ReadonlyMap<string, Workspace> | undefined
 
   /**
    * @param configuration configuration to index
@@ -47,4 +49,13 @@
   workspaceOf (apiKey: string): Workspace | undefined {
     return this._workspaces.get(apiKey)
   }
+
+  /**
+   * Returns a workspace; undefined if there is none of that name.
+   * @param name name of the workspace
+   */
+  workspace (name: string): Workspace | undefined {
+    this._workspacesByName ??= new Map((this.configuration.workspaces ?? []).map((workspace) => [workspace.name, workspace]))
+    return this._workspacesByName.get(name)
+  }
 }
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -5,6 +5,7 @@
 import { ConfigurationInForce } from './configuration-in-force.js'
 import type { ConfigurationPatch } from './configuration-patch.js'
 import { diffConfigurations } from './diff-configurations.js'
+import { keepHomeRegions } from './keep-home-regions.js'
 
 /** Number of patches retained for routers with an older version, which request updates several times a second. */
 const MAXIMUM_PATCHES = 16
@@ -20,6 +21,7 @@
   private _verifiedAt = -Infinity
   private _readAt = -Infinity
   private readonly _patches: ConfigurationPatch[] = []
+  private readonly _listeners: ((configuration: GatewayConfiguration) => void)[] = []
 
   /**
    * @param clock clock that includes suspensions, since the configuration ages during them
@@ -58,6 +60,14 @@
     return this._clock.now() - this._verifiedAt
   }
 
+  /**
+   * Adds a listener.
+   * @param listener called with each configuration that is put in force
+   */
+  onInForce (listener: (configuration: GatewayConfiguration) => void): void {
+    this._listeners.push(listener)
+  }
+
   /**
    * Adopts a version unless it is older than or the same as the version in force.
    * @param configuration version to adopt
@@ -66,8 +76,9 @@
   adopt (configuration: GatewayConfiguration, source: string): void {
     if (configuration.version <= this.version) return
     const startedAt = performance.now()
-    this._retain(this._patchesTo(configuration))
-    this._putInForce(configuration, source, startedAt)
+    const adopted = keepHomeRegions(configuration, this._inForce?.configuration)
+    this._retain(this._patchesTo(adopted))
+    this._putInForce(adopted, source, startedAt)
   }
 
   /**
@@ -88,7 +99,7 @@
     }
     if (configuration === undefined || newerPatches.length === 0) return
     this._retain(newerPatches)
-    this._putInForce(configuration, source, startedAt)
+    this._putInForce(keepHomeRegions(configuration, this._inForce?.configuration), source, startedAt)
   }
 
   /**
@@ -135,6 +146,7 @@
       routes: configuration.routes.length,
       indexing_ms: Math.round(performance.now() - startedAt)
     })
+    for (const listener of this._listeners) listener(configuration)
   }
 
   /** Returns the patch from the version in force to another one; none if it can't be expressed as a patch. */
--- a/packages/gateway/src/model/route.ts
+++ b/packages/gateway/src/model/route.ts
@@ -25,6 +25,8 @@
   readonly isPublic: boolean
   /** Whether a broken stream may be resumed at another endpoint. */
   readonly isResumable: boolean
-  /** Regions in which alone requests may run; undefined if they may run everywhere. */
+  /** Regions in which alone requests may run; undefined if they may run everywhere, empty if nowhere. */
   readonly homeRegions?: readonly string[] | undefined
+  /** Whether the list of regions is malformed; `homeRegions` is then the last valid one, or empty if none is known. */
+  readonly hasInvalidHomeRegions?: boolean | undefined
 }
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -53,6 +53,21 @@
     registers: [this.registry]
   })
 
+  /** Refused requests without an available endpoint in their home regions, by service. */
+  readonly homeRefusals = new Counter({
+    name: 'mimosarock_home_refusals_total',
+    help: 'Requests that were refused because no endpoint in their home regions was available, by service.',
+    labelNames: ['service'],
+    registers: [this.registry]
+  })
+
+  /** Regions that the configuration names and the settings don't. */
+  readonly unknownHomeRegions = new Gauge({
+    name: 'mimosarock_unknown_home_regions',
+    help: 'Regions that the configuration in force names and the settings of this router do not.',
+    registers: [this.registry]
+  })
+
   /** Endpoints that state a rate limit. */
   readonly limitedEndpoints = new Gauge({
     name: 'mimosarock_limited_endpoints',
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -32,7 +32,9 @@
   }
 
   async start (): Promise<void> {
-    for (const endpoint of this.endpoints) this.store.endpoints.put(endpoint.id, await endpoint.start())
+    for (const [index, endpoint] of this.endpoints.entries()) {
+      this.store.endpoints.put(endpoint.id, await endpoint.start(this._options.registrations?.[index]))
+    }
     if (this._options.store === undefined) this.store.configurations.put('config', createConfiguration(3))
     this._ports = await Promise.all([PortReservation.create(), PortReservation.create(), PortReservation.create()])
     const [callers, readiness, peers] = this._ports.map(({ port }) => port) as [number, number, number]
@@ -60,7 +62,8 @@
       memoryBytes: undefined,
       warmUpOverage: 1,
       warmUpTolerance: 0,
-      grantsSlots: true
+      grantsSlots: true,
+      ...this._options.settings
     }
     this._gateway = new Gateway({
       settings: this._settings,
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -6,6 +6,10 @@
 import { ServiceAdmissions } from '../admission/service-admissions.js'
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
+import { CurrentHomes } from '../caller/current-homes.js'
+import { HomeRegionWarnings } from '../homes/home-region-warnings.js'
+import { HomeRegions } from '../homes/home-regions.js'
+import type { Homes } from '../homes/homes.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { RequestDependencies } from '../caller/request-dependencies.js'
@@ -58,6 +62,7 @@
   private readonly _stallWatch = new StallWatch()
   private readonly _health: EndpointHealth
   private readonly _pauses: EndpointPauses
+  private readonly _homeRegions: HomeRegions
   private readonly _budgets = new Map<string, FleetRetryBudget>()
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
@@ -83,6 +88,8 @@
       log,
       onProgress: () => this._openGateWhenReady()
     })
+    this._homeRegions = new HomeRegions(settings)
+    this._warnOfHomeRegions()
     this._fleetState.endpoints.listen({
       endpointRestarted: (entry) => this._fleetState.holders.removeEndpoint(entry.id),
       endpointRemoved: (entry) => {
@@ -147,6 +154,7 @@
       loads,
       holders,
       startupGate: this._startupGate,
+      currentHomes: new CurrentHomes(this._homeRegions, configuration),
       endpoints,
       pauses: this._pauses,
       limits,
@@ -184,11 +192,23 @@
     }
   }
 
+  private _warnOfHomeRegions (): void {
+    const warnings = new HomeRegionWarnings(this._homeRegions, this._options.log)
+    this._fleetState.configuration.onInForce((configuration) => {
+      warnings.check(configuration)
+      this._metrics.unknownHomeRegions.set(warnings.unknownRegionCount)
+    })
+  }
+
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
     const { endpoints, loads, permits, routers } = this._fleetState
-    const availableEndpoints = (service: string): readonly EndpointEntry[] => {
-      return this._health.preferHealthy(this._pauses.withoutPaused(endpoints.ready(service)))
+    const readyEndpoints = (service: string, homes?: Homes): readonly EndpointEntry[] => {
+      const ready = endpoints.ready(service)
+      return homes === undefined ? ready : ready.filter(homes.mayRunAt)
+    }
+    const availableEndpoints = (service: string, homes?: Homes): readonly EndpointEntry[] => {
+      return this._health.preferHealthy(this._pauses.withoutPaused(readyEndpoints(service, homes)))
     }
     const concurrencyLimit = new FleetConcurrencyLimit({
       loads,
@@ -197,21 +217,27 @@
       availableEndpoints,
       permits,
       now: () => clock.now(),
-      serviceMs: (service) => admissions.get(service).serviceMs
+      serviceMs: (service, homes) => admissions.get(service, homes).serviceMs
     })
     const admissions: ServiceAdmissions = new ServiceAdmissions({
       clock: { now: () => clock.now(), sleep: pause },
-      limitOf: (service) => concurrencyLimit.limit(service),
+      limitOf: (service, homes) => concurrencyLimit.limit(service, homes),
+      loadAt: (service, homes) => readyEndpoints(service, homes).reduce((sum, { id }) => sum + loads.localLoad(id), 0),
       processLimit: () => pressure.limit,
-      rateLimitOf: (service) => ({
-        intervalMs: () => permits.intervalMs(service, availableEndpoints(service)),
+      rateLimitOf: (service, homes) => ({
+        intervalMs: () => permits.intervalMs(service, availableEndpoints(service, homes)),
         requestQueued: () => permits.getForWaiting()
       }),
       random: Math.random
     })
     loads.onReport(() => admissions.admitQueued())
+    endpoints.listen({
+      endpointRestarted: () => undefined,
+      endpointRemoved: () => admissions.admitQueuedWithHomes(),
+      endpointExpired: () => undefined
+    })
     permits.setQueues({
-      queued: (service) => admissions.get(service).queued,
+      queued: (service) => admissions.queued(service),
       permitsArrived: (count) => {
         this._metrics.permitsReceived.inc(count)
         admissions.admitQueued()
