--- a/packages/gateway/src/test/home-requests_test.ts
+++ b/packages/gateway/src/test/home-requests_test.ts
@@ -133,6 +133,25 @@
   expect((await Promise.all(responses)).map(({ status }) => status)).toEqual(Array.from({ length: ROOM + 1 }, () => 200))
 })
 
+test('a request whose homes change while it is queued waits again if they are full, and is not admitted by the room of the old ones', async () => {
+  const split = configurationWith(4, { homeRegions: ['south'] })
+  await configure({ ...split, routes: split.routes.map((route) => route.name === 'short' ? { ...route, homeRegions: ['west'] } : route) })
+  const { releaseOne, arrived } = hold()
+  const inSouth = Array.from({ length: ROOM + 1 }, (_, index) => fixture.call('POST', '/pay/', { 'request-id': `r${index}` }))
+  await arrived(ROOM)
+  const inWest = Array.from({ length: ROOM }, (_, index) => fixture.call('POST', '/short/', { 'request-id': `w${index}` }))
+  await arrived(2 * ROOM)
+  await configure(configurationWith(5, { homeRegions: ['west'] }))
+  for (let count = 0; count < ROOM; count += 1) releaseOne()
+  expect((await Promise.all(inSouth.slice(0, ROOM))).map(({ status }) => status)).toEqual(inWest.map(() => 200))
+  expect(arrivals()).toEqual([0, 0, ROOM, ROOM, 0])
+  releaseOne()
+  await arrived(2 * ROOM + 1)
+  expect(arrivals()).toEqual([0, 0, ROOM, ROOM + 1, 0])
+  for (let count = 0; count < ROOM; count += 1) releaseOne()
+  await Promise.all([...inSouth, ...inWest])
+})
+
 test('a request that is queued when its homes lose their only endpoint is refused as not run, and not sent elsewhere', async () => {
   await configure(configurationWith(4, { homeRegions: ['south'] }))
   const { releaseOne, arrived } = hold()
