Test of home regions that change while a request waits for a connection

Change: a test with two connections for each endpoint; round trips at other endpoints in the test of full homes.

--- a/packages/gateway/src/test/home-requests_test.ts
+++ b/packages/gateway/src/test/home-requests_test.ts
@@ -141,17 +141,38 @@
   await arrived(ROOM)
   const inWest = Array.from({ length: ROOM }, (_, index) => fixture.call('POST', '/short/', { 'request-id': `w${index}` }))
   await arrived(2 * ROOM)
-  await configure(configurationWith(5, { homeRegions: ['west'] }))
+  const allWest = configurationWith(5, { homeRegions: ['west'] })
+  await configure({ ...allWest, routes: allWest.routes.map((route) => route.name === 'read' ? { ...route, homeRegions: ['north'] } : route) })
   for (let count = 0; count < ROOM; count += 1) releaseOne()
   expect((await Promise.all(inSouth.slice(0, ROOM))).map(({ status }) => status)).toEqual(inWest.map(() => 200))
-  expect(arrivals()).toEqual([0, 0, ROOM, ROOM, 0])
+  // Round trips at other endpoints, in which a request that was sent too early would have arrived.
+  for (const endpoint of fixture.endpoints.slice(0, 2)) endpoint.behavior = (request, response) => TestEndpoint.respond(request, response, endpoint.id)
+  for (let count = 0; count < 10; count += 1) await fixture.call('GET', '/read/')
+  expect(arrivals().slice(2)).toEqual([ROOM, ROOM, 0])
   releaseOne()
-  await arrived(2 * ROOM + 1)
-  expect(arrivals()).toEqual([0, 0, ROOM, ROOM + 1, 0])
+  await arrived(2 * ROOM + 11)
+  expect(arrivals().slice(2)).toEqual([ROOM, ROOM + 1, 0])
   for (let count = 0; count < ROOM; count += 1) releaseOne()
   await Promise.all([...inSouth, ...inWest])
 })
 
+test('a request whose homes change while it waits for a connection is not written to an endpoint outside the new ones', async () => {
+  const connections = 2
+  const withFewConnections = (version: number, region: string): GatewayConfiguration => {
+    return { ...configurationWith(version, { homeRegions: [region] }), services: [{ name: 'app', maximumConnections: connections }] }
+  }
+  await configure(withFewConnections(4, 'south'))
+  const { releaseOne, arrived } = hold()
+  const responses = Array.from({ length: ROOM }, (_, index) => fixture.call('POST', '/pay/', { 'request-id': `r${index}` }))
+  await arrived(connections)
+  await configure(withFewConnections(5, 'west'))
+  for (let count = 0; count < connections; count += 1) releaseOne()
+  await arrived(ROOM)
+  expect(arrivals()).toEqual([0, 0, connections, ROOM - connections, 0])
+  for (let count = connections; count < ROOM; count += 1) releaseOne()
+  expect((await Promise.all(responses)).map(({ status }) => status)).toEqual(responses.map(() => 200))
+})
+
 test('a request that is queued when its homes lose their only endpoint is refused as not run, and not sent elsewhere', async () => {
   await configure(configurationWith(4, { homeRegions: ['south'] }))
   const { releaseOne, arrived } = hold()
