Bound on the memory for slow callers, over all connections

Cause: what a router holds for one connection is bounded, the sum over all is not, and a response that nobody reads stays for good (docs/design/hard-load.md, section 8, which lists what was bounded). A response without a length that its endpoint cut off while it was paused looked complete to the caller.

Change: HeldBytes counts request bodies and unsent responses if the settings state a memory limit. Above a quarter of it the responses with the most unsent bytes are paused earlier, above half of it their connections are closed (3026), and a request body that does not fit is refused as not run (3002). The end of a response without a length is not trusted after a pause of a second or longer. A call that breaks after one is no failure of its endpoint.

The whole suite was not run for this commit.

--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -258,6 +258,8 @@
     const { health, stallWatch } = this._dependencies
     if (outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
     if (outcome === CallOutcome.REJECTED) return
+    // An endpoint that cuts off a response which its caller does not read is sound.
+    if (outcome === CallOutcome.BROKEN && this._options.relay.wasUnread) return
     const isSilent = stallWatch.isSilent(endpointId)
     if (outcome === CallOutcome.ABORTED && !isSilent) return
     health.recordFailure(endpointId, isSilent || outcome === CallOutcome.NOT_SENT)
@@ -265,6 +267,7 @@
 
   /** Resumes the endpoint's response after the caller has caught up. */
   resume (): void {
+    this._options.relay.resumed()
     this._call?.resume()
   }
 
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -17,6 +17,7 @@
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
 import type { StallWatch } from '../sending/stall-watch.js'
+import type { HeldBytes } from '../memory/held-bytes.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { CurrentHomes } from './current-homes.js'
@@ -65,6 +66,8 @@
   readonly stallWatch: StallWatch
   /** Connection pools of the endpoints. */
   readonly connections: EndpointConnections
+  /** Bounds the memory for bodies and responses of all connections. */
+  readonly heldBytes: HeldBytes
   /** Metrics of this router. */
   readonly metrics: GatewayMetrics
   /** Lifecycle state of this router. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -3,6 +3,7 @@
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
 import type { ServiceAdmission } from '../admission/service-admission.js'
+import type { HeldConnection } from '../memory/held-connection.js'
 import { ResponseRelay } from '../responses/response-relay.js'
 import { sendErrorResponse } from '../responses/send-error-response.js'
 import type { Homes } from '../homes/homes.js'
@@ -39,6 +40,8 @@
   private readonly _request: IncomingMessage
   private readonly _response: ServerResponse
   private readonly _startedAt: number
+  private readonly _held: HeldConnection
+  private _isTooSlow = false
   private _requestId: string | undefined
   private _fingerprint: string | undefined
   private _isCallerDisconnected = false
@@ -60,6 +63,10 @@
     this._request = request
     this._response = response
     this._startedAt = dependencies.clock.now()
+    this._held = dependencies.heldBytes.add({
+      unsentBytes: () => response.writableLength,
+      closeSlow: (unsentBytes) => this._closeSlow(unsentBytes)
+    })
   }
 
   /** Serves the request. Failures are reported to the caller and logged; they do not reject the promise. */
@@ -74,7 +81,7 @@
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = this._authorize()
-      const body = await readRequestBody(this._request, this._maximumBodyBytes())
+      const body = await readRequestBody(this._request, this._maximumBodyBytes(), this._held)
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
       this._requireEndpointWithinWait(authorized, this._dependencies.currentHomes.of(authorized))
@@ -84,6 +91,8 @@
       await served
     } catch (error) {
       code = this._handleError(error as Error)
+    } finally {
+      this._held.releaseBody()
     }
     if (authorized !== undefined && admission !== undefined) this._release(authorized, admission, code)
     this._dependencies.state.requestsInFlight -= 1
@@ -191,6 +200,8 @@
     const relay = new ResponseRelay({
       response: this._response,
       isStream: route.kind === RouteKind.STREAM,
+      memory: this._held,
+      now: () => this._dependencies.clock.now(),
       closesConnection: () => this._dependencies.state.isStopping,
       onStart: () => {
         this._observeFirstByte(route.name)
@@ -224,7 +235,17 @@
     return this._dependencies.configuration.inForce?.configuration.limits?.bodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES
   }
 
+  /** Closes the connection of a caller that reads too slowly, also if the request has ended for the router; the response is then incomplete. */
+  private _closeSlow (unsentBytes: number): void {
+    const { log, metrics } = this._dependencies
+    this._isTooSlow = true
+    metrics.slowCallersClosed.inc()
+    log.warn('caller-too-slow', { code: ResultCode.CALLER_TOO_SLOW, request: this._requestId, unsent_bytes: unsentBytes })
+    this._response.destroy()
+  }
+
   private _onClose (): void {
+    this._held.responseClosed()
     if (this._response.writableFinished) return
     this._isCallerDisconnected = true
     this._admissionWait?.abort()
@@ -237,6 +258,7 @@
       ? error
       : new MimosarockError(ResultCode.UNEXPECTED_FAILURE, error.message, { cause: error, run: RunState.UNKNOWN })
     this._problem = this._attempts?.problem ?? failure.message
+    if (this._isTooSlow) return ResultCode.CALLER_TOO_SLOW
     if (this._isCallerDisconnected || this._response.destroyed) return ResultCode.CALLER_GONE
     if (this._response.headersSent) this._relay?.abortResponse()
     else sendErrorResponse(this._response, failure, this._closesConnection(failure))
--- a/packages/gateway/src/responses/response-relay-options.ts
+++ b/packages/gateway/src/responses/response-relay-options.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import type { HeldConnection } from '../memory/held-connection.js'
 
 /** Options of a {@link ResponseRelay}. */
 export interface ResponseRelayOptions {
@@ -6,6 +7,10 @@
   readonly response: ServerResponse
   /** Whether a successful response is a stream, which is forwarded as it arrives instead of being buffered. */
   readonly isStream: boolean
+  /** Bounds the unsent bytes of the responses of all connections. */
+  readonly memory: Pick<HeldConnection, 'recordWritten' | 'maximumUnsentBytes'>
+  /** Returns the time of a monotonic clock, in milliseconds. */
+  readonly now: () => number
   /** Returns whether to send `Connection: close` to the caller. */
   readonly closesConnection: () => boolean
   /** Called when the response head is written to the caller. */
--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -7,6 +7,11 @@
 const MAXIMUM_BUFFERED_BYTES = 65_536
 /** Unsent bytes for a slow caller above which reading from the endpoint is paused. */
 const MAXIMUM_UNSENT_BYTES = 262_144
+/**
+ * Time without reading from the endpoint after which it may have cut off its response, in milliseconds. Endpoints do so after some
+ * seconds; a part of them may have passed before the router noticed that the caller does not read.
+ */
+const UNREAD_MS = 1_000
 /** Maximum length of one event of a stream. */
 const MAXIMUM_EVENT_BYTES = 1_048_576
 const FIRST_FAILURE_STATUS = 300
@@ -29,6 +34,10 @@
   /** Whether the end of the response of the present call is marked, and whether any of it could be forwarded. */
   private _isDelimited = false
   private _hasUsableBytes = false
+  /** Time since which nothing is read from the endpoint; undefined while it is read. */
+  private _pausedAt: number | undefined
+  /** Whether the response of the present call was not read for so long that the endpoint may have cut it off. */
+  private _wasUnread = false
 
   /**
    * @param options response to the caller and how to forward to it
@@ -57,6 +66,12 @@
     return this._isComplete && !this._isStarted
   }
 
+  /** Whether the response was not read for so long, because of its caller, that the endpoint may have cut it off. */
+  get wasUnread (): boolean {
+    this._checkPause()
+    return this._wasUnread
+  }
+
   /** Id of the last event sent to the caller; undefined if there is none. */
   get lastEventId (): string | undefined {
     return this._splitter?.lastEventId
@@ -70,6 +85,8 @@
   start (head: ResponseHead): boolean {
     this._isDelimited = head.isDelimited
     this._hasUsableBytes = false
+    this._pausedAt = undefined
+    this._wasUnread = false
     if (this._isStarted) return head.status === this._head?.status
     this._head = head
     this._isComplete = false
@@ -85,6 +102,23 @@
    * @returns false if reading from the endpoint should pause until the caller has caught up
    */
   data (chunk: Buffer): boolean {
+    const hasCapacity = this._forward(chunk)
+    this._checkPause()
+    this._pausedAt = hasCapacity ? undefined : this._options.now()
+    return hasCapacity
+  }
+
+  /** Records that reading from the endpoint has been resumed after the caller has caught up. */
+  resumed (): void {
+    this._checkPause()
+    this._pausedAt = undefined
+  }
+
+  private _checkPause (): void {
+    if (this._pausedAt !== undefined && this._options.now() - this._pausedAt >= UNREAD_MS) this._wasUnread = true
+  }
+
+  private _forward (chunk: Buffer): boolean {
     if (this._isPassedThrough()) {
       const ready = this._splitter === undefined ? chunk : this._splitter.push(chunk)
       this._usableBytes += ready.length
@@ -101,6 +135,7 @@
   }
 
   findProblem (isEnded: boolean): string | undefined {
+    if (isEnded && !this._isDelimited && this.wasUnread) return 'the connection ended after the response was not read for some time'
     if (this._splitter === undefined) return undefined
     if (this._splitter.partialEvent.length > MAXIMUM_EVENT_BYTES) return 'an event does not end'
     if (!isEnded) return undefined
@@ -118,6 +153,7 @@
     }
     this._writeHead(this._bufferedBytes)
     response.end(Buffer.concat(this._buffered))
+    this._options.memory.recordWritten(this._bufferedBytes)
   }
 
   /** Marks the buffered error response as complete; it is sent if no retry gets a response. */
@@ -141,10 +177,11 @@
   }
 
   private _write (bytes: Buffer): boolean {
-    const { response } = this._options
+    const { response, memory } = this._options
     if (!this._isStarted) this._writeHead(undefined)
     response.write(bytes)
-    return response.writableLength < MAXIMUM_UNSENT_BYTES
+    memory.recordWritten(bytes.length)
+    return response.writableLength < Math.min(MAXIMUM_UNSENT_BYTES, memory.maximumUnsentBytes)
   }
 
   private _writeHead (length: number | undefined): void {
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { GatewayState } from '../model/gateway-state.js'
+import type { HeldBytes } from '../memory/held-bytes.js'
 import type { FleetState } from '../membership/fleet-state.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 
@@ -14,8 +15,9 @@
  * @param fleetState source of the gauges of the configuration and the endpoints, which are updated at each request
  * @param clock clock by which the endpoints were verified
  * @param state source of the gauge of requests in flight, which is updated at each request
+ * @param heldBytes source of the gauge of held bytes, which is updated at each request
  */
-export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState): Server {
+export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState, heldBytes: HeldBytes): Server {
   return createServer((_request, response) => {
     const { configuration, endpointsFreshness, limits, quarantine, storeEra } = fleetState
     metrics.limitedEndpoints.set(limits.limitedIds.length)
@@ -26,6 +28,7 @@
     metrics.configurationAgeSeconds.set(configuration.ageMs / MS_PER_SECOND)
     metrics.endpointsAgeSeconds.set((clock.now() - endpointsFreshness.verifiedAt) / MS_PER_SECOND)
     metrics.requestsInFlight.set(state.requestsInFlight)
+    metrics.heldBytes.set(heldBytes.total)
     metrics.registry.metrics().then(
       (text) => response.writeHead(OK, { 'content-type': metrics.registry.contentType }).end(text),
       (error: Error) => response.writeHead(FAILED).end(error.message)
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -68,6 +68,20 @@
     registers: [this.registry]
   })
 
+  /** Connections that were closed because their callers read too slowly. */
+  readonly slowCallersClosed = new Counter({
+    name: 'mimosarock_slow_callers_closed_total',
+    help: 'Connections that were closed because their callers read responses too slowly.',
+    registers: [this.registry]
+  })
+
+  /** Bytes of request bodies and unsent responses. */
+  readonly heldBytes = new Gauge({
+    name: 'mimosarock_held_bytes',
+    help: 'Bytes of request bodies, and of responses that callers have not taken yet.',
+    registers: [this.registry]
+  })
+
   /** Endpoints that state a rate limit. */
   readonly limitedEndpoints = new Gauge({
     name: 'mimosarock_limited_endpoints',
--- /dev/null
+++ b/packages/gateway/src/test/response-relay_test.ts
@@ -0,0 +1,36 @@
+import type { ServerResponse } from 'node:http'
+import { expect, test } from 'vitest'
+import type { ResponseHead } from '@mimosarock/gateway/model/response-head.js'
+import { ResponseRelay } from '@mimosarock/gateway/responses/response-relay.js'
+
+const EVENT = Buffer.from('id: 1\ndata: a\n\n')
+const LONG_PAUSE_MS = 1_000
+
+/** Relays an event to a caller that takes nothing for some time, and returns what is wrong with the end of the response. */
+function problemAfterPause (pauseMs: number, { isDelimited = false, isResumed = true, maximumUnsentBytes = 1 } = {}): string | undefined {
+  const clock = { ms: 5_000 }
+  const response = { writeHead: () => undefined, write: () => false, writableLength: 100 }
+  const relay = new ResponseRelay({
+    response: response as unknown as ServerResponse,
+    isStream: true,
+    memory: { recordWritten: () => undefined, maximumUnsentBytes },
+    now: () => clock.ms,
+    closesConnection: () => false,
+    onStart: () => undefined
+  })
+  const head: Partial<ResponseHead> = { status: 200, headers: [], isDelimited, contentType: 'text/event-stream' }
+  relay.start(head as ResponseHead)
+  expect(relay.data(EVENT)).toBe(maximumUnsentBytes > 100)
+  clock.ms += pauseMs
+  if (isResumed) relay.resumed()
+  expect(relay.wasUnread).toBe(pauseMs >= LONG_PAUSE_MS && maximumUnsentBytes <= 100)
+  return relay.findProblem(true)
+}
+
+test('only an end that nothing but the connection marks, after a long pause of the response, is taken for a cut', () => {
+  expect(problemAfterPause(LONG_PAUSE_MS)).toContain('not read')
+  expect(problemAfterPause(LONG_PAUSE_MS, { isResumed: false })).toContain('not read')
+  expect(problemAfterPause(LONG_PAUSE_MS - 1)).toBe(undefined)
+  expect(problemAfterPause(LONG_PAUSE_MS, { isDelimited: true })).toBe(undefined)
+  expect(problemAfterPause(LONG_PAUSE_MS, { maximumUnsentBytes: Infinity })).toBe(undefined)
+})
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -21,6 +21,7 @@
 import { GracefulShutdown } from '../shutdown/graceful-shutdown.js'
 import type { FleetState } from '../membership/fleet-state.js'
 import { pause } from '../membership/pause.js'
+import { HeldBytes } from '../memory/held-bytes.js'
 import { PeerRpcClient } from '../membership/peer-rpc-client.js'
 import { createPeerRpcServer } from '../membership/create-peer-rpc-server.js'
 import type { RouterKnowledge } from '../membership/router-knowledge.js'
@@ -63,6 +64,7 @@
   private readonly _health: EndpointHealth
   private readonly _pauses: EndpointPauses
   private readonly _homeRegions: HomeRegions
+  private readonly _heldBytes: HeldBytes
   private readonly _budgets = new Map<string, FleetRetryBudget>()
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
@@ -88,6 +90,7 @@
       log,
       onProgress: () => this._openGateWhenReady()
     })
+    this._heldBytes = new HeldBytes(settings)
     this._homeRegions = new HomeRegions(settings)
     this._warnOfHomeRegions()
     this._fleetState.endpoints.listen({
@@ -112,7 +115,7 @@
       this._listenForCallers(callerServer),
       this._listen(createReadinessServer(this._options.codec.readinessPath, () => this._isReady), settings.readiness),
       this._listen(createPeerRpcServer(sync, () => this._knowledgeOf(sync), (bytes) => this._metrics.peerBytesSent.inc(bytes)), settings.peers),
-      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state), settings.metrics)
+      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state, this._heldBytes), settings.metrics)
     ])
     log.info('started', {
       vm: settings.name, callers: settings.callers, peers: settings.peers, since_process_start_ms: Math.round(performance.now())
@@ -183,6 +186,7 @@
         loadBoundFactor: () => this._settings.current.loadBoundFactor
       }),
       connections: this._connections,
+      heldBytes: this._heldBytes,
       metrics: this._metrics,
       state: this._state,
       isFleetLarge: () => this._fleetState.routers.isLarge,
