--- a/packages/gateway/src/admission/service-admissions-options.ts
+++ b/packages/gateway/src/admission/service-admissions-options.ts
@@ -1,4 +1,5 @@
 import type { PlacementClock } from '@mimosarock/placement/placement-clock.js'
+import type { QueueFairness } from '../fairness/queue-fairness.js'
 import type { Homes } from '../homes/homes.js'
 import type { RateLimit } from './rate-limit.js'
 
@@ -26,6 +27,12 @@
    * @param homes regions in which alone the requests may run; undefined if they may run everywhere
    */
   readonly rateLimitOf: (service: string, homes?: Homes) => RateLimit
+  /**
+   * Returns the fairness between workspaces in a queue of a service.
+   * @param service name of the service
+   * @param homes regions in which alone the requests may run; undefined if they may run everywhere
+   */
+  readonly fairnessOf: (service: string, homes?: Homes) => QueueFairness
   /** Returns a random number from 0 (inclusive) to 1 (exclusive), which jitters the retry delays of rejected callers. */
   readonly random: () => number
 }
--- a/packages/gateway/src/admission/service-admissions.ts
+++ b/packages/gateway/src/admission/service-admissions.ts
@@ -63,7 +63,7 @@
   }
 
   private _createGroup (service: string, homes: Homes | undefined): AdmissionGroup {
-    const { clock, random, rateLimitOf, loadAt } = this._options
+    const { clock, random, rateLimitOf, fairnessOf, loadAt } = this._options
     const group: AdmissionGroup = {
       service,
       homes,
@@ -73,6 +73,7 @@
         random,
         limit: () => this._limit(group),
         rateLimit: rateLimitOf(service, homes),
+        fairness: fairnessOf(service, homes),
         onReleased: () => this._admitQueuedOf(service),
         inFlightAtEndpoints: homes === undefined ? undefined : () => loadAt(service, homes)
       })
--- a/packages/gateway/src/test/service-admissions_test.ts
+++ b/packages/gateway/src/test/service-admissions_test.ts
@@ -19,6 +19,7 @@
     loadAt: (_service, homes) => homes === NORTH ? load.north : load.everywhere,
     processLimit: () => Infinity,
     rateLimitOf: () => ({ intervalMs: () => undefined, requestQueued: () => undefined }),
+    fairnessOf: () => ({ countArrival: () => undefined, countAdmission: () => undefined, recordRefusal: () => undefined, mayQueue: () => true }),
     random: () => 0.5
   })
   return { admissions, load }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -11,6 +11,7 @@
 import { HomeRegions } from '../homes/home-regions.js'
 import type { Homes } from '../homes/homes.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { QueueFairness } from '../fairness/queue-fairness.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { RequestDependencies } from '../caller/request-dependencies.js'
 import { StartupGate } from '../caller/startup-gate.js'
@@ -232,6 +233,7 @@
         intervalMs: () => permits.intervalMs(service, availableEndpoints(service, homes)),
         requestQueued: () => permits.getForWaiting()
       }),
+      fairnessOf: (service, homes) => this._fairnessOf(homes === undefined ? service : `${service}@${homes.regions.join('+')}`),
       random: Math.random
     })
     loads.onReport(() => admissions.admitQueued())
@@ -250,6 +252,17 @@
     return admissions
   }
 
+  /** Requests with the same home regions share capacity, and are refused without it, apart from the others of their service. */
+  private _fairnessOf (name: string): QueueFairness {
+    const { fairness } = this._fleetState
+    return {
+      countArrival: (workspace) => fairness.countArrival(name, workspace),
+      countAdmission: (workspace) => fairness.countAdmission(name, workspace),
+      recordRefusal: () => fairness.recordRefusal(name),
+      mayQueue: (workspace) => fairness.mayQueue(name, workspace)
+    }
+  }
+
   private _budgetOf (service: string): FleetRetryBudget {
     let budget = this._budgets.get(service)
     if (budget === undefined) {
