Test that endpoints which cut off unread responses keep their requests, with two such responses at one endpoint

Cause: one failed call alone does not make an endpoint suspect, so the test passed without the change that it is for.

--- a/packages/gateway/src/test/slow-callers_test.ts
+++ b/packages/gateway/src/test/slow-callers_test.ts
@@ -109,21 +109,26 @@
       sending.end(Buffer.concat(Array.from({ length: EVENTS }, () => EVENT)))
     }
   }
-  const slow = open(streamHead('slow'))
+  // Two of the three are at the same endpoint, which would be avoided after two failures.
+  const slow: Socket[] = []
+  for (const id of ['slow0', 'slow1', 'slow2']) {
+    slow.push(open(streamHead(id)))
+    while (sockets.length < slow.length) await sleep(5)
+  }
   const unsent = [-1]
-  while (sockets[0]?.writableLength !== unsent.at(-1)) {
-    unsent.push(sockets[0]?.writableLength ?? -1)
+  while (sockets.reduce((sum, { writableLength }) => sum + writableLength, 0) !== unsent.at(-1)) {
+    unsent.push(sockets.reduce((sum, { writableLength }) => sum + writableLength, 0))
     await sleep(100)
   }
-  expect(unsent.at(-1)).toBeGreaterThan(0)
+  expect(sockets.filter(({ writableLength }) => writableLength > 0)).toHaveLength(slow.length)
   fixture.clock.skewMs += 3_000
-  expect(await readWhole(slow)).toBe(false)
-  expect(fixture.lines.find(({ event, fields }) => event === 'request' && fields.request === 'slow')?.fields.code).toBe(ResultCode.ENDPOINT_FAILED)
+  expect(await Promise.all(slow.map(readWhole))).toEqual(slow.map(() => false))
+  expect(fixture.lines.filter(({ event, fields }) => event === 'request' && fields.code === ResultCode.ENDPOINT_FAILED)).toHaveLength(slow.length)
   const held: (() => void)[] = []
   for (const endpoint of fixture.endpoints) endpoint.behavior = (request, response) => held.push(() => TestEndpoint.respond(request, response, ''))
   const calls = Array.from({ length: 4 }, (_, index) => fixture.call('POST', '/pay/', { 'request-id': `r${index}` }))
   while (held.length < calls.length) await sleep(5)
-  expect(fixture.endpoints.map(({ requests }) => requests.length).sort()).toEqual([2, 3])
+  expect(fixture.endpoints.map(({ requests }) => requests.length).sort()).toEqual([3, 4])
   for (const release of held) release()
   await Promise.all(calls)
 }, 30_000)
