Requests that queue in a full home region take no capacity of the other regions

Cause: the concurrency limit of a service is what its endpoints take less what is in flight at all of them. Where requests must stay in a region that they overload, the endpoints there have far more in flight than slots, and the limit of the requests that may run elsewhere fell. The same overload without home regions, at 4 endpoints alone, gives as many in flight there (30 to 40 at 8 slots), so the excess itself is not new.

Change: while another region has room, requests in flight in a region beyond its capacity are not counted; only if the configuration has home regions.

--- a/packages/gateway/src/admission/fleet-concurrency-limit-options.ts
+++ b/packages/gateway/src/admission/fleet-concurrency-limit-options.ts
@@ -17,6 +17,10 @@
    * @param homes regions of the endpoints; undefined for all of them
    */
   readonly availableEndpoints: (service: string, homes?: Homes) => readonly EndpointEntry[]
+  /** Returns whether some requests have home regions; undefined if none ever have. */
+  readonly hasHomes?: (() => boolean) | undefined
+  /** Returns the region of an endpoint, or a name of its own for a zone without one; undefined if no requests ever have home regions. */
+  readonly regionOf?: ((endpoint: EndpointEntry) => string) | undefined
   /** Permits for requests to endpoints with a rate limit; undefined if endpoints have none. */
   readonly permits?: Pick<FleetPermits, 'isNeeded' | 'heldFor'> | undefined
   /** Returns the time of a monotonic clock, in milliseconds. */
--- a/packages/gateway/src/admission/fleet-concurrency-limit.ts
+++ b/packages/gateway/src/admission/fleet-concurrency-limit.ts
@@ -1,6 +1,7 @@
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { Homes } from '../homes/homes.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import { excessLoad } from './excess-load.js'
 import { LoadForecast } from './load-forecast.js'
 import type { FleetConcurrencyLimitOptions } from './fleet-concurrency-limit-options.js'
 
@@ -46,6 +47,8 @@
  * whole service, or twice that share if it is only a few requests. Fractions are rounded at random, with a new random
  * number for each load report.
  *
+ * Where requests have home regions, what is in flight in a full region beyond its capacity does not count while other regions have room.
+ *
  * Endpoints with a rate limit do not count as capacity: permits decide what they get.
  */
 export class FleetConcurrencyLimit {
@@ -88,25 +91,34 @@
     if (endpoints.length === 0) return 0
     const routers = Math.max(1, this._options.routerCount())
     const serviceMs = this._options.serviceMs(requests.service, requests.homes)
-    const capacity = endpoints.reduce((sum, { slots }) => sum + slots + queuedRequests(slots, serviceMs), 0)
-    const { local, remote, roundingOffset } = this._snapshot(requests, endpoints)
+    const capacityOf = ({ slots }: EndpointEntry): number => slots + queuedRequests(slots, serviceMs)
+    const capacity = endpoints.reduce((sum, endpoint) => sum + capacityOf(endpoint), 0)
+    const { local, remote, roundingOffset } = this._snapshot(requests, endpoints, capacityOf)
     const total = local + remote
     const spareShare = shareOfSpareCapacity(capacity - total, capacity, routers, local / Math.max(1, total))
     const minimum = total < capacity ? MINIMUM_BELOW_CAPACITY : 0
     return Math.max(minimum, Math.floor(guaranteedShare(capacity / routers) + roundingOffset), Math.floor(local + spareShare + roundingOffset))
   }
 
-  private _snapshot (requests: LimitedRequests, endpoints: readonly EndpointEntry[]): ReportSnapshot {
+  private _snapshot (requests: LimitedRequests, endpoints: readonly EndpointEntry[], capacityOf: (endpoint: EndpointEntry) => number): ReportSnapshot {
     const { loads } = this._options
     const cached = this._snapshots.get(requests.key)
     if (cached?.reportCount === loads.reportCount) return cached
     const local = sumOf(endpoints, (id) => loads.localLoad(id))
-    const remote = this._forecastRemote(requests, sumOf(endpoints, (id) => loads.total(id)) - local)
+    const total = sumOf(endpoints, (id) => loads.total(id)) - this._excess(endpoints, capacityOf)
+    const remote = this._forecastRemote(requests, Math.max(0, total - local))
     const snapshot = { reportCount: loads.reportCount, local, remote, roundingOffset: this._options.random() }
     this._snapshots.set(requests.key, snapshot)
     return snapshot
   }
 
+  /** Returns the requests in flight that use no capacity, since they must stay in regions that are full. */
+  private _excess (endpoints: readonly EndpointEntry[], capacityOf: (endpoint: EndpointEntry) => number): number {
+    const { loads, hasHomes, regionOf } = this._options
+    if (regionOf === undefined || hasHomes?.() !== true) return 0
+    return excessLoad(endpoints, regionOf, capacityOf, ({ id }) => loads.total(id))
+  }
+
   private _forecastRemote ({ service, homes, key }: LimitedRequests, reported: number): number {
     let forecast = this._forecasts.get(key)
     if (forecast === undefined) {
--- a/packages/gateway/src/configuration/configuration-in-force.ts
+++ b/packages/gateway/src/configuration/configuration-in-force.ts
@@ -9,6 +9,8 @@
   readonly configuration: GatewayConfiguration
   /** Routes by host and path prefix. */
   readonly routes: RouteTable
+  /** Whether a route or a workspace has home regions. */
+  readonly hasHomeRegions: boolean
   private readonly _services = new Map<string, Service>()
   private readonly _workspaces = new Map<string, Workspace>()
   /** Workspaces by name; undefined until it is needed. */
@@ -20,6 +22,7 @@
   constructor (configuration: GatewayConfiguration) {
     this.configuration = configuration
     this.routes = new RouteTable(configuration)
+    this.hasHomeRegions = [...configuration.routes, ...configuration.workspaces ?? []].some(({ homeRegions }) => homeRegions !== undefined)
     for (const service of configuration.services) this._services.set(service.name, service)
     for (const workspace of configuration.workspaces ?? []) {
       for (const key of workspace.apiKeys) this._workspaces.set(key, workspace)
--- a/packages/gateway/src/homes/home-regions.ts
+++ b/packages/gateway/src/homes/home-regions.ts
@@ -25,6 +25,14 @@
     return this._names.has(region)
   }
 
+  /**
+   * Returns the region of an availability zone; undefined if the settings name none.
+   * @param availabilityZone name of the zone
+   */
+  regionOf (availabilityZone: string): string | undefined {
+    return this._regions.get(availabilityZone)
+  }
+
   /**
    * Returns where requests may run to which several lists of regions apply; undefined if they may run everywhere.
    * @param lists names of regions; an undefined list does not restrict anything
@@ -33,7 +41,7 @@
     const restricting = lists.filter((list) => list !== undefined)
     const [first, ...others] = restricting
     if (first === undefined) return undefined
-    const homes = new Homes(first.filter((region) => others.every((list) => list.includes(region))), (zone) => this._regions.get(zone))
+    const homes = new Homes(first.filter((region) => others.every((list) => list.includes(region))), (zone) => this.regionOf(zone))
     const known = this._homes.get(homes.key)
     if (known !== undefined) return known
     this._homes.set(homes.key, homes)
--- a/packages/gateway/src/test/fleet-concurrency-limit_test.ts
+++ b/packages/gateway/src/test/fleet-concurrency-limit_test.ts
@@ -75,3 +75,18 @@
   const [router] = createFleet(2, [], () => 0)
   expect(router?.concurrencyLimit.limit('s')).toBe(Infinity)
 })
+
+// Guards against requests that must stay in a full region and queue there: they must not take the capacity of the other regions.
+test('one of three regions is far beyond its slots: the room in the others stays, unless no request has home regions or all regions are full', () => {
+  const limitWith = (hasHomes: boolean, others: readonly number[]): number => {
+    const endpoints = ['north', 'south', 'west'].map((zone) => ({ ...endpoint(zone, 8), availabilityZone: zone }))
+    const loads = new LoadView(() => 0)
+    loads.report('others', Object.fromEntries(endpoints.map(({ id }, index) => [id, others[index] ?? 0])))
+    return new FleetConcurrencyLimit({
+      loads, random: () => 0, routerCount: () => 2, availableEndpoints: () => endpoints, hasHomes: () => hasHomes, regionOf: ({ availabilityZone }) => availabilityZone, now: () => 0, serviceMs: () => undefined
+    }).limit('s')
+  }
+  // An equal share of the 27 requests that the service takes is 13, and the two free regions take 18.
+  expect([limitWith(true, [100, 0, 0]), limitWith(false, [100, 0, 0])]).toEqual([18, 13])
+  expect(limitWith(true, [100, 100, 100])).toBe(limitWith(false, [100, 100, 100]))
+})
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -207,7 +207,7 @@
 
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
-    const { endpoints, loads, permits, routers } = this._fleetState
+    const { configuration, endpoints, loads, permits, routers } = this._fleetState
     const readyEndpoints = (service: string, homes?: Homes): readonly EndpointEntry[] => {
       const ready = endpoints.ready(service)
       return homes === undefined ? ready : ready.filter(homes.mayRunAt)
@@ -220,6 +220,8 @@
       random: Math.random,
       routerCount: () => routers.size,
       availableEndpoints,
+      hasHomes: () => configuration.inForce?.hasHomeRegions === true,
+      regionOf: ({ availabilityZone }) => this._homeRegions.regionOf(availabilityZone) ?? `zone ${availabilityZone}`,
       permits,
       now: () => clock.now(),
       serviceMs: (service, homes) => admissions.get(service, homes).serviceMs
