--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -46,6 +46,8 @@
   private _runs = 0
   private _lossesBeforeAnswer = 0
   private _hasTakenRetry = false
+  /** Whether the call in progress was not sent because the request may no longer run at the endpoint, which says nothing about its health. */
+  private _isHeldBack = false
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -128,7 +130,7 @@
     stallWatch.remove(watched)
     loads.end(endpoint.id)
     quarantine.endCall(content)
-    this._recordHealth(endpoint.id, result)
+    if (!this._isHeldBack) this._recordHealth(endpoint.id, result)
     if (result.isConnectionLost) this._recordLoss(chosen)
     return result
   }
@@ -145,8 +147,12 @@
       lastEventId: relay.lastEventId
     })
     const { id } = authorized.caller
+    this._isHeldBack = false
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
-      mayStart: () => endpointSelector.isUsable(endpoint) && currentHomes.of(authorized)?.mayRunAt(endpoint) !== false,
+      mayStart: () => {
+        this._isHeldBack = currentHomes.of(authorized)?.mayRunAt(endpoint) === false
+        return !this._isHeldBack && endpointSelector.isUsable(endpoint)
+      },
       headReceived: (head) => this._recordWishes(endpoint, head)
     })
   }
--- a/packages/gateway/src/test/home-requests_test.ts
+++ b/packages/gateway/src/test/home-requests_test.ts
@@ -131,10 +131,10 @@
   await Promise.all([...inSouth, ...inWest])
 })
 
-test('a request whose homes change while it waits for a connection is not written to an endpoint outside the new ones', async () => {
+test('a request whose homes change while it waits for a connection is not written to an endpoint outside the new ones, which counts as healthy', async () => {
   const connections = 2
-  const withFewConnections = (version: number, region: string): GatewayConfiguration => {
-    return { ...configurationWith(version, { homeRegions: [region] }), services: [{ name: 'app', maximumConnections: connections }] }
+  const withFewConnections = (version: number, ...homeRegions: string[]): GatewayConfiguration => {
+    return { ...configurationWith(version, { homeRegions }), services: [{ name: 'app', maximumConnections: connections }] }
   }
   await configure(withFewConnections(4, 'south'))
   const { release, arrived } = hold()
@@ -144,8 +144,12 @@
   release(connections)
   await arrived(ROOM)
   expect(arrivals()).toEqual([0, 0, connections, ROOM - connections, 0])
-  release(ROOM)
-  expect(await statusesOf(responses)).toEqual(responses.map(() => 200))
+  await configure(withFewConnections(6, 'north', 'south'))
+  const later = send(3, '/short/')
+  await arrived(ROOM + later.length)
+  expect(arrivals().slice(0, 3)).toEqual([1, 1, connections + 1])
+  release(ROOM + later.length)
+  expect(await statusesOf([...responses, ...later])).toEqual([...responses, ...later].map(() => 200))
 })
 
 test('a request that is queued when its homes lose their only endpoint is refused as not run, and not sent elsewhere', async () => {
