--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -12,6 +12,7 @@
 import type { CallResult } from '../sending/call-result.js'
 import { EndpointCall } from '../sending/endpoint-call.js'
 import type { WatchedCall } from '../sending/watched-call.js'
+import type { AuthorizedRequest } from './authorized-request.js'
 import { createCallError } from './create-call-error.js'
 import { createDeadlineError } from './create-deadline-error.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
@@ -51,7 +52,7 @@
   private _hasTakenRetry = false
   /** Whether the chosen endpoint had a rate limit when it was chosen, for which the request used a permit. */
   private _hasPermit = false
-  /** Whether the call in progress was not sent because the zone of its endpoint is evacuated, which says nothing about its health. */
+  /** Whether the call in progress was not sent because the request may no longer run at the endpoint, which says nothing about its health. */
   private _isHeldBack = false
 
   /**
@@ -92,7 +93,7 @@
       requireNotQuarantined(this._dependencies.quarantine, this._options.content, this._runs)
       const chosen = this._choose(excluded)
       if (chosen === undefined && this._runs === 0) requireNotEvacuated(this._dependencies.endpoints, authorized.service)
-      if (chosen === undefined) throw createNoEndpointError(this._runs, this._retryAfterMs(authorized.service))
+      if (chosen === undefined) throw this._noEndpointError(authorized)
       this._chosen = chosen
       this._hasPermit = this._dependencies.permits.isLimited(chosen.endpoint)
       this._dependencies.permits.take(chosen.endpoint)
@@ -104,17 +105,21 @@
   }
 
   private _choose (excluded: ReadonlySet<string>): ChosenEndpoint | undefined {
-    const { endpointSelector, routeTimes } = this._dependencies
+    const { currentHomes, endpointSelector, routeTimes } = this._dependencies
     const { service, route, caller, priority } = this._options.authorized
+    const mayRunAt = currentHomes.of(this._options.authorized)?.mayRunAt
     const needsWarm = !this._mayRepeat || priority === URGENT || routeTimes.isLong(service, route.name)
-    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name), needsWarm })
+    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name), needsWarm, mayRunAt })
   }
 
-  /** Returns the milliseconds until an endpoint may be available; undefined if it is not known. */
-  private _retryAfterMs (service: string): number | undefined {
-    const { endpoints, endpointSelector, permits } = this._dependencies
-    const pauseMs = endpointSelector.pauseMs(service)
-    return pauseMs > 0 ? pauseMs : permits.intervalMs(service, endpoints.ready(service))
+  private _noEndpointError (authorized: AuthorizedRequest): MimosarockError {
+    const { currentHomes, endpoints, endpointSelector, permits } = this._dependencies
+    const { service } = authorized
+    const homes = currentHomes.of(authorized)
+    const pauseMs = endpointSelector.pauseMs(service, homes?.mayRunAt)
+    const ready = endpoints.ready(service)
+    const intervalMs = permits.intervalMs(service, homes === undefined ? ready : ready.filter(homes.mayRunAt))
+    return createNoEndpointError(this._runs, pauseMs > 0 ? pauseMs : intervalMs, homes)
   }
 
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
@@ -142,7 +147,7 @@
 
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
-    const { codec, endpoints, endpointSelector, warmUps } = this._dependencies
+    const { codec, currentHomes, endpoints, endpointSelector, warmUps } = this._dependencies
     const hadPermit = this._hasPermit
     const headers = codec.writeDispatchHeaders(request.rawHeaders, {
       endpointId: endpoint.id,
@@ -156,9 +161,9 @@
     this._isHeldBack = false
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
       mayStart: () => {
-        this._isHeldBack = endpoints.isEvacuated(endpoint)
+        this._isHeldBack = endpoints.isEvacuated(endpoint) || currentHomes.of(authorized)?.mayRunAt(endpoint) === false
         // The endpoint may have become cold while the request waited for a connection.
-        return endpointSelector.isUsable(endpoint) && (hadPermit || !warmUps.isCold(endpoint))
+        return !this._isHeldBack && endpointSelector.isUsable(endpoint) && (hadPermit || !warmUps.isCold(endpoint))
       },
       headReceived: (head) => this._recordWishes(endpoint, head)
     })
@@ -271,6 +276,8 @@
     const { health, stallWatch } = this._dependencies
     if (outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
     if (outcome === CallOutcome.REJECTED) return
+    // An endpoint that cuts off a response which its caller does not read is sound.
+    if (outcome === CallOutcome.BROKEN && this._options.relay.wasUnread) return
     const isSilent = stallWatch.isSilent(endpointId)
     if (outcome === CallOutcome.ABORTED && !isSilent) return
     health.recordFailure(endpointId, isSilent || outcome === CallOutcome.NOT_SENT)
@@ -278,6 +285,7 @@
 
   /** Resumes the endpoint's response after the caller has caught up. */
   resume (): void {
+    this._options.relay.resumed()
     this._call?.resume()
   }
 
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -18,8 +18,10 @@
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
 import type { StallWatch } from '../sending/stall-watch.js'
+import type { HeldBytes } from '../memory/held-bytes.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
 import type { GatewayState } from '../model/gateway-state.js'
+import type { CurrentHomes } from './current-homes.js'
 import type { StartupGate } from './startup-gate.js'
 import type { EventLoopMeter } from './event-loop-meter.js'
 
@@ -39,6 +41,8 @@
   readonly routeTimes: RouteTimes
   /** Measures iterations of the event loop. */
   readonly eventLoopMeter: EventLoopMeter
+  /** Regions in which alone requests may run. */
+  readonly currentHomes: CurrentHomes
   /** Chooses the endpoint of a request. */
   readonly endpointSelector: EndpointSelector
   /** Registered endpoints. */
@@ -65,6 +69,8 @@
   readonly stallWatch: StallWatch
   /** Connection pools of the endpoints. */
   readonly connections: EndpointConnections
+  /** Bounds the memory for bodies and responses of all connections. */
+  readonly heldBytes: HeldBytes
   /** Metrics of this router. */
   readonly metrics: GatewayMetrics
   /** Lifecycle state of this router. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -3,8 +3,10 @@
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
 import type { ServiceAdmission } from '../admission/service-admission.js'
+import type { HeldConnection } from '../memory/held-connection.js'
 import { ResponseRelay } from '../responses/response-relay.js'
 import { sendErrorResponse } from '../responses/send-error-response.js'
+import type { Homes } from '../homes/homes.js'
 import type { RequestContent } from '../model/request-content.js'
 import { RouteKind } from '../model/route-kind.js'
 import { authorizeRequest } from './authorize-request.js'
@@ -39,6 +41,8 @@
   private readonly _request: IncomingMessage
   private readonly _response: ServerResponse
   private readonly _startedAt: number
+  private readonly _held: HeldConnection
+  private _isTooSlow = false
   private _requestId: string | undefined
   private _fingerprint: string | undefined
   private _isCallerDisconnected = false
@@ -60,6 +64,10 @@
     this._request = request
     this._response = response
     this._startedAt = dependencies.clock.now()
+    this._held = dependencies.heldBytes.add({
+      unsentBytes: () => response.writableLength,
+      closeSlow: (unsentBytes) => this._closeSlow(unsentBytes)
+    })
   }
 
   /** Serves the request. Failures are reported to the caller and logged; they do not reject the promise. */
@@ -74,16 +82,19 @@
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = this._authorize()
-      const body = await readRequestBody(this._request, this._maximumBodyBytes())
+      const body = await readRequestBody(this._request, this._maximumBodyBytes(), this._held)
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
       requireNotEvacuated(this._dependencies.endpoints, authorized.service)
-      this._requireEndpointWithinWait(authorized)
+      this._requireEndpointWithinWait(authorized, this._dependencies.currentHomes.of(authorized))
       admission = await this._waitForAdmission(authorized)
-      this._authorizeAgainAfterDelay()
-      await this._serve(authorized, content, body)
+      const served = this._serve(authorized, content, body)
+      admission.recordDispatch()
+      await served
     } catch (error) {
       code = this._handleError(error as Error)
+    } finally {
+      this._held.releaseBody()
     }
     if (authorized !== undefined && admission !== undefined) this._release(authorized, admission, code)
     this._dependencies.state.requestsInFlight -= 1
@@ -132,18 +143,39 @@
     throw notRunError(ResultCode.ROUTER_STOPPING, 'the router is stopping and cannot finish the request in time', 0)
   }
 
-  /** Rejects the request if all endpoints of its service want no requests for longer than it may wait. */
-  private _requireEndpointWithinWait ({ service, route }: AuthorizedRequest): void {
-    const pauseMs = this._dependencies.endpointSelector.pauseMs(service)
-    if (pauseMs > route.objectiveMs * MAXIMUM_WAIT_FRACTION) throw createNoEndpointError(0, pauseMs)
+  /**
+   * Rejects the request if it has home regions and there is no endpoint in them, or if all endpoints where it may run want no
+   * requests for longer than it may wait.
+   */
+  private _requireEndpointWithinWait ({ service, route }: AuthorizedRequest, homes: Homes | undefined): void {
+    const { endpointSelector } = this._dependencies
+    if (homes !== undefined && !endpointSelector.hasEndpoint(service, homes.mayRunAt)) throw createNoEndpointError(0, undefined, homes)
+    const pauseMs = endpointSelector.pauseMs(service, homes?.mayRunAt)
+    if (pauseMs > route.objectiveMs * MAXIMUM_WAIT_FRACTION) throw createNoEndpointError(0, pauseMs, homes)
   }
 
   /** Admits the request to its service; queues it while the service has no capacity. */
   private async _waitForAdmission (authorized: AuthorizedRequest): Promise<ServiceAdmission> {
-    const { admissions, clock, permits } = this._dependencies
     // The caller may have disconnected before its request was read; the disconnect is read in the next iteration.
     await nextEventLoopIteration()
     if (this._isCallerDisconnected || this._request.socket.readableEnded) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+    const { admissions, currentHomes, permits } = this._dependencies
+    permits.countRequest(authorized.service)
+    for (;;) {
+      const homes = currentHomes.of(authorized)
+      const admission = admissions.get(authorized.service, homes)
+      await this._admit(admission, authorized)
+      const newHomes = currentHomes.of(authorized)
+      if (newHomes === homes) return admission
+      // The configuration has changed while the request was queued: there may be no capacity where it may run now.
+      admission.withdraw()
+      if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+      this._requireEndpointWithinWait(authorized, newHomes)
+    }
+  }
+
+  private async _admit (admission: ServiceAdmission, authorized: AuthorizedRequest): Promise<void> {
+    const { clock } = this._dependencies
     const request = {
       workspace: authorized.workspace,
       rank: authorized.priority,
@@ -151,28 +183,28 @@
       objectiveMs: authorized.route.objectiveMs,
       timeLeftMs: this._timeLeftMs(authorized)
     }
-    const admission = admissions.get(authorized.service)
-    permits.countRequest(authorized.service)
     this._admittedAt = clock.now()
-    if (admission.tryAdmit(request)) return admission
+    if (admission.tryAdmit(request)) return
     this._admissionWait = new AbortController()
     const queuedAt = this._admittedAt
     try {
       await admission.wait(request, this._admissionWait.signal)
-      return admission
     } finally {
       this._admittedAt = clock.now()
-      this._waitedMs = this._admittedAt - queuedAt
+      this._waitedMs += this._admittedAt - queuedAt
     }
   }
 
   private async _serve (authorized: AuthorizedRequest, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
+    this._authorizeAgainAfterDelay()
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
     const relay = new ResponseRelay({
       response: this._response,
       isStream: route.kind === RouteKind.STREAM,
+      memory: this._held,
+      now: () => this._dependencies.clock.now(),
       closesConnection: () => this._dependencies.state.isStopping,
       onStart: () => {
         this._observeFirstByte(route.name)
@@ -206,7 +238,17 @@
     return this._dependencies.configuration.inForce?.configuration.limits?.bodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES
   }
 
+  /** Closes the connection of a caller that reads too slowly, also if the request has ended for the router; the response is then incomplete. */
+  private _closeSlow (unsentBytes: number): void {
+    const { log, metrics } = this._dependencies
+    this._isTooSlow = true
+    metrics.slowCallersClosed.inc()
+    log.warn('caller-too-slow', { code: ResultCode.CALLER_TOO_SLOW, request: this._requestId, unsent_bytes: unsentBytes })
+    this._response.destroy()
+  }
+
   private _onClose (): void {
+    this._held.responseClosed()
     if (this._response.writableFinished) return
     this._isCallerDisconnected = true
     this._admissionWait?.abort()
@@ -219,6 +261,7 @@
       ? error
       : new MimosarockError(ResultCode.UNEXPECTED_FAILURE, error.message, { cause: error, run: RunState.UNKNOWN })
     this._problem = this._attempts?.problem ?? failure.message
+    if (this._isTooSlow) return ResultCode.CALLER_TOO_SLOW
     if (this._isCallerDisconnected || this._response.destroyed) return ResultCode.CALLER_GONE
     if (this._response.headersSent) this._relay?.abortResponse()
     else sendErrorResponse(this._response, failure, this._closesConnection(failure))
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -26,6 +26,9 @@
 /** Number of hexadecimal digits of a key of the rendezvous order. */
 const KEY_DIGITS = 16
 
+/** Returns whether a request may run at an endpoint. */
+type MayRunAt = NonNullable<ChoiceConstraints['mayRunAt']>
+
 /** Endpoint as a member of a rendezvous order. */
 interface RendezvousMember {
   readonly name: string
@@ -35,14 +38,17 @@
 
 /** Rendezvous orders of a service. */
 interface ServiceOrders {
-  /** Endpoints that accept requests; a change replaces the array. */
-  readonly ready: readonly EndpointEntry[]
-  /** Order of these endpoints. */
+  /** All endpoints of the service that accept requests, from which the orders were computed; a change replaces the array. */
+  readonly registered: readonly EndpointEntry[]
+  /** Order of those at which a request may run. */
   readonly order: RendezvousOrder<RendezvousMember>
   /** Order of these and of the endpoints in evacuated zones; undefined if there are none in such zones. */
   readonly withEvacuated: RendezvousOrder<RendezvousMember> | undefined
 }
 
+/** Rendezvous orders by service. */
+type OrdersByService = Map<string, ServiceOrders>
+
 /**
  * Selects the endpoint of a request. A request with a prompt goes to an endpoint that holds the cached context of its key,
  * unless all of these have reached the load bound or have no free slot. In that case it goes to the first endpoint of the
@@ -53,7 +59,9 @@
 export class EndpointSelector {
   private readonly _options: EndpointSelectorOptions
   private readonly _coldPreference: ColdPreference
-  private readonly _orders = new Map<string, ServiceOrders>()
+  private readonly _orders: OrdersByService = new Map()
+  /** Orders of the endpoints at which requests with a constraint may run. */
+  private readonly _constrainedOrders = new WeakMap<MayRunAt, OrdersByService>()
 
   /**
    * @param options data and settings that decide the selection
@@ -85,7 +93,7 @@
     const chosenFrom = isForHolder ? healthy : suited
     const candidates = isShort && chosenFrom === healthy ? this._preferCapacity(healthy, bound) : chosenFrom
     if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, undefined, undefined, bound)
-    return this._chooseForKey(key, service, candidates, bound)
+    return this._chooseForKey(key, service, candidates, bound, mayRunAt)
   }
 
   /**
@@ -102,10 +110,19 @@
   /**
    * Returns the milliseconds until the first endpoint of a service takes requests; 0 if one does now, or there is none.
    * @param service name of the service
+   * @param mayRunAt returns whether a request may run at an endpoint; undefined if it may run at all of them
    */
-  pauseMs (service: string): number {
-    const { endpoints, pauses } = this._options
-    return pauses.remainingOfAllMs(endpoints.ready(service))
+  pauseMs (service: string, mayRunAt?: MayRunAt): number {
+    return this._options.pauses.remainingOfAllMs(this._ready(service, mayRunAt))
+  }
+
+  /**
+   * Returns whether a service has an endpoint that is registered and not draining.
+   * @param service name of the service
+   * @param mayRunAt returns whether a request may run at an endpoint; undefined if it may run at all of them
+   */
+  hasEndpoint (service: string, mayRunAt?: MayRunAt): boolean {
+    return this._ready(service, mayRunAt).length > 0
   }
 
   /**
@@ -117,18 +134,21 @@
     return prompt.length > 1 ? prompt[prompt.length - 2]?.id : prompt[0]?.id
   }
 
-  private _chooseForKey (key: string, service: string, candidates: readonly EndpointEntry[], bound: number): ChosenEndpoint {
+  private _ready (service: string, mayRunAt: MayRunAt | undefined): readonly EndpointEntry[] {
+    return allowed(this._options.endpoints.ready(service), mayRunAt)
+  }
+
+  private _chooseForKey (
+    key: string, service: string, candidates: readonly EndpointEntry[], bound: number, mayRunAt: MayRunAt | undefined
+  ): ChosenEndpoint {
     const holders = this._options.holders.holders(key)
     const holder = this._holderWithCapacity(key, candidates, bound)
     if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, undefined, undefined, bound)
     const lookup = this._options.permits.isNeeded ? RENDEZVOUS_LOOKUP_WITH_LIMITS : RENDEZVOUS_CANDIDATES
     const orderKey = key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS)
-    const orders = this._ordersOf(service)
-    const order = orders.order.first(orderKey, lookup).map((member) => member.endpoint)
-    // The contexts of an evacuated primary are copied to the endpoints that take its place. Those are announced as holders, since other
-    // routers assume that the primary holds them.
-    const primary = orders.withEvacuated === undefined ? order[0] : orders.withEvacuated.first(orderKey, 1)[0]?.endpoint
-    const source = this._contextSource(holders) ?? this._assumedContextSource(primary)
+    const order = this._ordersOf(service, mayRunAt).order.first(orderKey, lookup).map((member) => member.endpoint)
+    const primary = this._primary(service, orderKey)
+    const source = this._contextSource(holders, mayRunAt) ?? this._assumedContextSource(primary, mayRunAt)
     const available = this._firstAvailable(order, candidates, bound, source !== undefined)
     if (available !== undefined) return this._createChosen(available, ChoiceReason.HOME, primary, source, bound)
     const leastLoaded = this._leastLoaded(this._preferCapacity(candidates, bound)) as EndpointEntry
@@ -189,8 +209,9 @@
   }
 
   /** In a large fleet, primaries are not announced as holders; the primary of a key is assumed to hold its context. */
-  private _assumedContextSource (primary: EndpointEntry | undefined): EndpointEntry | undefined {
-    const assumesPrimary = this._options.isFleetLarge() && primary !== undefined && !this._options.health.isUnreachable(primary.id)
+  private _assumedContextSource (primary: EndpointEntry | undefined, mayRunAt: MayRunAt | undefined): EndpointEntry | undefined {
+    if (primary === undefined || mayRunAt?.(primary) === false) return undefined
+    const assumesPrimary = this._options.isFleetLarge() && !this._options.health.isUnreachable(primary.id)
     return assumesPrimary ? primary : undefined
   }
 
@@ -243,10 +264,10 @@
   }
 
   /** Returns a holder from which the context can be copied; an endpoint that is draining or has just left can still export it. */
-  private _contextSource (holders: readonly string[]): EndpointEntry | undefined {
+  private _contextSource (holders: readonly string[], mayRunAt: MayRunAt | undefined): EndpointEntry | undefined {
     for (const id of holders) {
       const entry = this._options.endpoints.findContextSource(id)
-      if (entry !== undefined && !this._options.health.isUnreachable(id)) return entry
+      if (entry !== undefined && !this._options.health.isUnreachable(id) && mayRunAt?.(entry) !== false) return entry
     }
     return undefined
   }
@@ -258,15 +279,37 @@
     return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
   }
 
-  private _ordersOf (service: string): ServiceOrders {
+  /**
+   * Returns the primary of a key, which all routers know: the first among all endpoints, whatever constraints a request has. The contexts of an
+   * evacuated primary are copied to the endpoints that take its place. Those are announced as holders, since other routers assume
+   * that the primary holds them.
+   */
+  private _primary (service: string, orderKey: string): EndpointEntry | undefined {
+    const { order, withEvacuated } = this._ordersOf(service, undefined)
+    return (withEvacuated ?? order).first(orderKey, 1)[0]?.endpoint
+  }
+
+  private _ordersOf (service: string, mayRunAt: MayRunAt | undefined): ServiceOrders {
     const { endpoints } = this._options
-    const ready = endpoints.ready(service)
-    const cached = this._orders.get(service)
-    if (cached?.ready === ready) return cached
-    const evacuated = endpoints.evacuated(service)
+    const registered = endpoints.ready(service)
+    const orders = this._ordersWith(mayRunAt)
+    const cached = orders.get(service)
+    if (cached?.registered === registered) return cached
+    const ready = allowed(registered, mayRunAt)
+    const evacuated = allowed(endpoints.evacuated(service), mayRunAt)
     const withEvacuated = evacuated.length === 0 ? undefined : createOrder([...ready, ...evacuated])
-    const orders = { ready, order: createOrder(ready), withEvacuated }
-    this._orders.set(service, orders)
+    const created = { registered, order: createOrder(ready), withEvacuated }
+    orders.set(service, created)
+    return created
+  }
+
+  private _ordersWith (mayRunAt: MayRunAt | undefined): OrdersByService {
+    if (mayRunAt === undefined) return this._orders
+    let orders = this._constrainedOrders.get(mayRunAt)
+    if (orders === undefined) {
+      orders = new Map()
+      this._constrainedOrders.set(mayRunAt, orders)
+    }
     return orders
   }
 }
@@ -274,3 +317,7 @@
 function createOrder (endpoints: readonly EndpointEntry[]): RendezvousOrder<RendezvousMember> {
   return new RendezvousOrder(endpoints.map((endpoint) => ({ name: endpoint.id, capacity: endpoint.slots, endpoint })))
 }
+
+function allowed (endpoints: readonly EndpointEntry[], mayRunAt: MayRunAt | undefined): readonly EndpointEntry[] {
+  return mayRunAt === undefined ? endpoints : endpoints.filter(mayRunAt)
+}
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -6,6 +6,7 @@
 import { ConfigurationInForce } from './configuration-in-force.js'
 import type { ConfigurationPatch } from './configuration-patch.js'
 import { diffConfigurations } from './diff-configurations.js'
+import { keepHomeRegions } from './keep-home-regions.js'
 
 /** Number of patches retained for routers with an older version, which request updates several times a second. */
 const MAXIMUM_PATCHES = 16
@@ -21,6 +22,7 @@
   private _verifiedAt = -Infinity
   private _readAt = -Infinity
   private readonly _patches: ConfigurationPatch[] = []
+  private readonly _listeners: ((configuration: GatewayConfiguration) => void)[] = []
 
   /**
    * @param clock clock that includes suspensions, since the configuration ages during them
@@ -59,6 +61,14 @@
     return this._clock.now() - this._verifiedAt
   }
 
+  /**
+   * Adds a listener.
+   * @param listener called with each configuration that is put in force
+   */
+  onInForce (listener: (configuration: GatewayConfiguration) => void): void {
+    this._listeners.push(listener)
+  }
+
   /**
    * Adopts a version unless it is older than or the same as the version in force.
    * @param stated version to adopt
@@ -67,7 +77,8 @@
   adopt (stated: GatewayConfiguration, source: string): void {
     if (stated.version <= this.version) return
     const startedAt = performance.now()
-    const configuration = completeWarmUps(stated, this._inForce?.configuration)
+    const replaced = this._inForce?.configuration
+    const configuration = keepHomeRegions(completeWarmUps(stated, replaced), replaced)
     this._retain(this._patchesTo(configuration))
     this._putInForce(configuration, source, startedAt)
   }
@@ -90,7 +101,7 @@
     }
     if (configuration === undefined || newerPatches.length === 0) return
     this._retain(newerPatches)
-    this._putInForce(configuration, source, startedAt)
+    this._putInForce(keepHomeRegions(configuration, this._inForce?.configuration), source, startedAt)
   }
 
   /**
@@ -137,6 +148,7 @@
       routes: configuration.routes.length,
       indexing_ms: Math.round(performance.now() - startedAt)
     })
+    for (const listener of this._listeners) listener(configuration)
   }
 
   /** Returns the patch from the version in force to another one; none if it can't be expressed as a patch. */
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -53,6 +53,35 @@
     registers: [this.registry]
   })
 
+  /** Refused requests without an available endpoint in their home regions, by service. */
+  readonly homeRefusals = new Counter({
+    name: 'mimosarock_home_refusals_total',
+    help: 'Requests that were refused because no endpoint in their home regions was available, by service.',
+    labelNames: ['service'],
+    registers: [this.registry]
+  })
+
+  /** Regions that the configuration names and the settings don't. */
+  readonly unknownHomeRegions = new Gauge({
+    name: 'mimosarock_unknown_home_regions',
+    help: 'Regions that the configuration in force names and the settings of this router do not.',
+    registers: [this.registry]
+  })
+
+  /** Connections that were closed because their callers read too slowly. */
+  readonly slowCallersClosed = new Counter({
+    name: 'mimosarock_slow_callers_closed_total',
+    help: 'Connections that were closed because their callers read responses too slowly.',
+    registers: [this.registry]
+  })
+
+  /** Bytes of request bodies and unsent responses. */
+  readonly heldBytes = new Gauge({
+    name: 'mimosarock_held_bytes',
+    help: 'Bytes of request bodies, and of responses that callers have not taken yet.',
+    registers: [this.registry]
+  })
+
   /** Workspaces that are limited to a share of a service. */
   readonly limitedWorkspaces = new Gauge({
     name: 'mimosarock_workspaces_over_share',
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -7,7 +7,12 @@
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
 import { UnknownZoneWarning } from '../evacuation/unknown-zone-warning.js'
+import { CurrentHomes } from '../caller/current-homes.js'
+import { HomeRegionWarnings } from '../homes/home-region-warnings.js'
+import { HomeRegions } from '../homes/home-regions.js'
+import type { Homes } from '../homes/homes.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { QueueFairness } from '../fairness/queue-fairness.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { RequestDependencies } from '../caller/request-dependencies.js'
 import { StartupGate } from '../caller/startup-gate.js'
@@ -18,6 +23,7 @@
 import { GracefulShutdown } from '../shutdown/graceful-shutdown.js'
 import type { FleetState } from '../membership/fleet-state.js'
 import { pause } from '../membership/pause.js'
+import { HeldBytes } from '../memory/held-bytes.js'
 import { PeerRpcClient } from '../membership/peer-rpc-client.js'
 import { createPeerRpcServer } from '../membership/create-peer-rpc-server.js'
 import type { RouterKnowledge } from '../membership/router-knowledge.js'
@@ -61,6 +67,8 @@
   private readonly _stallWatch = new StallWatch()
   private readonly _health: EndpointHealth
   private readonly _pauses: EndpointPauses
+  private readonly _homeRegions: HomeRegions
+  private readonly _heldBytes: HeldBytes
   private readonly _budgets = new Map<string, FleetRetryBudget>()
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
@@ -94,6 +102,9 @@
       log,
       onProgress: () => this._openGateWhenReady()
     })
+    this._heldBytes = new HeldBytes(settings)
+    this._homeRegions = new HomeRegions(settings)
+    this._warnOfHomeRegions()
     this._fleetState.endpoints.listen({
       endpointRestarted: (entry) => this._fleetState.holders.removeEndpoint(entry.id),
       endpointRemoved: (entry) => {
@@ -116,7 +127,7 @@
       this._listenForCallers(callerServer),
       this._listen(createReadinessServer(this._options.codec.readinessPath, () => this._isReady), settings.readiness),
       this._listen(createPeerRpcServer(sync, () => this._knowledgeOf(sync), (bytes) => this._metrics.peerBytesSent.inc(bytes)), settings.peers),
-      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state), settings.metrics)
+      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state, this._heldBytes), settings.metrics)
     ])
     log.info('started', {
       vm: settings.name, callers: settings.callers, peers: settings.peers, since_process_start_ms: Math.round(performance.now())
@@ -158,6 +169,7 @@
       loads,
       holders,
       startupGate: this._startupGate,
+      currentHomes: new CurrentHomes(this._homeRegions, configuration),
       endpoints,
       pauses: this._pauses,
       limits,
@@ -188,6 +200,7 @@
         loadBoundFactor: () => this._settings.current.loadBoundFactor
       }),
       connections: this._connections,
+      heldBytes: this._heldBytes,
       metrics: this._metrics,
       state: this._state,
       isFleetLarge: () => this._fleetState.routers.isLarge,
@@ -197,43 +210,58 @@
     }
   }
 
+  private _warnOfHomeRegions (): void {
+    const warnings = new HomeRegionWarnings(this._homeRegions, this._options.log)
+    this._fleetState.configuration.onInForce((configuration) => {
+      warnings.check(configuration)
+      this._metrics.unknownHomeRegions.set(warnings.unknownRegionCount)
+    })
+  }
+
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
-    const { endpoints, evacuations, fairness, loads, permits, routers, warmUps } = this._fleetState
-    const availableEndpoints = (service: string): readonly EndpointEntry[] => {
-      return this._health.preferHealthy(this._pauses.withoutPaused(endpoints.ready(service)))
+    const { configuration, endpoints, evacuations, loads, permits, routers, warmUps } = this._fleetState
+    const readyEndpoints = (service: string, homes?: Homes): readonly EndpointEntry[] => {
+      const ready = endpoints.ready(service)
+      return homes === undefined ? ready : ready.filter(homes.mayRunAt)
+    }
+    const availableEndpoints = (service: string, homes?: Homes): readonly EndpointEntry[] => {
+      return this._health.preferHealthy(this._pauses.withoutPaused(readyEndpoints(service, homes)))
     }
     const concurrencyLimit = new FleetConcurrencyLimit({
       loads,
       random: Math.random,
       routerCount: () => routers.size,
       availableEndpoints,
+      hasHomes: () => configuration.inForce?.hasHomeRegions === true,
+      regionOf: ({ availabilityZone }) => this._homeRegions.regionOf(availabilityZone) ?? `zone ${availabilityZone}`,
       permits,
       now: () => clock.now(),
-      serviceMs: (service) => admissions.get(service).serviceMs
+      serviceMs: (service, homes) => admissions.get(service, homes).serviceMs
     })
     const admissions: ServiceAdmissions = new ServiceAdmissions({
       clock: { now: () => clock.now(), sleep: pause },
-      limitOf: (service) => concurrencyLimit.limit(service),
+      limitOf: (service, homes) => concurrencyLimit.limit(service, homes),
+      loadAt: (service, homes) => readyEndpoints(service, homes).reduce((sum, { id }) => sum + loads.localLoad(id), 0),
       processLimit: () => pressure.limit,
-      rateLimitOf: (service) => ({
-        intervalMs: () => permits.intervalMs(service, availableEndpoints(service)),
+      rateLimitOf: (service, homes) => ({
+        intervalMs: () => permits.intervalMs(service, availableEndpoints(service, homes)),
         requestQueued: () => permits.getForWaiting()
       }),
-      fairnessOf: (service) => ({
-        countArrival: (workspace) => fairness.countArrival(service, workspace),
-        countAdmission: (workspace) => fairness.countAdmission(service, workspace),
-        recordRefusal: () => fairness.recordRefusal(service),
-        mayQueue: (workspace) => fairness.mayQueue(service, workspace)
-      }),
+      fairnessOf: (service, homes) => this._fairnessOf(homes === undefined ? service : `${service}@${homes.regions.join('+')}`),
       random: Math.random
     })
     warmUps.setCapacityOf(({ service, slots }) => slots * MS_PER_SECOND / Math.max(1, admissions.get(service).serviceMs ?? 0))
     loads.onReport(() => admissions.admitQueued())
     // Requests to a service without endpoints in other zones are refused at once instead of after their time in the queue.
     evacuations.listen({ zoneEvacuated: () => admissions.admitQueued(), zoneRestored: () => undefined })
+    endpoints.listen({
+      endpointRestarted: () => undefined,
+      endpointRemoved: () => admissions.admitQueuedWithHomes(),
+      endpointExpired: () => undefined
+    })
     permits.setQueues({
-      queued: (service) => admissions.get(service).queued,
+      queued: (service) => admissions.queued(service),
       permitsArrived: (count) => {
         this._metrics.permitsReceived.inc(count)
         admissions.admitQueued()
@@ -242,6 +270,17 @@
     return admissions
   }
 
+  /** Requests with the same home regions share capacity, and are refused without it, apart from the others of their service. */
+  private _fairnessOf (name: string): QueueFairness {
+    const { fairness } = this._fleetState
+    return {
+      countArrival: (workspace) => fairness.countArrival(name, workspace),
+      countAdmission: (workspace) => fairness.countAdmission(name, workspace),
+      recordRefusal: () => fairness.recordRefusal(name),
+      mayQueue: (workspace) => fairness.mayQueue(name, workspace)
+    }
+  }
+
   private _budgetOf (service: string): FleetRetryBudget {
     let budget = this._budgets.get(service)
     if (budget === undefined) {
