Slot grants for small services: owner, protocol, client, wiring and fallback

Cause: where a service has fewer slots than there are routers, each router chooses by loads that are older than a request takes.

Change: one router, the first of the rendezvous order of the service's name that can be reached, counts the free slots and grants them; requests wait there by rank and workspace. Endpoints' stated loads are kept (ReportedLoads). The result of a request for a slot also states the start of the endpoint's incarnation, so that a router notices a restart that one side has not heard of yet. A request may name endpoints that hold its context, which are granted first.

The bound of slots + 2 does not hold yet at the beginning.

--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -67,6 +67,20 @@
     return true
   }
 
+  /**
+   * Counts a request as in flight that is admitted elsewhere, whatever the limit.
+   * @param rank rank of the request
+   */
+  countGranted (rank: RequestRank): void {
+    this._queues.countArrival(rank)
+    this._countAdmitted(rank)
+  }
+
+  /** Takes back a request that was counted by `countGranted` and was not admitted after all. */
+  withdrawGranted (): void {
+    this._inFlight -= 1
+  }
+
   /**
    * Queues a request and resolves when it is admitted.
    * @param request request that `tryAdmit` did not admit
--- a/packages/gateway/src/admission/service-admissions.ts
+++ b/packages/gateway/src/admission/service-admissions.ts
@@ -32,6 +32,13 @@
     for (const admission of this._services.values()) admission.admitQueued()
   }
 
+  /** Whether one more request would exceed the concurrency limit of the process. */
+  get isProcessFull (): boolean {
+    let inFlight = 0
+    for (const admission of this._services.values()) inFlight += admission.inFlight
+    return inFlight + 1 > this._options.processLimit()
+  }
+
   private _limit (service: string): number {
     let otherServicesInFlight = 0
     for (const [name, admission] of this._services) if (name !== service) otherServicesInFlight += admission.inFlight
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -7,6 +7,7 @@
 import type { PromptPart } from '../model/prompt-part.js'
 import type { ResponseHead } from '../model/response-head.js'
 import { RouteKind } from '../model/route-kind.js'
+import type { StatedLoad } from '../model/stated-load.js'
 import { mayRetry } from '../retries/may-retry.js'
 import { CallOutcome } from '../sending/call-outcome.js'
 import type { CallResult } from '../sending/call-result.js'
@@ -24,6 +25,8 @@
 const MINIMUM_CALL_MS = 5
 /** Minimum time left for which a call without progress is given up. */
 const MINIMUM_RETRY_MS = 250
+/** Age up to which the load that an endpoint stated is told to the slot owner, in milliseconds. */
+const MAXIMUM_LOAD_AGE_MS = 100
 const MISDIRECTED_STATUS = 421
 const FIRST_SERVER_ERROR_STATUS = 500
 const UNAVAILABLE_STATUS = 503
@@ -42,9 +45,11 @@
   private _chosen: ChosenEndpoint | undefined
   private _problem: string | undefined
   private _attempts = 0
+  private _headReceivedAt = -Infinity
   private _runs = 0
   private _lossesBeforeAnswer = 0
   private _hasTakenRetry = false
+  private readonly _choosing = new AbortController()
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -82,7 +87,8 @@
       if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
       if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
       requireNotQuarantined(this._dependencies.quarantine, this._options.content, this._runs)
-      const chosen = this._choose(excluded)
+      const pending = this._choose(excluded)
+      const chosen = pending instanceof Promise ? await this._chosenInTime(pending) : pending
       if (chosen === undefined) throw createNoEndpointError(this._runs, this._retryAfterMs(authorized.service))
       this._chosen = chosen
       this._dependencies.permits.take(chosen.endpoint)
@@ -93,10 +99,24 @@
     }
   }
 
-  private _choose (excluded: ReadonlySet<string>): ChosenEndpoint | undefined {
-    const { endpointSelector, routeTimes } = this._dependencies
-    const { service, route, caller } = this._options.authorized
-    return endpointSelector.choose(service, caller.prompt, { excluded, isShort: routeTimes.isShort(service, route.name) })
+  private _choose (excluded: ReadonlySet<string>): ChosenEndpoint | undefined | Promise<ChosenEndpoint | undefined> {
+    const { service, route } = this._options.authorized
+    const isShort = this._dependencies.routeTimes.isShort(service, route.name)
+    return this._options.admission.choose({ excluded, isShort }, this._choosing.signal)
+  }
+
+  /** Waits for an endpoint that others choose. The deadline and the caller are not watched by a call meanwhile. */
+  private async _chosenInTime (pending: Promise<ChosenEndpoint | undefined>): Promise<ChosenEndpoint | undefined> {
+    let chosen: ChosenEndpoint | undefined
+    try {
+      chosen = await pending
+    } catch (error) {
+      // The refusal of a further attempt states that this one has not run, which may not be true of the request.
+      throw this._runs === 0 ? error : createNoEndpointError(this._runs)
+    }
+    if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+    if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
+    return chosen
   }
 
   /** Returns the milliseconds until an endpoint may be available; undefined if it is not known. */
@@ -113,6 +133,7 @@
     const call = this._createCall(chosen)
     const watched = this._watchedCall(call, endpoint.id)
     this._call = call
+    this._headReceivedAt = -Infinity
     this._attempts += 1
     this._recordHolder(content.prompt, chosen)
     loads.begin(endpoint.id)
@@ -123,11 +144,17 @@
     stallWatch.remove(watched)
     loads.end(endpoint.id)
     quarantine.endCall(content)
+    this._options.admission.endCall(result.outcome, this._recentLoad(result))
     this._recordHealth(endpoint.id, result)
     if (result.isConnectionLost) this._recordLoss(chosen)
     return result
   }
 
+  /** Returns the load that the endpoint stated, if that was a moment ago: a stream may have begun long before. */
+  private _recentLoad ({ head }: CallResult): StatedLoad | undefined {
+    return this._dependencies.clock.now() - this._headReceivedAt < MAXIMUM_LOAD_AGE_MS ? head?.load : undefined
+  }
+
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
     const { codec, endpointSelector } = this._dependencies
@@ -164,10 +191,13 @@
   }
 
   /** Records what an endpoint states about the requests that it wants. */
-  private _recordWishes (endpoint: EndpointEntry, { status, isSigned, isLeaving, retryAfterMs, requestsPerSecond }: ResponseHead): void {
+  private _recordWishes (endpoint: EndpointEntry, { status, isSigned, isLeaving, retryAfterMs, requestsPerSecond, load, isLoadInvalid }: ResponseHead): void {
     // Another endpoint may have the address.
     if (status === MISDIRECTED_STATUS) return
-    const { endpoints, pauses, limits } = this._dependencies
+    const { clock, endpoints, pauses, limits, reportedLoads } = this._dependencies
+    this._headReceivedAt = clock.now()
+    if (load !== undefined) reportedLoads.record(endpoint, load)
+    else if (isLoadInvalid === true) reportedLoads.recordInvalid(endpoint)
     // A rejection without a signature may come from a queue that knows nothing of the limit.
     if (isSigned || requestsPerSecond !== undefined) limits.record(endpoint, requestsPerSecond)
     if (isLeaving) endpoints.recordLeaving(endpoint)
@@ -271,6 +301,7 @@
   /** Ends the attempt in progress because the caller has disconnected, unless the call may run at most once. */
   endForCaller (): void {
     this._isCallerDisconnected = true
+    this._choosing.abort()
     // Aborting a call that may run at most once would not undo its effects.
     if (this._mayRepeat || this._call?.isSent === false) this._call?.abort('the caller disconnected')
   }
--- a/packages/gateway/src/caller/report-request.ts
+++ b/packages/gateway/src/caller/report-request.ts
@@ -32,6 +32,8 @@
     bound: chosen === undefined ? undefined : Math.round(chosen.bound),
     endpoint_limit: chosen === undefined ? undefined : limits.limitOf(chosen.endpoint),
     waited_ms: Math.round(record.waitedMs),
+    grant_ms: record.grantMs === undefined ? undefined : Math.round(record.grantMs),
+    slot_owner: record.slotOwner,
     tries: record.attempts,
     status,
     code,
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -7,6 +7,7 @@
 import type { HolderTable } from '../choice/holder-table.js'
 import type { LoadView } from '../choice/load-view.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
+import type { ReportedLoads } from '../loads/reported-loads.js'
 import type { EndpointTable } from '../membership/endpoint-table.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { WireCodec } from '../model/wire-codec.js'
@@ -19,6 +20,7 @@
 import type { StallWatch } from '../sending/stall-watch.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
 import type { GatewayState } from '../model/gateway-state.js'
+import type { AdmissionPaths } from './admission-paths.js'
 import type { StartupGate } from './startup-gate.js'
 import type { EventLoopMeter } from './event-loop-meter.js'
 
@@ -34,6 +36,10 @@
   readonly configuration: ConfigurationState
   /** Admission control of each service: admits, queues or rejects requests. */
   readonly admissions: ServiceAdmissions
+  /** Way on which each request is admitted and gets its endpoints. */
+  readonly admissionPaths: AdmissionPaths
+  /** Loads that endpoints state in their responses. */
+  readonly reportedLoads: ReportedLoads
   /** Mean times of requests by route. */
   readonly routeTimes: RouteTimes
   /** Measures iterations of the event loop. */
--- a/packages/gateway/src/caller/request-record.ts
+++ b/packages/gateway/src/caller/request-record.ts
@@ -14,6 +14,10 @@
   readonly chosen: ChosenEndpoint | undefined
   /** Time spent queued for admission, in milliseconds. */
   readonly waitedMs: number
+  /** Time spent waiting for slot grants, in milliseconds; undefined if none was asked for. */
+  readonly grantMs: number | undefined
+  /** Name of the slot owner that granted the last endpoint; undefined if none did. */
+  readonly slotOwner: string | undefined
   /** Number of calls to endpoints. */
   readonly attempts: number
   /** HTTP status; 0 if no response was started. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -2,11 +2,11 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
-import type { ServiceAdmission } from '../admission/service-admission.js'
 import { ResponseRelay } from '../responses/response-relay.js'
 import { sendErrorResponse } from '../responses/send-error-response.js'
 import type { RequestContent } from '../model/request-content.js'
 import { RouteKind } from '../model/route-kind.js'
+import type { AdmissionPath } from './admission-path.js'
 import { authorizeRequest } from './authorize-request.js'
 import type { AuthorizedRequest } from './authorized-request.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
@@ -46,6 +46,7 @@
   private _admissionWait: AbortController | undefined
   private _admittedAt = 0
   private _waitedMs = 0
+  private _path: AdmissionPath | undefined
   private _firstByteMs: number | undefined
   private _attempts: EndpointAttempts | undefined
 
@@ -68,7 +69,7 @@
     this._response.on('close', () => this._onClose())
     this._response.on('drain', () => this._attempts?.resume())
     let authorized: AuthorizedRequest | undefined
-    let admission: ServiceAdmission | undefined
+    let admission: AdmissionPath | undefined
     let code: ResultCode = ResultCode.OK
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
@@ -79,7 +80,7 @@
       this._requireEndpointWithinWait(authorized)
       admission = await this._waitForAdmission(authorized)
       this._authorizeAgainAfterDelay()
-      await this._serve(authorized, content, body)
+      await this._serve(authorized, admission, content, body)
     } catch (error) {
       code = this._handleError(error as Error)
     }
@@ -88,7 +89,7 @@
     this._report(authorized, code)
   }
 
-  private _release ({ service, route }: AuthorizedRequest, admission: ServiceAdmission, code: ResultCode): void {
+  private _release ({ service, route }: AuthorizedRequest, admission: AdmissionPath, code: ResultCode): void {
     const elapsedMs = this._dependencies.clock.now() - this._admittedAt
     if (code === ResultCode.OK) this._dependencies.routeTimes.record(service, route.name, elapsedMs)
     admission.release(elapsedMs)
@@ -137,8 +138,8 @@
   }
 
   /** Admits the request to its service; queues it while the service has no capacity. */
-  private async _waitForAdmission (authorized: AuthorizedRequest): Promise<ServiceAdmission> {
-    const { admissions, clock, permits } = this._dependencies
+  private async _waitForAdmission (authorized: AuthorizedRequest): Promise<AdmissionPath> {
+    const { admissionPaths, clock, permits } = this._dependencies
     // The caller may have disconnected before its request was read; the disconnect is read in the next iteration.
     await nextEventLoopIteration()
     if (this._isCallerDisconnected || this._request.socket.readableEnded) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
@@ -149,7 +150,8 @@
       objectiveMs: authorized.route.objectiveMs,
       timeLeftMs: this._timeLeftMs(authorized)
     }
-    const admission = admissions.get(authorized.service)
+    const admission = admissionPaths.create(authorized, () => this._timeLeftMs(authorized))
+    this._path = admission
     permits.countRequest(authorized.service)
     this._admittedAt = clock.now()
     if (admission.tryAdmit(request)) return admission
@@ -164,7 +166,7 @@
     }
   }
 
-  private async _serve (authorized: AuthorizedRequest, content: RequestContent, body: Buffer): Promise<void> {
+  private async _serve (authorized: AuthorizedRequest, admission: AdmissionPath, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
@@ -179,7 +181,7 @@
     })
     this._relay = relay
     const attempts = new EndpointAttempts(this._dependencies, {
-      authorized, content, request: this._request, body, relay, timeLeftMs: () => this._timeLeftMs(authorized)
+      authorized, content, request: this._request, body, relay, admission, timeLeftMs: () => this._timeLeftMs(authorized)
     })
     this._attempts = attempts
     const timer = setTimeout(() => attempts.endAtDeadline(), Math.max(0, this._timeLeftMs(authorized)))
@@ -243,6 +245,8 @@
       authorized,
       chosen: this._attempts?.chosen,
       waitedMs: this._waitedMs,
+      grantMs: this._path?.grantMs,
+      slotOwner: this._path?.slotOwner,
       attempts: this._attempts?.count ?? 0,
       status: this._response.headersSent ? this._response.statusCode : 0,
       code,
--- a/packages/gateway/src/choice/choice-reason.ts
+++ b/packages/gateway/src/choice/choice-reason.ts
@@ -5,7 +5,9 @@
   /** The endpoint is the first one in the rendezvous order of the key that is below the load bound and has a free slot. */
   HOME: 'home',
   /** The endpoint has the fewest requests in flight relative to its slots. */
-  LEAST_LOADED: 'least-loaded'
+  LEAST_LOADED: 'least-loaded',
+  /** The slot owner of the service has granted a slot of the endpoint. */
+  GRANTED: 'granted'
 } as const
 type ChoiceReason = typeof ChoiceReason[keyof typeof ChoiceReason]
 
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -71,6 +71,28 @@
     return this._chooseForKey(key, service, candidates, bound)
   }
 
+  /**
+   * Returns an endpoint that a slot owner has chosen, with what this router knows of the context.
+   * @param endpoint the endpoint
+   * @param prompt parts of the prompt; empty for requests without one
+   */
+  chooseGranted (endpoint: EndpointEntry, prompt: readonly PromptPart[]): ChosenEndpoint {
+    const key = EndpointSelector.keyOf(prompt)
+    const holders = key === undefined ? [] : this._options.holders.holders(key)
+    const source = holders.includes(endpoint.id) ? undefined : this._contextSource(holders)
+    return this._createChosen(endpoint, ChoiceReason.GRANTED, [], source, this._loadBound(endpoint.service))
+  }
+
+  /**
+   * Returns the ids of the endpoints that hold the context of a prompt; undefined if there are none.
+   * @param prompt parts of the prompt; empty for requests without one
+   */
+  holdersOf (prompt: readonly PromptPart[]): readonly string[] | undefined {
+    const key = EndpointSelector.keyOf(prompt)
+    const holders = key === undefined ? [] : this._options.holders.holders(key)
+    return holders.length > 0 ? [...holders] : undefined
+  }
+
   /**
    * Returns whether a chosen endpoint still takes requests: the same incarnation is registered, neither leaving nor paused.
    * @param endpoint the endpoint, as it was chosen
--- /dev/null
+++ b/packages/gateway/src/grants/granted-slot.ts
@@ -0,0 +1,21 @@
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { SlotGrants } from './slot-grants.js'
+import type { SlotHolder } from './slot-holder.js'
+
+/** A grant in use, as the owner keeps it. */
+export interface GrantedSlot {
+  /** Number of the grant. */
+  readonly grant: number
+  /** Router that uses it. */
+  readonly holder: SlotHolder
+  /** Endpoint, as it was registered at the time of the grant. */
+  readonly endpoint: EndpointEntry
+  /** Grants of the endpoint, among which it counts. */
+  readonly grants: SlotGrants
+  /** Time of the grant. */
+  readonly grantedAt: number
+  /** Time at which it ends without a release, by the request's deadline. */
+  readonly deadlineAt: number
+  /** Time at which it ends because its router was lost; Infinity while the router is connected. */
+  lostAt: number
+}
--- /dev/null
+++ b/packages/gateway/src/grants/slot-owner.ts
@@ -0,0 +1,314 @@
+import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { DecayingCounter } from '../admission/decaying-counter.js'
+import { RankQueues } from '../admission/rank-queues.js'
+import { retryDelay } from '../admission/retry-delay.js'
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { GrantedSlot } from './granted-slot.js'
+import { maximumWaitMs } from './maximum-wait-ms.js'
+import { SlotGrants } from './slot-grants.js'
+import type { SlotHolder } from './slot-holder.js'
+import type { SlotListener } from './slot-listener.js'
+import { SlotOutcome } from './slot-outcome.js'
+import type { SlotOwnerOptions } from './slot-owner-options.js'
+import type { SlotRefusal } from './slot-refusal.js'
+import type { SlotRelease } from './slot-release.js'
+import type { SlotRequest } from './slot-request.js'
+import type { SlotTicket } from './slot-ticket.js'
+import { SlotTimes } from './slot-times.js'
+import type { WaitingRequest } from './waiting-request.js'
+
+/** Time for which a new owner goes by the load reports of the routers, in milliseconds; by then it has reports of the endpoints. */
+const BEGIN_MS = 300
+/** Slowdown from which an endpoint gets no requests above its slots: a fast endpoint frees a slot before it would begin them. */
+const SLOW_FACTOR = 1.5
+/** Time after which a reported slowdown is taken to be over, in milliseconds; it lasts some tenths of a second at a time. */
+const SLOWDOWN_LIFETIME_MS = 500
+/** Part of a slot by which preferred endpoints and less loaded ones are favored among equally fast ones. */
+const LOAD_WEIGHT = 0.01
+
+/**
+ * Owner of the slots of one service: decides which request of which router gets a slot of which endpoint. Requests wait in the
+ * order of `RankQueues` while no slot is free, and are refused at once if they would wait too long.
+ */
+export class SlotOwner {
+  private readonly _service: string
+  private readonly _options: SlotOwnerOptions
+  private readonly _nextGrant: () => number
+  private readonly _queues: RankQueues
+  private readonly _rejections: DecayingCounter
+  private readonly _times = new SlotTimes()
+  private readonly _endpoints = new Map<string, { readonly startedAt: number, readonly grants: SlotGrants }>()
+  private readonly _granted = new Map<number, GrantedSlot>()
+  private readonly _waiting = new Set<WaitingRequest>()
+  /** Requests whose turn has come, but that may not run where slots are free. */
+  private readonly _passedOver = new Set<WaitingRequest>()
+  private _begunAt: number
+
+  /**
+   * @param service name of the service
+   * @param options endpoints and what is known of them
+   * @param nextGrant returns a new number for a grant
+   */
+  constructor (service: string, options: SlotOwnerOptions, nextGrant: () => number) {
+    this._service = service
+    this._options = options
+    this._nextGrant = nextGrant
+    this._queues = new RankQueues(options.clock)
+    this._rejections = new DecayingCounter(options.clock)
+    this._begunAt = options.clock.now()
+  }
+
+  /** Number of grants in use. */
+  get inUse (): number {
+    return this._granted.size
+  }
+
+  /** Number of requests that wait. */
+  get queued (): number {
+    return this._waiting.size
+  }
+
+  /**
+   * Forgets an endpoint that is no longer registered.
+   * @param endpointId id of the endpoint
+   */
+  removeEndpoint (endpointId: string): void {
+    this._endpoints.delete(endpointId)
+  }
+
+  /** Begins to count anew: another router may have granted slots until now. */
+  begin (): void {
+    this._begunAt = this._options.clock.now()
+    for (const [id, { grants }] of this._endpoints) if (grants.inUse === 0) this._endpoints.delete(id)
+  }
+
+  /**
+   * Handles a request for a slot. The listener may be called before this method returns.
+   * @param holder router that asks
+   * @param request what it wants
+   * @param listener receives the answers
+   * @returns undefined if the request was answered at once
+   */
+  request (holder: SlotHolder, request: SlotRequest, listener: SlotListener): SlotTicket | undefined {
+    this._queues.countArrival(request)
+    const endpoint = this._queues.size === 0 ? this._choose(request) : undefined
+    if (endpoint !== undefined) {
+      this._grant(endpoint, holder, request, listener, undefined)
+      return undefined
+    }
+    const refusal = this._refusalOf(request)
+    if (refusal !== undefined) {
+      listener.refused(refusal)
+      return undefined
+    }
+    return this._queue(holder, request, listener)
+  }
+
+  /**
+   * Takes back a grant. Without effect if it has ended before.
+   * @param release the grant and how its use ended
+   * @returns whether the grant was in use
+   */
+  release ({ grant, outcome, elapsedMs, load }: SlotRelease): boolean {
+    const slot = this._granted.get(grant)
+    if (slot === undefined) return false
+    if (load !== undefined) {
+      slot.grants.recordReport(load)
+      this._options.reportedLoads.record(slot.endpoint, load)
+    }
+    this._end(slot)
+    if (outcome === SlotOutcome.COMPLETE) this._times.record(elapsedMs, this._options.clock.now() - slot.grantedAt)
+    this._recordHealth(slot.endpoint.id, outcome)
+    this._grantQueued()
+    return true
+  }
+
+  /**
+   * Forgets the waiting requests of a router whose connection has ended. Its grants count for one more mean service time, in
+   * which its requests presumably end.
+   * @param holder the router
+   */
+  holderLost (holder: SlotHolder): void {
+    const lostAt = this._options.clock.now() + this._times.serviceMs
+    for (const slot of this._granted.values()) if (slot.holder === holder) slot.lostAt = lostAt
+    for (const waiting of this._waiting) if (waiting.holder === holder) this._drop(waiting)
+  }
+
+  /**
+   * Refuses all waiting requests, since another router owns the slots now.
+   * @param refusal what they are told
+   */
+  resign (refusal: SlotRefusal): void {
+    for (const waiting of [...this._waiting]) {
+      this._drop(waiting)
+      waiting.listener.refused(refusal)
+    }
+  }
+
+  /** Ends grants that were not released in time and requests that waited for too long. To be called every few milliseconds. */
+  sweep (): void {
+    const now = this._options.clock.now()
+    const { lostAfterMs } = this._times
+    for (const slot of this._granted.values()) {
+      if (now >= Math.min(slot.lostAt, slot.deadlineAt, slot.grantedAt + lostAfterMs)) this._end(slot)
+    }
+    for (const waiting of this._waiting) {
+      if (now < waiting.expiresAt) continue
+      this._drop(waiting)
+      waiting.listener.refused(this._overloaded('had no free slot within the queue time limit'))
+    }
+    this._grantQueued()
+  }
+
+  private _queue (holder: SlotHolder, request: SlotRequest, listener: SlotListener): SlotTicket | undefined {
+    const now = this._options.clock.now()
+    const waitMs = maximumWaitMs(request)
+    const waiting: WaitingRequest = {
+      workspace: request.workspace ?? '',
+      rank: request.rank,
+      routeRank: request.routeRank,
+      priority: 0,
+      weight: 1,
+      load: 1,
+      queuedAt: now,
+      expiresAt: now + waitMs,
+      settle: () => undefined,
+      request,
+      holder,
+      listener
+    }
+    const expectedMs = this._queues.expectedWaitMs(waiting, this._times.serviceMs / Math.max(1, this._granted.size))
+    if (expectedMs > waitMs) {
+      listener.refused(this._overloaded(`would grant a slot only after about ${Math.round(expectedMs)} ms`))
+      return undefined
+    }
+    this._queues.push(waiting)
+    this._waiting.add(waiting)
+    listener.queued(expectedMs)
+    return { cancel: () => this._drop(waiting) }
+  }
+
+  /** Returns why a request cannot wait; undefined if it can. */
+  private _refusalOf (request: SlotRequest): SlotRefusal | undefined {
+    if (!this._options.availableEndpoints(this._service).some((endpoint) => isAllowed(endpoint, request))) {
+      return { code: ResultCode.NO_ENDPOINT, message: 'the service has no available endpoint' }
+    }
+    // A new owner does not know how long its slots will stay in use by requests that it has not granted.
+    if (this._isBeginning) return { code: ResultCode.NOT_OWNER, message: 'the router has just become the slot owner' }
+    return undefined
+  }
+
+  private _drop (waiting: WaitingRequest): void {
+    this._waiting.delete(waiting)
+    if (!this._passedOver.delete(waiting)) this._queues.remove(waiting)
+  }
+
+  private _grantQueued (): void {
+    if (this._waiting.size === 0) return
+    for (const waiting of this._passedOver) this._tryGrant(waiting)
+    while (this._queues.size > 0 && this._hasFreeSlot()) {
+      const next = this._queues.take() as WaitingRequest
+      this._queues.countAdmission(next)
+      this._passedOver.add(next)
+      this._tryGrant(next)
+    }
+  }
+
+  private _tryGrant (waiting: WaitingRequest): void {
+    const endpoint = this._choose(waiting.request)
+    if (endpoint === undefined) return
+    this._waiting.delete(waiting)
+    this._passedOver.delete(waiting)
+    this._grant(endpoint, waiting.holder, waiting.request, waiting.listener, waiting.queuedAt)
+  }
+
+  private _grant (endpoint: EndpointEntry, holder: SlotHolder, request: SlotRequest, listener: SlotListener, queuedAt: number | undefined): void {
+    const now = this._options.clock.now()
+    const grants = this._grantsOf(endpoint)
+    const grant = this._nextGrant()
+    if (queuedAt === undefined) this._queues.countAdmission(request)
+    grants.begin()
+    this._granted.set(grant, { grant, holder, endpoint, grants, grantedAt: now, deadlineAt: now + request.timeLeftMs, lostAt: Infinity })
+    listener.granted({ grant, endpointId: endpoint.id, startedAt: endpoint.startedAt, waitedMs: now - (queuedAt ?? now) })
+  }
+
+  private _end (slot: GrantedSlot): void {
+    this._granted.delete(slot.grant)
+    slot.grants.end()
+  }
+
+  private _hasFreeSlot (): boolean {
+    return this._options.availableEndpoints(this._service).some((endpoint) => this._isFree(endpoint))
+  }
+
+  /** Returns the endpoint with the shortest expected time to completion; undefined if none that the request may use has a free slot. */
+  private _choose (request: SlotRequest): EndpointEntry | undefined {
+    const allowed = this._options.availableEndpoints(this._service).filter((endpoint) => isAllowed(endpoint, request))
+    let best: EndpointEntry | undefined
+    let lowestCost = Infinity
+    for (const endpoint of this._options.health.preferHealthy(allowed)) {
+      if (!this._isFree(endpoint)) continue
+      const cost = this._cost(endpoint, request)
+      if (cost >= lowestCost) continue
+      best = endpoint
+      lowestCost = cost
+    }
+    return best
+  }
+
+  /**
+   * Returns the expected time to completion at an endpoint, in mean service times. While the endpoint has a free slot, its load does not
+   * matter for that time, and is used only to choose among equally fast endpoints.
+   */
+  private _cost (endpoint: EndpointEntry, { preferred }: SlotRequest): number {
+    const loadBySlots = (this._grantsOf(endpoint).load + 1) / endpoint.slots
+    const isPreferred = preferred !== undefined && loadBySlots <= 1 && preferred.includes(endpoint.id)
+    if (isPreferred) return loadBySlots * LOAD_WEIGHT
+    return Math.max(1, loadBySlots) * this._slowdown(endpoint) + loadBySlots * LOAD_WEIGHT
+  }
+
+  private _isFree (endpoint: EndpointEntry): boolean {
+    const isSlow = this._slowdown(endpoint) >= SLOW_FACTOR
+    const pipeline = isSlow || this._isBeginning ? 0 : this._times.pipelineAllowance(endpoint.slots)
+    return this._grantsOf(endpoint).load < endpoint.slots + pipeline
+  }
+
+  private _slowdown (endpoint: EndpointEntry): number {
+    const { reportedLoads } = this._options
+    const slowdown = reportedLoads.last(endpoint)?.slowdown
+    if (slowdown === undefined) return 1
+    // Without this, an endpoint that gets no requests because it was slow would never be known to be fast again.
+    return 1 + (slowdown - 1) * Math.max(0, 1 - reportedLoads.ageMs(endpoint) / SLOWDOWN_LIFETIME_MS)
+  }
+
+  private get _isBeginning (): boolean {
+    return this._options.clock.now() - this._begunAt < BEGIN_MS
+  }
+
+  private _grantsOf ({ id, startedAt }: EndpointEntry): SlotGrants {
+    const known = this._endpoints.get(id)
+    if (known?.startedAt === startedAt) return known.grants
+    const { clock, fleetLoad } = this._options
+    const beginsFor = this._begunAt + BEGIN_MS - clock.now()
+    const grants = new SlotGrants(clock, beginsFor > 0 ? fleetLoad(id) : 0, Math.max(0, beginsFor))
+    this._endpoints.set(id, { startedAt, grants })
+    return grants
+  }
+
+  private _recordHealth (endpointId: string, outcome: SlotOutcome): void {
+    const { health } = this._options
+    if (outcome === SlotOutcome.COMPLETE) health.recordSuccess(endpointId)
+    else if (outcome === SlotOutcome.NOT_SENT) health.recordFailure(endpointId, true)
+    else if (outcome === SlotOutcome.NO_ANSWER || outcome === SlotOutcome.BROKEN || outcome === SlotOutcome.INVALID) health.recordFailure(endpointId, false)
+  }
+
+  private _overloaded (reason: string): SlotRefusal {
+    this._rejections.increment()
+    const retryAfterMs = retryDelay(this._rejections.perSecond, this._queues.admissionsPerSecond, this._options.random())
+    return { code: ResultCode.OVERLOADED, message: `service ${this._service} ${reason}`, retryAfterMs }
+  }
+}
+
+function isAllowed ({ id, availabilityZone }: EndpointEntry, { excluded, zones }: SlotRequest): boolean {
+  return !excluded.includes(id) && zones?.includes(availabilityZone) !== false
+}
--- a/packages/gateway/src/membership/router-table.ts
+++ b/packages/gateway/src/membership/router-table.ts
@@ -18,6 +18,9 @@
   heardAt: number
 }
 
+/** All live routers as members of rendezvous orders. */
+type RouterOrder = RendezvousOrder<{ readonly name: string, readonly capacity: number, readonly entry: RouterEntry }>
+
 /** Live routers of the fleet known to this router. */
 export class RouterTable {
   private readonly _self: RouterEntry
@@ -25,6 +28,8 @@
   private readonly _known = new Map<string, KnownRouter>()
   /** All live routers in reader order; undefined after a change of the members. */
   private _readerOrder: readonly RouterEntry[] | undefined
+  /** Rendezvous order of all live routers; undefined after a change of the members. */
+  private _order: RouterOrder | undefined
 
   /**
    * @param self entry of this router
@@ -58,7 +63,7 @@
     if (known === undefined || (known.entry.address !== entry.address && heardAt > known.heardAt)) {
       if (agoMs >= this._routerTimeoutMs) return
       this._known.set(entry.name, { entry, heardAt })
-      this._readerOrder = undefined
+      this._forgetOrders()
       return
     }
     known.heardAt = Math.max(known.heardAt, heardAt)
@@ -100,10 +105,25 @@
     return [{ ...this._self, heardAgoMs: 0 }, ...peers]
   }
 
-  private _computeReaderOrder (): readonly RouterEntry[] {
+  /** All live routers, including this one, as members of rendezvous orders; the same object until the members change. */
+  get order (): RouterOrder {
+    this._removeExpired()
+    this._order ??= this._computeOrder()
+    return this._order
+  }
+
+  private _computeOrder (): RouterOrder {
     const entries = [this._self, ...[...this._known.values()].map((known) => known.entry)]
-    const members = entries.map((entry) => ({ name: entry.name, capacity: 1, entry }))
-    return new RendezvousOrder(members).first(READER_ORDER_KEY, members.length).map((member) => member.entry)
+    return new RendezvousOrder(entries.map((entry) => ({ name: entry.name, capacity: 1, entry })))
+  }
+
+  private _computeReaderOrder (): readonly RouterEntry[] {
+    return this.order.first(READER_ORDER_KEY, this.order.size).map((member) => member.entry)
+  }
+
+  private _forgetOrders (): void {
+    this._readerOrder = undefined
+    this._order = undefined
   }
 
   private get _routerTimeoutMs (): number {
@@ -115,7 +135,7 @@
     for (const [name, known] of this._known) {
       if (known.heardAt >= minimumHeardAt) continue
       this._known.delete(name)
-      this._readerOrder = undefined
+      this._forgetOrders()
     }
   }
 }
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -14,8 +14,9 @@
  * @param fleetState source of the gauges of the configuration and the endpoints, which are updated at each request
  * @param clock clock by which the endpoints were verified
  * @param state source of the gauge of requests in flight, which is updated at each request
+ * @param ownedServices returns the services whose slots this router owns
  */
-export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState): Server {
+export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState, ownedServices: () => readonly string[]): Server {
   return createServer((_request, response) => {
     const { configuration, endpointsFreshness, limits, quarantine, storeEra } = fleetState
     metrics.limitedEndpoints.set(limits.limitedIds.length)
@@ -26,6 +27,8 @@
     metrics.configurationAgeSeconds.set(configuration.ageMs / MS_PER_SECOND)
     metrics.endpointsAgeSeconds.set((clock.now() - endpointsFreshness.verifiedAt) / MS_PER_SECOND)
     metrics.requestsInFlight.set(state.requestsInFlight)
+    metrics.slotOwner.reset()
+    for (const service of ownedServices()) metrics.slotOwner.set({ service }, 1)
     metrics.registry.metrics().then(
       (text) => response.writeHead(OK, { 'content-type': metrics.registry.contentType }).end(text),
       (error: Error) => response.writeHead(FAILED).end(error.message)
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -3,6 +3,9 @@
 /** Bucket bounds of the latency histograms, in seconds; latency objectives are between 0.1 and 1. */
 const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4, 8, 16]
 
+/** Bucket bounds of the time until a slot is granted, in seconds; without a queue, it is that of a message between two zones and back. */
+const SLOT_WAIT_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1]
+
 /** Prometheus metrics of a router. */
 export class GatewayMetrics {
   /** Registry of all metrics below. */
@@ -127,6 +130,31 @@
     registers: [this.registry]
   })
 
+  /** Requests for slots of small services, by service and result. */
+  readonly slotGrants = new Counter({
+    name: 'mimosarock_slot_grants_total',
+    help: 'Requests of this router for slots of small services, by service and result.',
+    labelNames: ['service', 'result'],
+    registers: [this.registry]
+  })
+
+  /** Time until the answer to a request for a slot. */
+  readonly slotWaitSeconds = new Histogram({
+    name: 'mimosarock_slot_wait_seconds',
+    help: 'Time from the request for a slot of a small service to its answer.',
+    labelNames: ['service'],
+    buckets: SLOT_WAIT_BUCKETS,
+    registers: [this.registry]
+  })
+
+  /** Services whose slots this router grants. */
+  readonly slotOwner = new Gauge({
+    name: 'mimosarock_slot_owner',
+    help: 'Whether this router grants the slots of a small service: 1 or absent.',
+    labelNames: ['service'],
+    registers: [this.registry]
+  })
+
   /** Requests in flight, queued ones included. */
   readonly requestsInFlight = new Gauge({
     name: 'mimosarock_requests_in_work',
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -4,6 +4,7 @@
 import { ProcessPressure } from '../admission/process-pressure.js'
 import { RouteTimes } from '../admission/route-times.js'
 import { ServiceAdmissions } from '../admission/service-admissions.js'
+import { AdmissionPaths } from '../caller/admission-paths.js'
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
@@ -34,6 +35,7 @@
 import { FleetTasks } from './fleet-tasks.js'
 import type { GatewayOptions } from './gateway-options.js'
 import { listenAt } from './listen-at.js'
+import { SlotGranting } from './slot-granting.js'
 
 /** Subtracted from the staleness limit of API keys, to allow for errors of clocks and timers. */
 const KEY_AGE_MARGIN_MS = 250
@@ -62,6 +64,7 @@
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
   private readonly _tasks: FleetTasks
+  private readonly _slotGranting: SlotGranting
   private _callerServer: Server | undefined
 
   /**
@@ -83,6 +86,14 @@
       log,
       onProgress: () => this._openGateWhenReady()
     })
+    this._slotGranting = new SlotGranting({
+      state: this._fleetState,
+      availableEndpoints: (service) => this._pauses.withoutPaused(this._fleetState.endpoints.ready(service)),
+      isEnabled: () => this._settings.current.grantsSlots,
+      clock,
+      log,
+      metrics: this._metrics
+    })
     this._fleetState.endpoints.listen({
       endpointRestarted: (entry) => this._fleetState.holders.removeEndpoint(entry.id),
       endpointRemoved: (entry) => {
@@ -98,14 +109,17 @@
   async start (): Promise<void> {
     const { settings, log, clock } = this._options
     this._tasks.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
+    this._slotGranting.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
     const sync = new SyncServer(this._fleetState, randomUUID(), () => clock.now(), () => this._tasks.distance)
     const callerServer = createCallerServer(this._requestDependencies())
     this._callerServer = callerServer
+    const peerServer = createPeerRpcServer(sync, () => this._knowledgeOf(sync), (bytes) => this._metrics.peerBytesSent.inc(bytes))
+    this._slotGranting.attach(peerServer)
     await Promise.all([
       this._listenForCallers(callerServer),
       this._listen(createReadinessServer(this._options.codec.readinessPath, () => this._isReady), settings.readiness),
-      this._listen(createPeerRpcServer(sync, () => this._knowledgeOf(sync), (bytes) => this._metrics.peerBytesSent.inc(bytes)), settings.peers),
-      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state), settings.metrics)
+      this._listen(peerServer, settings.peers),
+      settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state, () => this._slotGranting.ownedServices), settings.metrics)
     ])
     log.info('started', {
       vm: settings.name, callers: settings.callers, peers: settings.peers, since_process_start_ms: Math.round(performance.now())
@@ -133,11 +147,16 @@
   }
 
   private _requestDependencies (): RequestDependencies {
-    const { clock, log, codec, settings } = this._options
+    const { clock, log, codec } = this._options
     const { configuration, endpoints, loads, holders, limits, permits, quarantine } = this._fleetState
     const pressure = new ProcessPressure(clock, log)
+    const admissions = this._createAdmissions(pressure)
+    const endpointSelector = this._createEndpointSelector()
+    const { client, reportedLoads } = this._slotGranting
     return {
-      admissions: this._createAdmissions(pressure),
+      admissions,
+      admissionPaths: new AdmissionPaths({ admissions, endpointSelector, slotClient: client, endpoints, health: this._health, permits, clock }),
+      reportedLoads,
       routeTimes: new RouteTimes(),
       eventLoopMeter: new EventLoopMeter(pressure, this._state),
       clock,
@@ -161,19 +180,7 @@
           quarantine.recordCrash(endpoint, calls)
         }
       }),
-      endpointSelector: new EndpointSelector({
-        endpoints,
-        loads,
-        holders,
-        health: this._health,
-        pauses: this._pauses,
-        permits,
-        availabilityZone: settings.availabilityZone,
-        isFleetLarge: () => this._fleetState.routers.isLarge,
-        routerCount: () => this._fleetState.routers.size,
-        random: Math.random,
-        loadBoundFactor: () => this._settings.current.loadBoundFactor
-      }),
+      endpointSelector,
       connections: this._connections,
       metrics: this._metrics,
       state: this._state,
@@ -184,6 +191,23 @@
     }
   }
 
+  private _createEndpointSelector (): EndpointSelector {
+    const { endpoints, loads, holders, permits } = this._fleetState
+    return new EndpointSelector({
+      endpoints,
+      loads,
+      holders,
+      health: this._health,
+      pauses: this._pauses,
+      permits,
+      availabilityZone: this._options.settings.availabilityZone,
+      isFleetLarge: () => this._fleetState.routers.isLarge,
+      routerCount: () => this._fleetState.routers.size,
+      random: Math.random,
+      loadBoundFactor: () => this._settings.current.loadBoundFactor
+    })
+  }
+
   private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
     const { clock } = this._options
     const { endpoints, loads, permits, routers } = this._fleetState
