Slot grants: simulation of the faults; loads of others end with time; shorter first skip of a silent owner

Cause: in the simulation of faults an owner that took over refused requests while slots were free: it took requests without a grant that an endpoint had stated to be there for two seconds, got no newer statement since it granted nothing, and so on. And one late packet made a router skip the owner for a second, in which its requests were not counted.

Change: requests of others that an endpoint stated count less as time passes, down to none after the time in which the endpoint can have served them. A silent owner is skipped for 0.25, 0.5 and 1 s.

--- a/packages/gateway/src/grants/slot-owner-status.ts
+++ b/packages/gateway/src/grants/slot-owner-status.ts
@@ -2,10 +2,12 @@
 
 /** Number of consecutive requests without an answer after which an owner is skipped. */
 const MAXIMUM_UNANSWERED = 3
-/** Time for which an owner that does not answer is skipped, in milliseconds. */
-const SKIP_MS = 1_000
+/** Time for which an owner that does not answer is skipped at first, in milliseconds: as long as a lost packet holds up a connection. */
+const MINIMUM_SKIP_MS = 250
+/** Longest time for which an owner is skipped; the time doubles while it does not answer. */
+const MAXIMUM_SKIP_MS = 1_000
 /** Number of consecutive skips after which the connection is reset, so that the next router of the order is asked. */
-const SKIPS_BEFORE_RESET = 2
+const SKIPS_BEFORE_RESET = 3
 /** Time for which a router that does not own a service is not asked for it, in milliseconds. */
 const NOT_OWNER_MS = 250
 
@@ -57,8 +59,8 @@
     if (this._unanswered < MAXIMUM_UNANSWERED || this._clock.now() < this._skippedUntil) return false
     // A single request without an answer after the skip starts the next one.
     this._unanswered = MAXIMUM_UNANSWERED - 1
+    this._skippedUntil = this._clock.now() + Math.min(MAXIMUM_SKIP_MS, MINIMUM_SKIP_MS * 2 ** this._skips)
     this._skips += 1
-    this._skippedUntil = this._clock.now() + SKIP_MS
     return true
   }
 
--- a/packages/gateway/src/grants/slot-owner.ts
+++ b/packages/gateway/src/grants/slot-owner.ts
@@ -113,7 +113,7 @@
     const slot = this._granted.get(grant)
     if (slot === undefined) return false
     if (load !== undefined) {
-      slot.grants.recordReport(load)
+      slot.grants.recordReport(load, this._times.serviceMs)
       this._options.reportedLoads.record(slot.endpoint, load)
     }
     this._end(slot)
@@ -270,7 +270,7 @@
   private _isFree (endpoint: EndpointEntry): boolean {
     const isSlow = this._slowdown(endpoint) >= SLOW_FACTOR
     const pipeline = isSlow || this._isBeginning ? 0 : this._times.pipelineAllowance(endpoint.slots)
-    return this._grantsOf(endpoint).load < endpoint.slots + pipeline
+    return this._grantsOf(endpoint).load + 1 <= endpoint.slots + pipeline
   }
 
   private _slowdown (endpoint: EndpointEntry): number {
--- a/packages/gateway/src/test/slot-fleet-simulation.ts
+++ b/packages/gateway/src/test/slot-fleet-simulation.ts
@@ -1,9 +1,11 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RendezvousOrder } from '@mimosarock/placement/rendezvous-order.js'
 import { FleetConcurrencyLimit } from '@mimosarock/gateway/admission/fleet-concurrency-limit.js'
 import { ServiceAdmissions } from '@mimosarock/gateway/admission/service-admissions.js'
 import { AdmissionPaths } from '@mimosarock/gateway/caller/admission-paths.js'
 import type { AuthorizedRequest } from '@mimosarock/gateway/caller/authorized-request.js'
+import { ChoiceReason } from '@mimosarock/gateway/choice/choice-reason.js'
 import { EndpointHealth } from '@mimosarock/gateway/choice/endpoint-health.js'
 import { EndpointPauses } from '@mimosarock/gateway/choice/endpoint-pauses.js'
 import { EndpointSelector } from '@mimosarock/gateway/choice/endpoint-selector.js'
@@ -28,7 +30,7 @@
 
 const SERVICE = 's'
 const REPORT_INTERVAL_MS = 250
-const LOSS = 0.0015
+const DEFAULT_LOSS = 0.0015
 const LOSS_DELAY_MS = 200
 const RECONNECT_MS = 50
 const SWEEP_MS = 10
@@ -47,6 +49,8 @@
   readonly slowdown?: (endpoint: number, now: number) => number
   /** Share of the requests that come from the first of four workspaces; equal shares by default. */
   readonly firstShare?: number
+  /** Fraction of the messages that arrive 200 ms late. */
+  readonly loss?: number
   /** Called before each millisecond. */
   readonly onStep?: (fleet: SlotFleetSimulation, now: number) => void
 }
@@ -64,6 +68,7 @@
   readonly inFlightSamples: { at: number, count: number }[] = []
   isGone = false
   running = 0
+  served = 0
   private readonly _queue: (() => void)[] = []
 
   constructor (readonly id: string, readonly slots: number, private readonly _clock: SteppedClock, private readonly _serviceMs: () => number, readonly slowdown: () => number) {}
@@ -84,6 +89,7 @@
 
   end (): void {
     this.running -= 1
+    this.served += 1
     this._queue.shift()?.()
   }
 }
@@ -136,7 +142,7 @@
       }
       return new LineWriter((text) => {
         const { clock, random } = this._fleet
-        arrivesAt = Math.max(arrivesAt, clock.now() + this._fleet.delay(client, server) + (random() < LOSS ? LOSS_DELAY_MS : 0) + to.processingMs)
+        arrivesAt = Math.max(arrivesAt, clock.now() + this._fleet.delay(client, server) + (random() < this._fleet.loss ? LOSS_DELAY_MS : 0) + to.processingMs)
         clock.sleep(arrivesAt - clock.now()).then(() => deliver(text), () => undefined)
       }, (flush) => flush())
     }
@@ -213,6 +219,14 @@
     this.owners = new SlotOwners({
       clock, random, availableEndpoints: (service) => endpoints.ready(service), health: new EndpointHealth(clock), reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: (id) => loads.total(id)
     }, (service) => this.ownership.owns(service))
+    const request = this.owners.request.bind(this.owners)
+    this.owners.request = (holder, slot, listener) => request(holder, slot, {
+      ...listener,
+      refused: (refusal) => {
+        if (refusal.code === ResultCode.OVERLOADED && this.owners.inUse + fleet.withoutGrant < fleet.slots) fleet.refusedWhileFree += 1
+        listener.refused(refusal)
+      }
+    })
     const slotClient = new SlotClient({
       router: entry.name, ownership: this.ownership, links: this.links, localLink: new LocalSlotLink(this.owners, entry.name), clock, log: new SilentEventLog(), onResult: () => undefined
     })
@@ -228,23 +242,27 @@
   readonly endpoints: readonly SimulatedEndpoint[]
   readonly routers: SimulatedRouter[] = []
   readonly finished: Finished[] = []
-  /** Number of requests that were refused although the requests in flight left a slot free. */
+  /** Number of requests that an owner refused although it had granted fewer slots than there are, less those in use without a grant. */
   refusedWhileFree = 0
+  /** Fraction of the messages that arrive 200 ms late. */
+  loss: number
+  /** Number of requests in flight without a grant. */
+  withoutGrant = 0
   /** Whether routers that were killed are no longer listed as live. */
   forgetsKilled = false
   private readonly _cuts = new Set<SimulatedRouter>()
   private readonly _load: Load
-  private _inFlight = 0
+  private readonly _granted = new Map<string, number>()
+  private readonly _grantedSamples: { at: number, count: number }[] = []
   private _unfinished = 0
 
   /** @param load load to simulate */
   constructor (load: Load) {
     this._load = load
+    this.loss = load.loss ?? DEFAULT_LOSS
     const lognormal = (): number => 36 * Math.exp(0.12 * Math.sqrt(-2 * Math.log(1 - this.random())) * Math.cos(2 * Math.PI * this.random()))
     this.endpoints = [0, 1, 2].map((index) => new SimulatedEndpoint(`e${index}`, 6, this.clock, lognormal, () => load.slowdown?.(index, this.clock.now()) ?? 1))
-    this.endpointTable.apply(this.endpoints.map(({ id, slots }, index) => ({
-      key: id, value: { id, service: SERVICE, address: `${id}:1`, availabilityZone: `z${index}`, slots, isDraining: false, startedAt: 1, revision: 1 }
-    })), undefined)
+    for (const index of this.endpoints.keys()) this._register(index, 1)
     for (let index = 0; index < load.routers; index += 1) this.routers.push(new SimulatedRouter(this, index, load))
   }
 
@@ -254,11 +272,56 @@
     return this.routers.find(({ entry }) => entry.name === name) as SimulatedRouter
   }
 
+  /** Number of slots of all endpoints that are registered. */
+  get slots (): number {
+    return this.endpointTable.ready(SERVICE).reduce((sum, { slots }) => sum + slots, 0)
+  }
+
   /** Number of requests that have neither been answered nor refused. */
   get unfinished (): number {
     return this._unfinished
   }
 
+  /** Most requests with a grant at one endpoint. */
+  get maximumGranted (): number {
+    return this.maximumGrantedFrom(0)
+  }
+
+  /** Most requests with a grant at one endpoint from a moment on. */
+  maximumGrantedFrom (from: number): number {
+    return Math.max(...this._grantedSamples.filter(({ at }) => at >= from).map(({ count }) => count))
+  }
+
+  /** Ends an endpoint, whose registration is removed 200 ms later. */
+  removeEndpoint (index: number): void {
+    const { id } = this.endpoints[index] as SimulatedEndpoint
+    (this.endpoints[index] as SimulatedEndpoint).isGone = true
+    this.clock.sleep(200).then(() => this.endpointTable.apply([{ key: id, value: undefined }], undefined), () => undefined)
+  }
+
+  /** Starts an endpoint again, as a new incarnation. */
+  restartEndpoint (index: number): void {
+    (this.endpoints[index] as SimulatedEndpoint).isGone = false
+    this._register(index, 2)
+  }
+
+  private _register (index: number, startedAt: number): void {
+    const { id, slots } = this.endpoints[index] as SimulatedEndpoint
+    const value = { id, service: SERVICE, address: `${id}:1`, availabilityZone: `z${index}`, slots, isDraining: false, startedAt, revision: 1 }
+    this.endpointTable.apply([{ key: id, value }], undefined)
+  }
+
+  /** Share of the answered requests of a time that used a grant. */
+  grantedShare (from: number): number {
+    const answered = this.finished.filter(({ at, isAnswered }) => isAnswered && at >= from)
+    return answered.filter(({ isGranted }) => isGranted).length / answered.length
+  }
+
+  /** Longest time until a request was refused, in milliseconds. */
+  get longestRefusalMs (): number {
+    return Math.max(0, ...this.finished.filter(({ isAnswered }) => !isAnswered).map(({ elapsedMs }) => elapsedMs))
+  }
+
   /** Most requests at one endpoint at a time between two moments. */
   maximumInFlight (from = 0, to = Infinity): number {
     return Math.max(0, ...this.endpoints.flatMap(({ inFlightSamples }) => inFlightSamples.filter(({ at }) => at >= from && at < to).map(({ count }) => count)))
@@ -333,17 +396,25 @@
     this._unfinished += 1
     try {
       if (!path.tryAdmit(request)) await path.wait(request, signal)
-      this._inFlight += 1
       isAnswered = await this._send(router, path, signal)
-      this._inFlight -= 1
     } catch {
-      if (this._inFlight < this.endpoints.reduce((sum, { slots }) => sum + slots, 0)) this.refusedWhileFree += 1
+      // Refused: neither answered nor in flight.
     }
     this._unfinished -= 1
     const at = this.clock.now()
     this.finished.push({ at, elapsedMs: at - startedAt, workspace, isAnswered, isGranted: path.slotOwner !== undefined })
   }
 
+  private _count (endpointId: string, isGranted: boolean, change: number): void {
+    if (!isGranted) {
+      this.withoutGrant += change
+      return
+    }
+    const count = (this._granted.get(endpointId) ?? 0) + change
+    this._granted.set(endpointId, count)
+    this._grantedSamples.push({ at: this.clock.now(), count })
+  }
+
   private async _send (router: SimulatedRouter, path: ReturnType<AdmissionPaths['create']>, signal: AbortSignal): Promise<boolean> {
     const admittedAt = this.clock.now()
     const excluded = new Set<string>()
@@ -354,6 +425,8 @@
       const { id } = chosen.endpoint
       excluded.add(id)
       const endpoint = this.endpoints.find((other) => other.id === id) as SimulatedEndpoint
+      const isGranted = chosen.reason === ChoiceReason.GRANTED
+      this._count(id, isGranted, 1)
       const delayMs = chosen.endpoint.availabilityZone === router.entry.availabilityZone ? 0.5 : 2
       router.loads.begin(id)
       await this.clock.sleep(delayMs)
@@ -362,6 +435,7 @@
       if (outcome === CallOutcome.COMPLETE) endpoint.end()
       await this.clock.sleep(delayMs)
       router.loads.end(id)
+      this._count(id, isGranted, -1)
       // A killed router releases nothing; its request runs on at the endpoint.
       if (!router.isKilled) path.endCall(outcome, load)
     }
