--- a/packages/gateway/src/grants/granted-slot.ts
+++ b/packages/gateway/src/grants/granted-slot.ts
@@ -18,4 +18,6 @@
   readonly deadlineAt: number
   /** Time at which it ends because its router was lost; Infinity while the router is connected. */
   lostAt: number
+  /** Whether it counts as in use. It is kept for some time after it was lost, since its release tells how long requests take. */
+  isCounted: boolean
 }
--- a/packages/gateway/src/grants/slot-owner.ts
+++ b/packages/gateway/src/grants/slot-owner.ts
@@ -36,12 +36,13 @@
   private readonly _nextGrant: () => number
   private readonly _queues: RankQueues
   private readonly _rejections: DecayingCounter
-  private readonly _times = new SlotTimes()
+  private readonly _times: SlotTimes
   private readonly _endpoints = new Map<string, { readonly startedAt: number, readonly grants: SlotGrants }>()
   private readonly _granted = new Map<number, GrantedSlot>()
   private readonly _waiting = new Set<WaitingRequest>()
   /** Requests whose turn has come, but that may not run where slots are free. */
   private readonly _passedOver = new Set<WaitingRequest>()
+  private _inUse = 0
   private _begunAt: number
 
   /**
@@ -55,17 +56,18 @@
     this._nextGrant = nextGrant
     this._queues = new RankQueues(options.clock)
     this._rejections = new DecayingCounter(options.clock)
+    this._times = new SlotTimes(options.clock)
     this._begunAt = options.clock.now()
   }
 
-  /** Number of grants in use. */
-  get inUse (): number {
-    return this._granted.size
+  /** Whether grants have not ended, or requests wait. */
+  get hasWork (): boolean {
+    return this._granted.size > 0 || this._waiting.size > 0
   }
 
-  /** Number of requests that wait. */
-  get queued (): number {
-    return this._waiting.size
+  /** Number of grants in use. */
+  get inUse (): number {
+    return this._inUse
   }
 
   /**
@@ -107,7 +109,7 @@
   /**
    * Takes back a grant. Without effect if it has ended before.
    * @param release the grant and how its use ended
-   * @returns whether the grant was in use
+   * @returns whether the grant is known
    */
   release ({ grant, outcome, elapsedMs, load }: SlotRelease): boolean {
     const slot = this._granted.get(grant)
@@ -116,8 +118,11 @@
       slot.grants.recordReport(load, this._times.serviceMs)
       this._options.reportedLoads.record(slot.endpoint, load)
     }
-    this._end(slot)
-    if (outcome === SlotOutcome.COMPLETE) this._times.record(elapsedMs, this._options.clock.now() - slot.grantedAt)
+    const heldMs = this._options.clock.now() - slot.grantedAt
+    if (!slot.isCounted) this._times.recordLongest(heldMs)
+    else if (outcome === SlotOutcome.COMPLETE) this._times.record(elapsedMs, heldMs)
+    this._granted.delete(grant)
+    this._stopCounting(slot)
     this._recordHealth(slot.endpoint.id, outcome)
     this._grantQueued()
     return true
@@ -150,14 +155,16 @@
     const now = this._options.clock.now()
     const { lostAfterMs } = this._times
     for (const slot of this._granted.values()) {
-      if (now >= Math.min(slot.lostAt, slot.deadlineAt, slot.grantedAt + lostAfterMs)) this._end(slot)
+      const endsAt = Math.min(slot.lostAt, slot.deadlineAt)
+      if (now >= Math.min(endsAt, slot.grantedAt + lostAfterMs)) this._stopCounting(slot)
+      if (now >= endsAt) this._granted.delete(slot.grant)
     }
+    this._grantQueued()
     for (const waiting of this._waiting) {
       if (now < waiting.expiresAt) continue
       this._drop(waiting)
       waiting.listener.refused(this._overloaded('had no free slot within the queue time limit'))
     }
-    this._grantQueued()
   }
 
   private _queue (holder: SlotHolder, request: SlotRequest, listener: SlotListener): SlotTicket | undefined {
@@ -177,7 +184,7 @@
       holder,
       listener
     }
-    const expectedMs = this._queues.expectedWaitMs(waiting, this._times.serviceMs / Math.max(1, this._granted.size))
+    const expectedMs = this._queues.expectedWaitMs(waiting, this._times.serviceMs / Math.max(1, this._inUse))
     if (expectedMs > waitMs) {
       listener.refused(this._overloaded(`would grant a slot only after about ${Math.round(expectedMs)} ms`))
       return undefined
@@ -228,13 +235,18 @@
     const grant = this._nextGrant()
     if (queuedAt === undefined) this._queues.countAdmission(request)
     grants.begin()
-    this._granted.set(grant, { grant, holder, endpoint, grants, grantedAt: now, deadlineAt: now + request.timeLeftMs, lostAt: Infinity })
+    this._inUse += 1
+    this._granted.set(grant, {
+      grant, holder, endpoint, grants, grantedAt: now, deadlineAt: now + request.timeLeftMs, lostAt: Infinity, isCounted: true
+    })
     listener.granted({ grant, endpointId: endpoint.id, startedAt: endpoint.startedAt, waitedMs: now - (queuedAt ?? now) })
   }
 
-  private _end (slot: GrantedSlot): void {
-    this._granted.delete(slot.grant)
+  private _stopCounting (slot: GrantedSlot): void {
+    if (!slot.isCounted) return
+    slot.isCounted = false
     slot.grants.end()
+    this._inUse -= 1
   }
 
   private _hasFreeSlot (): boolean {
--- a/packages/gateway/src/grants/slot-owners.ts
+++ b/packages/gateway/src/grants/slot-owners.ts
@@ -36,7 +36,7 @@
 
   /** Whether there are grants in use or waiting requests. */
   get hasWork (): boolean {
-    for (const { owner } of this._services.values()) if (owner.inUse > 0 || owner.queued > 0) return true
+    for (const { owner } of this._services.values()) if (owner.hasWork) return true
     return false
   }
 
--- a/packages/gateway/src/grants/slot-ownership.ts
+++ b/packages/gateway/src/grants/slot-ownership.ts
@@ -24,6 +24,8 @@
 export class SlotOwnership {
   private readonly _options: SlotOwnershipOptions
   private readonly _services = new Map<string, ServiceRecord>()
+  private _order: SlotOwnershipOptions['routers']['order'] | undefined
+  private _orderUntil = -Infinity
 
   /**
    * @param options members, endpoints and settings
@@ -91,11 +93,21 @@
   }
 
   private _lookUp (service: string, until: number): ServiceRecord {
-    const { routers, endpoints, isEnabled } = this._options
-    const { order } = routers
+    const { endpoints, isEnabled } = this._options
+    const order = this._currentOrder(until)
     const slots = endpoints.ready(service).reduce((sum, endpoint) => sum + endpoint.slots, 0)
     const usesGrants = isEnabled() && slots > 0 && slots < order.size
+    if (!usesGrants) return { until, usesGrants, candidates: [] }
     const key = hash.h64(service).toString(16).padStart(KEY_DIGITS, '0')
-    return { until, usesGrants, candidates: usesGrants ? order.first(key, MAXIMUM_CANDIDATES).map(({ entry }) => entry) : [] }
+    return { until, usesGrants, candidates: order.first(key, MAXIMUM_CANDIDATES).map(({ entry }) => entry) }
+  }
+
+  /** Returns the order of the live routers, which is looked up once for many services, since each look-up passes over all routers. */
+  private _currentOrder (until: number): SlotOwnershipOptions['routers']['order'] {
+    if (this._order === undefined || this._options.clock.now() >= this._orderUntil) {
+      this._order = this._options.routers.order
+      this._orderUntil = until
+    }
+    return this._order
   }
 }
--- a/packages/gateway/src/grants/slot-server.ts
+++ b/packages/gateway/src/grants/slot-server.ts
@@ -9,7 +9,7 @@
 import { SlotServerConnection } from './slot-server-connection.js'
 
 /** Interval at which grants and requests whose time is over are looked for while there are any, in milliseconds. */
-const SWEEP_INTERVAL_MS = 10
+const SWEEP_INTERVAL_MS = 20
 /** Number of bytes that may wait to be read by a router before its connection is closed; that is some thousands of messages. */
 const MAXIMUM_UNREAD_BYTES = 1_048_576
 
--- a/packages/gateway/src/grants/slot-times.ts
+++ b/packages/gateway/src/grants/slot-times.ts
@@ -1,7 +1,8 @@
 import { ServiceTimes } from '@mimosarock/placement/service-times.js'
+import type { ElapsedClock } from '../model/elapsed-clock.js'
 
-/** Factor by which the longest time falls with each release, so that a single long request is forgotten after some hundreds. */
-const LONGEST_TIME_DECAY = 0.995
+/** Half-life of the longest time, in milliseconds: a single long request is forgotten after some minutes. */
+const LONGEST_HALF_LIFE_MS = 60_000
 /** Multiple of the longest time after which a grant without a release counts as lost. */
 const LOST_MULTIPLE = 2
 /** Minimum time after which a grant counts as lost, in milliseconds: a packet that is lost delays a release by more than 200 ms. */
@@ -13,7 +14,16 @@
 export class SlotTimes {
   private readonly _times = new ServiceTimes()
   private readonly _transits = new ServiceTimes()
+  private readonly _clock: ElapsedClock
   private _longestMs = 0
+  private _longestAt = 0
+
+  /**
+   * @param clock measures the age of the longest time
+   */
+  constructor (clock: ElapsedClock) {
+    this._clock = clock
+  }
 
   /** Mean time for which a router uses a grant, in milliseconds; 0 before the first release. */
   get serviceMs (): number {
@@ -33,7 +43,17 @@
   record (usedMs: number, heldMs: number): void {
     this._times.recordServiceTime(usedMs)
     this._transits.recordServiceTime(Math.max(0, heldMs - usedMs))
-    this._longestMs = Math.max(this._longestMs * LONGEST_TIME_DECAY, heldMs)
+    this.recordLongest(heldMs)
+  }
+
+  /**
+   * Records the time of a grant whose end was noticed late.
+   * @param heldMs time from the grant to the receipt of its release, in milliseconds
+   */
+  recordLongest (heldMs: number): void {
+    const now = this._clock.now()
+    this._longestMs = Math.max(this._longestMs * 2 ** ((this._longestAt - now) / LONGEST_HALF_LIFE_MS), heldMs)
+    this._longestAt = now
   }
 
   /**
--- a/packages/gateway/src/test/slot-fleet-simulation.ts
+++ b/packages/gateway/src/test/slot-fleet-simulation.ts
@@ -33,7 +33,7 @@
 const DEFAULT_LOSS = 0.0015
 const LOSS_DELAY_MS = 200
 const RECONNECT_MS = 50
-const SWEEP_MS = 10
+const SWEEP_MS = 20
 /** Number of requests that wait at an endpoint, above which it rejects them. */
 const ENDPOINT_QUEUE = 24
 const TIMEOUT_MS = 2_000
