--- a/packages/gateway/src/grants/slot-client.ts
+++ b/packages/gateway/src/grants/slot-client.ts
@@ -14,6 +14,11 @@
 
 /** Time within which an owner has to answer, if only that the request waits, in milliseconds. */
 const ANSWER_MS = 75
+/**
+ * Time in which an answer that has arrived is read, in milliseconds. After a pause of this process, timers end before connections
+ * are read.
+ */
+const READ_MS = 2
 /** Time after the longest wait at the owner until its answer is no longer waited for, in milliseconds. */
 const ANSWER_MARGIN_MS = 75
 
@@ -114,11 +119,11 @@
       if (isSettled) return
       if (signal.aborted) return giveUp(() => reject(callerDisconnectedError()))
       signal.addEventListener('abort', () => giveUp(() => reject(callerDisconnectedError())), { once: true, signal: timeLimit.signal })
-      limit(ANSWER_MS, () => {
+      limit(ANSWER_MS, () => limit(READ_MS, () => {
         if (isQueued) return
         giveUp(() => resolve(undefined))
         this._recordSilence(owner, status)
-      })
+      }))
     })
   }
 
--- a/packages/gateway/src/grants/slot-connections.ts
+++ b/packages/gateway/src/grants/slot-connections.ts
@@ -121,6 +121,8 @@
     const timeout = setTimeout(() => request.destroy(new Error('the router does not answer')), CONNECT_TIMEOUT_MS)
     signal.addEventListener('abort', stop, { once: true })
     try {
+      // The rejection below tells of an error; one that follows it has no other listener.
+      request.on('error', () => undefined)
       request.on('response', () => request.destroy(new Error('the router does not serve slot grants')))
       request.end()
       const [, socket] = await once(request, 'upgrade') as [unknown, Socket]
