--- a/packages/gateway/src/grants/slot-client.ts
+++ b/packages/gateway/src/grants/slot-client.ts
@@ -3,6 +3,7 @@
 import { RunState } from '@mimosarock/schema/run-state.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import { maximumWaitMs } from './maximum-wait-ms.js'
+import { readSlotRequest } from './read-slot-request.js'
 import type { SlotClientOptions } from './slot-client-options.js'
 import { SlotLease } from './slot-lease.js'
 import type { SlotLink } from './slot-link.js'
@@ -52,7 +53,9 @@
   async acquire (request: SlotRequest, signal: AbortSignal): Promise<SlotLease | undefined> {
     const startedAt = this._options.clock.now()
     const owner = this._options.ownership.ownerOf(request.service)
-    const link = owner === undefined ? undefined : this._linkTo(owner, request.service)
+    // A figure of the configuration may be no number. The owner would close the connection on it.
+    const isValid = readSlotRequest(request) !== undefined
+    const link = owner === undefined || !isValid ? undefined : this._linkTo(owner, request.service)
     if (owner === undefined || link === undefined) {
       this._options.onResult(request.service, SlotResult.FALLBACK, 0)
       return undefined
