Slot grants: requests with a prompt prefer the endpoint that holds their context, or the primary of their key

Cause: the slot owner chooses by load alone. At a small service of engines, requests of one chat would go to all endpoints, each of which processes the whole prompt, until their holders are known.

Change: a request names the primary of its key while no holder is known; the router tells a granted endpoint where to copy the context from, as for other choices.

--- a/packages/gateway/src/caller/granted-admission-options.ts
+++ b/packages/gateway/src/caller/granted-admission-options.ts
@@ -27,7 +27,7 @@
   /** Registered endpoints. */
   readonly endpoints: Pick<EndpointTable, 'find' | 'ready'>
   /** Tells which endpoints may be used, and what is known of contexts. */
-  readonly selector: Pick<EndpointSelector, 'isUsable' | 'chooseGranted' | 'holdersOf'>
+  readonly selector: Pick<EndpointSelector, 'isUsable' | 'chooseGranted' | 'preferredFor'>
   /** Recent failures of endpoints, as seen by this router. */
   readonly health: Pick<EndpointHealth, 'preferHealthy'>
   /** Permits for requests to endpoints with a rate limit. */
--- a/packages/gateway/src/caller/granted-admission.ts
+++ b/packages/gateway/src/caller/granted-admission.ts
@@ -122,7 +122,7 @@
         timeLeftMs: timeLeftMs(),
         excluded: [...excluded, ...this._unusableIds(excluded)],
         zones,
-        preferred: selector.holdersOf(prompt)
+        preferred: selector.preferredFor(service, prompt)
       }, signal)
       this._slotOwner = lease?.owner
       return lease
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -77,20 +77,25 @@
    * @param prompt parts of the prompt; empty for requests without one
    */
   chooseGranted (endpoint: EndpointEntry, prompt: readonly PromptPart[]): ChosenEndpoint {
+    const bound = this._loadBound(endpoint.service)
     const key = EndpointSelector.keyOf(prompt)
-    const holders = key === undefined ? [] : this._options.holders.holders(key)
-    const source = holders.includes(endpoint.id) ? undefined : this._contextSource(holders)
-    return this._createChosen(endpoint, ChoiceReason.GRANTED, [], source, this._loadBound(endpoint.service))
+    if (key === undefined) return this._createChosen(endpoint, ChoiceReason.GRANTED, [], undefined, bound)
+    const holders = this._options.holders.holders(key)
+    const first = this._firstOfOrder(endpoint.service, key)
+    const source = holders.includes(endpoint.id) ? undefined : this._contextSource(holders) ?? this._assumedContextSource(first)
+    return this._createChosen(first[0]?.id === endpoint.id ? first[0] : endpoint, ChoiceReason.GRANTED, first, source, bound)
   }
 
   /**
-   * Returns the ids of the endpoints that hold the context of a prompt; undefined if there are none.
+   * Returns the ids of the endpoints that hold the context of a prompt, or are to hold it; undefined for an empty prompt.
+   * @param service name of the service
    * @param prompt parts of the prompt; empty for requests without one
    */
-  holdersOf (prompt: readonly PromptPart[]): readonly string[] | undefined {
+  preferredFor (service: string, prompt: readonly PromptPart[]): readonly string[] | undefined {
     const key = EndpointSelector.keyOf(prompt)
-    const holders = key === undefined ? [] : this._options.holders.holders(key)
-    return holders.length > 0 ? [...holders] : undefined
+    if (key === undefined) return undefined
+    const holders = this._options.holders.holders(key)
+    return holders.length > 0 ? [...holders] : this._firstOfOrder(service, key).map(({ id }) => id)
   }
 
   /**
@@ -252,6 +257,11 @@
     return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
   }
 
+  /** Returns the first endpoint of the rendezvous order of a key, as a list. */
+  private _firstOfOrder (service: string, key: string): readonly EndpointEntry[] {
+    return this._order(service).first(key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS), 1).map((member) => member.endpoint)
+  }
+
   private _order (service: string): RendezvousOrder<RendezvousMember> {
     const { endpoints } = this._options
     const ready = endpoints.ready(service)
--- a/packages/gateway/src/grants/slot-request.ts
+++ b/packages/gateway/src/grants/slot-request.ts
@@ -8,6 +8,6 @@
   readonly excluded: readonly string[]
   /** Availability zones whose endpoints may be granted; undefined if all may. */
   readonly zones?: readonly string[] | undefined
-  /** Ids of endpoints that hold the context of the request, which are granted first while they have a free slot; undefined if there are none. */
+  /** Ids of endpoints that hold the context of the request, or are to hold it; granted first while they have a free slot. Undefined without a prompt. */
   readonly preferred?: readonly string[] | undefined
 }
--- a/packages/gateway/src/test/endpoint-selector_test.ts
+++ b/packages/gateway/src/test/endpoint-selector_test.ts
@@ -123,3 +123,19 @@
   const excluded = new Set(Array.from({ length: ENDPOINTS }, (_, index) => `e${index}`))
   expect(createFixture().selector.choose('s', [], { excluded })).toBeUndefined()
 })
+
+// Guards against requests of one chat that slot owners spread over all endpoints, each of which then processes the whole prompt.
+test('a granted endpoint: the holder or the primary is preferred, and another endpoint is told where to copy the context from', () => {
+  const fixture = createFixture(true)
+  const { selector, holders, endpoints } = fixture
+  const [primary] = selector.preferredFor('s', promptOf('abc')) ?? []
+  const other = [...endpoints.entries].find(({ id }) => id !== primary)
+  if (primary === undefined || other === undefined) throw new Error('no endpoint')
+  expect(selector.choose('s', promptOf('abc'), NONE)?.endpoint.id).toBe(primary)
+  expect(selector.chooseGranted({ ...other }, promptOf('abc'))).toMatchObject({ endpoint: { id: other.id }, contextHolder: { id: primary }, isChosenAsPrimary: false })
+  expect(selector.chooseGranted({ ...endpoints.find(primary) ?? other }, promptOf('abc'))).toMatchObject({ contextHolder: undefined, isChosenAsPrimary: true })
+  holders.add('abc', other.id)
+  expect(selector.preferredFor('s', promptOf('abc'))).toEqual([other.id])
+  expect(selector.chooseGranted(other, promptOf('abc')).contextHolder).toBeUndefined()
+  expect(selector.preferredFor('s', [])).toBeUndefined()
+})
--- a/packages/gateway/src/test/granted-admission_test.ts
+++ b/packages/gateway/src/test/granted-admission_test.ts
@@ -69,7 +69,7 @@
     admission,
     isProcessFull: () => isProcessFull,
     endpoints: { find: (id) => endpoints.find((endpoint) => endpoint.id === id), ready: () => endpoints },
-    selector: { isUsable: ({ id }) => !unusable.has(id), chooseGranted: chosen, holdersOf: () => undefined },
+    selector: { isUsable: ({ id }) => !unusable.has(id), chooseGranted: chosen, preferredFor: () => undefined },
     health: { preferHealthy: (all) => all },
     permits: { allows: () => true },
     clock,
