Slot grants: an owner that was silent is not asked again until something arrives from it

Cause: with 195 routers each one asks an owner only some times a second. While the owner was frozen, most requests of the fleet waited 75 ms each for it, until each router had counted three of them, and the next router was asked only after three skips.

Skips remain for owners whose answers all come late.

--- a/packages/gateway/src/grants/local-slot-link.ts
+++ b/packages/gateway/src/grants/local-slot-link.ts
@@ -8,6 +8,7 @@
 
 /** Way from a router to the slots that it owns itself. */
 export class LocalSlotLink implements SlotLink {
+  readonly receivedCount = 0
   private readonly _owners: SlotOwners
   private readonly _holder: SlotHolder
 
--- a/packages/gateway/src/grants/slot-client-connection.ts
+++ b/packages/gateway/src/grants/slot-client-connection.ts
@@ -22,6 +22,7 @@
   private readonly _listeners = new Map<JSONRPCID, SlotListener>()
   private _lastId = 0
   private _isEnded = false
+  private _receivedCount = 0
 
   /**
    * @param writer writes lines to the connection
@@ -30,6 +31,10 @@
     this._writer = writer
   }
 
+  get receivedCount (): number {
+    return this._receivedCount
+  }
+
   request (request: SlotRequest, listener: SlotListener): SlotTicket {
     this._lastId += 1
     const id = this._lastId
@@ -48,6 +53,7 @@
    * @returns false if it is malformed; the connection is to be closed
    */
   receive (line: string): boolean {
+    this._receivedCount += 1
     const message = parse(line)
     if (isQueuedMessage(message)) {
       this._listeners.get(message.params.id)?.queued(message.params.expectedMs)
--- a/packages/gateway/src/grants/slot-client.ts
+++ b/packages/gateway/src/grants/slot-client.ts
@@ -75,7 +75,8 @@
 
   private _linkTo (owner: RouterEntry, service: string): SlotLink | undefined {
     if (this._isSelf(owner)) return this._options.localLink
-    return this._statusOf(owner).mayAsk(service) ? this._options.links.linkTo(owner) : undefined
+    const link = this._options.links.linkTo(owner)
+    return link !== undefined && this._statusOf(owner).mayAsk(service, link.receivedCount) ? link : undefined
   }
 
   private async _request (owner: RouterEntry, link: SlotLink, request: SlotRequest, signal: AbortSignal): Promise<SlotLease | undefined> {
@@ -125,16 +126,19 @@
       limit(ANSWER_MS, () => limit(READ_MS, () => {
         if (isQueued) return
         giveUp(() => resolve(undefined))
-        this._recordSilence(owner, status)
+        this._recordSilence(owner, link, status)
       }))
     })
   }
 
-  private _recordSilence (owner: RouterEntry, status: SlotOwnerStatus): void {
-    const { links, log } = this._options
-    if (this._isSelf(owner) || !status.recordSilence()) return
-    log.warn('slot-owner-silent', { owner: owner.name, reset: status.needsReset })
-    if (status.needsReset) links.reset(owner)
+  private _recordSilence (owner: RouterEntry, link: SlotLink, status: SlotOwnerStatus): void {
+    if (this._isSelf(owner)) return
+    const isSkipped = status.recordSilence(link.receivedCount)
+    const isReset = status.needsReset
+    if (isSkipped || isReset) this._options.log.warn('slot-owner-silent', { owner: owner.name, reset: isReset })
+    if (!isReset) return
+    status.recordReset()
+    this._options.links.reset(owner)
   }
 
   private _isSelf ({ name }: RouterEntry): boolean {
--- a/packages/gateway/src/grants/slot-link.ts
+++ b/packages/gateway/src/grants/slot-link.ts
@@ -5,6 +5,8 @@
 
 /** Way from a router to a slot owner. */
 export interface SlotLink {
+  /** Number of messages that have arrived from the owner. */
+  readonly receivedCount: number
   /**
    * Requests a slot.
    * @param request what is wanted
