--- a/packages/gateway/src/admission/service-admissions.ts
+++ b/packages/gateway/src/admission/service-admissions.ts
@@ -57,6 +57,13 @@
     for (const service of services) this._admitQueuedOf(service)
   }
 
+  /** Whether one more request would exceed the concurrency limit of the process. */
+  get isProcessFull (): boolean {
+    let inFlight = 0
+    for (const { admission } of this._groups.values()) inFlight += admission.inFlight
+    return inFlight + 1 > this._options.processLimit()
+  }
+
   /** The same for requests with home regions, which are no longer queued once there is no endpoint where they may run. */
   admitQueuedWithHomes (): void {
     for (const { homes, admission } of this._groups.values()) if (homes !== undefined) admission.admitQueued()
--- a/packages/gateway/src/caller/report-request.ts
+++ b/packages/gateway/src/caller/report-request.ts
@@ -37,6 +37,8 @@
     endpoint_limit: chosen === undefined ? undefined : limits.limitOf(chosen.endpoint),
     cold: chosen !== undefined && warmUps.isCold(chosen.endpoint) ? true : undefined,
     waited_ms: Math.round(record.waitedMs),
+    grant_ms: record.grantMs === undefined ? undefined : Math.round(record.grantMs),
+    slot_owner: record.slotOwner,
     tries: record.attempts,
     status,
     code,
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -2,13 +2,13 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
-import type { ServiceAdmission } from '../admission/service-admission.js'
 import type { HeldConnection } from '../memory/held-connection.js'
 import { ResponseRelay } from '../responses/response-relay.js'
 import { sendErrorResponse } from '../responses/send-error-response.js'
 import type { Homes } from '../homes/homes.js'
 import type { RequestContent } from '../model/request-content.js'
 import { RouteKind } from '../model/route-kind.js'
+import type { AdmissionPath } from './admission-path.js'
 import { authorizeRequest } from './authorize-request.js'
 import type { AuthorizedRequest } from './authorized-request.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
@@ -51,6 +51,7 @@
   private _admissionWait: AbortController | undefined
   private _admittedAt = 0
   private _waitedMs = 0
+  private _path: AdmissionPath | undefined
   private _firstByteMs: number | undefined
   private _attempts: EndpointAttempts | undefined
 
@@ -77,7 +78,7 @@
     this._response.on('close', () => this._onClose())
     this._response.on('drain', () => this._attempts?.resume())
     let authorized: AuthorizedRequest | undefined
-    let admission: ServiceAdmission | undefined
+    let admission: AdmissionPath | undefined
     let code: ResultCode = ResultCode.OK
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
@@ -88,7 +89,7 @@
       requireNotEvacuated(this._dependencies.endpoints, authorized.service)
       this._requireEndpointWithinWait(authorized, this._dependencies.currentHomes.of(authorized))
       admission = await this._waitForAdmission(authorized)
-      const served = this._serve(authorized, content, body)
+      const served = this._serve(authorized, admission, content, body)
       admission.recordDispatch()
       await served
     } catch (error) {
@@ -101,7 +102,7 @@
     this._report(authorized, code)
   }
 
-  private _release ({ service, route }: AuthorizedRequest, admission: ServiceAdmission, code: ResultCode): void {
+  private _release ({ service, route }: AuthorizedRequest, admission: AdmissionPath, code: ResultCode): void {
     const elapsedMs = this._dependencies.clock.now() - this._admittedAt
     if (code === ResultCode.OK) this._dependencies.routeTimes.record(service, route.name, elapsedMs)
     admission.release(elapsedMs)
@@ -155,15 +156,16 @@
   }
 
   /** Admits the request to its service; queues it while the service has no capacity. */
-  private async _waitForAdmission (authorized: AuthorizedRequest): Promise<ServiceAdmission> {
+  private async _waitForAdmission (authorized: AuthorizedRequest): Promise<AdmissionPath> {
     // The caller may have disconnected before its request was read; the disconnect is read in the next iteration.
     await nextEventLoopIteration()
     if (this._isCallerDisconnected || this._request.socket.readableEnded) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
-    const { admissions, currentHomes, permits } = this._dependencies
+    const { admissionPaths, currentHomes, permits } = this._dependencies
     permits.countRequest(authorized.service)
     for (;;) {
       const homes = currentHomes.of(authorized)
-      const admission = admissions.get(authorized.service, homes)
+      const admission = admissionPaths.create(authorized, () => this._timeLeftMs(authorized), homes)
+      this._path = admission
       await this._admit(admission, authorized)
       const newHomes = currentHomes.of(authorized)
       if (newHomes === homes) return admission
@@ -174,7 +176,7 @@
     }
   }
 
-  private async _admit (admission: ServiceAdmission, authorized: AuthorizedRequest): Promise<void> {
+  private async _admit (admission: AdmissionPath, authorized: AuthorizedRequest): Promise<void> {
     const { clock } = this._dependencies
     const request = {
       workspace: authorized.workspace,
@@ -195,7 +197,7 @@
     }
   }
 
-  private async _serve (authorized: AuthorizedRequest, content: RequestContent, body: Buffer): Promise<void> {
+  private async _serve (authorized: AuthorizedRequest, admission: AdmissionPath, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
     this._authorizeAgainAfterDelay()
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
@@ -213,7 +215,7 @@
     })
     this._relay = relay
     const attempts = new EndpointAttempts(this._dependencies, {
-      authorized, content, request: this._request, body, relay, timeLeftMs: () => this._timeLeftMs(authorized)
+      authorized, content, request: this._request, body, relay, admission, timeLeftMs: () => this._timeLeftMs(authorized)
     })
     this._attempts = attempts
     const timer = setTimeout(() => attempts.endAtDeadline(), Math.max(0, this._timeLeftMs(authorized)))
@@ -288,6 +290,8 @@
       authorized,
       chosen: this._attempts?.chosen,
       waitedMs: this._waitedMs,
+      grantMs: this._path?.grantMs,
+      slotOwner: this._path?.slotOwner,
       attempts: this._attempts?.count ?? 0,
       status: this._response.headersSent ? this._response.statusCode : 0,
       code,
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -96,6 +96,35 @@
     return this._chooseForKey(key, service, candidates, bound, mayRunAt)
   }
 
+  /**
+   * Returns an endpoint that a slot owner has chosen, with what this router knows of the context.
+   * @param endpoint the endpoint
+   * @param prompt parts of the prompt; empty for requests without one
+   * @param mayRunAt returns whether the request may run at an endpoint; undefined if it may run at all of them
+   */
+  chooseGranted (endpoint: EndpointEntry, prompt: readonly PromptPart[], mayRunAt?: MayRunAt): ChosenEndpoint {
+    const bound = this._loadBound(endpoint.service)
+    const key = EndpointSelector.keyOf(prompt)
+    if (key === undefined) return this._createChosen(endpoint, ChoiceReason.GRANTED, undefined, undefined, bound)
+    const holders = this._options.holders.holders(key)
+    const primary = this._primary(endpoint.service, orderKeyOf(key))
+    const source = holders.includes(endpoint.id) ? undefined : this._contextSource(holders, mayRunAt) ?? this._assumedContextSource(primary, mayRunAt)
+    return this._createChosen(primary?.id === endpoint.id ? primary : endpoint, ChoiceReason.GRANTED, primary, source, bound)
+  }
+
+  /**
+   * Returns the ids of the endpoints that hold the context of a prompt, or are to hold it; undefined for an empty prompt.
+   * @param service name of the service
+   * @param prompt parts of the prompt; empty for requests without one
+   */
+  preferredFor (service: string, prompt: readonly PromptPart[]): readonly string[] | undefined {
+    const key = EndpointSelector.keyOf(prompt)
+    if (key === undefined) return undefined
+    const holders = this._options.holders.holders(key)
+    if (holders.length > 0) return [...holders]
+    return this._ordersOf(service, undefined).order.first(orderKeyOf(key), 1).map(({ endpoint }) => endpoint.id)
+  }
+
   /**
    * Returns whether a chosen endpoint still takes requests: the same incarnation is registered, neither leaving nor paused, and its
    * zone is not evacuated.
@@ -145,7 +174,7 @@
     const holder = this._holderWithCapacity(key, candidates, bound)
     if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, undefined, undefined, bound)
     const lookup = this._options.permits.isNeeded ? RENDEZVOUS_LOOKUP_WITH_LIMITS : RENDEZVOUS_CANDIDATES
-    const orderKey = key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS)
+    const orderKey = orderKeyOf(key)
     const order = this._ordersOf(service, mayRunAt).order.first(orderKey, lookup).map((member) => member.endpoint)
     const primary = this._primary(service, orderKey)
     const source = this._contextSource(holders, mayRunAt) ?? this._assumedContextSource(primary, mayRunAt)
@@ -321,3 +350,7 @@
 function allowed (endpoints: readonly EndpointEntry[], mayRunAt: MayRunAt | undefined): readonly EndpointEntry[] {
   return mayRunAt === undefined ? endpoints : endpoints.filter(mayRunAt)
 }
+
+function orderKeyOf (key: string): string {
+  return key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS)
+}
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -16,8 +16,11 @@
  * @param clock clock by which the endpoints were verified
  * @param state source of the gauge of requests in flight, which is updated at each request
  * @param heldBytes source of the gauge of held bytes, which is updated at each request
+ * @param ownedServices returns the services whose slots this router owns
  */
-export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState, heldBytes: HeldBytes): Server {
+export function createMetricsServer (
+  metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState, heldBytes: HeldBytes, ownedServices: () => readonly string[]
+): Server {
   return createServer((_request, response) => {
     const { configuration, endpointsFreshness, evacuations, fairness, limits, quarantine, storeEra, warmUps } = fleetState
     metrics.limitedWorkspaces.set(fairness.limitedCount)
@@ -32,6 +35,8 @@
     metrics.endpointsAgeSeconds.set((clock.now() - endpointsFreshness.verifiedAt) / MS_PER_SECOND)
     metrics.requestsInFlight.set(state.requestsInFlight)
     metrics.heldBytes.set(heldBytes.total)
+    metrics.slotOwner.reset()
+    for (const service of ownedServices()) metrics.slotOwner.set({ service }, 1)
     metrics.registry.metrics().then(
       (text) => response.writeHead(OK, { 'content-type': metrics.registry.contentType }).end(text),
       (error: Error) => response.writeHead(FAILED).end(error.message)
