Outlier ejection: endpoints that fail requests but pass health checks

Cause: a complete answer counted as a success whatever its status, and each router saw too few answers of an endpoint to tell that it fails nearly half of them. Endpoints that fail got as many requests as sound ones (docs/design/hard-load.md, section 7).

Change: each router counts answers and failures of endpoints and reports at most 64 endpoints and totals by service with its sync requests. The first router of a zone adds up its followers' reports. The router that follows no other decides; the list travels in sync answers whenever it changes. Endpoints are left out of the choice, the capacity and the load bound, and return by trials. Lost connections of crashed endpoints and failures of quarantined requests do not count. In addition to the rule of the design, failures have to exceed chance: with few answers of each endpoint, a failure rate of 2 to 5% of all endpoints led to ejections.

--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -7,6 +7,8 @@
 import type { PromptPart } from '../model/prompt-part.js'
 import type { ResponseHead } from '../model/response-head.js'
 import { RouteKind } from '../model/route-kind.js'
+import { AnswerVerdict } from '../outliers/answer-verdict.js'
+import { judgeAnswer } from '../outliers/judge-answer.js'
 import { mayRetry } from '../retries/may-retry.js'
 import { CallOutcome } from '../sending/call-outcome.js'
 import type { CallResult } from '../sending/call-result.js'
@@ -109,12 +111,13 @@
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
     const { endpoint } = chosen
     const { content } = this._options
-    const { loads, quarantine, stallWatch } = this._dependencies
+    const { clock, loads, quarantine, stallWatch } = this._dependencies
     const call = this._createCall(chosen)
     const watched = this._watchedCall(call, endpoint.id)
     this._call = call
     this._attempts += 1
     this._recordHolder(content.prompt, chosen)
+    const startedAt = clock.now()
     loads.begin(endpoint.id)
     quarantine.beginCall(content)
     call.send(this._connectionsTo(endpoint))
@@ -124,7 +127,16 @@
     loads.end(endpoint.id)
     quarantine.endCall(content)
     this._recordHealth(endpoint.id, result)
-    if (result.isConnectionLost) this._recordLoss(chosen)
+    const verdict = this._isCallerDisconnected
+      ? AnswerVerdict.NONE
+      : judgeAnswer(result, {
+        isPaused: call.isPaused, isDeadlineOver: this._options.timeLeftMs() < MINIMUM_CALL_MS, elapsedMs: clock.now() - startedAt
+      })
+    if (!result.isConnectionLost) this._recordAnswer(endpoint, verdict)
+    else {
+      // Whatever crashes an endpoint is dealt with as a crash, and tells nothing of the incarnation that follows.
+      this._recordLoss(chosen).then((hasCrashed) => { if (!hasCrashed) this._recordAnswer(endpoint, verdict) }, () => undefined)
+    }
     return result
   }
 
@@ -242,11 +254,20 @@
     return this._dependencies.quarantine.includes(this._options.content) ? MAXIMUM_LOSSES_OF_TRIAL : MAXIMUM_LOSSES_BEFORE_ANSWER
   }
 
-  private _recordLoss ({ endpoint }: ChosenEndpoint): void {
+  private _recordAnswer (endpoint: EndpointEntry, verdict: AnswerVerdict): void {
+    const { metrics, outliers, quarantine } = this._dependencies
+    if (verdict === AnswerVerdict.NONE) return
+    const isFailure = verdict === AnswerVerdict.FAILED
+    if (isFailure) metrics.endpointFailures.inc({ service: endpoint.service })
+    // Sound endpoints fail requests that crash endpoints.
+    if (!isFailure || !quarantine.includes(this._options.content)) outliers.record(endpoint, isFailure)
+  }
+
+  private _recordLoss ({ endpoint }: ChosenEndpoint): Promise<boolean> {
     const { content, relay } = this._options
     const { clock, crashDetector } = this._dependencies
     if (!relay.isStarted) this._lossesBeforeAnswer += 1
-    crashDetector.connectionLost(endpoint, { content, lostAt: clock.now(), hasBegun: relay.isStarted })
+    return crashDetector.connectionLost(endpoint, { content, lostAt: clock.now(), hasBegun: relay.isStarted })
   }
 
   private _recordHealth (endpointId: string, { outcome }: CallResult): void {
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -13,6 +13,7 @@
 import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import type { CrashDetector } from '../quarantine/crash-detector.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { FleetOutliers } from '../outliers/fleet-outliers.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
@@ -50,6 +51,8 @@
   readonly permits: FleetPermits
   /** Recent failures of endpoints. */
   readonly health: EndpointHealth
+  /** Endpoints that fail requests although they pass health checks. */
+  readonly outliers: FleetOutliers
   /** Cache index: endpoints that hold the context of a prompt. */
   readonly holders: HolderTable
   /** Requests in flight at each endpoint. */
--- a/packages/gateway/src/choice/choice-reason.ts
+++ b/packages/gateway/src/choice/choice-reason.ts
@@ -5,7 +5,9 @@
   /** The endpoint is the first one in the rendezvous order of the key that is below the load bound and has a free slot. */
   HOME: 'home',
   /** The endpoint has the fewest requests in flight relative to its slots. */
-  LEAST_LOADED: 'least-loaded'
+  LEAST_LOADED: 'least-loaded',
+  /** The endpoint was ejected for failures and gets a small part of its requests until it is known whether it has recovered. */
+  TRIAL: 'trial'
 } as const
 type ChoiceReason = typeof ChoiceReason[keyof typeof ChoiceReason]
 
--- a/packages/gateway/src/choice/endpoint-health.ts
+++ b/packages/gateway/src/choice/endpoint-health.ts
@@ -21,14 +21,19 @@
   private readonly _failures = new Map<string, FailureRecord>()
   private readonly _clock: ElapsedClock
   private readonly _isSilent: (endpointId: string) => boolean
+  private readonly _isEjected: (endpointId: string) => boolean
 
   /**
    * @param clock measures the backoff
    * @param isSilent returns whether an endpoint sends nothing although calls to it are in progress
+   * @param isEjected returns whether the fleet leaves an endpoint out since it fails requests
    */
-  constructor (clock: ElapsedClock, isSilent: (endpointId: string) => boolean = () => false) {
+  constructor (
+    clock: ElapsedClock, isSilent: (endpointId: string) => boolean = () => false, isEjected: (endpointId: string) => boolean = () => false
+  ) {
     this._clock = clock
     this._isSilent = isSilent
+    this._isEjected = isEjected
   }
 
   /**
@@ -42,12 +47,21 @@
   }
 
   /**
-   * Returns the endpoints that are not suspect, or all of them if each one is.
+   * Returns the endpoints that are neither suspect nor ejected; if there is none, those that are not suspect, or else all of them.
    * @param endpoints candidates
    */
   preferHealthy (endpoints: readonly EndpointEntry[]): readonly EndpointEntry[] {
-    const healthy = endpoints.filter((endpoint) => !this.isSuspect(endpoint.id))
-    return healthy.length > 0 ? healthy : endpoints
+    const responding = endpoints.filter((endpoint) => !this.isSuspect(endpoint.id))
+    return responding.length > 0 ? this.preferAdmitted(responding) : endpoints
+  }
+
+  /**
+   * Returns the endpoints that are not ejected, or all of them if each one is.
+   * @param endpoints candidates
+   */
+  preferAdmitted (endpoints: readonly EndpointEntry[]): readonly EndpointEntry[] {
+    const admitted = endpoints.filter((endpoint) => !this._isEjected(endpoint.id))
+    return admitted.length > 0 ? admitted : endpoints
   }
 
   /**
--- a/packages/gateway/src/choice/endpoint-selector-options.ts
+++ b/packages/gateway/src/choice/endpoint-selector-options.ts
@@ -1,5 +1,6 @@
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { EndpointTable } from '../membership/endpoint-table.js'
+import type { FleetOutliers } from '../outliers/fleet-outliers.js'
 import type { EndpointHealth } from './endpoint-health.js'
 import type { EndpointPauses } from './endpoint-pauses.js'
 import type { HolderTable } from './holder-table.js'
@@ -19,6 +20,8 @@
   readonly pauses: EndpointPauses
   /** Permits for requests to endpoints with a rate limit. */
   readonly permits: FleetPermits
+  /** Endpoints that are left out since they fail requests, and their trials; undefined for none. */
+  readonly outliers?: Pick<FleetOutliers, 'pickTrial'> | undefined
   /** Availability zone of this router; requests to endpoints in it cause no traffic between zones. */
   readonly availabilityZone: string
   /** Returns the number of live routers, which all choose by the same load reports. */
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -65,6 +65,9 @@
     if (ready.length === 0) return undefined
     const bound = this._loadBound(service)
     const healthy = this._options.health.preferHealthy(ready)
+    // A request that failed elsewhere is not sent to an endpoint that may fail it again.
+    const trial = excluded.size === 0 ? this._options.outliers?.pickTrial(ready) : undefined
+    if (trial !== undefined && this._hasCapacity(trial, bound)) return this._createChosen(trial, ChoiceReason.TRIAL, [], undefined, bound)
     const candidates = isShort ? this._preferCapacity(healthy, bound) : healthy
     const key = EndpointSelector.keyOf(prompt)
     if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, [], undefined, bound)
@@ -224,7 +227,7 @@
   }
 
   private _loadBound (service: string): number {
-    const endpoints = this._options.permits.preferUnlimited(this._options.endpoints.ready(service))
+    const endpoints = this._options.permits.preferUnlimited(this._options.health.preferAdmitted(this._options.endpoints.ready(service)))
     const sum = endpoints.reduce((total, endpoint) => total + this._options.loads.total(endpoint.id), 0)
     const mean = sum / Math.max(1, endpoints.length)
     return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -4,6 +4,7 @@
 import type { StoreEra } from '../model/store-era.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
+import type { FleetOutliers } from '../outliers/fleet-outliers.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointTable } from './endpoint-table.js'
 import type { Freshness } from './freshness.js'
@@ -29,6 +30,8 @@
   readonly limits: EndpointLimits
   /** Permits for requests to endpoints with a rate limit. */
   readonly permits: FleetPermits
+  /** Endpoints that fail requests although they pass health checks. */
+  readonly outliers: FleetOutliers
   /** Requests in flight per endpoint. */
   readonly loads: LoadView
 }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationPatch } from '../configuration/configuration-patch.js'
 import type { EndpointPermits } from '../limits/endpoint-permits.js'
 import type { LimitNote } from '../limits/limit-note.js'
+import type { EjectionNote } from '../outliers/ejection-note.js'
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import type { EndpointChange } from './endpoint-change.js'
 import type { RouterContact } from './router-contact.js'
@@ -63,6 +64,10 @@
   readonly limitsRevision?: string | undefined
   /** Permits issued to the requester; undefined for none. */
   readonly permits?: readonly EndpointPermits[] | undefined
+  /** All ejected endpoints that the answering router knows; undefined if the requester has this revision. */
+  readonly ejections?: readonly EjectionNote[] | undefined
+  /** Revision of the ejections, as `instance:number`; undefined from an earlier version. */
+  readonly ejectionsRevision?: string | undefined
   /**
    * Routers known to the answering router; undefined if the request lists none and its sender knows as many, which holds for most
    * requests.
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -4,6 +4,7 @@
 import { EndpointMirror } from './endpoint-mirror.js'
 import type { FleetState } from './fleet-state.js'
 import { LimitExchange } from './limit-exchange.js'
+import { OutlierExchange } from './outlier-exchange.js'
 import { QuarantineExchange } from './quarantine-exchange.js'
 import type { RouterContact } from './router-contact.js'
 import type { SyncAnswer } from './sync-answer.js'
@@ -42,6 +43,7 @@
   private _appliedVerifiedAt = -Infinity
   private readonly _quarantineExchange: QuarantineExchange
   private readonly _limitExchange: LimitExchange
+  private readonly _outlierExchange: OutlierExchange
   private _isAwaitingSource = false
 
   /**
@@ -55,6 +57,7 @@
     this._state = state
     this._quarantineExchange = new QuarantineExchange(state.quarantine)
     this._limitExchange = new LimitExchange(state, clock)
+    this._outlierExchange = new OutlierExchange(state.outliers)
     this._clock = clock
     this._call = call
     this._transfer = transfer
@@ -89,7 +92,8 @@
       notes: holderChanges.changesForUpstream,
       notesCursor: this._receivedCursors.get(address),
       ...quarantineNews.fields,
-      ...(reportsLoad ? this._limitExchange.requestFields(address) : {})
+      ...(reportsLoad ? this._limitExchange.requestFields(address) : {}),
+      ...(reportsLoad ? this._outlierExchange.requestFields(address, followers) : {})
     })
     quarantineNews.confirm()
     this._quarantineExchange.applyAnswer(address, answer, reportsLoad)
@@ -118,6 +122,7 @@
     }
     this._receivedCursors.set(address, answer.notesCursor)
     this._limitExchange.applyFollowed(address, answer)
+    this._outlierExchange.applyFollowed(address, answer)
   }
 
   /**
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -2,6 +2,7 @@
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
 import type { EraNews } from '../model/era-news.js'
 import type { RouterEntry } from '../model/router-entry.js'
+import type { AnswerReport } from '../outliers/answer-report.js'
 import type { LimitNote } from '../limits/limit-note.js'
 import type { PermitRequest } from '../limits/permit-request.js'
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
@@ -35,6 +36,10 @@
   readonly limitsRevision?: string | undefined
   /** Permits that the requester wants for endpoints with a limit. Only the router that is followed is asked. */
   readonly permitRequest?: PermitRequest | undefined
+  /** Answers that the requester and its followers got from endpoints; undefined from an earlier version, or if endpoints are not ejected. */
+  readonly answers?: AnswerReport | undefined
+  /** Last received revision of the answering router's ejections, as `instance:number`; undefined for none. */
+  readonly ejectionsRevision?: string | undefined
   /** The requester's position in the notes of the answering router, as `instance:number`. */
   readonly notesCursor: string | undefined
 }
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -44,7 +44,7 @@
    * @param request request of the other router
    */
   answer (request: SyncRequest): SyncAnswer {
-    const { configuration, endpoints, routers, holders, limits, loads, quarantine } = this._state
+    const { configuration, endpoints, routers, holders, limits, loads, outliers, quarantine } = this._state
     this._state.storeEra.learn(request.storeEra, request.router.name)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
@@ -55,6 +55,7 @@
     const quarantineChanges = quarantine.notesSince(this._positionIn(request.quarantineCursor), MAXIMUM_QUARANTINE_CHANGES)
     if (request.quarantine !== undefined) quarantine.apply(request.quarantine, false)
     if (request.limits !== undefined) limits.report(request.limits, request.router.name)
+    if (request.answers !== undefined) outliers.report(request.router.name, request.answers)
     return {
       name: routers.self.name,
       storeEra: this._state.storeEra.news,
@@ -71,6 +72,7 @@
       quarantine: isEmpty(quarantineChanges.notes) ? undefined : quarantineChanges.notes,
       quarantineCursor: `${this._instance}:${quarantineChanges.cursor}`,
       ...this._limitUpdate(request),
+      ...this._ejectionUpdate(request),
       routers: request.routers === undefined && request.routerCount >= routers.size ? undefined : routers.contacts()
     }
   }
@@ -122,6 +124,13 @@
     }
   }
 
+  private _ejectionUpdate ({ ejectionsRevision }: SyncRequest): Pick<SyncAnswer, 'ejections' | 'ejectionsRevision'> {
+    const { outliers } = this._state
+    if (!outliers.isEnabled) return {}
+    const revision = `${this._instance}:${outliers.revision}`
+    return { ejections: revision === ejectionsRevision ? undefined : outliers.notes(), ejectionsRevision: revision }
+  }
+
   private _endpointUpdate (knownRevision: string | undefined): Pick<SyncAnswer, 'endpoints' | 'endpointChanges'> {
     const { endpoints } = this._state
     const [instance, revision] = (knownRevision ?? '').split(':')
--- a/packages/gateway/src/quarantine/crash-detector.ts
+++ b/packages/gateway/src/quarantine/crash-detector.ts
@@ -4,8 +4,8 @@
 
 /** Calls that an endpoint has lost, until it is known whether it has crashed. */
 interface PendingCheck {
-  readonly endpoint: EndpointEntry
   readonly calls: LostCall[]
+  readonly hasCrashed: Promise<boolean>
 }
 
 /**
@@ -27,21 +27,24 @@
    * Checks an endpoint that has lost the connection of a call. Calls that are lost during the check are reported together.
    * @param endpoint the endpoint
    * @param call the call
+   * @returns whether the endpoint has crashed
    */
-  connectionLost (endpoint: EndpointEntry, call: LostCall): void {
+  connectionLost (endpoint: EndpointEntry, call: LostCall): Promise<boolean> {
     const pending = this._pending.get(endpoint.id)
     if (pending !== undefined) {
       pending.calls.push(call)
-      return
+      return pending.hasCrashed
     }
-    const check = { endpoint, calls: [call] }
-    this._pending.set(endpoint.id, check)
-    this._run(check).catch(() => undefined)
+    const calls = [call]
+    const hasCrashed = this._check(endpoint, calls)
+    this._pending.set(endpoint.id, { calls, hasCrashed })
+    return hasCrashed
   }
 
-  private async _run ({ endpoint, calls }: PendingCheck): Promise<void> {
+  private async _check (endpoint: EndpointEntry, calls: readonly LostCall[]): Promise<boolean> {
     const isRefusing = await this._options.refusesConnections(endpoint.address)
     this._pending.delete(endpoint.id)
     if (isRefusing) this._options.onCrash(endpoint, calls)
+    return isRefusing
   }
 }
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -42,4 +42,6 @@
   readonly warmUpTolerance: number
   /** Whether services with fewer slots than the fleet has routers are served by slot grants. */
   readonly grantsSlots: boolean
+  /** Whether endpoints that fail much more requests than the others of their service are ejected for some time. */
+  readonly ejectsOutliers: boolean
 }
--- a/packages/gateway/src/settings/read-gateway-settings.ts
+++ b/packages/gateway/src/settings/read-gateway-settings.ts
@@ -47,7 +47,8 @@
     loadBoundFactor: number('load', 'bound_factor'),
     warmUpOverage: optionalNumber('warm_up', 'overage') ?? DEFAULT_WARM_UP_OVERAGE,
     warmUpTolerance: optionalNumber('warm_up', 'tolerance') ?? DEFAULT_WARM_UP_TOLERANCE,
-    grantsSlots: value('dispatch', 'slot_grants') !== 'false'
+    grantsSlots: value('dispatch', 'slot_grants') !== 'false',
+    ejectsOutliers: value('outliers', 'ejection') !== 'false'
   }
 }
 
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -17,8 +17,9 @@
  */
 export function createMetricsServer (metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState): Server {
   return createServer((_request, response) => {
-    const { configuration, endpointsFreshness, limits, quarantine, storeEra } = fleetState
+    const { configuration, endpointsFreshness, limits, outliers, quarantine, storeEra } = fleetState
     metrics.limitedEndpoints.set(limits.limitedIds.length)
+    metrics.ejectedEndpoints.set(outliers.ejectedCount)
     metrics.quarantinedParts.set(quarantine.partCount)
     metrics.quarantinedRequests.set(quarantine.requestCount)
     if (storeEra.number !== undefined) metrics.storeEra.set(storeEra.number)
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -31,6 +31,21 @@
     registers: [this.registry]
   })
 
+  /** Failures of endpoints that count for their ejection, by service. */
+  readonly endpointFailures = new Counter({
+    name: 'mimosarock_endpoint_failures_total',
+    help: 'Calls to endpoints that ended with a server error, a lost connection or a time-out, by service.',
+    labelNames: ['service'],
+    registers: [this.registry]
+  })
+
+  /** Ejected endpoints. */
+  readonly ejectedEndpoints = new Gauge({
+    name: 'mimosarock_ejected_endpoints',
+    help: 'Endpoints that are left out, or get trials only, since they fail much more requests than the others of their service.',
+    registers: [this.registry]
+  })
+
   /** Crashes of endpoints with calls of this router, as noticed by it, by service. */
   readonly endpointCrashes = new Counter({
     name: 'mimosarock_endpoint_crashes_total',
--- a/packages/gateway/src/test/create-sync.ts
+++ b/packages/gateway/src/test/create-sync.ts
@@ -2,6 +2,7 @@
 import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import { connectLimits } from '@mimosarock/gateway/membership/connect-limits.js'
+import { connectOutliers } from '@mimosarock/gateway/membership/connect-outliers.js'
 import { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
 import type { SyncCall } from '@mimosarock/gateway/membership/sync-call.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
@@ -28,5 +29,6 @@
   const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => isStoreFailing }, clock, log)
   transfer.onAdopted(() => sync.syncSoon())
   connectLimits(state, sync)
+  connectOutliers(state, sync)
   return sync
 }
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -60,7 +60,8 @@
       memoryBytes: undefined,
       warmUpOverage: 1,
       warmUpTolerance: 0,
-      grantsSlots: true
+      grantsSlots: true,
+      ejectsOutliers: true
     }
     this._gateway = new Gateway({
       settings: this._settings,
--- a/packages/gateway/src/test/simulated-network.ts
+++ b/packages/gateway/src/test/simulated-network.ts
@@ -8,6 +8,9 @@
 export class SimulatedNetwork {
   private readonly _bytesPerMs: number
   private readonly _cutOff = new Set<string>()
+  private _group: ReadonlySet<string> = new Set()
+  private _isLost: () => boolean = () => false
+  private _delayMs: () => number = () => 0
   /** Times until which the links are in use, by member and direction. */
   private readonly _usedUntil = new Map<string, number>()
 
@@ -26,6 +29,16 @@
     for (const name of names) this._cutOff.add(name)
   }
 
+  /**
+   * Loses and delays messages.
+   * @param isLost returns whether the next message is lost
+   * @param delayMs returns the delay of the next message, in addition to the latency
+   */
+  impair (isLost: () => boolean, delayMs: () => number): void {
+    this._isLost = isLost
+    this._delayMs = delayMs
+  }
+
   /**
    * Returns whether a member is cut off.
    * @param name name of the member
@@ -34,9 +47,18 @@
     return this._cutOff.has(name)
   }
 
+  /**
+   * Cuts a group of members off from all others, which still reach each other and the store.
+   * @param names names of the group
+   */
+  split (names: readonly string[]): void {
+    this._group = new Set(names)
+  }
+
   /** Ends all cuts. */
   heal (): void {
     this._cutOff.clear()
+    this._group = new Set()
   }
 
   /**
@@ -46,13 +68,17 @@
    * @param bytes length of the message
    */
   async send (from: string, to: string, bytes: number): Promise<void> {
-    if (this._cutOff.has(from) || this._cutOff.has(to)) {
+    if (this._cutOff.has(from) || this._cutOff.has(to) || this._isCut(from, to) || this._isLost()) {
       await pause(CALL_TIMEOUT_MS)
       throw new Error('no answer')
     }
     const sentAt = from === 'store' ? Date.now() : this._use(`${from} up`, Date.now(), bytes)
     const arrivedAt = this._use(`${to} down`, sentAt - bytes / this._bytesPerMs + LATENCY_MS, bytes)
-    await pause(Math.max(sentAt + LATENCY_MS, arrivedAt) - Date.now())
+    await pause(Math.max(sentAt + LATENCY_MS, arrivedAt) + this._delayMs() - Date.now())
+  }
+
+  private _isCut (from: string, to: string): boolean {
+    return from !== 'store' && this._group.has(from) !== this._group.has(to)
   }
 
   private _use (link: string, from: number, bytes: number): number {
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -10,6 +10,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import type { StoreEra } from '../model/store-era.js'
+import { FleetOutliers } from '../outliers/fleet-outliers.js'
 import { RequestQuarantine } from '../quarantine/request-quarantine.js'
 
 /**
@@ -34,6 +35,7 @@
     holders: new HolderTable(),
     limits,
     permits,
+    outliers: new FleetOutliers({ endpoints, clock, log, random }),
     loads: new LoadView(() => clock.now()),
     quarantine: new RequestQuarantine({ clock, log, rank: () => routers.ownRank })
   }
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -2,6 +2,7 @@
 import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
 import { connectLimits } from '../membership/connect-limits.js'
+import { connectOutliers } from '../membership/connect-outliers.js'
 import { FleetSync } from '../membership/fleet-sync.js'
 import { OutageDetector } from '../membership/outage-detector.js'
 import { RouterAnnouncer } from '../membership/router-announcer.js'
@@ -129,6 +130,7 @@
     state.quarantine.onNews(() => sync.syncSoon())
     sync.onSeedsAsked(onProgress)
     connectLimits(state, sync)
+    connectOutliers(state, sync)
     return sync
   }
 }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -71,9 +71,11 @@
     this._options = options
     const { clock, log, settings } = options
     this._settings = new LiveSettings(settings)
-    this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId))
     this._pauses = new EndpointPauses(clock)
     this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log, Math.random)
+    const { outliers } = this._fleetState
+    outliers.enableWhile(() => this._settings.current.ejectsOutliers)
+    this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId), (endpointId) => outliers.isEjected(endpointId))
     this._tasks = new FleetTasks({
       state: this._fleetState,
       store: options.store,
@@ -134,7 +136,7 @@
 
   private _requestDependencies (): RequestDependencies {
     const { clock, log, codec, settings } = this._options
-    const { configuration, endpoints, loads, holders, limits, permits, quarantine } = this._fleetState
+    const { configuration, endpoints, loads, holders, limits, outliers, permits, quarantine } = this._fleetState
     const pressure = new ProcessPressure(clock, log)
     return {
       admissions: this._createAdmissions(pressure),
@@ -152,6 +154,7 @@
       limits,
       permits,
       health: this._health,
+      outliers,
       stallWatch: this._stallWatch,
       quarantine,
       crashDetector: new CrashDetector({
@@ -166,6 +169,7 @@
         loads,
         holders,
         health: this._health,
+        outliers,
         pauses: this._pauses,
         permits,
         availabilityZone: settings.availabilityZone,
