--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -14,6 +14,7 @@
 import type { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
 import type { CrashDetector } from '../quarantine/crash-detector.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
+import type { FleetOutliers } from '../outliers/fleet-outliers.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { WarmUpTable } from '../warm-up/warm-up-table.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
@@ -63,6 +64,8 @@
   readonly warmUps: WarmUpTable
   /** Recent failures of endpoints. */
   readonly health: EndpointHealth
+  /** Endpoints that fail requests although they pass health checks. */
+  readonly outliers: FleetOutliers
   /** Cache index: endpoints that hold the context of a prompt. */
   readonly holders: HolderTable
   /** Requests in flight at each endpoint. */
--- a/packages/gateway/src/choice/choice-reason.ts
+++ b/packages/gateway/src/choice/choice-reason.ts
@@ -7,7 +7,9 @@
   /** The endpoint has the fewest requests in flight relative to its slots. */
   LEAST_LOADED: 'least-loaded',
   /** The slot owner of the service has granted a slot of the endpoint. */
-  GRANTED: 'granted'
+  GRANTED: 'granted',
+  /** The endpoint was ejected for failures and gets a small part of its requests until it is known whether it has recovered. */
+  TRIAL: 'trial'
 } as const
 type ChoiceReason = typeof ChoiceReason[keyof typeof ChoiceReason]
 
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -86,6 +86,11 @@
     if (ready.length === 0) return undefined
     const bound = this._loadBound(service)
     const healthy = this._options.health.preferHealthy(ready)
+    // A request that failed elsewhere is not sent to an endpoint that may fail it again.
+    const trial = excluded.size === 0 ? this._options.outliers?.pickTrial(ready) : undefined
+    if (trial !== undefined && !this._options.health.isSuspect(trial.id) && this._hasCapacity(trial, bound)) {
+      return this._createChosen(trial, ChoiceReason.TRIAL, undefined, undefined, bound)
+    }
     const suited = this._coldPreference.apply(healthy, needsWarm, (endpoint) => this._hasCapacity(endpoint, bound))
     const key = EndpointSelector.keyOf(prompt)
     // A cached context saves more than a cold endpoint gains.
@@ -302,7 +307,7 @@
   }
 
   private _loadBound (service: string): number {
-    const endpoints = this._options.permits.preferUnlimited(this._options.endpoints.ready(service))
+    const endpoints = this._options.permits.preferUnlimited(this._options.health.preferAdmitted(this._options.endpoints.ready(service)))
     const sum = endpoints.reduce((total, endpoint) => total + this._options.loads.total(endpoint.id), 0)
     const mean = sum / Math.max(1, endpoints.length)
     return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
--- a/packages/gateway/src/membership/fleet-state.ts
+++ b/packages/gateway/src/membership/fleet-state.ts
@@ -7,6 +7,7 @@
 import type { WarmUpTable } from '../warm-up/warm-up-table.js'
 import type { EndpointLimits } from '../limits/endpoint-limits.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
+import type { FleetOutliers } from '../outliers/fleet-outliers.js'
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import type { EndpointTable } from './endpoint-table.js'
 import type { Freshness } from './freshness.js'
@@ -38,6 +39,8 @@
   readonly permits: FleetPermits
   /** Fair shares of workspaces in services that refuse requests. */
   readonly fairness: WorkspaceFairness
+  /** Endpoints that fail requests although they pass health checks. */
+  readonly outliers: FleetOutliers
   /** Requests in flight per endpoint. */
   readonly loads: LoadView
 }
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -4,6 +4,7 @@
 import type { EraNews } from '../model/era-news.js'
 import type { DemandReport } from '../fairness/demand-report.js'
 import type { RouterEntry } from '../model/router-entry.js'
+import type { AnswerReport } from '../outliers/answer-report.js'
 import type { LimitNote } from '../limits/limit-note.js'
 import type { PermitRequest } from '../limits/permit-request.js'
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
@@ -47,6 +48,10 @@
   readonly permitRequest?: PermitRequest | undefined
   /** Demand for services that refuse requests, of the requester and its followers; undefined for none. Only the router that is followed gets it. */
   readonly demand?: readonly DemandReport[] | undefined
+  /** Answers that the requester and its followers got from endpoints; undefined from an earlier version, or if endpoints are not ejected. */
+  readonly answers?: AnswerReport | undefined
+  /** Last received revision of the answering router's ejections, as `instance:number`; undefined for none. */
+  readonly ejectionsRevision?: string | undefined
   /** The requester's position in the notes of the answering router, as `instance:number`. */
   readonly notesCursor: string | undefined
 }
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -44,7 +44,7 @@
    * @param request request of the other router
    */
   answer (request: SyncRequest): SyncAnswer {
-    const { configuration, endpoints, evacuations, fairness, holders, limits, loads, quarantine, routers } = this._state
+    const { configuration, endpoints, evacuations, fairness, holders, limits, loads, outliers, quarantine, routers } = this._state
     this._state.storeEra.learn(request.storeEra, request.router.name)
     evacuations.learn(request.evacuations, request.router.name, false)
     endpoints.removeExpired()
@@ -58,6 +58,7 @@
     if (request.limits !== undefined) limits.report(request.limits, request.router.name)
     if (request.demand !== undefined) fairness.recordDemand(request.router.name, request.demand)
     if (request.coldEndpoints !== undefined) this._state.warmUps.report(request.coldEndpoints)
+    if (request.answers !== undefined) outliers.report(request.router.name, request.answers)
     return {
       name: routers.self.name,
       storeEra: this._state.storeEra.news,
@@ -76,6 +77,7 @@
       quarantineCursor: `${this._instance}:${quarantineChanges.cursor}`,
       ...this._limitUpdate(request),
       workspaceShares: fairness.shares.length === 0 ? undefined : fairness.shares,
+      ...this._ejectionUpdate(request),
       routers: request.routers === undefined && request.routerCount >= routers.size ? undefined : routers.contacts()
     }
   }
@@ -129,6 +131,13 @@
     }
   }
 
+  private _ejectionUpdate ({ ejectionsRevision }: SyncRequest): Pick<SyncAnswer, 'ejections' | 'ejectionsRevision'> {
+    const { outliers } = this._state
+    if (!outliers.isEnabled) return {}
+    const revision = `${this._instance}:${outliers.revision}`
+    return { ejections: revision === ejectionsRevision ? undefined : outliers.notes(), ejectionsRevision: revision }
+  }
+
   private _endpointUpdate (knownRevision: string | undefined): Pick<SyncAnswer, 'endpoints' | 'endpointChanges'> {
     const { endpoints, warmUps } = this._state
     const [instance, revision] = (knownRevision ?? '').split(':')
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -63,6 +63,7 @@
       warmUpOverage: 1,
       warmUpTolerance: 0,
       grantsSlots: true,
+      ejectsOutliers: true,
       ...this._options.settings
     }
     this._gateway = new Gateway({
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -12,6 +12,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import type { StoreEra } from '../model/store-era.js'
+import { FleetOutliers } from '../outliers/fleet-outliers.js'
 import { RequestQuarantine } from '../quarantine/request-quarantine.js'
 import { EffectiveLimits } from '../warm-up/effective-limits.js'
 import type { WarmUpBounds } from '../warm-up/warm-up-bounds.js'
@@ -53,6 +54,7 @@
     warmUps,
     permits,
     fairness: new WorkspaceFairness(clock, log, random),
+    outliers: new FleetOutliers({ endpoints, clock, log, random }),
     loads: new LoadView(() => clock.now()),
     quarantine: new RequestQuarantine({ clock, log, rank: () => routers.ownRank })
   }
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -4,6 +4,7 @@
 import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
 import { connectLimits } from '../membership/connect-limits.js'
+import { connectOutliers } from '../membership/connect-outliers.js'
 import { FleetSync } from '../membership/fleet-sync.js'
 import { OutageDetector } from '../membership/outage-detector.js'
 import { RouterAnnouncer } from '../membership/router-announcer.js'
@@ -136,6 +137,7 @@
     sync.onSeedsAsked(onProgress)
     connectLimits(state, sync)
     state.fairness.setFollowing(() => sync.isFollowing)
+    connectOutliers(state, sync)
     return sync
   }
 }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -85,7 +85,6 @@
     this._options = options
     const { clock, log, settings } = options
     this._settings = new LiveSettings(settings)
-    this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId))
     this._pauses = new EndpointPauses(clock)
     this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log, Math.random, () => {
       const { warmUpOverage: overage, warmUpTolerance: tolerance } = this._settings.current
@@ -96,6 +95,9 @@
       zoneEvacuated: () => undefined,
       zoneRestored: (zone) => this._fleetState.warmUps.presumeZoneCold(zone)
     })
+    const { outliers } = this._fleetState
+    outliers.enableWhile(() => this._settings.current.ejectsOutliers)
+    this._health = new EndpointHealth(clock, (endpointId) => this._stallWatch.isSilent(endpointId), (endpointId) => outliers.isEjected(endpointId))
     this._tasks = new FleetTasks({
       state: this._fleetState,
       store: options.store,
@@ -170,7 +172,7 @@
 
   private _requestDependencies (): RequestDependencies {
     const { clock, log, codec } = this._options
-    const { configuration, endpoints, loads, holders, limits, permits, quarantine, warmUps } = this._fleetState
+    const { configuration, endpoints, loads, holders, limits, outliers, permits, quarantine, warmUps } = this._fleetState
     const pressure = new ProcessPressure(clock, log)
     const admissions = this._createAdmissions(pressure)
     const endpointSelector = this._createEndpointSelector()
@@ -195,6 +197,7 @@
       permits,
       warmUps,
       health: this._health,
+      outliers,
       stallWatch: this._stallWatch,
       quarantine,
       crashDetector: new CrashDetector({
@@ -225,12 +228,13 @@
   }
 
   private _createEndpointSelector (): EndpointSelector {
-    const { endpoints, loads, holders, permits, warmUps } = this._fleetState
+    const { endpoints, loads, holders, outliers, permits, warmUps } = this._fleetState
     return new EndpointSelector({
       endpoints,
       loads,
       holders,
       health: this._health,
+      outliers,
       pauses: this._pauses,
       permits,
       warmUps,
