The load bound counts endpoints of evacuated zones and cold endpoints in the mean

The bound was a multiple of the mean over the endpoints that take requests, two thirds of the service.

Change: the mean is taken over all endpoints but those that state a rate limit or are ejected.

--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -307,12 +307,25 @@
   }
 
   private _loadBound (service: string): number {
-    const endpoints = this._options.permits.preferUnlimited(this._options.health.preferAdmitted(this._options.endpoints.ready(service)))
+    const endpoints = this._meanMembers(service)
     const sum = endpoints.reduce((total, endpoint) => total + this._options.loads.total(endpoint.id), 0)
     const mean = sum / Math.max(1, endpoints.length)
     return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
   }
 
+  /**
+   * Returns the endpoints over which the mean load is taken. Cold endpoints and those of evacuated zones are part of the service, whose mean the
+   * bound promises; without them the others could take a multiple of it that is too high. Only endpoints that state a rate limit, or
+   * fail requests, are left out, so that the others can take over their work.
+   */
+  private _meanMembers (service: string): readonly EndpointEntry[] {
+    const { endpoints, health, permits, warmUps } = this._options
+    const admitted = health.preferAdmitted(endpoints.ready(service))
+    const cold = warmUps === undefined ? [] : admitted.filter((endpoint) => warmUps.isCold(endpoint))
+    const unlimited = permits.preferUnlimited(admitted).filter((endpoint) => !cold.includes(endpoint))
+    return [...unlimited, ...cold, ...endpoints.evacuated(service)]
+  }
+
   /**
    * Returns the primary of a key, which all routers know: the first among all endpoints, whatever constraints a request has. The contexts of an
    * evacuated primary are copied to the endpoints that take its place. Those are announced as holders, since other routers assume
