Mends of the review: slot grants, held bytes, presumptions of cold endpoints, fair shares

Cause (review by someone who did not write the parts; most shown by small trials): a reset of a rejected upgrade ended the process; a reset connection to the slot owner did not end its requests; requests that wait at the owner counted as admitted, and a refusal did not admit the next queued one; one permit served several requests that were granted at once; calls that were held back, or cut off for a slow caller, counted against the endpoint at the owner, as an outlier and as a restart; slow readers caused refusals of request bodies; presumptions of cold endpoints were dropped before they were reported; a general overload limited the listed workspaces to a twentieth.

Change: each mended, five with a test that fails before.

--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -83,18 +83,12 @@
   }
 
   /**
-   * Counts a request as in flight that is admitted elsewhere, whatever the limit.
-   * @param rank rank of the request
+   * Counts a request as in flight that waits for its admission elsewhere, whatever the limit. It does not count as demand for the capacity
+   * that this router admits to.
    */
-  countGranted (rank: RequestRank): void {
-    this._queues.countArrival(rank)
-    this._countAdmitted(rank)
-  }
-
-  /** Takes back a request that was counted by `countGranted` and was not admitted after all. */
-  withdrawGranted (): void {
-    this._inFlight -= 1
-    this._undispatched -= 1
+  countGranted (): void {
+    this._inFlight += 1
+    this._undispatched += 1
   }
 
   /**
--- a/packages/gateway/src/caller/admission-path.ts
+++ b/packages/gateway/src/caller/admission-path.ts
@@ -1,8 +1,8 @@
 import type { ServiceRequest } from '../admission/service-request.js'
 import type { ChoiceConstraints } from '../choice/choice-constraints.js'
 import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
+import type { SlotOutcome } from '../grants/slot-outcome.js'
 import type { StatedLoad } from '../model/stated-load.js'
-import type { CallOutcome } from '../sending/call-outcome.js'
 
 /** The way on which one request is admitted to its service and gets its endpoints. */
 export interface AdmissionPath {
@@ -33,11 +33,11 @@
    */
   choose (constraints: ChoiceConstraints, signal: AbortSignal): ChosenEndpoint | undefined | Promise<ChosenEndpoint | undefined>
   /**
-   * Records the end of a call to the endpoint that was chosen last.
+   * Records the end of a call to the endpoint that was chosen last, or that there was none.
    * @param outcome outcome of the call
    * @param load load that the endpoint stated at the end of the call; undefined if it stated none
    */
-  endCall (outcome: CallOutcome, load: StatedLoad | undefined): void
+  endCall (outcome: SlotOutcome, load: StatedLoad | undefined): void
   /** Records that the admitted request is being dispatched. */
   recordDispatch (): void
   /** Ends an admitted request that is not dispatched. */
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -9,6 +9,7 @@
 import { RouteKind } from '../model/route-kind.js'
 import type { StatedLoad } from '../model/stated-load.js'
 import { AnswerVerdict } from '../outliers/answer-verdict.js'
+import { SlotOutcome } from '../grants/slot-outcome.js'
 import { judgeAnswer } from '../outliers/judge-answer.js'
 import { mayRetry } from '../retries/may-retry.js'
 import { CallOutcome } from '../sending/call-outcome.js'
@@ -102,6 +103,12 @@
       const chosen = pending instanceof Promise ? await this._chosenInTime(pending) : pending
       if (chosen === undefined && this._runs === 0) requireNotEvacuated(this._dependencies.endpoints, authorized.service)
       if (chosen === undefined) throw this._noEndpointError(authorized)
+      // Another request may have used the permit while the owner of the slot was asked.
+      if (pending instanceof Promise && !this._dependencies.permits.allows(chosen.endpoint)) {
+        this._options.admission.endCall(SlotOutcome.UNUSED, undefined)
+        excluded.add(chosen.endpoint.id)
+        continue
+      }
       this._chosen = chosen
       this._hasPermit = this._dependencies.permits.isLimited(chosen.endpoint)
       this._dependencies.permits.take(chosen.endpoint)
@@ -128,6 +135,7 @@
     try {
       chosen = await pending
     } catch (error) {
+      if (this._options.timeLeftMs() < MINIMUM_CALL_MS) throw createDeadlineError(this._runs)
       // The refusal of a further attempt states that this one has not run, which may not be true of the request.
       throw this._runs === 0 ? error : createNoEndpointError(this._runs)
     }
@@ -148,7 +156,7 @@
 
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
     const { endpoint } = chosen
-    const { content } = this._options
+    const { content, relay } = this._options
     const { clock, loads, quarantine, stallWatch } = this._dependencies
     const call = this._createCall(chosen)
     const watched = this._watchedCall(call, endpoint.id)
@@ -165,13 +173,14 @@
     stallWatch.remove(watched)
     loads.end(endpoint.id)
     quarantine.endCall(content)
-    this._options.admission.endCall(result.outcome, this._recentLoad(result))
+    this._options.admission.endCall(this._slotOutcome(result), this._recentLoad(result))
     if (!this._isHeldBack) this._recordHealth(endpoint.id, result)
-    recordWarmth(this._dependencies.warmUps, endpoint, result)
+    // An endpoint that cuts off a response which its caller did not read has not restarted.
+    if (!this._isHeldBack && !(result.outcome === CallOutcome.BROKEN && relay.wasUnread)) recordWarmth(this._dependencies.warmUps, endpoint, result)
     const verdict = this._isCallerDisconnected || this._isHeldBack
       ? AnswerVerdict.NONE
       : judgeAnswer(result, {
-        isPaused: call.isPaused, isDeadlineOver: this._options.timeLeftMs() < MINIMUM_CALL_MS, elapsedMs: clock.now() - startedAt
+        isPaused: call.isPaused || relay.wasUnread, isDeadlineOver: this._options.timeLeftMs() < MINIMUM_CALL_MS, elapsedMs: clock.now() - startedAt
       })
     if (!result.isConnectionLost) this._recordAnswer(endpoint, verdict)
     else {
@@ -181,6 +190,12 @@
     return result
   }
 
+  /** Returns the outcome for the slot owner. What the endpoint is not to blame for says nothing about its health. */
+  private _slotOutcome ({ outcome }: CallResult): SlotOutcome {
+    if (this._isHeldBack) return SlotOutcome.UNUSED
+    return outcome === CallOutcome.BROKEN && this._options.relay.wasUnread ? SlotOutcome.ABORTED : outcome
+  }
+
   /** Returns the load that the endpoint stated, if that was a moment ago: a stream may have begun long before. */
   private _recentLoad ({ head }: CallResult): StatedLoad | undefined {
     return this._dependencies.clock.now() - this._headReceivedAt < MAXIMUM_LOAD_AGE_MS ? head?.load : undefined
@@ -344,6 +359,7 @@
 
   /** Ends the attempt in progress because the time of the request is over. */
   endAtDeadline (): void {
+    this._choosing.abort()
     this._call?.abort('the deadline passed')
   }
 
--- a/packages/gateway/src/caller/granted-admission.ts
+++ b/packages/gateway/src/caller/granted-admission.ts
@@ -6,7 +6,6 @@
 import { SlotOutcome } from '../grants/slot-outcome.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { StatedLoad } from '../model/stated-load.js'
-import type { CallOutcome } from '../sending/call-outcome.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import type { AdmissionPath } from './admission-path.js'
 import type { GrantedAdmissionOptions } from './granted-admission-options.js'
@@ -53,15 +52,15 @@
   async wait (request: ServiceRequest, signal: AbortSignal): Promise<void> {
     const { admission, clock, fallback, timeLeftMs } = this._options
     const startedAt = clock.now()
-    admission.countGranted(request)
+    admission.countGranted()
     try {
       this._lease = await this._acquire(request, new Set(), signal)
     } catch (error) {
-      admission.withdrawGranted()
+      admission.withdraw()
       throw error
     }
     if (this._lease !== undefined) return
-    admission.withdrawGranted()
+    admission.withdraw()
     this._usesFallback = true
     const elapsedMs = clock.now() - startedAt
     const rest = { ...request, objectiveMs: Math.max(0, request.objectiveMs - elapsedMs / WAIT_FRACTION_OF_OBJECTIVE), timeLeftMs: timeLeftMs() }
@@ -73,7 +72,7 @@
     return this._chooseGranted(constraints, signal)
   }
 
-  endCall (outcome: CallOutcome, load: StatedLoad | undefined): void {
+  endCall (outcome: SlotOutcome, load: StatedLoad | undefined): void {
     this._lease?.release(outcome, load)
     this._lease = undefined
   }
--- a/packages/gateway/src/fairness/fleet-shares.ts
+++ b/packages/gateway/src/fairness/fleet-shares.ts
@@ -8,6 +8,8 @@
 const MINIMUM_QUEUED_FRACTION = 0.05
 /** Queued fraction from which on a share is dropped. */
 const FULL_FRACTION = 0.95
+/** Maximum number of unlisted workspaces that are counted; bounds the time of a computation. */
+const MAXIMUM_UNLISTED = 20_000
 /** Factor by which a queued fraction rises at most in one step, and falls at most to its inverse; the admitted rate follows with a delay. */
 const MAXIMUM_STEP = 1.5
 
@@ -49,9 +51,13 @@
   }
 }
 
-// The workspaces that are not listed ask for less than those that are, and get what they ask for.
+// The workspaces that are not listed ask for at most as much as the smallest one that is. They count as several of that size, so
+// that a surge of many small workspaces lowers the level for all instead of being met first.
 function levelOf ({ arrivalsPerSecond, admittedPerSecond, workspaces }: DemandReport): number {
   const listed = workspaces.map((demand) => demand.arrivalsPerSecond)
   const others = Math.max(0, arrivalsPerSecond - listed.reduce((sum, demand) => sum + demand, 0))
-  return fairLevel(listed, Math.max(0, admittedPerSecond - others))
+  const smallest = Math.min(...listed)
+  if (!(smallest > 0)) return Infinity
+  const unlisted = Array.from({ length: Math.min(MAXIMUM_UNLISTED, Math.floor(others / smallest)) }, () => smallest)
+  return fairLevel([...listed, ...unlisted, others % smallest], admittedPerSecond)
 }
--- a/packages/gateway/src/grants/slot-connections.ts
+++ b/packages/gateway/src/grants/slot-connections.ts
@@ -149,7 +149,8 @@
     peer.link = connection
     peer.isDown = false
     this._log.info('slot-owner-connected', { owner: router.name })
-    if (!socket.destroyed) await once(socket, 'close')
+    // Unlike `once`, this also resolves if the connection is reset.
+    if (!socket.destroyed) await new Promise<void>((resolve) => { socket.once('close', () => resolve()) })
     peer.stopping.signal.removeEventListener('abort', stop)
     peer.link = undefined
     peer.socket = undefined
--- a/packages/gateway/src/grants/slot-server.ts
+++ b/packages/gateway/src/grants/slot-server.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, Server } from 'node:http'
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { pause } from '../membership/pause.js'
 import { LineReader } from './line-reader.js'
@@ -10,6 +10,8 @@
 
 /** Interval at which grants and requests whose time is over are looked for while there are any, in milliseconds. */
 const SWEEP_INTERVAL_MS = 20
+/** Idle time after which a connection is probed, in milliseconds. */
+const KEEP_ALIVE_MS = 10_000
 /** Number of bytes that may wait to be read by a router before its connection is closed; that is some thousands of messages. */
 const MAXIMUM_UNREAD_BYTES = 1_048_576
 
@@ -43,12 +45,18 @@
   }
 
   private _accept ({ url, headers }: IncomingMessage, socket: Duplex, head: Buffer): void {
+    // Node.js removes its own listener when it hands over the socket; an error without a listener would end the process.
+    socket.on('error', () => undefined)
     if (url !== SlotProtocol.PATH || headers.upgrade !== SlotProtocol.NAME || this._isClosed) {
       socket.end('HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
       return
     }
     this._sockets.add(socket)
-    if ('setNoDelay' in socket) (socket as Socket).setNoDelay(true)
+    if (socket instanceof Socket) {
+      socket.setNoDelay(true)
+      // A router whose VM is gone does not close its connection.
+      socket.setKeepAlive(true, KEEP_ALIVE_MS)
+    }
     const reader = new LineReader()
     const writer = new LineWriter((text) => {
       socket.write(text)
@@ -56,7 +64,6 @@
     }, setImmediate)
     const connection = new SlotServerConnection(this._owners, writer, String(headers[SlotProtocol.ROUTER_HEADER] ?? 'unknown'))
     socket.write(`HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: ${SlotProtocol.NAME}\r\n\r\n`)
-    socket.on('error', () => undefined)
     socket.on('close', () => {
       this._sockets.delete(socket)
       connection.end()
@@ -79,10 +86,13 @@
   }
 
   private async _sweep (): Promise<void> {
-    while (this._owners.hasWork && !this._isClosed) {
-      await pause(SWEEP_INTERVAL_MS)
-      this._owners.sweep()
+    try {
+      while (this._owners.hasWork) {
+        await pause(SWEEP_INTERVAL_MS)
+        this._owners.sweep()
+      }
+    } finally {
+      this._isSweeping = false
     }
-    this._isSweeping = false
   }
 }
--- a/packages/gateway/src/membership/limit-exchange.ts
+++ b/packages/gateway/src/membership/limit-exchange.ts
@@ -25,8 +25,9 @@
   private readonly _warmUps: WarmUpTable
   private readonly _clock: ElapsedClock
   private _upstream: Upstream | undefined
-  /** Time of the last request to the followed router, and of the last one that it has answered. */
-  private _requestedAt = -Infinity
+  /** Time of the last request, if it included the observations of this router. */
+  private _requestedAt: number | undefined
+  /** Time of the last request with observations that the followed router has answered. */
   private _reportedAt = -Infinity
 
   /**
@@ -47,6 +48,7 @@
    */
   requestFields (address: string): Pick<SyncRequest, 'limits' | 'coldEndpoints' | 'limitsRevision' | 'permitRequest'> {
     const upstream = this._upstream
+    this._requestedAt = undefined
     if (upstream === undefined || upstream.address !== address || this._clock.now() - upstream.answeredAt > FOLLOWING_TIMEOUT_MS) return {}
     this._requestedAt = this._clock.now()
     this._permits.recordDemand()
@@ -79,11 +81,14 @@
     const isSameUpstream = this._upstream?.address === address
     const known = isSameUpstream ? this._upstream?.notes : undefined
     const notes = answer.limits ?? known ?? []
-    this._reportedAt = isSameUpstream ? this._requestedAt : -Infinity
+    const requestedAt = isSameUpstream ? this._requestedAt : undefined
+    if (!isSameUpstream) this._reportedAt = -Infinity
+    else if (requestedAt !== undefined) this._reportedAt = requestedAt
     this._upstream = { address, answeredAt: this._clock.now(), revision: answer.limitsRevision, notes }
     const issuesPermits = answer.limitsRevision !== undefined
     if (issuesPermits) this._limits.retain(notes, answer.name)
-    if (answer.coldEndpoints !== undefined) this._warmUps.retain(answer.coldEndpoints)
+    // A router that has not been told of the presumptions of this one does not contradict them.
+    if (answer.coldEndpoints !== undefined && requestedAt !== undefined) this._warmUps.retain(answer.coldEndpoints)
     this._permits.deposit(issuesPermits ? answer.permits ?? [] : undefined)
   }
 }
--- a/packages/gateway/src/memory/held-bytes.ts
+++ b/packages/gateway/src/memory/held-bytes.ts
@@ -18,8 +18,10 @@
  * Bounds what the process holds for callers over all connections: request bodies, and responses that callers read more slowly
  * than endpoints send. Above the bound, the responses with the most unsent bytes are paused; the threshold is the
  * highest one at which all connections together are within the bound. Above twice the bound, connections with the most unsent
- * bytes are closed; only bytes count that were unsent at the last count too, since a caller that keeps up has some for a moment. A request body that would exceed the bound is refused, or a larger one in its place that has not arrived
- * completely either.
+ * bytes are closed; only bytes count that were unsent at the last count too, since a caller that keeps up has some for a moment.
+ *
+ * Bodies alone are compared with the bound, so that callers that do not read their responses cause no refusal of requests of others.
+ * A body that would exceed it is refused, or a larger one in its place that has not arrived completely either.
  */
 export class HeldBytes {
   private readonly _bound: number
@@ -92,9 +94,7 @@
    * @returns whether there is room
    */
   makeRoomForBody (connection: HeldConnection, bytes: number): boolean {
-    if (this._bodyBytes + this._unsentEstimate + bytes <= this._bound) return true
-    this._count()
-    while (this._bodyBytes + this._unsentEstimate + bytes > this._bound) {
+    while (this._bodyBytes + bytes > this._bound) {
       const largest = this._largestPartialBody(connection)
       if (largest === undefined || largest.bodyBytes <= connection.bodyBytes + bytes) return false
       largest.refuseBody()
--- a/packages/gateway/src/test/granted-admission_test.ts
+++ b/packages/gateway/src/test/granted-admission_test.ts
@@ -127,3 +127,16 @@
   isProcessFull = true
   expect(() => createPath().tryAdmit(REQUEST)).toThrow('concurrency limit of its process')
 })
+
+// Guards against a queued request that waits for its time limit although a refusal has freed the capacity.
+test('a refusal admits the next request that is queued at this router', async () => {
+  admission = new ServiceAdmission({ service: 's', clock, limit: () => 1, random: () => 0.5 })
+  refusal = new MimosarockError(ResultCode.OVERLOADED, 'full')
+  const refused = createPath()
+  refused.tryAdmit(REQUEST)
+  const waiting = refused.wait(REQUEST, signal)
+  const queued = admission.wait(REQUEST, signal)
+  await expect(waiting).rejects.toThrow('full')
+  await queued
+  expect([admission.inFlight, admission.undispatched, admission.queued]).toEqual([1, 1, 0])
+})
--- a/packages/gateway/src/test/held-bytes_test.ts
+++ b/packages/gateway/src/test/held-bytes_test.ts
@@ -119,3 +119,12 @@
   finished.releaseBody()
   expect([medium.holdBody(BOUND * 0.3), heldBytes.total]).toEqual([true, BOUND * 0.6])
 })
+
+// Guards against callers that do not read their responses and thereby cause the refusal of others' requests.
+test('slow callers at the bound leave room for request bodies', () => {
+  const heldBytes = new HeldBytes({ memoryBytes: MEMORY_BYTES })
+  relay(heldBytes, times(200, 0))
+  expect(heldBytes.total).toBeGreaterThan(BOUND)
+  const asking = heldBytes.add({ unsentBytes: () => 0, closeSlow: () => undefined })
+  expect(heldBytes.makeRoomForBody(asking, 100)).toBe(true)
+})
--- a/packages/gateway/src/test/slot-connections_test.ts
+++ b/packages/gateway/src/test/slot-connections_test.ts
@@ -125,3 +125,25 @@
   expect(head).toMatch(/^HTTP\/1\.1 404 /)
   socket.destroy()
 })
+
+// Guards against an owner whose VM fails: its connection is reset instead of closed, and requests would wait for their time limit.
+test('ends requests when the owner resets the connection, and opens it again', async () => {
+  const sockets: Socket[] = []
+  server.on('connection', (socket) => sockets.push(socket))
+  const { connections, link } = await openLink()
+  await requestSlot(link)
+  const waiting = requestSlot(link)
+  for (const socket of sockets) socket.resetAndDestroy()
+  await expect(waiting).rejects.toThrow('lost')
+  await vi.waitFor(() => expect([connections.isDown(router), connections.linkTo(router) === link]).toEqual([false, false]))
+})
+
+// Guards against an uncaught error, which would end the process.
+test('survives the reset of a connection whose upgrade it rejects', async () => {
+  const socket = createConnection((server.address() as AddressInfo).port, '127.0.0.1')
+  socket.on('error', () => undefined)
+  socket.write('GET /slots HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\nupgrade: websocket\r\n\r\n')
+  await once(socket, 'data')
+  socket.resetAndDestroy()
+  expect((await requestSlot((await openLink()).link)).endpointId).toBe('e')
+})
--- a/packages/gateway/src/test/workspace-fairness_test.ts
+++ b/packages/gateway/src/test/workspace-fairness_test.ts
@@ -5,6 +5,7 @@
 import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
+import { FleetShares } from '@mimosarock/gateway/fairness/fleet-shares.js'
 import { createFleetState } from './create-fleet-state.js'
 import { FairFleet } from './fair-fleet.js'
 
@@ -82,3 +83,11 @@
   for (let round = 0; round < 20; round += 1) await sync()
   expect([reader.fairness.limitedCount, follower.fairness.limitedCount]).toEqual([0, 0])
 })
+
+// Guards against a general overload that is taken for a surge of the workspaces that are listed.
+test('nobody is limited while very many workspaces of one size ask for twice the capacity', () => {
+  const shares = new FleetShares()
+  const workspaces = Array.from({ length: 8 }, (_, index) => ({ workspace: `w${index}`, arrivalsPerSecond: 2, admittedPerSecond: 1 }))
+  for (let step = 0; step < 20; step += 1) shares.update([{ service: 's', arrivalsPerSecond: 2_000, admittedPerSecond: 1_000, workspaces }])
+  expect(shares.shares).toEqual([])
+})
