--- a/packages/gateway/src/admission/service-admissions.ts
+++ b/packages/gateway/src/admission/service-admissions.ts
@@ -51,12 +51,6 @@
     return this._groupsOf(service).reduce((sum, { admission }) => sum + admission.queued, 0)
   }
 
-  /** Admits queued requests of all services up to the current limits; call it when limits may have grown. */
-  admitQueued (): void {
-    const services = new Set([...this._groups.values()].map(({ service }) => service))
-    for (const service of services) this._admitQueuedOf(service)
-  }
-
   /** Whether one more request would exceed the concurrency limit of the process. */
   get isProcessFull (): boolean {
     let inFlight = 0
@@ -64,6 +58,12 @@
     return inFlight + 1 > this._options.processLimit()
   }
 
+  /** Admits queued requests of all services up to the current limits; call it when limits may have grown. */
+  admitQueued (): void {
+    const services = new Set([...this._groups.values()].map(({ service }) => service))
+    for (const service of services) this._admitQueuedOf(service)
+  }
+
   /** The same for requests with home regions, which are no longer queued once there is no endpoint where they may run. */
   admitQueuedWithHomes (): void {
     for (const { homes, admission } of this._groups.values()) if (homes !== undefined) admission.admitQueued()
--- a/packages/gateway/src/fairness/workspace-fairness.ts
+++ b/packages/gateway/src/fairness/workspace-fairness.ts
@@ -20,7 +20,7 @@
 }
 
 /**
- * Max-min fair shares of workspaces in services that refuse requests, over all routers. Each router sees a sliver of the requests and queues
+ * Max-min fair shares of workspaces in services that refuse requests, over all routers. Each router sees a small part of the requests and queues
  * them fairly, but a surge that reaches all routers is much of what each one has in its queue. So routers report their demand to the router that they
  * follow; the one that follows none computes shares, which go back with its answers.
  */
@@ -108,7 +108,7 @@
   demand (): readonly DemandReport[] | undefined {
     const now = this._clock.now()
     for (const [router, { expiresAt }] of this._received) if (expiresAt <= now) this._received.delete(router)
-    // Rates decay in proportion, so a service that refuses nothing any more would look refused for ever.
+    // Decaying rates keep their ratio, so a service that has become idle would look overloaded without this condition.
     const own = [...this._counters.values()].filter(({ hasRefused }) => hasRefused).map((counter) => counter.report())
     const reports = [...own, ...[...this._received.values()].flatMap(({ reports }) => reports)]
     return reports.length === 0 ? undefined : mergeDemandReports(reports)
--- a/packages/gateway/src/grants/read-slot-release.ts
+++ b/packages/gateway/src/grants/read-slot-release.ts
@@ -20,5 +20,10 @@
 function isLoad (value: unknown): boolean {
   if (typeof value !== 'object' || value === null) return false
   const load = value as Partial<Record<keyof StatedLoad, unknown>>
-  return LOAD_FIELDS.every((name) => Number.isFinite(load[name])) && (load.slowdown === undefined || Number.isFinite(load.slowdown))
+  const hasValidFields = LOAD_FIELDS.every((name) => isNonNegative(load[name])) && (load.slowdown === undefined || isNonNegative(load.slowdown))
+  return hasValidFields && load.slots !== 0
+}
+
+function isNonNegative (value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0
 }
--- a/packages/gateway/src/grants/slot-owner.ts
+++ b/packages/gateway/src/grants/slot-owner.ts
@@ -184,7 +184,8 @@
       holder,
       listener
     }
-    const expectedMs = this._queues.expectedWaitMs(waiting, this._times.serviceMs / Math.max(1, this._inUse))
+    const releaseIntervalMs = this._times.serviceMs / Math.max(1, this._inUse)
+    const expectedMs = this._queues.expectedWaitMs(waiting, releaseIntervalMs) + this._passedOver.size * releaseIntervalMs
     if (expectedMs > waitMs) {
       listener.refused(this._overloaded(`would grant a slot only after about ${Math.round(expectedMs)} ms`))
       return undefined
@@ -250,7 +251,8 @@
   }
 
   private _hasFreeSlot (): boolean {
-    return this._options.availableEndpoints(this._service).some((endpoint) => this._isFree(endpoint))
+    const { availableEndpoints, health } = this._options
+    return health.preferHealthy(availableEndpoints(this._service)).some((endpoint) => this._isFree(endpoint))
   }
 
   /** Returns the endpoint with the shortest expected time to completion; undefined if none that the request may use has a free slot. */
