--- a/packages/gateway/src/evacuation/zone-evacuations.ts
+++ b/packages/gateway/src/evacuation/zone-evacuations.ts
@@ -21,7 +21,7 @@
   private _zones: ReadonlySet<string> = new Set()
   private _revision = 0
   /** Whether any evacuation was heard of since the start. Until then, routers need not tell each other that there is none. */
-  private _isUsed = false
+  private _hasKnownEvacuation = false
 
   /**
    * @param storeEra era of the store
@@ -53,16 +53,16 @@
    * if no evacuation was heard of.
    */
   get news (): readonly EraEvacuations[] | undefined {
-    return this._isUsed || !this.isKnown ? this._known : undefined
+    return this._hasKnownEvacuation || !this.isKnown ? this._known : undefined
   }
 
   /**
    * Returns what an answer to a sync request tells; undefined if the requester knows the same, or neither knows of an evacuation.
-   * @param told what the request tells
+   * @param received what the request states
    */
-  newsFor (told: readonly EraEvacuations[] | undefined): readonly EraEvacuations[] | undefined {
-    if (!this.isKnown || (told === undefined && !this._isUsed)) return undefined
-    return told !== undefined && isSame(this._known, told) ? undefined : this._known
+  newsFor (received: readonly EraEvacuations[] | undefined): readonly EraEvacuations[] | undefined {
+    if (!this.isKnown || (received === undefined && !this._hasKnownEvacuation)) return undefined
+    return received !== undefined && isSame(this._known, received) ? undefined : this._known
   }
 
   /**
@@ -99,22 +99,22 @@
 
   /**
    * Records what another router knows.
-   * @param told what it told; undefined if it told nothing
+   * @param received what it stated; undefined if it stated nothing
    * @param source name of the router, for the log
    * @param isFromUpstream whether this router follows that one
    */
-  learn (told: readonly EraEvacuations[] | undefined, source: string, isFromUpstream: boolean): void {
-    if (told === undefined) return
+  learn (received: readonly EraEvacuations[] | undefined, source: string, isFromUpstream: boolean): void {
+    if (received === undefined) return
     // A router that started while the store settled may have read it without knowing that it has to settle.
     const isSettling = this._storeEra.isSettling
-    const believed = told.map((record) => isSettling && record.era === this._storeEra.number ? { ...record, isSettled: false } : record)
-    this._merge(believed, source, isFromUpstream)
+    const accepted = received.map((record) => isSettling && record.era === this._storeEra.number ? { ...record, isSettled: false } : record)
+    this._merge(accepted, source, isFromUpstream)
   }
 
   private _merge (records: readonly EraEvacuations[], source: string, isFromUpstream: boolean): void {
     this._known = mergeEvacuations(this._known, records)
     const zones = new Set(this._known.flatMap((record) => record.zones))
-    this._isUsed ||= records.some((record) => record.zones.length > 0)
+    this._hasKnownEvacuation ||= records.some((record) => record.zones.length > 0)
     const evacuated = [...zones].filter((zone) => !this._zones.has(zone))
     const restored = [...this._zones].filter((zone) => !zones.has(zone))
     if (evacuated.length === 0 && restored.length === 0) return
