Cold endpoints are preferred below the mean load only; a lower bound for the others while endpoints are cold

The warm endpoints hold all contexts and work at the bound together.

Change: while endpoints of a service are cold the bound is 0.6 of the promise instead of 0.8. Cold endpoints, which are slow, are preferred only while they have less than the mean in flight. Both only where a service has a warm-up rule.

Result: tests of selection, warm-up and evacuation pass.

--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -9,6 +9,11 @@
 
 /** Fraction of the promised load bound at which an endpoint is skipped; the rest is a margin for late load reports. */
 const BOUND_FRACTION = 0.8
+/**
+ * The same while endpoints of the service are cold. All contexts are then held by the others, many of which work at the bound at the same time, and late
+ * load reports would take them beyond the promise.
+ */
+const BOUND_FRACTION_WITH_COLD = 0.6
 /** Requests that an endpoint may have in flight in addition to the multiple of the mean load. */
 const BOUND_SLACK_REQUESTS = 2
 /** Number of endpoints of a key's rendezvous order that are considered before the least loaded endpoint is chosen. */
@@ -84,14 +89,16 @@
       return !excluded.has(endpoint.id) && permits.allows(endpoint) && mayRunAt?.(endpoint) !== false
     })
     if (ready.length === 0) return undefined
-    const bound = this._loadBound(service)
+    const { mean, bound } = this._serviceLoad(service)
     const healthy = this._options.health.preferHealthy(ready)
     // A request that failed elsewhere is not sent to an endpoint that may fail it again.
     const trial = excluded.size === 0 ? this._options.outliers?.pickTrial(ready) : undefined
     if (trial !== undefined && !this._options.health.isSuspect(trial.id) && this._hasCapacity(trial, bound)) {
       return this._createChosen(trial, ChoiceReason.TRIAL, undefined, undefined, bound)
     }
-    const suited = this._coldPreference.apply(healthy, needsWarm, (endpoint) => this._hasCapacity(endpoint, bound))
+    const suited = this._coldPreference.apply(
+      healthy, needsWarm, (endpoint) => this._hasCapacity(endpoint, bound), ({ id }) => this._options.loads.total(id) < Math.max(1, mean)
+    )
     const key = EndpointSelector.keyOf(prompt)
     // A cached context saves more than a cold endpoint gains.
     const isForHolder = key !== undefined && suited !== healthy && !needsWarm && this._holderWithCapacity(key, healthy, bound) !== undefined
@@ -108,7 +115,7 @@
    * @param mayRunAt returns whether the request may run at an endpoint; undefined if it may run at all of them
    */
   chooseGranted (endpoint: EndpointEntry, prompt: readonly PromptPart[], mayRunAt?: MayRunAt): ChosenEndpoint {
-    const bound = this._loadBound(endpoint.service)
+    const { bound } = this._serviceLoad(endpoint.service)
     const key = EndpointSelector.keyOf(prompt)
     if (key === undefined) return this._createChosen(endpoint, ChoiceReason.GRANTED, undefined, undefined, bound)
     const holders = this._options.holders.holders(key)
@@ -306,24 +313,20 @@
     return undefined
   }
 
-  private _loadBound (service: string): number {
-    const endpoints = this._meanMembers(service)
-    const sum = endpoints.reduce((total, endpoint) => total + this._options.loads.total(endpoint.id), 0)
-    const mean = sum / Math.max(1, endpoints.length)
-    return mean * this._options.loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS
-  }
-
   /**
-   * Returns the endpoints over which the mean load is taken. Cold endpoints and those of evacuated zones are part of the service, whose mean the
-   * bound promises; without them the others could take a multiple of it that is too high. Only endpoints that state a rate limit, or
-   * fail requests, are left out, so that the others can take over their work.
+   * Returns the mean load of a service and the bound on the load of an endpoint. Cold endpoints and those of evacuated zones are part of the
+   * service, whose mean the bound promises; without them the others could take a multiple of it that is too high. Only endpoints that
+   * state a rate limit, or fail requests, are left out, so that the others can take over their work.
    */
-  private _meanMembers (service: string): readonly EndpointEntry[] {
-    const { endpoints, health, permits, warmUps } = this._options
+  private _serviceLoad (service: string): { readonly mean: number, readonly bound: number } {
+    const { endpoints, health, loads, loadBoundFactor, permits, warmUps } = this._options
     const admitted = health.preferAdmitted(endpoints.ready(service))
     const cold = warmUps === undefined ? [] : admitted.filter((endpoint) => warmUps.isCold(endpoint))
     const unlimited = permits.preferUnlimited(admitted).filter((endpoint) => !cold.includes(endpoint))
-    return [...unlimited, ...cold, ...endpoints.evacuated(service)]
+    const members = [...unlimited, ...cold, ...endpoints.evacuated(service)]
+    const mean = members.reduce((total, { id }) => total + loads.total(id), 0) / Math.max(1, members.length)
+    const fraction = cold.length > 0 ? BOUND_FRACTION_WITH_COLD : BOUND_FRACTION
+    return { mean, bound: mean * loadBoundFactor() * fraction + BOUND_SLACK_REQUESTS }
   }
 
   /**
--- a/packages/gateway/src/warm-up/cold-preference.ts
+++ b/packages/gateway/src/warm-up/cold-preference.ts
@@ -14,17 +14,23 @@
 
   /**
    * Returns the endpoints that a request should go to. One that needs a warm endpoint gets one while any has capacity. Others go to
-   * cold endpoints, which need requests to return to their share, while permits for them are available.
+   * cold endpoints, which need requests to return to their share, while permits for them are available. Cold endpoints are slow, so requests pile
+   * up at them; they are preferred only while they have less than the mean in flight.
    * @param candidates endpoints that the request may go to, cold ones only with a permit
    * @param needsWarm whether the request is urgent, may run at most once or takes long
    * @param hasCapacity returns whether an endpoint has capacity
-   * @returns the cold candidates with capacity, the warm ones, or all candidates
+   * @param isBelowMean returns whether an endpoint has less in flight than the mean of its service
+   * @returns cold candidates, the warm ones, or all candidates
    */
-  apply (candidates: readonly EndpointEntry[], needsWarm: boolean, hasCapacity: (endpoint: EndpointEntry) => boolean): readonly EndpointEntry[] {
+  apply (
+    candidates: readonly EndpointEntry[], needsWarm: boolean, hasCapacity: (endpoint: EndpointEntry) => boolean, isBelowMean: (endpoint: EndpointEntry) => boolean
+  ): readonly EndpointEntry[] {
     const cold = this.coldAmong(candidates)
     if (cold.length === 0) return candidates
-    const preferred = needsWarm ? candidates.filter((endpoint) => !cold.includes(endpoint)) : cold
-    return preferred.some(hasCapacity) ? preferred.filter((endpoint) => needsWarm || hasCapacity(endpoint)) : candidates
+    const preferred = needsWarm ? [] : cold.filter((endpoint) => hasCapacity(endpoint) && isBelowMean(endpoint))
+    if (preferred.length > 0) return preferred
+    const warm = candidates.filter((endpoint) => !cold.includes(endpoint))
+    return warm.some(hasCapacity) ? warm : candidates
   }
 
   /**
