--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -10,10 +10,10 @@
 /** Fraction of the promised load bound at which an endpoint is skipped; the rest is a margin for late load reports. */
 const BOUND_FRACTION = 0.8
 /**
- * The same while endpoints of the service are cold. All contexts are then held by the others, many of which work at the bound at the same time, and late
- * load reports would take them beyond the promise.
+ * The same while endpoints of the service are cold or evacuated. All contexts are then held by the others, many of which work at the bound at the same
+ * time, and late load reports would take them beyond the promise.
  */
-const BOUND_FRACTION_WITH_COLD = 0.6
+const BOUND_FRACTION_OF_PART = 0.6
 /** Requests that an endpoint may have in flight in addition to the multiple of the mean load. */
 const BOUND_SLACK_REQUESTS = 2
 /** Number of endpoints of a key's rendezvous order that are considered before the least loaded endpoint is chosen. */
@@ -323,9 +323,10 @@
     const admitted = health.preferAdmitted(endpoints.ready(service))
     const cold = warmUps === undefined ? [] : admitted.filter((endpoint) => warmUps.isCold(endpoint))
     const unlimited = permits.preferUnlimited(admitted).filter((endpoint) => !cold.includes(endpoint))
-    const members = [...unlimited, ...cold, ...endpoints.evacuated(service)]
+    const idle = [...cold, ...endpoints.evacuated(service)]
+    const members = [...unlimited, ...idle]
     const mean = members.reduce((total, { id }) => total + loads.total(id), 0) / Math.max(1, members.length)
-    const fraction = cold.length > 0 ? BOUND_FRACTION_WITH_COLD : BOUND_FRACTION
+    const fraction = idle.length > 0 ? BOUND_FRACTION_OF_PART : BOUND_FRACTION
     return { mean, bound: mean * loadBoundFactor() * fraction + BOUND_SLACK_REQUESTS }
   }
 
