EndpointSelector: rendezvous orders and the load of a service in classes of their own

For each request the mean copied lists of endpoints three times, also while none was cold or evacuated.

Change: EndpointOrders, ServiceLoads, one type for the constraint of a request. No list is copied while no endpoint has a rate limit and no zone is evacuated. No change of the choice.

--- a/packages/gateway/src/choice/choice-constraints.ts
+++ b/packages/gateway/src/choice/choice-constraints.ts
@@ -1,4 +1,4 @@
-import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { MayRunAt } from './may-run-at.js'
 
 /** What restricts the choice of an endpoint for one request. */
 export interface ChoiceConstraints {
@@ -15,5 +15,5 @@
    * Returns whether the request may run at an endpoint, and its context may be copied from it; undefined if it may run at all of
    * them. The same function for all requests with the same constraint, for which an order of the endpoints is kept.
    */
-  readonly mayRunAt?: ((endpoint: EndpointEntry) => boolean) | undefined
+  readonly mayRunAt?: MayRunAt | undefined
 }
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -1,21 +1,15 @@
-import { RendezvousOrder } from '@mimosarock/placement/rendezvous-order.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import { ColdPreference } from '../warm-up/cold-preference.js'
 import type { PromptPart } from '../model/prompt-part.js'
+import { allowedEndpoints } from './allowed-endpoints.js'
 import type { ChoiceConstraints } from './choice-constraints.js'
 import { ChoiceReason } from './choice-reason.js'
 import type { ChosenEndpoint } from './chosen-endpoint.js'
+import { EndpointOrders } from './endpoint-orders.js'
 import type { EndpointSelectorOptions } from './endpoint-selector-options.js'
+import type { MayRunAt } from './may-run-at.js'
+import { ServiceLoads } from './service-loads.js'
 
-/** Fraction of the promised load bound at which an endpoint is skipped; the rest is a margin for late load reports. */
-const BOUND_FRACTION = 0.8
-/**
- * The same while endpoints of the service are cold or evacuated. All contexts are then held by the others, many of which work at the bound at the same
- * time, and late load reports would take them beyond the promise.
- */
-const BOUND_FRACTION_OF_PART = 0.6
-/** Requests that an endpoint may have in flight in addition to the multiple of the mean load. */
-const BOUND_SLACK_REQUESTS = 2
 /** Number of endpoints of a key's rendezvous order that are considered before the least loaded endpoint is chosen. */
 const RENDEZVOUS_CANDIDATES = 3
 /** Fraction of its slots in use from which on an endpoint is relieved by others, although they have a rate limit. */
@@ -28,31 +22,6 @@
 const ROUTERS_THAT_COMPARE_ALL = 6
 /** Minimum number of endpoints whose loads are compared. */
 const MINIMUM_SAMPLE = 2
-/** Number of hexadecimal digits of a key of the rendezvous order. */
-const KEY_DIGITS = 16
-
-/** Returns whether a request may run at an endpoint. */
-type MayRunAt = NonNullable<ChoiceConstraints['mayRunAt']>
-
-/** Endpoint as a member of a rendezvous order. */
-interface RendezvousMember {
-  readonly name: string
-  readonly capacity: number
-  readonly endpoint: EndpointEntry
-}
-
-/** Rendezvous orders of a service. */
-interface ServiceOrders {
-  /** All endpoints of the service that accept requests, from which the orders were computed; a change replaces the array. */
-  readonly registered: readonly EndpointEntry[]
-  /** Order of those at which a request may run. */
-  readonly order: RendezvousOrder<RendezvousMember>
-  /** Order of these and of the endpoints in evacuated zones; undefined if there are none in such zones. */
-  readonly withEvacuated: RendezvousOrder<RendezvousMember> | undefined
-}
-
-/** Rendezvous orders by service. */
-type OrdersByService = Map<string, ServiceOrders>
 
 /**
  * Selects the endpoint of a request. A request with a prompt goes to an endpoint that holds the cached context of its key,
@@ -64,9 +33,8 @@
 export class EndpointSelector {
   private readonly _options: EndpointSelectorOptions
   private readonly _coldPreference: ColdPreference
-  private readonly _orders: OrdersByService = new Map()
-  /** Orders of the endpoints at which requests with a constraint may run. */
-  private readonly _constrainedOrders = new WeakMap<MayRunAt, OrdersByService>()
+  private readonly _orders: EndpointOrders
+  private readonly _serviceLoads: ServiceLoads
 
   /**
    * @param options data and settings that decide the selection
@@ -74,6 +42,8 @@
   constructor (options: EndpointSelectorOptions) {
     this._options = options
     this._coldPreference = new ColdPreference(options.warmUps)
+    this._orders = new EndpointOrders(options.endpoints)
+    this._serviceLoads = new ServiceLoads(options)
   }
 
   /**
@@ -89,7 +59,7 @@
       return !excluded.has(endpoint.id) && permits.allows(endpoint) && mayRunAt?.(endpoint) !== false
     })
     if (ready.length === 0) return undefined
-    const { mean, bound } = this._serviceLoad(service)
+    const { mean, bound } = this._serviceLoads.of(service)
     const healthy = this._options.health.preferHealthy(ready)
     // A request that failed elsewhere is not sent to an endpoint that may fail it again.
     const trial = excluded.size === 0 ? this._options.outliers?.pickTrial(ready) : undefined
@@ -115,11 +85,11 @@
    * @param mayRunAt returns whether the request may run at an endpoint; undefined if it may run at all of them
    */
   chooseGranted (endpoint: EndpointEntry, prompt: readonly PromptPart[], mayRunAt?: MayRunAt): ChosenEndpoint {
-    const { bound } = this._serviceLoad(endpoint.service)
+    const { bound } = this._serviceLoads.of(endpoint.service)
     const key = EndpointSelector.keyOf(prompt)
     if (key === undefined) return this._createChosen(endpoint, ChoiceReason.GRANTED, undefined, undefined, bound)
     const holders = this._options.holders.holders(key)
-    const primary = this._primary(endpoint.service, orderKeyOf(key))
+    const primary = this._orders.primary(endpoint.service, key)
     const source = holders.includes(endpoint.id) ? undefined : this._contextSource(holders, mayRunAt) ?? this._assumedContextSource(primary, mayRunAt)
     return this._createChosen(primary?.id === endpoint.id ? primary : endpoint, ChoiceReason.GRANTED, primary, source, bound)
   }
@@ -134,7 +104,7 @@
     if (key === undefined) return undefined
     const holders = this._options.holders.holders(key)
     if (holders.length > 0) return [...holders]
-    return this._ordersOf(service, undefined).order.first(orderKeyOf(key), 1).map(({ endpoint }) => endpoint.id)
+    return this._orders.first(service, key, 1, undefined).map(({ id }) => id)
   }
 
   /**
@@ -176,7 +146,7 @@
   }
 
   private _ready (service: string, mayRunAt: MayRunAt | undefined): readonly EndpointEntry[] {
-    return allowed(this._options.endpoints.ready(service), mayRunAt)
+    return allowedEndpoints(this._options.endpoints.ready(service), mayRunAt)
   }
 
   private _chooseForKey (
@@ -186,9 +156,8 @@
     const holder = this._holderWithCapacity(key, candidates, bound)
     if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, undefined, undefined, bound)
     const lookup = this._options.permits.isNeeded ? RENDEZVOUS_LOOKUP_WITH_LIMITS : RENDEZVOUS_CANDIDATES
-    const orderKey = orderKeyOf(key)
-    const order = this._ordersOf(service, mayRunAt).order.first(orderKey, lookup).map((member) => member.endpoint)
-    const primary = this._primary(service, orderKey)
+    const order = this._orders.first(service, key, lookup, mayRunAt)
+    const primary = this._orders.primary(service, key)
     const source = this._contextSource(holders, mayRunAt) ?? this._assumedContextSource(primary, mayRunAt)
     const available = this._firstAvailable(order, candidates, bound, source !== undefined)
     if (available !== undefined) return this._createChosen(available, ChoiceReason.HOME, primary, source, bound)
@@ -312,67 +281,4 @@
     }
     return undefined
   }
-
-  /**
-   * Returns the mean load of a service and the bound on the load of an endpoint. Cold endpoints and those of evacuated zones are part of the
-   * service, whose mean the bound promises; without them the others could take a multiple of it that is too high. Only endpoints that
-   * state a rate limit, or fail requests, are left out, so that the others can take over their work.
-   */
-  private _serviceLoad (service: string): { readonly mean: number, readonly bound: number } {
-    const { endpoints, health, loads, loadBoundFactor, permits, warmUps } = this._options
-    const admitted = health.preferAdmitted(endpoints.ready(service))
-    const cold = warmUps === undefined ? [] : admitted.filter((endpoint) => warmUps.isCold(endpoint))
-    const unlimited = permits.preferUnlimited(admitted).filter((endpoint) => !cold.includes(endpoint))
-    const idle = [...cold, ...endpoints.evacuated(service)]
-    const members = [...unlimited, ...idle]
-    const mean = members.reduce((total, { id }) => total + loads.total(id), 0) / Math.max(1, members.length)
-    const fraction = idle.length > 0 ? BOUND_FRACTION_OF_PART : BOUND_FRACTION
-    return { mean, bound: mean * loadBoundFactor() * fraction + BOUND_SLACK_REQUESTS }
-  }
-
-  /**
-   * Returns the primary of a key, which all routers know: the first among all endpoints, whatever constraints a request has. The contexts of an
-   * evacuated primary are copied to the endpoints that take its place. Those are announced as holders, since other routers assume
-   * that the primary holds them.
-   */
-  private _primary (service: string, orderKey: string): EndpointEntry | undefined {
-    const { order, withEvacuated } = this._ordersOf(service, undefined)
-    return (withEvacuated ?? order).first(orderKey, 1)[0]?.endpoint
-  }
-
-  private _ordersOf (service: string, mayRunAt: MayRunAt | undefined): ServiceOrders {
-    const { endpoints } = this._options
-    const registered = endpoints.ready(service)
-    const orders = this._ordersWith(mayRunAt)
-    const cached = orders.get(service)
-    if (cached?.registered === registered) return cached
-    const ready = allowed(registered, mayRunAt)
-    const evacuated = allowed(endpoints.evacuated(service), mayRunAt)
-    const withEvacuated = evacuated.length === 0 ? undefined : createOrder([...ready, ...evacuated])
-    const created = { registered, order: createOrder(ready), withEvacuated }
-    orders.set(service, created)
-    return created
-  }
-
-  private _ordersWith (mayRunAt: MayRunAt | undefined): OrdersByService {
-    if (mayRunAt === undefined) return this._orders
-    let orders = this._constrainedOrders.get(mayRunAt)
-    if (orders === undefined) {
-      orders = new Map()
-      this._constrainedOrders.set(mayRunAt, orders)
-    }
-    return orders
-  }
-}
-
-function createOrder (endpoints: readonly EndpointEntry[]): RendezvousOrder<RendezvousMember> {
-  return new RendezvousOrder(endpoints.map((endpoint) => ({ name: endpoint.id, capacity: endpoint.slots, endpoint })))
-}
-
-function allowed (endpoints: readonly EndpointEntry[], mayRunAt: MayRunAt | undefined): readonly EndpointEntry[] {
-  return mayRunAt === undefined ? endpoints : endpoints.filter(mayRunAt)
-}
-
-function orderKeyOf (key: string): string {
-  return key.padStart(KEY_DIGITS, '0').slice(-KEY_DIGITS)
 }
--- /dev/null
+++ b/packages/gateway/src/choice/service-loads.ts
@@ -0,0 +1,57 @@
+import type { EndpointEntry } from '../model/endpoint-entry.js'
+import type { EndpointSelectorOptions } from './endpoint-selector-options.js'
+import type { ServiceLoad } from './service-load.js'
+
+/** Fraction of the promised load bound at which an endpoint is skipped; the rest is a margin for late load reports. */
+const BOUND_FRACTION = 0.8
+/**
+ * The same while endpoints of the service are cold or evacuated. All contexts are then held by the others, many of which work at the bound at the same
+ * time, and late load reports would take them beyond the promise.
+ */
+const BOUND_FRACTION_OF_PART = 0.6
+/** Requests that an endpoint may have in flight in addition to the multiple of the mean load. */
+const BOUND_SLACK_REQUESTS = 2
+
+/** Inputs of `ServiceLoads`. */
+type Options = Pick<EndpointSelectorOptions, 'endpoints' | 'health' | 'loads' | 'loadBoundFactor' | 'permits' | 'warmUps'>
+
+/** Mean load of each service, and the bound on the load of its endpoints. */
+export class ServiceLoads {
+  private readonly _options: Options
+
+  /**
+   * @param options loads and endpoints
+   */
+  constructor (options: Options) {
+    this._options = options
+  }
+
+  /**
+   * Returns the load of a service. Cold endpoints and those of evacuated zones are part of the service, whose mean the bound
+   * promises; without them the others could take a multiple of it that is too high. Only endpoints that state a rate limit, or
+   * fail requests, are left out, so that the others can take over their work.
+   * @param service name of the service
+   */
+  of (service: string): ServiceLoad {
+    const { endpoints, health, loadBoundFactor, permits } = this._options
+    const admitted = health.preferAdmitted(endpoints.ready(service))
+    const unlimited = permits.preferUnlimited(admitted)
+    const cold = this._coldAmong(admitted)
+    const evacuated = endpoints.evacuated(service)
+    const hasIdle = cold.length > 0 || evacuated.length > 0
+    const members = hasIdle ? [...new Set([...unlimited, ...cold, ...evacuated])] : unlimited
+    const mean = this._meanOf(members)
+    return { mean, bound: mean * loadBoundFactor() * (hasIdle ? BOUND_FRACTION_OF_PART : BOUND_FRACTION) + BOUND_SLACK_REQUESTS }
+  }
+
+  private _coldAmong (endpoints: readonly EndpointEntry[]): readonly EndpointEntry[] {
+    const { permits, warmUps } = this._options
+    // Cold endpoints have a rate limit, so that nearly always none has to be looked at.
+    return warmUps === undefined || !permits.isNeeded ? [] : endpoints.filter((endpoint) => warmUps.isCold(endpoint))
+  }
+
+  private _meanOf (endpoints: readonly EndpointEntry[]): number {
+    const { loads } = this._options
+    return endpoints.reduce((sum, { id }) => sum + loads.total(id), 0) / Math.max(1, endpoints.length)
+  }
+}
