Endpoints that warm up take copied contexts; the load bound is 0.8 of the promise again at all times

A trace, from which the true loads were reconstructed (1,121 requests, 19 to 21.5 s): 25 to 0 requests in flight at 53 endpoints, a third of them idle, and the views of the routers 3.4 requests below the truth at the endpoints that they chose. Endpoints that had been cold stayed idle: overflow of the holders avoided every endpoint with a rate limit, as it should where an endpoint states one for long.

Change: only endpoints that state a limit themselves are avoided for copies; those that warm up are used while there are permits. They also count in the mean of the bound until their limit ends.

Result: 120 tests of selection, limits, warm-up and homes pass.

--- a/packages/gateway/src/choice/endpoint-selector-options.ts
+++ b/packages/gateway/src/choice/endpoint-selector-options.ts
@@ -22,7 +22,7 @@
   /** Permits for requests to endpoints with a rate limit. */
   readonly permits: FleetPermits
   /** Cold endpoints; left out if there are none. */
-  readonly warmUps?: Pick<WarmUpTable, 'isCold'>
+  readonly warmUps?: Pick<WarmUpTable, 'isCold' | 'limitOf'>
   /** Endpoints that are left out since they fail requests, and their trials; undefined for none. */
   readonly outliers?: Pick<FleetOutliers, 'pickTrial'> | undefined
   /** Availability zone of this router; requests to endpoints in it cause no traffic between zones. */
--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -187,12 +187,18 @@
       return endpoints.slice(0, RENDEZVOUS_CANDIDATES).find((endpoint) => this._hasCapacity(endpoint, bound))
     }
     if (!isCopied || !permits.isNeeded) return first(preferred)
-    const unlimited = first(preferred.filter((endpoint) => !permits.isLimited(endpoint)))
+    const unlimited = first(preferred.filter((endpoint) => !this._statesLimit(endpoint)))
     if (unlimited !== undefined && !this._isBusy(unlimited)) return unlimited
-    const limited = candidates.filter((endpoint) => permits.isLimited(endpoint) && this._hasCapacity(endpoint, bound))
+    const limited = candidates.filter((endpoint) => this._statesLimit(endpoint) && this._hasCapacity(endpoint, bound))
     return this._leastLoaded(limited) ?? unlimited
   }
 
+  /** Returns whether an endpoint has a rate limit for longer than its warm-up. One that warms up will take the next requests for a context, too. */
+  private _statesLimit (endpoint: EndpointEntry): boolean {
+    const { permits, warmUps } = this._options
+    return permits.isLimited(endpoint) && warmUps?.limitOf(endpoint) === undefined
+  }
+
   private _isBusy ({ id, slots }: EndpointEntry): boolean {
     return this._options.loads.total(id) >= slots * BUSY_FRACTION
   }
@@ -202,7 +208,9 @@
     const { permits } = this._options
     if (!permits.isNeeded) return candidates
     const withCapacity = candidates.filter((endpoint) => this._hasCapacity(endpoint, bound))
-    return withCapacity.length > 0 ? permits.preferUnlimited(withCapacity) : candidates
+    const unlimited = withCapacity.filter((endpoint) => !this._statesLimit(endpoint))
+    if (unlimited.length > 0) return unlimited
+    return withCapacity.length > 0 ? withCapacity : candidates
   }
 
   private _createChosen (
--- a/packages/gateway/src/choice/service-loads.ts
+++ b/packages/gateway/src/choice/service-loads.ts
@@ -4,11 +4,6 @@
 
 /** Fraction of the promised load bound at which an endpoint is skipped; the rest is a margin for late load reports. */
 const BOUND_FRACTION = 0.8
-/**
- * The same while endpoints of the service are cold or evacuated. All contexts are then held by the others, many of which work at the bound at the same
- * time, and late load reports would take them beyond the promise.
- */
-const BOUND_FRACTION_OF_PART = 0.6
 /** Requests that an endpoint may have in flight in addition to the multiple of the mean load. */
 const BOUND_SLACK_REQUESTS = 2
 
@@ -36,18 +31,15 @@
     const { endpoints, health, loadBoundFactor, permits } = this._options
     const admitted = health.preferAdmitted(endpoints.ready(service))
     const unlimited = permits.preferUnlimited(admitted)
-    const cold = this._coldAmong(admitted)
-    const evacuated = endpoints.evacuated(service)
-    const hasIdle = cold.length > 0 || evacuated.length > 0
-    const members = hasIdle ? [...new Set([...unlimited, ...cold, ...evacuated])] : unlimited
-    const mean = this._meanOf(members)
-    return { mean, bound: mean * loadBoundFactor() * (hasIdle ? BOUND_FRACTION_OF_PART : BOUND_FRACTION) + BOUND_SLACK_REQUESTS }
+    const idle = [...this._warmingUpAmong(admitted), ...endpoints.evacuated(service)]
+    const mean = this._meanOf(idle.length === 0 ? unlimited : [...new Set([...unlimited, ...idle])])
+    return { mean, bound: mean * loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS }
   }
 
-  private _coldAmong (endpoints: readonly EndpointEntry[]): readonly EndpointEntry[] {
+  private _warmingUpAmong (endpoints: readonly EndpointEntry[]): readonly EndpointEntry[] {
     const { permits, warmUps } = this._options
-    // Cold endpoints have a rate limit, so that nearly always none has to be looked at.
-    return warmUps === undefined || !permits.isNeeded ? [] : endpoints.filter((endpoint) => warmUps.isCold(endpoint))
+    // Endpoints that warm up have a rate limit, so that nearly always none has to be looked at.
+    return warmUps === undefined || !permits.isNeeded ? [] : endpoints.filter((endpoint) => warmUps.limitOf(endpoint) !== undefined)
   }
 
   private _meanOf (endpoints: readonly EndpointEntry[]): number {
