EndpointAttempts and Gateway: what attempts tell of endpoints, and the admission control, in modules of their own

The exception for responses that were not read stood three times.

Change: AttemptRecords, createAdmissions. No change of behavior.

--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -5,23 +5,19 @@
 import { EndpointSelector } from '../choice/endpoint-selector.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { PromptPart } from '../model/prompt-part.js'
-import type { ResponseHead } from '../model/response-head.js'
 import { RouteKind } from '../model/route-kind.js'
-import type { StatedLoad } from '../model/stated-load.js'
-import { AnswerVerdict } from '../outliers/answer-verdict.js'
 import { SlotOutcome } from '../grants/slot-outcome.js'
-import { judgeAnswer } from '../outliers/judge-answer.js'
 import { mayRetry } from '../retries/may-retry.js'
 import { CallOutcome } from '../sending/call-outcome.js'
 import type { CallResult } from '../sending/call-result.js'
 import { EndpointCall } from '../sending/endpoint-call.js'
 import type { WatchedCall } from '../sending/watched-call.js'
+import { AttemptRecords } from './attempt-records.js'
 import type { AuthorizedRequest } from './authorized-request.js'
 import { createCallError } from './create-call-error.js'
 import { createDeadlineError } from './create-deadline-error.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
 import type { EndpointAttemptsOptions } from './endpoint-attempts-options.js'
-import { recordWarmth } from './record-warmth.js'
 import { reportCallFailure } from './report-call-failure.js'
 import type { RequestDependencies } from './request-dependencies.js'
 import { requireNotEvacuated } from './require-not-evacuated.js'
@@ -33,11 +29,7 @@
 const MINIMUM_CALL_MS = 5
 /** Minimum time left for which a call without progress is given up. */
 const MINIMUM_RETRY_MS = 250
-/** Age up to which the load that an endpoint stated is told to the slot owner, in milliseconds. */
-const MAXIMUM_LOAD_AGE_MS = 100
-const MISDIRECTED_STATUS = 421
 const FIRST_SERVER_ERROR_STATUS = 500
-const UNAVAILABLE_STATUS = 503
 /** Number of endpoints that a request may have lost its connection to before they answered; it may be what ends them. */
 const MAXIMUM_LOSSES_BEFORE_ANSWER = 2
 /** The same for a request that is on trial after a quarantine. */
@@ -53,15 +45,12 @@
   private _chosen: ChosenEndpoint | undefined
   private _problem: string | undefined
   private _attempts = 0
-  private _headReceivedAt = -Infinity
   private _runs = 0
-  private _lossesBeforeAnswer = 0
   private _hasTakenRetry = false
   private readonly _choosing = new AbortController()
   /** Whether the chosen endpoint had a rate limit when it was chosen, for which the request used a permit. */
   private _hasPermit = false
-  /** Whether the call in progress was not sent because the request may no longer run at the endpoint, which says nothing about its health. */
-  private _isHeldBack = false
+  private readonly _records: AttemptRecords
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -70,6 +59,7 @@
   constructor (dependencies: RequestDependencies, options: EndpointAttemptsOptions) {
     this._dependencies = dependencies
     this._options = options
+    this._records = new AttemptRecords(dependencies, options)
     this._mayRepeat = options.authorized.route.kind !== RouteKind.ONCE
   }
 
@@ -156,15 +146,14 @@
 
   private async _callEndpoint (chosen: ChosenEndpoint): Promise<CallResult> {
     const { endpoint } = chosen
-    const { content, relay } = this._options
-    const { clock, loads, quarantine, stallWatch } = this._dependencies
+    const { content } = this._options
+    const { loads, quarantine, stallWatch } = this._dependencies
     const call = this._createCall(chosen)
     const watched = this._watchedCall(call, endpoint.id)
     this._call = call
-    this._headReceivedAt = -Infinity
     this._attempts += 1
     this._recordHolder(content.prompt, chosen)
-    const startedAt = clock.now()
+    this._records.callBegun()
     loads.begin(endpoint.id)
     quarantine.beginCall(content)
     call.send(this._connectionsTo(endpoint))
@@ -173,34 +162,10 @@
     stallWatch.remove(watched)
     loads.end(endpoint.id)
     quarantine.endCall(content)
-    this._options.admission.endCall(this._slotOutcome(result), this._recentLoad(result))
-    if (!this._isHeldBack) this._recordHealth(endpoint.id, result)
-    // An endpoint that cuts off a response which its caller did not read has not restarted.
-    if (!this._isHeldBack && !(result.outcome === CallOutcome.BROKEN && relay.wasUnread)) recordWarmth(this._dependencies.warmUps, endpoint, result)
-    const verdict = this._isCallerDisconnected || this._isHeldBack
-      ? AnswerVerdict.NONE
-      : judgeAnswer(result, {
-        isPaused: call.isPaused || relay.wasUnread, isDeadlineOver: this._options.timeLeftMs() < MINIMUM_CALL_MS, elapsedMs: clock.now() - startedAt
-      })
-    if (!result.isConnectionLost) this._recordAnswer(endpoint, verdict)
-    else {
-      // Whatever crashes an endpoint is dealt with as a crash, and tells nothing of the incarnation that follows.
-      this._recordLoss(chosen).then((hasCrashed) => { if (!hasCrashed) this._recordAnswer(endpoint, verdict) }, () => undefined)
-    }
+    this._records.callEnded(endpoint, result, { isPaused: call.isPaused, isCallerDisconnected: this._isCallerDisconnected })
     return result
   }
 
-  /** Returns the outcome for the slot owner. What the endpoint is not to blame for says nothing about its health. */
-  private _slotOutcome ({ outcome }: CallResult): SlotOutcome {
-    if (this._isHeldBack) return SlotOutcome.UNUSED
-    return outcome === CallOutcome.BROKEN && this._options.relay.wasUnread ? SlotOutcome.ABORTED : outcome
-  }
-
-  /** Returns the load that the endpoint stated, if that was a moment ago: a stream may have begun long before. */
-  private _recentLoad ({ head }: CallResult): StatedLoad | undefined {
-    return this._dependencies.clock.now() - this._headReceivedAt < MAXIMUM_LOAD_AGE_MS ? head?.load : undefined
-  }
-
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
     const { codec, currentHomes, endpoints, endpointSelector, warmUps } = this._dependencies
@@ -214,14 +179,14 @@
       lastEventId: relay.lastEventId
     })
     const { id } = authorized.caller
-    this._isHeldBack = false
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
       mayStart: () => {
-        this._isHeldBack = endpoints.isEvacuated(endpoint) || currentHomes.of(authorized)?.mayRunAt(endpoint) === false
+        const isHeldBack = endpoints.isEvacuated(endpoint) || currentHomes.of(authorized)?.mayRunAt(endpoint) === false
+        if (isHeldBack) this._records.callHeldBack()
         // The endpoint may have become cold while the request waited for a connection.
-        return !this._isHeldBack && endpointSelector.isUsable(endpoint) && (hadPermit || !warmUps.isCold(endpoint))
+        return !isHeldBack && endpointSelector.isUsable(endpoint) && (hadPermit || !warmUps.isCold(endpoint))
       },
-      headReceived: (head) => this._recordWishes(endpoint, head)
+      headReceived: (head) => this._records.headReceived(endpoint, head)
     })
   }
 
@@ -242,20 +207,6 @@
     return connections.pool(endpoint, this._mayRepeat, maximumConnectionsOf(service))
   }
 
-  /** Records what an endpoint states about the requests that it wants. */
-  private _recordWishes (endpoint: EndpointEntry, { status, isSigned, isLeaving, retryAfterMs, requestsPerSecond, load, isLoadInvalid }: ResponseHead): void {
-    // Another endpoint may have the address.
-    if (status === MISDIRECTED_STATUS) return
-    const { clock, endpoints, pauses, limits, reportedLoads } = this._dependencies
-    this._headReceivedAt = clock.now()
-    if (load !== undefined) reportedLoads.record(endpoint, load)
-    else if (isLoadInvalid === true) reportedLoads.recordInvalid(endpoint)
-    // A rejection without a signature may come from a queue that knows nothing of the limit.
-    if (isSigned || requestsPerSecond !== undefined) limits.record(endpoint, requestsPerSecond)
-    if (isLeaving) endpoints.recordLeaving(endpoint)
-    if (status === UNAVAILABLE_STATUS && retryAfterMs !== undefined) pauses.record(endpoint, retryAfterMs)
-  }
-
   private _reportFailure (chosen: ChosenEndpoint, result: CallResult): void {
     const { authorized: { caller, service, route }, content, relay } = this._options
     this._problem = `${result.outcome}: ${result.problem}`
@@ -314,7 +265,7 @@
       this._hasTakenRetry = false
       return true
     }
-    if (this._lossesBeforeAnswer >= this._maximumLosses) return false
+    if (this._records.lossesBeforeAnswer >= this._maximumLosses) return false
     const attempts = { total: this._attempts, runs: this._runs }
     if (!mayRetry(authorized.route, outcome, attempts, relay.isStarted)) return false
     return outcome === CallOutcome.NOT_SENT || this._dependencies.retryBudgetOf(authorized.service).take()
@@ -324,33 +275,6 @@
     return this._dependencies.quarantine.includes(this._options.content) ? MAXIMUM_LOSSES_OF_TRIAL : MAXIMUM_LOSSES_BEFORE_ANSWER
   }
 
-  private _recordAnswer (endpoint: EndpointEntry, verdict: AnswerVerdict): void {
-    const { metrics, outliers, quarantine } = this._dependencies
-    if (verdict === AnswerVerdict.NONE) return
-    const isFailure = verdict === AnswerVerdict.FAILED
-    if (isFailure) metrics.endpointFailures.inc({ service: endpoint.service })
-    // Sound endpoints fail requests that crash endpoints.
-    if (!isFailure || !quarantine.includes(this._options.content)) outliers.record(endpoint, isFailure)
-  }
-
-  private _recordLoss ({ endpoint }: ChosenEndpoint): Promise<boolean> {
-    const { content, relay } = this._options
-    const { clock, crashDetector } = this._dependencies
-    if (!relay.isStarted) this._lossesBeforeAnswer += 1
-    return crashDetector.connectionLost(endpoint, { content, lostAt: clock.now(), hasBegun: relay.isStarted })
-  }
-
-  private _recordHealth (endpointId: string, { outcome }: CallResult): void {
-    const { health, stallWatch } = this._dependencies
-    if (outcome === CallOutcome.COMPLETE) return health.recordSuccess(endpointId)
-    if (outcome === CallOutcome.REJECTED) return
-    // An endpoint that cuts off a response which its caller does not read is sound.
-    if (outcome === CallOutcome.BROKEN && this._options.relay.wasUnread) return
-    const isSilent = stallWatch.isSilent(endpointId)
-    if (outcome === CallOutcome.ABORTED && !isSilent) return
-    health.recordFailure(endpointId, isSilent || outcome === CallOutcome.NOT_SENT)
-  }
-
   /** Resumes the endpoint's response after the caller has caught up. */
   resume (): void {
     this._options.relay.resumed()
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -1,9 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Server } from 'node:http'
-import { FleetConcurrencyLimit } from '../admission/fleet-concurrency-limit.js'
 import { ProcessPressure } from '../admission/process-pressure.js'
 import { RouteTimes } from '../admission/route-times.js'
-import { ServiceAdmissions } from '../admission/service-admissions.js'
 import { AdmissionPaths } from '../caller/admission-paths.js'
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
@@ -11,9 +9,6 @@
 import { CurrentHomes } from '../caller/current-homes.js'
 import { HomeRegionWarnings } from '../homes/home-region-warnings.js'
 import { HomeRegions } from '../homes/home-regions.js'
-import type { Homes } from '../homes/homes.js'
-import type { EndpointEntry } from '../model/endpoint-entry.js'
-import type { QueueFairness } from '../fairness/queue-fairness.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { RequestDependencies } from '../caller/request-dependencies.js'
 import { StartupGate } from '../caller/startup-gate.js'
@@ -23,7 +18,6 @@
 import { EndpointPauses } from '../choice/endpoint-pauses.js'
 import { GracefulShutdown } from '../shutdown/graceful-shutdown.js'
 import type { FleetState } from '../membership/fleet-state.js'
-import { pause } from '../membership/pause.js'
 import { HeldBytes } from '../memory/held-bytes.js'
 import { PeerRpcClient } from '../membership/peer-rpc-client.js'
 import { createPeerRpcServer } from '../membership/create-peer-rpc-server.js'
@@ -38,6 +32,7 @@
 import { LiveSettings } from '../settings/live-settings.js'
 import { createMetricsServer } from '../status/create-metrics-server.js'
 import { GatewayMetrics } from '../status/gateway-metrics.js'
+import { createAdmissions } from './create-admissions.js'
 import { createFleetState } from './create-fleet-state.js'
 import { FleetTasks } from './fleet-tasks.js'
 import type { GatewayOptions } from './gateway-options.js'
@@ -50,7 +45,6 @@
 const RESERVED_DESCRIPTORS = 1_000
 /** Maximum connections to an endpoint if the configuration has no entry for its service. */
 const DEFAULT_MAXIMUM_CONNECTIONS = 64
-const MS_PER_SECOND = 1_000
 
 /**
  * A router process. Accepts callers' requests, sends each directly to the endpoint that suits it best, and shares
@@ -174,7 +168,15 @@
     const { clock, log, codec } = this._options
     const { configuration, endpoints, loads, holders, limits, outliers, permits, quarantine, warmUps } = this._fleetState
     const pressure = new ProcessPressure(clock, log)
-    const admissions = this._createAdmissions(pressure)
+    const admissions = createAdmissions({
+      state: this._fleetState,
+      health: this._health,
+      pauses: this._pauses,
+      homeRegions: this._homeRegions,
+      pressure,
+      clock,
+      onPermits: (count) => this._metrics.permitsReceived.inc(count)
+    })
     const endpointSelector = this._createEndpointSelector()
     const { client, reportedLoads } = this._slotGranting
     return {
@@ -246,69 +248,6 @@
     })
   }
 
-  private _createAdmissions (pressure: ProcessPressure): ServiceAdmissions {
-    const { clock } = this._options
-    const { configuration, endpoints, evacuations, loads, permits, routers, warmUps } = this._fleetState
-    const readyEndpoints = (service: string, homes?: Homes): readonly EndpointEntry[] => {
-      const ready = endpoints.ready(service)
-      return homes === undefined ? ready : ready.filter(homes.mayRunAt)
-    }
-    const availableEndpoints = (service: string, homes?: Homes): readonly EndpointEntry[] => {
-      return this._health.preferHealthy(this._pauses.withoutPaused(readyEndpoints(service, homes)))
-    }
-    const concurrencyLimit = new FleetConcurrencyLimit({
-      loads,
-      random: Math.random,
-      routerCount: () => routers.size,
-      availableEndpoints,
-      hasHomes: () => configuration.inForce?.hasHomeRegions === true,
-      regionOf: ({ availabilityZone }) => this._homeRegions.regionOf(availabilityZone) ?? `zone ${availabilityZone}`,
-      permits,
-      now: () => clock.now(),
-      serviceMs: (service, homes) => admissions.get(service, homes).serviceMs
-    })
-    const admissions: ServiceAdmissions = new ServiceAdmissions({
-      clock: { now: () => clock.now(), sleep: pause },
-      limitOf: (service, homes) => concurrencyLimit.limit(service, homes),
-      loadAt: (service, homes) => readyEndpoints(service, homes).reduce((sum, { id }) => sum + loads.localLoad(id), 0),
-      processLimit: () => pressure.limit,
-      rateLimitOf: (service, homes) => ({
-        intervalMs: () => permits.intervalMs(service, availableEndpoints(service, homes)),
-        requestQueued: () => permits.getForWaiting()
-      }),
-      fairnessOf: (service, homes) => this._fairnessOf(homes === undefined ? service : `${service}@${homes.regions.join('+')}`),
-      random: Math.random
-    })
-    warmUps.setCapacityOf(({ service, slots }) => slots * MS_PER_SECOND / Math.max(1, admissions.get(service).serviceMs ?? 0))
-    loads.onReport(() => admissions.admitQueued())
-    // Requests to a service without endpoints in other zones are refused at once instead of after their time in the queue.
-    evacuations.listen({ zoneEvacuated: () => admissions.admitQueued(), zoneRestored: () => undefined })
-    endpoints.listen({
-      endpointRestarted: () => undefined,
-      endpointRemoved: () => admissions.admitQueuedWithHomes(),
-      endpointExpired: () => undefined
-    })
-    permits.setQueues({
-      queued: (service) => admissions.queued(service),
-      permitsArrived: (count) => {
-        this._metrics.permitsReceived.inc(count)
-        admissions.admitQueued()
-      }
-    })
-    return admissions
-  }
-
-  /** Requests with the same home regions share capacity, and are refused without it, apart from the others of their service. */
-  private _fairnessOf (name: string): QueueFairness {
-    const { fairness } = this._fleetState
-    return {
-      countArrival: (workspace) => fairness.countArrival(name, workspace),
-      countAdmission: (workspace) => fairness.countAdmission(name, workspace),
-      recordRefusal: () => fairness.recordRefusal(name),
-      mayQueue: (workspace) => fairness.mayQueue(name, workspace)
-    }
-  }
-
   private _budgetOf (service: string): FleetRetryBudget {
     let budget = this._budgets.get(service)
     if (budget === undefined) {
