--- a/packages/bench/src/gateway/measure-gateway.ts
+++ b/packages/bench/src/gateway/measure-gateway.ts
@@ -1,17 +1,14 @@
-import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { EndpointSelector } from '@mimosarock/gateway/choice/endpoint-selector.js'
 import { EndpointHealth } from '@mimosarock/gateway/choice/endpoint-health.js'
 import { EndpointPauses } from '@mimosarock/gateway/choice/endpoint-pauses.js'
 import { HolderTable } from '@mimosarock/gateway/choice/holder-table.js'
 import { ConfigurationInForce } from '@mimosarock/gateway/configuration/configuration-in-force.js'
-import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
-import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
-import { createFleetState as createState } from '@mimosarock/gateway/wiring/create-fleet-state.js'
 import { fitSlope } from '../capacity/fit-slope.js'
 import { retainedBytes } from '../capacity/retained-bytes.js'
 import { measureShortestUs } from '../capacity/measure-shortest-us.js'
 import type { Slope } from '../capacity/slope.js'
+import { createFleetState } from './create-fleet-state.js'
 
 const POOL_SIZES = [13, 26, 52, 104, 196]
 const ENDPOINT_COUNTS = [640, 1_280, 2_560, 5_100]
@@ -31,34 +28,14 @@
     decision_us: fitSlope('microseconds a decision for each endpoint of the service', POOL_SIZES.map((size) => [size, measureDecisionUs(size)] as const)),
     holder_key_bytes: fitSlope('bytes for each key with a holder', KEY_COUNTS.map((count) => [count, retainedBytes(() => createHolderTable(count))] as const)),
     workspace_bytes: fitSlope('bytes for each workspace with two keys', WORKSPACE_COUNTS.map((count) => [count, retainedBytes(() => createConfiguration(count))] as const)),
-    endpoint_bytes: fitSlope('bytes for each endpoint', ENDPOINT_COUNTS.map((count) => [count, retainedBytes(() => createFleetState(count, 1).endpoints)] as const)),
+    endpoint_bytes: fitSlope('bytes for each endpoint', ENDPOINT_COUNTS.map((count) => [count, retainedBytes(() => createFleetState(count, 1, clock).endpoints)] as const)),
     sync_answer_us: fitSlope('microseconds of an answer to another router for each endpoint in use', ENDPOINT_COUNTS.map((count) => [count, measureSyncResponse(count).microseconds] as const)),
     sync_answer_bytes: fitSlope('bytes of an answer to another router for each endpoint in use', ENDPOINT_COUNTS.map((count) => [count, measureSyncResponse(count).bytes] as const))
   }
 }
 
-function createFleetState (endpoints: number, services: number): FleetState {
-  const log = new SilentEventLog()
-  const state = createState({ name: 'self', availabilityZone: 'z', address: 'self' }, new StoreEra(clock, log), clock, log, Math.random, () => ({ overage: 1, tolerance: 0 }))
-  state.endpointsFreshness.verifiedAt = clock.now()
-  state.endpoints.apply(Array.from({ length: endpoints }, (_, index) => ({
-    key: `engine-${index}`,
-    value: {
-      id: `engine-${index}`,
-      service: `service-${index % services}`,
-      address: `10.0.${index >> 8}.${index & 255}:8000`,
-      availabilityZone: `zone-${index % 28}`,
-      slots: 64,
-      isDraining: false,
-      startedAt: 1,
-      revision: 1
-    }
-  })), undefined)
-  return state
-}
-
 function measureDecisionUs (size: number): number {
-  const { endpoints, loads, holders, permits } = createFleetState(size, 1)
+  const { endpoints, loads, holders, permits } = createFleetState(size, 1, clock)
   const selector = new EndpointSelector({
     endpoints, loads, holders, permits, health: new EndpointHealth(clock), pauses: new EndpointPauses(clock), availabilityZone: 'zone-0', loadBoundFactor: () => 2, routerCount: () => 800, random: Math.random, isFleetLarge: () => true
   })
@@ -91,7 +68,7 @@
 }
 
 function measureSyncResponse (endpoints: number): { microseconds: number, bytes: number } {
-  const state = createFleetState(endpoints, SERVICES)
+  const state = createFleetState(endpoints, SERVICES, clock)
   for (let index = 0; index < endpoints; index += 1) state.loads.begin(`engine-${index}`)
   const server = new SyncServer(state, 'instance', () => clock.now(), () => 0)
   const respond = (): string => JSON.stringify(server.answer({
