RankQueues: one type of entry for each queue; queue entries of requests are created in one place

Cause: SlotOwner and ServiceAdmission each built the same six fields of a queue entry. RankQueues required a callback `settle` that only ServiceAdmission uses, so SlotOwner passed an empty one and cast what it took from the queue.

Change: RankQueues has a type parameter for its entries, createQueueEntry builds the common fields. No change of behavior.

--- a/packages/gateway/src/admission/rank-queues.ts
+++ b/packages/gateway/src/admission/rank-queues.ts
@@ -2,7 +2,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import { DecayingCounter } from './decaying-counter.js'
 import type { RequestRank } from './request-rank.js'
-import type { QueuedRequest } from './queued-request.js'
+import type { QueueEntry } from './queue-entry.js'
 
 /** Weights by rank: admitted fraction of the requests of a rank, relative to rank 0, while requests of all ranks are queued. */
 const RANK_WEIGHTS: readonly number[] = [1, 0.7, 0.5]
@@ -14,9 +14,9 @@
 const MINIMUM_ROUTE_RANK_WEIGHT = 0.7
 
 /** Queue and counts of the requests that share a rank and a route rank. */
-interface RankQueue {
+interface RankQueue<Entry extends QueueEntry> {
   readonly weight: number
-  readonly requests: FairQueue<QueuedRequest>
+  readonly requests: FairQueue<Entry>
   readonly arrivals: DecayingCounter
   readonly admissions: DecayingCounter
 }
@@ -26,9 +26,9 @@
  * to its weight: urgent requests are admitted at a higher rate whatever their number, and no rank starves. Within a
  * rank, workspaces are served by fair queueing, which confines the delay of a surge to the workspace that causes it.
  */
-export class RankQueues {
+export class RankQueues<Entry extends QueueEntry> {
   private readonly _clock: ElapsedClock
-  private readonly _rankQueues = new Map<string, RankQueue>()
+  private readonly _rankQueues = new Map<string, RankQueue<Entry>>()
   private _size = 0
 
   /**
@@ -69,7 +69,7 @@
    * @param request request that is not queued yet
    * @param releaseIntervalMs mean time between two releases of capacity, in milliseconds
    */
-  expectedWaitMs (request: QueuedRequest, releaseIntervalMs: number): number {
+  expectedWaitMs (request: Entry, releaseIntervalMs: number): number {
     const { requests, admissions } = this._queueOf(request)
     const total = this._sumAdmissions(({ value }) => value)
     // A rank is assumed to get its recent fraction of all admissions, but at least as much as if all ranks got the same.
@@ -81,7 +81,7 @@
    * Queues a request.
    * @param request request to queue
    */
-  push (request: QueuedRequest): void {
+  push (request: Entry): void {
     this._queueOf(request).requests.push(request)
     this._size += 1
   }
@@ -93,7 +93,7 @@
   }
 
   /** Removes and returns the next request in scheduling order; undefined if none is queued. */
-  take (): QueuedRequest | undefined {
+  take (): Entry | undefined {
     const request = this._next()?.requests.take()
     if (request !== undefined) this._size -= 1
     return request
@@ -104,14 +104,14 @@
    * @param request request to remove
    * @returns whether it was queued
    */
-  remove (request: QueuedRequest): boolean {
+  remove (request: Entry): boolean {
     const wasQueued = this._queueOf(request).requests.remove(request)
     if (wasQueued) this._size -= 1
     return wasQueued
   }
 
-  private _next (): RankQueue | undefined {
-    let next: RankQueue | undefined
+  private _next (): RankQueue<Entry> | undefined {
+    let next: RankQueue<Entry> | undefined
     for (const queue of this._rankQueues.values()) {
       if (queue.requests.size > 0 && (next === undefined || isMoreUnderserved(queue, next))) next = queue
     }
@@ -124,7 +124,7 @@
     return sum
   }
 
-  private _queueOf ({ rank, routeRank }: RequestRank): RankQueue {
+  private _queueOf ({ rank, routeRank }: RequestRank): RankQueue<Entry> {
     const key = `${rank}/${routeRank}`
     let queue = this._rankQueues.get(key)
     if (queue === undefined) {
@@ -140,11 +140,11 @@
   }
 }
 
-function isMoreUnderserved (queue: RankQueue, other: RankQueue): boolean {
+function isMoreUnderserved (queue: RankQueue<QueueEntry>, other: RankQueue<QueueEntry>): boolean {
   return admittedFraction(queue) < admittedFraction(other)
 }
 
 // Returns the admitted fraction of a rank's requests, divided by the rank's weight.
-function admittedFraction ({ weight, arrivals, admissions }: RankQueue): number {
+function admittedFraction ({ weight, arrivals, admissions }: RankQueue<QueueEntry>): number {
   return admissions.value / Math.max(1, arrivals.value) / weight
 }
--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -2,6 +2,7 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
+import { createQueueEntry } from './create-queue-entry.js'
 import { DecayingCounter } from './decaying-counter.js'
 import { RankQueues } from './rank-queues.js'
 import { retryDelay } from './retry-delay.js'
@@ -26,7 +27,7 @@
  */
 export class ServiceAdmission {
   private readonly _options: ServiceAdmissionOptions
-  private readonly _queues: RankQueues
+  private readonly _queues: RankQueues<QueuedRequest>
   private readonly _rejections: DecayingCounter
   private readonly _times = new ServiceTimes()
   private _inFlight = 0
@@ -105,13 +106,7 @@
     const waitController = new AbortController()
     await new Promise<void>((resolve, reject) => {
       const queued: QueuedRequest = {
-        workspace: request.workspace ?? '',
-        rank: request.rank,
-        routeRank: request.routeRank,
-        priority: 0,
-        weight: 1,
-        load: 1,
-        queuedAt: this._options.clock.now(),
+        ...createQueueEntry(request, this._options.clock.now()),
         settle: (error) => {
           waitController.abort()
           if (error === undefined) resolve()
--- a/packages/gateway/src/grants/slot-owner.ts
+++ b/packages/gateway/src/grants/slot-owner.ts
@@ -1,4 +1,5 @@
 import { ResultCode } from '@mimosarock/schema/result-code.js'
+import { createQueueEntry } from '../admission/create-queue-entry.js'
 import { DecayingCounter } from '../admission/decaying-counter.js'
 import { RankQueues } from '../admission/rank-queues.js'
 import { retryDelay } from '../admission/retry-delay.js'
@@ -34,7 +35,7 @@
   private readonly _service: string
   private readonly _options: SlotOwnerOptions
   private readonly _nextGrant: () => number
-  private readonly _queues: RankQueues
+  private readonly _queues: RankQueues<WaitingRequest>
   private readonly _rejections: DecayingCounter
   private readonly _times: SlotTimes
   private readonly _endpoints = new Map<string, { readonly startedAt: number, readonly grants: SlotGrants }>()
@@ -170,20 +171,7 @@
   private _queue (holder: SlotHolder, request: SlotRequest, listener: SlotListener): SlotTicket | undefined {
     const now = this._options.clock.now()
     const waitMs = maximumWaitMs(request)
-    const waiting: WaitingRequest = {
-      workspace: request.workspace ?? '',
-      rank: request.rank,
-      routeRank: request.routeRank,
-      priority: 0,
-      weight: 1,
-      load: 1,
-      queuedAt: now,
-      expiresAt: now + waitMs,
-      settle: () => undefined,
-      request,
-      holder,
-      listener
-    }
+    const waiting: WaitingRequest = { ...createQueueEntry(request, now), expiresAt: now + waitMs, request, holder, listener }
     const releaseIntervalMs = this._times.serviceMs / Math.max(1, this._inUse)
     const expectedMs = this._queues.expectedWaitMs(waiting, releaseIntervalMs) + this._passedOver.size * releaseIntervalMs
     if (expectedMs > waitMs) {
