The fractions of a request's time that it may be queued stand once; the shortened objective is tested

No test failed if a request that got no answer of the slot owner was then queued for the whole of its time again.

Change: WaitFractions. granted-admission_test lets the owner take 40 ms and also checks the objective with which the request uses the share.

With the elapsed time left out of GrantedAdmission.wait, the new check fails (admit 200 in place of 120).

--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -10,11 +10,7 @@
 import type { ServiceAdmissionOptions } from './service-admission-options.js'
 import type { ServiceRequest } from './service-request.js'
 import type { QueuedRequest } from './queued-request.js'
-
-/** Fraction of the latency objective that a request may spend queued; the rest is for the endpoint and the network. */
-const WAIT_FRACTION_OF_OBJECTIVE = 0.5
-/** Fraction of the time until the deadline that a request may spend queued. */
-const WAIT_FRACTION_OF_TIME_LEFT = 0.25
+import { WaitFractions } from './wait-fractions.js'
 
 /** Longest retry delay because of rate limits, in milliseconds; a limit may end or rise at any time. */
 const MAXIMUM_RATE_LIMIT_DELAY_MS = 5_000
@@ -102,7 +98,7 @@
     if (this._options.fairness?.mayQueue(request.workspace ?? '') === false) {
       throw this._rejectionError(`is full, and the workspace ${request.workspace} exceeds its share`, ResultCode.WORKSPACE_OVER_SHARE)
     }
-    const waitMs = Math.min(request.objectiveMs * WAIT_FRACTION_OF_OBJECTIVE, request.timeLeftMs * WAIT_FRACTION_OF_TIME_LEFT)
+    const waitMs = Math.min(request.objectiveMs * WaitFractions.OF_OBJECTIVE, request.timeLeftMs * WaitFractions.OF_TIME_LEFT)
     const waitController = new AbortController()
     await new Promise<void>((resolve, reject) => {
       const queued: QueuedRequest = {
--- a/packages/gateway/src/caller/granted-admission.ts
+++ b/packages/gateway/src/caller/granted-admission.ts
@@ -1,4 +1,5 @@
 import type { ServiceRequest } from '../admission/service-request.js'
+import { WaitFractions } from '../admission/wait-fractions.js'
 import type { ChoiceConstraints } from '../choice/choice-constraints.js'
 import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
 import type { SlotGrant } from '../grants/slot-grant.js'
@@ -13,8 +14,6 @@
 
 /** Number of grants of endpoints that this router cannot use, after which the request uses this router's share. */
 const MAXIMUM_UNUSABLE_GRANTS = 3
-/** Fraction of the objective of a request for which it may wait; the rest of the objective shrinks as it waits elsewhere. */
-const WAIT_FRACTION_OF_OBJECTIVE = 0.5
 
 /**
  * Admission by the slot owner of the service, which also chooses the endpoint of each attempt. Without an answer of the owner
@@ -63,7 +62,8 @@
     admission.withdraw()
     this._usesFallback = true
     const elapsedMs = clock.now() - startedAt
-    const rest = { ...request, objectiveMs: Math.max(0, request.objectiveMs - elapsedMs / WAIT_FRACTION_OF_OBJECTIVE), timeLeftMs: timeLeftMs() }
+    // The time that the request has waited for the owner counts toward the time for which it may be queued.
+    const rest = { ...request, objectiveMs: Math.max(0, request.objectiveMs - elapsedMs / WaitFractions.OF_OBJECTIVE), timeLeftMs: timeLeftMs() }
     if (!fallback.tryAdmit(rest)) await fallback.wait(rest, signal)
   }
 
--- a/packages/gateway/src/test/granted-admission_test.ts
+++ b/packages/gateway/src/test/granted-admission_test.ts
@@ -13,6 +13,8 @@
 import { SteppedClock } from '../../../router/src/test/stepped-clock.js'
 
 const REQUEST = { workspace: 'w', rank: 0, routeRank: 0, objectiveMs: 200, timeLeftMs: 1_000 }
+/** Time that the owner takes to answer, in milliseconds; without a grant, the rest of the objective is shorter by twice that. */
+const ANSWER_MS = 40
 const { signal } = new AbortController()
 
 let clock: SteppedClock
@@ -52,6 +54,7 @@
     client: {
       acquire: async (request) => {
         asked.push(request)
+        await clock.advance(ANSWER_MS)
         if (refusal !== undefined) throw refusal
         const answer = answers.shift()
         return answer && new SlotLease({ grant: asked.length, endpointId: answer.id, startedAt: answer.startedAt, waitedMs: 0 }, 'owner', 1, link, clock)
@@ -60,7 +63,7 @@
     fallback: {
       slotOwner: undefined,
       grantMs: undefined,
-      tryAdmit: () => usedFallback.push('admit') > 0,
+      tryAdmit: ({ objectiveMs }) => usedFallback.push(`admit ${objectiveMs}`) > 0,
       wait: async () => undefined,
       choose: () => { usedFallback.push('choose'); return undefined },
       endCall: () => undefined,
@@ -114,7 +117,7 @@
   unanswered.tryAdmit(REQUEST)
   await unanswered.wait(REQUEST, signal)
   await unanswered.choose({ excluded: new Set() }, signal)
-  expect(usedFallback).toEqual(['admit', 'choose'])
+  expect(usedFallback).toEqual(['admit 120', 'choose'])
   refusal = new MimosarockError(ResultCode.OVERLOADED, 'full')
   const refused = createPath()
   refused.tryAdmit(REQUEST)
