SlotOwner: the choice of an endpoint in a class of its own

Change: SlotEndpoints holds the grants of each endpoint, what is free there and the cost of an endpoint.

--- a/packages/gateway/src/grants/slot-owner.ts
+++ b/packages/gateway/src/grants/slot-owner.ts
@@ -6,7 +6,7 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { GrantedSlot } from './granted-slot.js'
 import { maximumWaitMs } from './maximum-wait-ms.js'
-import { SlotGrants } from './slot-grants.js'
+import { SlotEndpoints } from './slot-endpoints.js'
 import type { SlotHolder } from './slot-holder.js'
 import type { SlotListener } from './slot-listener.js'
 import { SlotOutcome } from './slot-outcome.js'
@@ -18,15 +18,6 @@
 import { SlotTimes } from './slot-times.js'
 import type { WaitingRequest } from './waiting-request.js'
 
-/** Time for which a new owner goes by the load reports of the routers, in milliseconds; by then it has reports of the endpoints. */
-const BEGIN_MS = 300
-/** Slowdown from which an endpoint gets no requests above its slots: a fast endpoint frees a slot before it would begin them. */
-const SLOW_FACTOR = 1.5
-/** Time after which a reported slowdown is taken to be over, in milliseconds; it lasts some tenths of a second at a time. */
-const SLOWDOWN_LIFETIME_MS = 500
-/** Part of a slot by which preferred endpoints and less loaded ones are favored among equally fast ones. */
-const LOAD_WEIGHT = 0.01
-
 /**
  * Owner of the slots of one service: decides which request of which router gets a slot of which endpoint. Requests wait in the
  * order of `RankQueues` while no slot is free, and are refused at once if they would wait too long.
@@ -38,13 +29,12 @@
   private readonly _queues: RankQueues<WaitingRequest>
   private readonly _rejections: DecayingCounter
   private readonly _times: SlotTimes
-  private readonly _endpoints = new Map<string, { readonly startedAt: number, readonly grants: SlotGrants }>()
+  private readonly _endpoints: SlotEndpoints
   private readonly _granted = new Map<number, GrantedSlot>()
   private readonly _waiting = new Set<WaitingRequest>()
   /** Requests whose turn has come, but that may not run where slots are free. */
   private readonly _passedOver = new Set<WaitingRequest>()
   private _inUse = 0
-  private _begunAt: number
 
   /**
    * @param service name of the service
@@ -58,7 +48,7 @@
     this._queues = new RankQueues(options.clock)
     this._rejections = new DecayingCounter(options.clock)
     this._times = new SlotTimes(options.clock)
-    this._begunAt = options.clock.now()
+    this._endpoints = new SlotEndpoints(service, options, this._times)
   }
 
   /** Whether grants have not ended, or requests wait. */
@@ -76,13 +66,12 @@
    * @param endpointId id of the endpoint
    */
   removeEndpoint (endpointId: string): void {
-    this._endpoints.delete(endpointId)
+    this._endpoints.remove(endpointId)
   }
 
   /** Begins to count anew: another router may have granted slots until now. */
   begin (): void {
-    this._begunAt = this._options.clock.now()
-    for (const [id, { grants }] of this._endpoints) if (grants.inUse === 0) this._endpoints.delete(id)
+    this._endpoints.begin()
   }
 
   /**
@@ -94,7 +83,7 @@
    */
   request (holder: SlotHolder, request: SlotRequest, listener: SlotListener): SlotTicket | undefined {
     this._queues.countArrival(request)
-    const endpoint = this._queues.size === 0 ? this._choose(request) : undefined
+    const endpoint = this._queues.size === 0 ? this._endpoints.choose(request) : undefined
     if (endpoint !== undefined) {
       this._grant(endpoint, holder, request, listener, undefined)
       return undefined
@@ -186,11 +175,11 @@
 
   /** Returns why a request cannot wait; undefined if it can. */
   private _refusalOf (request: SlotRequest): SlotRefusal | undefined {
-    if (!this._options.availableEndpoints(this._service).some((endpoint) => isAllowed(endpoint, request))) {
+    if (!this._endpoints.canServe(request)) {
       return { code: ResultCode.NO_ENDPOINT, message: 'the service has no available endpoint' }
     }
     // A new owner does not know how long its slots will stay in use by requests that it has not granted.
-    if (this._isBeginning) return { code: ResultCode.NOT_OWNER, message: 'the router has just become the slot owner' }
+    if (this._endpoints.isBeginning) return { code: ResultCode.NOT_OWNER, message: 'the router has just become the slot owner' }
     return undefined
   }
 
@@ -202,7 +191,7 @@
   private _grantQueued (): void {
     if (this._waiting.size === 0) return
     for (const waiting of this._passedOver) this._tryGrant(waiting)
-    while (this._queues.size > 0 && this._hasFreeSlot()) {
+    while (this._queues.size > 0 && this._endpoints.hasFreeSlot()) {
       const next = this._queues.take() as WaitingRequest
       this._queues.countAdmission(next)
       this._passedOver.add(next)
@@ -211,7 +200,7 @@
   }
 
   private _tryGrant (waiting: WaitingRequest): void {
-    const endpoint = this._choose(waiting.request)
+    const endpoint = this._endpoints.choose(waiting.request)
     if (endpoint === undefined) return
     this._waiting.delete(waiting)
     this._passedOver.delete(waiting)
@@ -220,7 +209,7 @@
 
   private _grant (endpoint: EndpointEntry, holder: SlotHolder, request: SlotRequest, listener: SlotListener, queuedAt: number | undefined): void {
     const now = this._options.clock.now()
-    const grants = this._grantsOf(endpoint)
+    const grants = this._endpoints.grantsOf(endpoint)
     const grant = this._nextGrant()
     if (queuedAt === undefined) this._queues.countAdmission(request)
     grants.begin()
@@ -238,65 +227,6 @@
     this._inUse -= 1
   }
 
-  private _hasFreeSlot (): boolean {
-    const { availableEndpoints, health } = this._options
-    return health.preferHealthy(availableEndpoints(this._service)).some((endpoint) => this._isFree(endpoint))
-  }
-
-  /** Returns the endpoint with the shortest expected time to completion; undefined if none that the request may use has a free slot. */
-  private _choose (request: SlotRequest): EndpointEntry | undefined {
-    const allowed = this._options.availableEndpoints(this._service).filter((endpoint) => isAllowed(endpoint, request))
-    let best: EndpointEntry | undefined
-    let lowestCost = Infinity
-    for (const endpoint of this._options.health.preferHealthy(allowed)) {
-      if (!this._isFree(endpoint)) continue
-      const cost = this._cost(endpoint, request)
-      if (cost >= lowestCost) continue
-      best = endpoint
-      lowestCost = cost
-    }
-    return best
-  }
-
-  /**
-   * Returns the expected time to completion at an endpoint, in mean service times. While the endpoint has a free slot, its load does not
-   * matter for that time, and is used only to choose among equally fast endpoints.
-   */
-  private _cost (endpoint: EndpointEntry, { preferred }: SlotRequest): number {
-    const loadBySlots = (this._grantsOf(endpoint).load + 1) / endpoint.slots
-    const isPreferred = preferred !== undefined && loadBySlots <= 1 && preferred.includes(endpoint.id)
-    if (isPreferred) return loadBySlots * LOAD_WEIGHT
-    return Math.max(1, loadBySlots) * this._slowdown(endpoint) + loadBySlots * LOAD_WEIGHT
-  }
-
-  private _isFree (endpoint: EndpointEntry): boolean {
-    const isSlow = this._slowdown(endpoint) >= SLOW_FACTOR
-    const pipeline = isSlow || this._isBeginning ? 0 : this._times.pipelineAllowance(endpoint.slots)
-    return this._grantsOf(endpoint).load + 1 <= endpoint.slots + pipeline
-  }
-
-  private _slowdown (endpoint: EndpointEntry): number {
-    const { reportedLoads } = this._options
-    const slowdown = reportedLoads.last(endpoint)?.slowdown
-    if (slowdown === undefined) return 1
-    // Without this, an endpoint that gets no requests because it was slow would never be known to be fast again.
-    return 1 + (slowdown - 1) * Math.max(0, 1 - reportedLoads.ageMs(endpoint) / SLOWDOWN_LIFETIME_MS)
-  }
-
-  private get _isBeginning (): boolean {
-    return this._options.clock.now() - this._begunAt < BEGIN_MS
-  }
-
-  private _grantsOf ({ id, startedAt }: EndpointEntry): SlotGrants {
-    const known = this._endpoints.get(id)
-    if (known?.startedAt === startedAt) return known.grants
-    const { clock, fleetLoad } = this._options
-    const beginsFor = this._begunAt + BEGIN_MS - clock.now()
-    const grants = new SlotGrants(clock, beginsFor > 0 ? fleetLoad(id) : 0, Math.max(0, beginsFor))
-    this._endpoints.set(id, { startedAt, grants })
-    return grants
-  }
-
   private _recordHealth (endpointId: string, outcome: SlotOutcome): void {
     const { health } = this._options
     if (outcome === SlotOutcome.COMPLETE) health.recordSuccess(endpointId)
@@ -310,7 +240,3 @@
     return { code: ResultCode.OVERLOADED, message: `service ${this._service} ${reason}`, retryAfterMs }
   }
 }
-
-function isAllowed ({ id, availabilityZone }: EndpointEntry, { excluded, zones }: SlotRequest): boolean {
-  return !excluded.includes(id) && zones?.includes(availabilityZone) !== false
-}
