Slot grants: the two ends of a connection parse lines by the same function

Cause: the function stood in slot-client-connection.ts and slot-server-connection.ts.

Change: parse-line.ts.

--- a/packages/gateway/src/grants/slot-client-connection.ts
+++ b/packages/gateway/src/grants/slot-client-connection.ts
@@ -1,6 +1,7 @@
 import { createJSONRPCNotification, createJSONRPCRequest, isJSONRPCResponse, type JSONRPCID, type JSONRPCResponse } from 'json-rpc-2.0'
 import type { ResultCode } from '@mimosarock/schema/result-code.js'
 import type { LineWriter } from './line-writer.js'
+import { parseLine } from './parse-line.js'
 import type { SlotGrant } from './slot-grant.js'
 import type { SlotLink } from './slot-link.js'
 import type { SlotListener } from './slot-listener.js'
@@ -54,7 +55,7 @@
    */
   receive (line: string): boolean {
     this._receivedCount += 1
-    const message = parse(line)
+    const message = parseLine(line)
     if (isQueuedMessage(message)) {
       this._listeners.get(message.params.id)?.queued(message.params.expectedMs)
       return true
@@ -93,14 +94,6 @@
   }
 }
 
-function parse (line: string): unknown {
-  try {
-    return JSON.parse(line)
-  } catch {
-    return undefined
-  }
-}
-
 function isQueuedMessage (message: unknown): message is QueuedMessage {
   const { method, params } = (message ?? {}) as Partial<QueuedMessage>
   return method === SlotMethod.QUEUED && Number.isFinite(params?.expectedMs)
--- a/packages/gateway/src/grants/slot-server-connection.ts
+++ b/packages/gateway/src/grants/slot-server-connection.ts
@@ -2,6 +2,7 @@
   createJSONRPCErrorResponse, createJSONRPCNotification, createJSONRPCSuccessResponse, isJSONRPCID, isJSONRPCRequest, JSONRPCErrorCode, type JSONRPCID
 } from 'json-rpc-2.0'
 import type { LineWriter } from './line-writer.js'
+import { parseLine } from './parse-line.js'
 import type { SlotHolder } from './slot-holder.js'
 import { SlotMethod } from './slot-method.js'
 import type { SlotOwners } from './slot-owners.js'
@@ -34,7 +35,7 @@
    * @returns false if it is malformed; the connection is to be closed after the answer was written
    */
   receive (line: string): boolean {
-    const message = parse(line)
+    const message = parseLine(line)
     if (message === undefined) return this._reject(null, JSONRPCErrorCode.ParseError, 'the line is not JSON')
     if (!isJSONRPCRequest(message)) return this._reject(null, JSONRPCErrorCode.InvalidRequest, 'the line is no request of JSON-RPC 2.0')
     const { method, id, params } = message
@@ -92,11 +93,3 @@
     return false
   }
 }
-
-function parse (line: string): unknown {
-  try {
-    return JSON.parse(line)
-  } catch {
-    return undefined
-  }
-}
