GrantedAdmission: one rule for what this router can use, tested for each of its parts

Cause: whether an endpoint is healthy, has permits and is usable was decided in two places, in one of them by a search of the list of healthy endpoints for each endpoint. No test failed without the check of health or of permits, since the stand-ins of both allowed everything.

Change: both use _isUsable with a set of healthy ids. The test of unusable grants runs once for each of the three components.

Result: types and lint pass; 23 tests of GrantedAdmission and of the simulated fleet pass. With each of the three conditions left out in turn, one of the 7 tests of granted-admission_test fails.

--- a/packages/gateway/src/caller/granted-admission.ts
+++ b/packages/gateway/src/caller/granted-admission.ts
@@ -113,10 +113,18 @@
 
   /** Returns the endpoint of a grant; undefined if this router cannot use it. */
   private _usableEndpoint ({ endpointId, startedAt }: SlotGrant): EndpointEntry | undefined {
-    const { service, endpoints, health, permits, selector } = this._options
-    const endpoint = endpoints.find(endpointId)
-    if (endpoint === undefined || endpoint.startedAt !== startedAt || !selector.isUsable(endpoint) || !permits.allows(endpoint)) return undefined
-    return health.preferHealthy(endpoints.ready(service)).some(({ id }) => id === endpointId) ? endpoint : undefined
+    const endpoint = this._options.endpoints.find(endpointId)
+    return endpoint?.startedAt === startedAt && this._isUsable(endpoint, this._healthyIds()) ? endpoint : undefined
+  }
+
+  private _isUsable (endpoint: EndpointEntry, healthyIds: ReadonlySet<string>): boolean {
+    const { permits, selector } = this._options
+    return healthyIds.has(endpoint.id) && permits.allows(endpoint) && selector.isUsable(endpoint)
+  }
+
+  private _healthyIds (): ReadonlySet<string> {
+    const { service, endpoints, health } = this._options
+    return new Set(health.preferHealthy(endpoints.ready(service)).map(({ id }) => id))
   }
 
   private async _acquire (request: ServiceRequest, excluded: ReadonlySet<string>, signal: AbortSignal): Promise<SlotLease | undefined> {
@@ -144,10 +152,10 @@
 
   /** Returns the ids of the endpoints that this router cannot use now, apart from those that are excluded anyway. */
   private _unusableIds (excluded: ReadonlySet<string>): readonly string[] {
-    const { service, endpoints, health, permits, selector } = this._options
+    const { service, endpoints } = this._options
     const ready = endpoints.ready(service)
-    const healthy = health.preferHealthy(ready)
-    const unusable = ready.filter((endpoint) => !healthy.includes(endpoint) || !permits.allows(endpoint) || !selector.isUsable(endpoint))
+    const healthyIds = this._healthyIds()
+    const unusable = ready.filter((endpoint) => !this._isUsable(endpoint, healthyIds))
     // If all are unusable, the owner may know better.
     if (unusable.length === ready.length) return []
     return unusable.map(({ id }) => id).filter((id) => !excluded.has(id))
--- a/packages/gateway/src/test/granted-admission_test.ts
+++ b/packages/gateway/src/test/granted-admission_test.ts
@@ -24,6 +24,8 @@
 let answers: ({ readonly id: string, readonly startedAt: number } | undefined)[]
 let refusal: Error | undefined
 let unusable: Set<string>
+/** Component that makes endpoints unusable. */
+let cause: string
 let usedFallback: string[]
 let admission: ServiceAdmission
 let isProcessFull: boolean
@@ -35,6 +37,7 @@
   answers = []
   refusal = undefined
   unusable = new Set()
+  cause = ''
   usedFallback = []
   isProcessFull = false
   admission = new ServiceAdmission({ service: 's', clock, limit: () => Infinity, random: () => 0.5 })
@@ -74,16 +77,17 @@
     admission,
     isProcessFull: () => isProcessFull,
     endpoints: { find: (id) => endpoints.find((endpoint) => endpoint.id === id), ready: () => endpoints },
-    selector: { isUsable: ({ id }) => !unusable.has(id), chooseGranted: chosen, preferredFor: () => undefined },
-    health: { preferHealthy: (all) => all },
-    permits: { allows: () => true },
+    selector: { isUsable: ({ id }) => cause !== 'selector' || !unusable.has(id), chooseGranted: chosen, preferredFor: () => undefined },
+    health: { preferHealthy: (all) => all.filter(({ id }) => cause !== 'health' || !unusable.has(id)) },
+    permits: { allows: ({ id }) => cause !== 'permits' || !unusable.has(id) },
     clock,
     timeLeftMs: () => 1_000
   })
 }
 
 // Guards against a request to an endpoint that has restarted or left, and against slots that stay granted.
-test('releases a grant that it cannot use and asks for another one, without that endpoint', async () => {
+test.each(['selector', 'health', 'permits'])('releases a grant that it cannot use (%s) and asks for another one, without that endpoint', async (component) => {
+  cause = component
   answers = [{ id: 'a', startedAt: 7 }, { id: 'b', startedAt: 1 }, { id: 'c', startedAt: 1 }]
   const path = createPath()
   expect(path.tryAdmit(REQUEST)).toBe(false)
