SlotOwnership looks up neither routers nor endpoints while grants are turned off

Cause: with slot_grants = false each service's slots were still summed up and the order of the routers looked up every 50 ms.

Change: the setting is regarded first. slot-client_test also checks that no endpoints are looked up.

--- a/packages/gateway/src/grants/slot-ownership.ts
+++ b/packages/gateway/src/grants/slot-ownership.ts
@@ -94,9 +94,10 @@
 
   private _lookUp (service: string, until: number): ServiceRecord {
     const { endpoints, isEnabled } = this._options
+    if (!isEnabled()) return { until, usesGrants: false, candidates: [] }
     const order = this._currentOrder(until)
     const slots = endpoints.ready(service).reduce((sum, endpoint) => sum + endpoint.slots, 0)
-    const usesGrants = isEnabled() && slots > 0 && slots < order.size
+    const usesGrants = slots > 0 && slots < order.size
     if (!usesGrants) return { until, usesGrants, candidates: [] }
     const key = hash.h64(service).toString(16).padStart(KEY_DIGITS, '0')
     return { until, usesGrants, candidates: order.first(key, MAXIMUM_CANDIDATES).map(({ entry }) => entry) }
--- a/packages/gateway/src/test/slot-client_test.ts
+++ b/packages/gateway/src/test/slot-client_test.ts
@@ -20,6 +20,7 @@
 let listeners: SlotListener[]
 let events: string[]
 let results: string[]
+let lookUps: number
 let ownership: SlotOwnership
 let client: SlotClient
 let owner: RouterEntry
@@ -28,7 +29,7 @@
 function createOwnership (self: RouterEntry): SlotOwnership {
   const routers = new RouterTable(self, clock)
   for (const member of MEMBERS) routers.recordContact(member, 0)
-  const ready = () => [{ id: 'a', service: 's', address: 'a:1', availabilityZone: 'z', slots, isDraining: false, startedAt: 1, revision: 1 }]
+  const ready = () => { lookUps += 1; return [{ id: 'a', service: 's', address: 'a:1', availabilityZone: 'z', slots, isDraining: false, startedAt: 1, revision: 1 }] }
   return new SlotOwnership({ clock, routers, endpoints: { get entries () { return ready() }, ready }, isEnabled: () => isEnabled, isDown: ({ name }) => down.has(name) })
 }
 
@@ -40,6 +41,7 @@
   listeners = []
   events = []
   results = []
+  lookUps = 0
   receivedCount = 0
   owner = createOwnership(MEMBERS[0] as RouterEntry).ownerOf('s') as RouterEntry
   const self = MEMBERS.find(({ name }) => name !== owner.name) as RouterEntry
@@ -67,7 +69,7 @@
   for (let passed = 0; passed < ms; passed += 1) await clock.advance(1)
 }
 
-// Guards against a deployment that changes although its services have slots enough, or although grants are turned off.
+// Guards against a deployment that changes although its services have slots enough, and against work for grants that are turned off.
 test('uses grants only while a service has fewer slots than there are routers, and the setting allows them', async () => {
   expect(client.usesGrants('s')).toBe(true)
   slots = 4
@@ -76,7 +78,8 @@
   slots = 3
   isEnabled = false
   await advance(50)
-  expect(client.usesGrants('s')).toBe(false)
+  lookUps = 0
+  expect([client.usesGrants('s'), lookUps]).toEqual([false, 0])
 })
 
 // Guards against routers that each take another one for the owner, and against a lost owner that is asked for as long as it is listed.
