Test of the slot owner: the next owner must be one, and the same for all

Cause: the test of a lost owner only required another name than the lost one's, and passed with no owner at all.

Change: the three other routers must name the same member.

Result: 6 tests of slot-client_test pass. With only the first candidate regarded (no next owner), the test fails; the former check passed.

--- a/packages/gateway/src/test/slot-client_test.ts
+++ b/packages/gateway/src/test/slot-client_test.ts
@@ -88,7 +88,9 @@
   expect(new Set(ownerships.map((other) => other.ownerOf('s')?.name))).toEqual(new Set([owner.name]))
   expect(ownerships.filter((other) => other.owns('s')).length).toBe(1)
   down.add(owner.name)
-  expect(ownership.ownerOf('s')?.name).not.toBe(owner.name)
+  const next = ownerships.map((other) => other.ownerOf('s')?.name).filter((name) => name !== owner.name)
+  expect(next).toEqual(Array(3).fill(ownership.ownerOf('s')?.name))
+  expect(MEMBERS.map(({ name }) => name)).toContain(next[0])
   expect(ownership.wantedRouters().map(({ name }) => name)).toContain(owner.name)
 })
 
