mimosarock_slot_owner shows 0 at a former owner that gets no requests

A former owner without requests in progress showed the service as its own until its next request, possibly for ever, for example after slot_grants = false was loaded.

Change: services also asks whether the service is owned now.

--- a/packages/gateway/src/grants/slot-owners.ts
+++ b/packages/gateway/src/grants/slot-owners.ts
@@ -47,9 +47,9 @@
     return sum
   }
 
-  /** Names of the services whose slots this router owns, as of their last request. */
+  /** Names of the services whose slots this router owns and has been asked for. */
   get services (): readonly string[] {
-    return [...this._services].filter(([, { isOwned }]) => isOwned).map(([service]) => service)
+    return [...this._services].filter(([service, { isOwned }]) => isOwned && this._owns(service)).map(([service]) => service)
   }
 
   /**
--- a/packages/gateway/src/test/slot-connections_test.ts
+++ b/packages/gateway/src/test/slot-connections_test.ts
@@ -18,15 +18,17 @@
 
 let server: Server
 let owners: SlotOwners
+let isOwner: boolean
 let slotServer: SlotServer
 let router: RouterEntry
 let stopping: AbortController
 
 beforeEach(async () => {
+  isOwner = true
   const endpoint = { id: 'e', service: 's', address: 'e:1', availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 7, revision: 1 }
   owners = new SlotOwners({
     clock, random: () => 0.5, availableEndpoints: () => [endpoint], health: new EndpointHealth(clock), reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: () => 0
-  }, () => true)
+  }, () => isOwner)
   slotServer = new SlotServer(owners)
   server = createServer()
   slotServer.attach(server)
@@ -97,6 +99,16 @@
   expect((await requestSlot(again)).grant).toBeGreaterThan(first.grant)
 })
 
+// Guards against a metric that shows two owners as long as a former one gets no requests.
+test('a router that another one has replaced as owner refuses requests, and no longer shows the service as its own', async () => {
+  const { link } = await openLink()
+  await requestSlot(link)
+  expect(owners.services).toEqual(['s'])
+  isOwner = false
+  expect(owners.services).toEqual([])
+  await expect(requestSlot(link)).rejects.toThrow('another router owns the slots')
+})
+
 // Guards against one small packet for each message.
 test('joins messages that are written in one iteration of the event loop into one write', async () => {
   const socket = await upgrade()
