Test of slot connections: messages of one iteration must be one write

Cause: both answers reach the reader in one chunk also if each is a write of its own, so the check of one chunk passed without LineWriter's delay.

Change: the test counts the writes of the owner's end of the connection.

--- a/packages/gateway/src/test/slot-connections_test.ts
+++ b/packages/gateway/src/test/slot-connections_test.ts
@@ -111,11 +111,14 @@
 
 // Guards against one small packet for each message.
 test('joins messages that are written in one iteration of the event loop into one write', async () => {
+  const accepted = once(server, 'connection') as Promise<[Socket]>
   const socket = await upgrade()
+  const write = vi.spyOn((await accepted)[0], 'write')
   const lines = [1, 2].map((id) => JSON.stringify({ jsonrpc: '2.0', id, method: 'slot.request', params: REQUEST }))
   socket.write(`${lines.join('\n')}\n`)
   const [text] = await once(socket, 'data') as [string]
   expect(text.trim().split('\n').map((line) => (JSON.parse(line) as { readonly id: number }).id)).toEqual([1, 2])
+  expect(write).toHaveBeenCalledTimes(1)
   socket.destroy()
 })
 
