Test of SlotOwner: a request that was passed over gets the first slot that it may use

Cause: the title promised it, but nothing checked that the request without endpoint a gets a slot of endpoint b.

Change: a slot of each endpoint is released, and both requests must get theirs.

Without the loop over the requests that were passed over, the test fails; it passed before.

--- a/packages/gateway/src/test/slot-owner_test.ts
+++ b/packages/gateway/src/test/slot-owner_test.ts
@@ -58,10 +58,10 @@
   for (const name of ['1', '2', '3', '4']) ask(name)
   ask('notA', { excluded: ['a'] })
   ask('zoneA', { zones: ['za'] })
-  const a = Number(answers.find((answer) => answer.endsWith('a'))?.split(' ')[1])
+  const [a, b] = ['a', 'b'].map((id) => Number(answers.find((answer) => answer.endsWith(` ${id}`))?.split(' ')[1])) as [number, number]
   answers = []
-  owner.release({ grant: a, outcome: SlotOutcome.COMPLETE, elapsedMs: SERVICE_MS })
-  expect(answers).toEqual([expect.stringMatching(/^zoneA \d+ a$/)])
+  for (const grant of [a, b]) owner.release({ grant, outcome: SlotOutcome.COMPLETE, elapsedMs: SERVICE_MS })
+  expect(answers).toEqual([expect.stringMatching(/^zoneA \d+ a$/), expect.stringMatching(/^notA \d+ b$/)])
 })
 
 // Guards against a refusal without which the caller would wait for the whole queue.
