Simulation of slot grants: only a refusal counts as one

Cause: the simulated request took every error for a refusal, also those of faulty code.

Change: errors other than OVERLOADED end the test as unhandled errors.

--- a/packages/gateway/src/test/slot-fleet-simulation.ts
+++ b/packages/gateway/src/test/slot-fleet-simulation.ts
@@ -1,4 +1,6 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import type { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
+import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { AdmissionPaths } from '@mimosarock/gateway/caller/admission-paths.js'
 import type { AuthorizedRequest } from '@mimosarock/gateway/caller/authorized-request.js'
 import { ChoiceReason } from '@mimosarock/gateway/choice/choice-reason.js'
@@ -189,8 +191,9 @@
     try {
       if (!path.tryAdmit(request)) await path.wait(request, signal)
       isAnswered = await this._send(router, path, signal)
-    } catch {
-      // Refused: neither answered nor in flight.
+    } catch (error) {
+      // A refused request is neither answered nor in flight.
+      if ((error as Partial<MimosarockError>).code !== ResultCode.OVERLOADED) throw error
     }
     this._unfinished -= 1
     const at = this.clock.now()
