Gateway: the retry budgets of all services in a class of their own

Change: FleetRetryBudgets. A getter that was used once is in its place of use.

Result: types and lint pass; 37 tests of the gateway, retry budgets, settings and routers with grants pass.

--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -24,7 +24,7 @@
 import type { RouterKnowledge } from '../membership/router-knowledge.js'
 import { SyncServer } from '../membership/sync-server.js'
 import { CrashDetector } from '../quarantine/crash-detector.js'
-import { FleetRetryBudget } from '../retries/fleet-retry-budget.js'
+import { FleetRetryBudgets } from '../retries/fleet-retry-budgets.js'
 import { EndpointConnections } from '../sending/endpoint-connections.js'
 import { refusesConnections } from '../sending/refuses-connections.js'
 import { StallWatch } from '../sending/stall-watch.js'
@@ -65,7 +65,7 @@
   private readonly _pauses: EndpointPauses
   private readonly _homeRegions: HomeRegions
   private readonly _heldBytes: HeldBytes
-  private readonly _budgets = new Map<string, FleetRetryBudget>()
+  private readonly _retryBudgets: FleetRetryBudgets
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
   private readonly _tasks: FleetTasks
@@ -102,6 +102,10 @@
       onProgress: () => this._openGateWhenReady()
     })
     this._heldBytes = new HeldBytes(settings)
+    this._retryBudgets = new FleetRetryBudgets(() => {
+      const { retryRatio: ratio, retryAllowance: allowance, retryWindowMs: windowMs } = this._settings.current
+      return { ratio, allowance, windowMs }
+    }, clock, () => this._fleetState.routers.size)
     this._homeRegions = new HomeRegions(settings)
     this._warnOfHomeRegions()
     this._slotGranting = new SlotGranting({
@@ -126,8 +130,9 @@
   /** Starts the servers and the background tasks. Resolves when callers can connect. */
   async start (): Promise<void> {
     const { settings, log, clock } = this._options
-    this._tasks.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
-    this._slotGranting.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
+    for (const tasks of [this._tasks, this._slotGranting]) {
+      tasks.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
+    }
     const sync = new SyncServer(this._fleetState, randomUUID(), () => clock.now(), () => this._tasks.distance)
     const callerServer = createCallerServer(this._requestDependencies())
     this._callerServer = callerServer
@@ -135,7 +140,7 @@
     this._slotGranting.attach(peerServer)
     await Promise.all([
       this._listenForCallers(callerServer),
-      this._listen(createReadinessServer(this._options.codec.readinessPath, () => this._isReady), settings.readiness),
+      this._listen(createReadinessServer(this._options.codec.readinessPath, () => !this._state.isStopping && this._startupGate.isOpen), settings.readiness),
       this._listen(peerServer, settings.peers),
       settings.metrics === undefined ? undefined : this._listen(createMetricsServer(this._metrics, this._fleetState, clock, this._state, this._heldBytes, () => this._slotGranting.ownedServices), settings.metrics)
     ])
@@ -160,7 +165,7 @@
    */
   reload (settings: GatewaySettings): void {
     const { applied, atNextStart } = this._settings.replace(settings)
-    this._budgets.clear()
+    this._retryBudgets.reset()
     this._options.log.info('reloaded', { applied: applied.join(',') || 'none', at_next_start: atNextStart.join(',') || 'none' })
   }
 
@@ -216,7 +221,7 @@
       state: this._state,
       isFleetLarge: () => this._fleetState.routers.isLarge,
       keyAgeLimitMs: () => Math.max(0, this._settings.current.keyAgeLimitMs - KEY_AGE_MARGIN_MS),
-      retryBudgetOf: (service) => this._budgetOf(service),
+      retryBudgetOf: (service) => this._retryBudgets.get(service),
       maximumConnectionsOf: (service) => this._connectionsOf(service)
     }
   }
@@ -248,17 +253,6 @@
     })
   }
 
-  private _budgetOf (service: string): FleetRetryBudget {
-    let budget = this._budgets.get(service)
-    if (budget === undefined) {
-      const { retryRatio, retryAllowance, retryWindowMs } = this._settings.current
-      const options = { ratio: retryRatio, allowance: retryAllowance, windowMs: retryWindowMs }
-      budget = new FleetRetryBudget(options, this._options.clock, () => this._fleetState.routers.size)
-      this._budgets.set(service, budget)
-    }
-    return budget
-  }
-
   /**
    * Returns the maximum number of connections in each of the two pools of an endpoint: this router's equal share of the
    * endpoint's connections, limited by the file descriptors of the process, but at least 2.
@@ -289,10 +283,6 @@
     return [...endpoints.entries, ...routers.inReaderOrder()].some(({ availabilityZone }) => availabilityZone === zone)
   }
 
-  private get _isReady (): boolean {
-    return !this._state.isStopping && this._startupGate.isOpen
-  }
-
   private async _listenForCallers (server: Server): Promise<void> {
     const { earlyListener, settings } = this._options
     if (earlyListener === undefined) return await this._listen(server, settings.callers)
