--- a/packages/gateway/src/test/read-gateway-settings_test.ts
+++ b/packages/gateway/src/test/read-gateway-settings_test.ts
@@ -64,6 +64,13 @@
   expect(read(settingsText().replace(pattern, replacement))).toEqual(expected)
 })
 
+// Guards against a switch that is read but has no effect: both are on by default, as the template has neither.
+test.each([['dispatch', 'slot_grants', 'grantsSlots'], ['outliers', 'ejection', 'ejectsOutliers']])('[%s] %s = false turns it off', (section, key, name) => {
+  const template = settingsText()
+  expect(read(`${template}\n[${section}]\n${key} = true\n`)).toEqual(read(template))
+  expect(read(`${template}\n[${section}]\n${key} = false\n`)).toEqual({ ...read(template) as object, [name]: false })
+})
+
 test('reports a missing file with a result code', () => {
   expect(() => readGatewaySettings(join(folder, 'none.ini'))).toThrow(expect.objectContaining({ code: 1001 }))
 })
