Tests of SlotOwner: grants without a release, and the time that a request may wait

Cause: no test failed if grants without a release were never counted as ended, or a late release counted twice. Two names of requests were unclear.

Change: a test of the 500 ms after which a grant counts as lost, of its late release and of its deadline; the wait ends at 400 ms, not at 399.

--- a/packages/gateway/src/test/slot-owner_test.ts
+++ b/packages/gateway/src/test/slot-owner_test.ts
@@ -68,12 +68,15 @@
 test('refuses a request at once that would wait too long, and one that has waited for too long', async () => {
   await begin()
   for (let index = 0; index < 4; index += 1) ask('busy')
-  ask('patient', { objectiveMs: 800 })
-  ask('hurried', { objectiveMs: 10 })
-  expect(answers.slice(4)).toEqual(['patient queued', 'hurried refused 3002'])
-  await clock.advance(400)
+  ask('later', { objectiveMs: 800 })
+  ask('urgent', { objectiveMs: 10 })
+  expect(answers.slice(4)).toEqual(['later queued', 'urgent refused 3002'])
+  await clock.advance(399)
   owner.sweep()
-  expect(answers.slice(6)).toEqual(['patient refused 3002'])
+  expect(answers.length).toBe(6)
+  await clock.advance(1)
+  owner.sweep()
+  expect(answers.slice(6)).toEqual(['later refused 3002'])
   ask('no endpoint', { excluded: ['a', 'b'] })
   expect(answers.at(-1)).toBe('no endpoint refused 3001')
 })
@@ -91,6 +94,22 @@
   expect(owner.inUse).toBe(0)
 })
 
+// Guards against slots that stay in use because a release did not arrive, and against a late release that counts twice.
+test('counts a grant without a release for 500 ms at least, and knows it until its deadline', async () => {
+  await begin()
+  for (let index = 0; index < 4; index += 1) ask('lost')
+  await clock.advance(499)
+  owner.sweep()
+  expect(owner.inUse).toBe(4)
+  await clock.advance(1)
+  owner.sweep()
+  expect(owner.inUse).toBe(0)
+  expect([2, 2].map((grant) => owner.release({ grant, outcome: SlotOutcome.COMPLETE, elapsedMs: 500 }))).toEqual([true, false])
+  await clock.advance(3_500)
+  owner.sweep()
+  expect([owner.inUse, owner.hasWork]).toEqual([0, false])
+})
+
 // Guards against a new owner that grants slots which the last owner's requests still use.
 test('a new owner grants the slots less the loads that the routers report, and queues nothing', () => {
   fleetLoads = { a: 1 }
