Comments of slot grants in plain terms

Cause: 'way' stood for a link, 'under way' for in transit, 'takes back' for the end of a grant, 'tell' for reports; one parameter had no description.

Change: comments only, and a missing blank line.

Result: types and lint pass.

--- a/packages/gateway/src/grants/local-slot-link.ts
+++ b/packages/gateway/src/grants/local-slot-link.ts
@@ -6,7 +6,7 @@
 import type { SlotRequest } from './slot-request.js'
 import type { SlotTicket } from './slot-ticket.js'
 
-/** Way from a router to the slots that it owns itself. */
+/** Link from a router to the slots that it owns itself, without a connection. */
 export class LocalSlotLink implements SlotLink {
   readonly receivedCount = 0
   private readonly _owners: SlotOwners
--- a/packages/gateway/src/grants/slot-client-connection.ts
+++ b/packages/gateway/src/grants/slot-client-connection.ts
@@ -83,7 +83,7 @@
     }
     const grant = result as SlotGrant
     if (!isGrant(grant)) return false
-    // The request was withdrawn while the grant was under way.
+    // The request was withdrawn while the grant was in transit.
     if (listener === undefined) this.release({ grant: grant.grant, outcome: SlotOutcome.UNUSED, elapsedMs: 0 })
     else listener.granted(grant)
     return true
--- a/packages/gateway/src/grants/slot-client-options.ts
+++ b/packages/gateway/src/grants/slot-client-options.ts
@@ -11,9 +11,9 @@
   readonly router: string
   /** Decides which router owns the slots of a service. */
   readonly ownership: SlotOwnership
-  /** Ways to the other routers. */
+  /** Links to the other routers. */
   readonly links: SlotLinks
-  /** Way to the slots that this router owns itself. */
+  /** Link to the slots that this router owns itself. */
   readonly localLink: SlotLink
   /** Source of time and timers. */
   readonly clock: PlacementClock
--- a/packages/gateway/src/grants/slot-client.ts
+++ b/packages/gateway/src/grants/slot-client.ts
@@ -29,7 +29,7 @@
   private readonly _statuses = new Map<string, SlotOwnerStatus>()
 
   /**
-   * @param options owners and ways to them
+   * @param options owners and links to them
    */
   constructor (options: SlotClientOptions) {
     this._options = options
--- a/packages/gateway/src/grants/slot-connections.ts
+++ b/packages/gateway/src/grants/slot-connections.ts
@@ -121,7 +121,7 @@
     const timeout = setTimeout(() => request.destroy(new Error('the router does not answer')), CONNECT_TIMEOUT_MS)
     signal.addEventListener('abort', stop, { once: true })
     try {
-      // The rejection below tells of an error; one that follows it has no other listener.
+      // The first error rejects the promise below; later ones have no other listener.
       request.on('error', () => undefined)
       request.on('response', () => request.destroy(new Error('the router does not serve slot grants')))
       request.end()
--- a/packages/gateway/src/grants/slot-grants.ts
+++ b/packages/gateway/src/grants/slot-grants.ts
@@ -52,7 +52,7 @@
 
   /**
    * Records the load that the endpoint stated in the response to a grant that is still in use. What exceeds the grants in use are
-   * requests of others. Grants on their way to the endpoint are not in its statement, so the number of the others may be too low by
+   * requests of others. Grants whose requests are in transit to the endpoint are not in its statement, so the number of the others may be too low by
    * these, but never too high.
    * @param load load that the endpoint stated
    * @param serviceMs mean time that a request takes, in milliseconds
--- a/packages/gateway/src/grants/slot-link.ts
+++ b/packages/gateway/src/grants/slot-link.ts
@@ -3,7 +3,7 @@
 import type { SlotRequest } from './slot-request.js'
 import type { SlotTicket } from './slot-ticket.js'
 
-/** Way from a router to a slot owner. */
+/** Link from a router to a slot owner. */
 export interface SlotLink {
   /** Number of messages that have arrived from the owner. */
   readonly receivedCount: number
--- a/packages/gateway/src/grants/slot-links.ts
+++ b/packages/gateway/src/grants/slot-links.ts
@@ -1,7 +1,7 @@
 import type { RouterEntry } from '../model/router-entry.js'
 import type { SlotLink } from './slot-link.js'
 
-/** Ways from this router to the others. */
+/** Links from this router to the others. */
 export interface SlotLinks {
   /**
    * Returns the open link to a router; undefined if there is none.
--- a/packages/gateway/src/grants/slot-owner.ts
+++ b/packages/gateway/src/grants/slot-owner.ts
@@ -97,7 +97,7 @@
   }
 
   /**
-   * Takes back a grant. Without effect if it has ended before.
+   * Ends a grant that its router releases. Without effect if it has ended before.
    * @param release the grant and how its use ended
    * @returns whether the grant is known
    */
--- a/packages/gateway/src/grants/slot-owners.ts
+++ b/packages/gateway/src/grants/slot-owners.ts
@@ -79,7 +79,7 @@
   }
 
   /**
-   * Takes back a grant. Without effect if it has ended before.
+   * Ends a grant that its router releases. Without effect if it has ended before.
    * @param release the grant and how its use ended
    */
   release (release: SlotRelease): void {
--- a/packages/gateway/src/grants/slot-ownership-options.ts
+++ b/packages/gateway/src/grants/slot-ownership-options.ts
@@ -20,7 +20,7 @@
     readonly entries: Iterable<EndpointEntry>
     /**
      * Returns the endpoints of a service that accept new requests.
-     * @param service
+     * @param service name of the service
      */
     ready (service: string): readonly EndpointEntry[]
   }
--- a/packages/gateway/src/grants/slot-ticket.ts
+++ b/packages/gateway/src/grants/slot-ticket.ts
@@ -1,5 +1,5 @@
 /** A request for a slot in progress. */
 export interface SlotTicket {
-  /** Withdraws the request. A grant that is under way to the listener is released by the listener's side. */
+  /** Withdraws the request. A grant that is in transit to the listener is released on the listener's side. */
   readonly cancel: () => void
 }
--- a/packages/gateway/src/grants/slot-times.ts
+++ b/packages/gateway/src/grants/slot-times.ts
@@ -58,8 +58,8 @@
 
   /**
    * Returns how many requests may be at an endpoint above its slots: as many as fit into the time from the end of a request
-   * there to the arrival of the next one. That time is about two round trips between router and owner, since the ways between router
-   * and endpoint are about as long.
+   * there to the arrival of the next one. That time is about two round trips between router and owner, since the delays between router
+   * and endpoint are about the same.
    * @param slots slots of the endpoint
    */
   pipelineAllowance (slots: number): number {
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -24,6 +24,7 @@
 const ENDPOINTS_WAIT_MS = 300
 /** Pause between two reads of the endpoints. Each endpoint reports about once a second. */
 const ENDPOINTS_PAUSE_MS = 450
+
 /** Background tasks that keep the state of a router up to date from the store and the other routers, and save what only routers know. */
 export class FleetTasks {
   private readonly _options: FleetTasksOptions
--- a/packages/gateway/src/wiring/slot-granting.ts
+++ b/packages/gateway/src/wiring/slot-granting.ts
@@ -36,7 +36,7 @@
       clock,
       random: Math.random,
       availableEndpoints,
-      // Releases tell of failures that other routers have seen; they do not count for the requests that this router sends by itself.
+      // Releases report failures that other routers have seen; these do not count for the requests that this router sends by itself.
       health: new EndpointHealth(clock),
       reportedLoads: this.reportedLoads,
       fleetLoad: (endpointId) => loads.total(endpointId)
