A slot owner that was replaced while it was idle begins anew

An idle owner that was replaced for some time and then became the owner again missed it: it granted all slots and the pipeline allowance at once, without the 0.3 s in which it regards the loads that the routers report.

--- a/packages/gateway/src/wiring/slot-granting.ts
+++ b/packages/gateway/src/wiring/slot-granting.ts
@@ -82,7 +82,11 @@
    * @param signal ends the task
    */
   async run (signal: AbortSignal): Promise<void> {
-    await this._connections.run(() => this._ownership.wantedRouters(), signal)
+    await this._connections.run(() => {
+      // Also notices that another router owns a service whose slots nobody uses at this one.
+      this._owners.sweep()
+      return this._ownership.wantedRouters()
+    }, signal)
     this._server.close()
   }
 }
