Test of a workspace's surge: the others are served as they usually are

Cause: the title promised it, but the shares of the others were only required to be above 0.97.

Change: they must also be within 0.01 of a run in which the workspace sends its usual. The bound of 0.97 stays.

--- a/packages/gateway/src/test/slot-fleet_test.ts
+++ b/packages/gateway/src/test/slot-fleet_test.ts
@@ -49,8 +49,11 @@
 
 // Guards against a workspace that takes the shares of the others by sending more.
 test('one workspace sends six times its usual: the others are served as before', async () => {
+  const usual = await simulate({ perSecond: [176, 308] })
   const fleet = await simulate({ perSecond: [400, 700], firstShare: 0.67 })
-  for (const workspace of ['w1', 'w2', 'w3']) expect(fleet.share(OBJECTIVE_MS, 0, workspace)).toBeGreaterThan(0.97)
+  for (const workspace of ['w1', 'w2', 'w3']) {
+    expect(fleet.share(OBJECTIVE_MS, 0, workspace)).toBeGreaterThan(Math.max(0.97, usual.share(OBJECTIVE_MS, 0, workspace) - 0.01))
+  }
   expect(fleet.share(OBJECTIVE_MS, 0, 'w0')).toBeLessThan(0.9)
 }, 60_000)
 
