--- a/packages/gateway/src/admission/service-admission.ts
+++ b/packages/gateway/src/admission/service-admission.ts
@@ -2,6 +2,7 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
+import { createQueueEntry } from './create-queue-entry.js'
 import { DecayingCounter } from './decaying-counter.js'
 import { RankQueues } from './rank-queues.js'
 import { retryDelay } from './retry-delay.js'
@@ -9,11 +10,7 @@
 import type { ServiceAdmissionOptions } from './service-admission-options.js'
 import type { ServiceRequest } from './service-request.js'
 import type { QueuedRequest } from './queued-request.js'
-
-/** Fraction of the latency objective that a request may spend queued; the rest is for the endpoint and the network. */
-const WAIT_FRACTION_OF_OBJECTIVE = 0.5
-/** Fraction of the time until the deadline that a request may spend queued. */
-const WAIT_FRACTION_OF_TIME_LEFT = 0.25
+import { WaitFractions } from './wait-fractions.js'
 
 /** Longest retry delay because of rate limits, in milliseconds; a limit may end or rise at any time. */
 const MAXIMUM_RATE_LIMIT_DELAY_MS = 5_000
@@ -26,7 +23,7 @@
  */
 export class ServiceAdmission {
   private readonly _options: ServiceAdmissionOptions
-  private readonly _queues: RankQueues
+  private readonly _queues: RankQueues<QueuedRequest>
   private readonly _rejections: DecayingCounter
   private readonly _times = new ServiceTimes()
   private _inFlight = 0
@@ -101,17 +98,11 @@
     if (this._options.fairness?.mayQueue(request.workspace ?? '') === false) {
       throw this._rejectionError(`is full, and the workspace ${request.workspace} exceeds its share`, ResultCode.WORKSPACE_OVER_SHARE)
     }
-    const waitMs = Math.min(request.objectiveMs * WAIT_FRACTION_OF_OBJECTIVE, request.timeLeftMs * WAIT_FRACTION_OF_TIME_LEFT)
+    const waitMs = Math.min(request.objectiveMs * WaitFractions.OF_OBJECTIVE, request.timeLeftMs * WaitFractions.OF_TIME_LEFT)
     const waitController = new AbortController()
     await new Promise<void>((resolve, reject) => {
       const queued: QueuedRequest = {
-        workspace: request.workspace ?? '',
-        rank: request.rank,
-        routeRank: request.routeRank,
-        priority: 0,
-        weight: 1,
-        load: 1,
-        queuedAt: this._options.clock.now(),
+        ...createQueueEntry(request, this._options.clock.now()),
         settle: (error) => {
           waitController.abort()
           if (error === undefined) resolve()
--- a/packages/gateway/src/caller/granted-admission.ts
+++ b/packages/gateway/src/caller/granted-admission.ts
@@ -1,4 +1,5 @@
 import type { ServiceRequest } from '../admission/service-request.js'
+import { WaitFractions } from '../admission/wait-fractions.js'
 import type { ChoiceConstraints } from '../choice/choice-constraints.js'
 import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
 import type { SlotGrant } from '../grants/slot-grant.js'
@@ -13,8 +14,6 @@
 
 /** Number of grants of endpoints that this router cannot use, after which the request uses this router's share. */
 const MAXIMUM_UNUSABLE_GRANTS = 3
-/** Fraction of the objective of a request for which it may wait; the rest of the objective shrinks as it waits elsewhere. */
-const WAIT_FRACTION_OF_OBJECTIVE = 0.5
 
 /**
  * Admission by the slot owner of the service, which also chooses the endpoint of each attempt. Without an answer of the owner
@@ -63,7 +62,8 @@
     admission.withdraw()
     this._usesFallback = true
     const elapsedMs = clock.now() - startedAt
-    const rest = { ...request, objectiveMs: Math.max(0, request.objectiveMs - elapsedMs / WAIT_FRACTION_OF_OBJECTIVE), timeLeftMs: timeLeftMs() }
+    // The time that the request has waited for the owner counts toward the time for which it may be queued.
+    const rest = { ...request, objectiveMs: Math.max(0, request.objectiveMs - elapsedMs / WaitFractions.OF_OBJECTIVE), timeLeftMs: timeLeftMs() }
     if (!fallback.tryAdmit(rest)) await fallback.wait(rest, signal)
   }
 
@@ -113,10 +113,18 @@
 
   /** Returns the endpoint of a grant; undefined if this router cannot use it. */
   private _usableEndpoint ({ endpointId, startedAt }: SlotGrant): EndpointEntry | undefined {
-    const { service, endpoints, health, permits, selector } = this._options
-    const endpoint = endpoints.find(endpointId)
-    if (endpoint === undefined || endpoint.startedAt !== startedAt || !selector.isUsable(endpoint) || !permits.allows(endpoint)) return undefined
-    return health.preferHealthy(endpoints.ready(service)).some(({ id }) => id === endpointId) ? endpoint : undefined
+    const endpoint = this._options.endpoints.find(endpointId)
+    return endpoint?.startedAt === startedAt && this._isUsable(endpoint, this._healthyIds()) ? endpoint : undefined
+  }
+
+  private _isUsable (endpoint: EndpointEntry, healthyIds: ReadonlySet<string>): boolean {
+    const { permits, selector } = this._options
+    return healthyIds.has(endpoint.id) && permits.allows(endpoint) && selector.isUsable(endpoint)
+  }
+
+  private _healthyIds (): ReadonlySet<string> {
+    const { service, endpoints, health } = this._options
+    return new Set(health.preferHealthy(endpoints.ready(service)).map(({ id }) => id))
   }
 
   private async _acquire (request: ServiceRequest, excluded: ReadonlySet<string>, signal: AbortSignal): Promise<SlotLease | undefined> {
@@ -144,10 +152,10 @@
 
   /** Returns the ids of the endpoints that this router cannot use now, apart from those that are excluded anyway. */
   private _unusableIds (excluded: ReadonlySet<string>): readonly string[] {
-    const { service, endpoints, health, permits, selector } = this._options
+    const { service, endpoints } = this._options
     const ready = endpoints.ready(service)
-    const healthy = health.preferHealthy(ready)
-    const unusable = ready.filter((endpoint) => !healthy.includes(endpoint) || !permits.allows(endpoint) || !selector.isUsable(endpoint))
+    const healthyIds = this._healthyIds()
+    const unusable = ready.filter((endpoint) => !this._isUsable(endpoint, healthyIds))
     // If all are unusable, the owner may know better.
     if (unusable.length === ready.length) return []
     return unusable.map(({ id }) => id).filter((id) => !excluded.has(id))
--- a/packages/gateway/src/test/granted-admission_test.ts
+++ b/packages/gateway/src/test/granted-admission_test.ts
@@ -13,6 +13,8 @@
 import { SteppedClock } from '../../../router/src/test/stepped-clock.js'
 
 const REQUEST = { workspace: 'w', rank: 0, routeRank: 0, objectiveMs: 200, timeLeftMs: 1_000 }
+/** Time that the owner takes to answer, in milliseconds; without a grant, the rest of the objective is shorter by twice that. */
+const ANSWER_MS = 40
 const { signal } = new AbortController()
 
 let clock: SteppedClock
@@ -22,6 +24,8 @@
 let answers: ({ readonly id: string, readonly startedAt: number } | undefined)[]
 let refusal: Error | undefined
 let unusable: Set<string>
+/** Component that makes endpoints unusable. */
+let cause: string
 let usedFallback: string[]
 let admission: ServiceAdmission
 let isProcessFull: boolean
@@ -33,6 +37,7 @@
   answers = []
   refusal = undefined
   unusable = new Set()
+  cause = ''
   usedFallback = []
   isProcessFull = false
   admission = new ServiceAdmission({ service: 's', clock, limit: () => Infinity, random: () => 0.5 })
@@ -52,15 +57,16 @@
     client: {
       acquire: async (request) => {
         asked.push(request)
+        await clock.advance(ANSWER_MS)
         if (refusal !== undefined) throw refusal
         const answer = answers.shift()
-        return answer && new SlotLease({ grant: asked.length, endpointId: answer.id, startedAt: answer.startedAt, waitedMs: 0 }, 'owner', 1, link, clock)
+        return answer && new SlotLease({ grant: asked.length, endpointId: answer.id, startedAt: answer.startedAt, waitedMs: 0 }, 'owner', link, clock)
       }
     },
     fallback: {
       slotOwner: undefined,
       grantMs: undefined,
-      tryAdmit: () => usedFallback.push('admit') > 0,
+      tryAdmit: ({ objectiveMs }) => usedFallback.push(`admit ${objectiveMs}`) > 0,
       wait: async () => undefined,
       choose: () => { usedFallback.push('choose'); return undefined },
       endCall: () => undefined,
@@ -71,16 +77,17 @@
     admission,
     isProcessFull: () => isProcessFull,
     endpoints: { find: (id) => endpoints.find((endpoint) => endpoint.id === id), ready: () => endpoints },
-    selector: { isUsable: ({ id }) => !unusable.has(id), chooseGranted: chosen, preferredFor: () => undefined },
-    health: { preferHealthy: (all) => all },
-    permits: { allows: () => true },
+    selector: { isUsable: ({ id }) => cause !== 'selector' || !unusable.has(id), chooseGranted: chosen, preferredFor: () => undefined },
+    health: { preferHealthy: (all) => all.filter(({ id }) => cause !== 'health' || !unusable.has(id)) },
+    permits: { allows: ({ id }) => cause !== 'permits' || !unusable.has(id) },
     clock,
     timeLeftMs: () => 1_000
   })
 }
 
 // Guards against a request to an endpoint that has restarted or left, and against slots that stay granted.
-test('releases a grant that it cannot use and asks for another one, without that endpoint', async () => {
+test.each(['selector', 'health', 'permits'])('releases a grant that it cannot use (%s) and asks for another one, without that endpoint', async (component) => {
+  cause = component
   answers = [{ id: 'a', startedAt: 7 }, { id: 'b', startedAt: 1 }, { id: 'c', startedAt: 1 }]
   const path = createPath()
   expect(path.tryAdmit(REQUEST)).toBe(false)
@@ -114,7 +121,7 @@
   unanswered.tryAdmit(REQUEST)
   await unanswered.wait(REQUEST, signal)
   await unanswered.choose({ excluded: new Set() }, signal)
-  expect(usedFallback).toEqual(['admit', 'choose'])
+  expect(usedFallback).toEqual(['admit 120', 'choose'])
   refusal = new MimosarockError(ResultCode.OVERLOADED, 'full')
   const refused = createPath()
   refused.tryAdmit(REQUEST)
--- a/packages/gateway/src/test/slot-client_test.ts
+++ b/packages/gateway/src/test/slot-client_test.ts
@@ -20,6 +20,7 @@
 let listeners: SlotListener[]
 let events: string[]
 let results: string[]
+let lookUps: number
 let ownership: SlotOwnership
 let client: SlotClient
 let owner: RouterEntry
@@ -28,7 +29,7 @@
 function createOwnership (self: RouterEntry): SlotOwnership {
   const routers = new RouterTable(self, clock)
   for (const member of MEMBERS) routers.recordContact(member, 0)
-  const ready = () => [{ id: 'a', service: 's', address: 'a:1', availabilityZone: 'z', slots, isDraining: false, startedAt: 1, revision: 1 }]
+  const ready = () => { lookUps += 1; return [{ id: 'a', service: 's', address: 'a:1', availabilityZone: 'z', slots, isDraining: false, startedAt: 1, revision: 1 }] }
   return new SlotOwnership({ clock, routers, endpoints: { get entries () { return ready() }, ready }, isEnabled: () => isEnabled, isDown: ({ name }) => down.has(name) })
 }
 
@@ -40,6 +41,7 @@
   listeners = []
   events = []
   results = []
+  lookUps = 0
   receivedCount = 0
   owner = createOwnership(MEMBERS[0] as RouterEntry).ownerOf('s') as RouterEntry
   const self = MEMBERS.find(({ name }) => name !== owner.name) as RouterEntry
@@ -67,7 +69,7 @@
   for (let passed = 0; passed < ms; passed += 1) await clock.advance(1)
 }
 
-// Guards against a deployment that changes although its services have slots enough, or although grants are turned off.
+// Guards against a deployment that changes although its services have slots enough, and against work for grants that are turned off.
 test('uses grants only while a service has fewer slots than there are routers, and the setting allows them', async () => {
   expect(client.usesGrants('s')).toBe(true)
   slots = 4
@@ -76,7 +78,8 @@
   slots = 3
   isEnabled = false
   await advance(50)
-  expect(client.usesGrants('s')).toBe(false)
+  lookUps = 0
+  expect([client.usesGrants('s'), lookUps]).toEqual([false, 0])
 })
 
 // Guards against routers that each take another one for the owner, and against a lost owner that is asked for as long as it is listed.
@@ -85,12 +88,14 @@
   expect(new Set(ownerships.map((other) => other.ownerOf('s')?.name))).toEqual(new Set([owner.name]))
   expect(ownerships.filter((other) => other.owns('s')).length).toBe(1)
   down.add(owner.name)
-  expect(ownership.ownerOf('s')?.name).not.toBe(owner.name)
+  const next = ownerships.map((other) => other.ownerOf('s')?.name).filter((name) => name !== owner.name)
+  expect(next).toEqual(Array(3).fill(ownership.ownerOf('s')?.name))
+  expect(MEMBERS.map(({ name }) => name)).toContain(next[0])
   expect(ownership.wantedRouters().map(({ name }) => name)).toContain(owner.name)
 })
 
-// Guards against a slot that nobody uses: the grant was under way when its caller left.
-test('withdraws the request of a caller who has left, and releases a grant that arrives afterwards', async () => {
+// Guards against a slot that nobody uses: the grant was in transit when its caller disconnected.
+test('withdraws the request of a caller who has disconnected, and releases a grant that arrives afterwards', async () => {
   const leaving = new AbortController()
   const lease = client.acquire(REQUEST, leaving.signal)
   leaving.abort()
@@ -100,7 +105,7 @@
   expect(results).toEqual(['cancelled'])
 })
 
-async function askInVain (): Promise<void> {
+async function askWithoutAnswer (): Promise<void> {
   const lease = client.acquire(REQUEST, new AbortController().signal)
   await advance(80)
   expect(await lease).toBeUndefined()
@@ -108,14 +113,14 @@
 
 // Guards against requests that wait for an owner that does not answer, one after the other.
 test('gives up without an answer in time, asks again once something arrives, and resets the connection if nothing does', async () => {
-  await askInVain()
-  await askInVain()
+  await askWithoutAnswer()
+  await askWithoutAnswer()
   expect(listeners.length).toBe(1)
   receivedCount += 1
   const lease = client.acquire(REQUEST, new AbortController().signal)
   listeners[1]?.granted(GRANT)
   expect((await lease)?.grant).toEqual(GRANT)
-  for (let count = 0; count < 30; count += 1) await askInVain()
+  for (let count = 0; count < 30; count += 1) await askWithoutAnswer()
   expect(listeners.length).toBeLessThan(8)
   expect(events).toContain(`reset ${owner.name}`)
 })
@@ -123,13 +128,13 @@
 // Guards against requests that each wait for an owner whose answers all arrive too late.
 test('skips an owner for a time whose answers came too late three times', async () => {
   for (let count = 0; count < 3; count += 1) {
-    await askInVain()
+    await askWithoutAnswer()
     receivedCount += 1
   }
-  await askInVain()
+  await askWithoutAnswer()
   expect(listeners.length).toBe(3)
   await advance(250)
-  await askInVain()
+  await askWithoutAnswer()
   expect(listeners.length).toBe(4)
   expect(events.filter((event) => event.startsWith('reset'))).toEqual([])
 })
--- a/packages/gateway/src/wiring/slot-granting.ts
+++ b/packages/gateway/src/wiring/slot-granting.ts
@@ -36,7 +36,7 @@
       clock,
       random: Math.random,
       availableEndpoints,
-      // Releases tell of failures that other routers have seen; they do not count for the requests that this router sends by itself.
+      // Releases report failures that other routers have seen; these do not count for the requests that this router sends by itself.
       health: new EndpointHealth(clock),
       reportedLoads: this.reportedLoads,
       fleetLoad: (endpointId) => loads.total(endpointId)
@@ -82,7 +82,11 @@
    * @param signal ends the task
    */
   async run (signal: AbortSignal): Promise<void> {
-    await this._connections.run(() => this._ownership.wantedRouters(), signal)
+    await this._connections.run(() => {
+      // Also notices that another router owns a service whose slots nobody uses at this one.
+      this._owners.sweep()
+      return this._ownership.wantedRouters()
+    }, signal)
     this._server.close()
   }
 }
