EndpointOrders: no order of all endpoints for requests with a constraint

Cause: for each constraint, a second order with the endpoints of evacuated zones was computed whenever the endpoints changed. Only primary() uses such an order, and always the one without a constraint.

Change: the second order is computed without a constraint only.

Result: 42 tests of selection, evacuation, homes and endpoint wishes pass; eslint passes.

--- a/packages/gateway/src/choice/endpoint-orders.ts
+++ b/packages/gateway/src/choice/endpoint-orders.ts
@@ -20,8 +20,8 @@
   readonly registered: readonly EndpointEntry[]
   /** Order of those at which a request may run. */
   readonly order: RendezvousOrder<RendezvousMember>
-  /** Order of these and of the endpoints in evacuated zones; undefined if there are none in such zones. */
-  readonly withEvacuated: RendezvousOrder<RendezvousMember> | undefined
+  /** Order of all endpoints of the service, also of those in evacuated zones; `order` if there are none or requests have a constraint. */
+  readonly orderOfAll: RendezvousOrder<RendezvousMember>
 }
 
 /** Rendezvous orders by service. */
@@ -60,8 +60,7 @@
    * @param key key of a context
    */
   primary (service: string, key: string): EndpointEntry | undefined {
-    const { order, withEvacuated } = this._ordersOf(service, undefined)
-    return (withEvacuated ?? order).first(orderKeyOf(key), 1)[0]?.endpoint
+    return this._ordersOf(service, undefined).orderOfAll.first(orderKeyOf(key), 1)[0]?.endpoint
   }
 
   private _ordersOf (service: string, mayRunAt: MayRunAt | undefined): ServiceOrders {
@@ -69,10 +68,11 @@
     const orders = this._ordersWith(mayRunAt)
     const cached = orders.get(service)
     if (cached?.registered === registered) return cached
-    const ready = allowedEndpoints(registered, mayRunAt)
-    const evacuated = allowedEndpoints(this._endpoints.evacuated(service), mayRunAt)
-    const withEvacuated = evacuated.length === 0 ? undefined : createOrder([...ready, ...evacuated])
-    const created = { registered, order: createOrder(ready), withEvacuated }
+    const order = createOrder(allowedEndpoints(registered, mayRunAt))
+    // Primaries do not depend on constraints, so no order of all endpoints is needed for these.
+    const evacuated = mayRunAt === undefined ? this._endpoints.evacuated(service) : []
+    const orderOfAll = evacuated.length === 0 ? order : createOrder([...registered, ...evacuated])
+    const created = { registered, order, orderOfAll }
     orders.set(service, created)
     return created
   }
