ServiceLoads: mean load without copies of the endpoints

Cause: each choice of an endpoint copied the endpoints that are idle, with a set of all others while a zone was evacuated, and looked at all endpoints for ones that warm up whenever any endpoint had a rate limit.

Change: the three groups of endpoints have none in common, so their sums are added. Endpoints that warm up are looked for only if endpoints with a rate limit were left out.

--- a/packages/gateway/src/choice/service-loads.ts
+++ b/packages/gateway/src/choice/service-loads.ts
@@ -28,22 +28,19 @@
    * @param service name of the service
    */
   of (service: string): ServiceLoad {
-    const { endpoints, health, loadBoundFactor, permits } = this._options
+    const { endpoints, health, loadBoundFactor, permits, warmUps } = this._options
     const admitted = health.preferAdmitted(endpoints.ready(service))
     const unlimited = permits.preferUnlimited(admitted)
-    const idle = [...this._warmingUpAmong(admitted), ...endpoints.evacuated(service)]
-    const mean = this._meanOf(idle.length === 0 ? unlimited : [...new Set([...unlimited, ...idle])])
+    // Endpoints that warm up have a rate limit, so they are left out of `unlimited` unless it has all endpoints.
+    const warmingUp = unlimited === admitted ? [] : admitted.filter((endpoint) => warmUps?.limitOf(endpoint) !== undefined)
+    const evacuated = endpoints.evacuated(service)
+    const count = unlimited.length + warmingUp.length + evacuated.length
+    const mean = (this._sumOf(unlimited) + this._sumOf(warmingUp) + this._sumOf(evacuated)) / Math.max(1, count)
     return { mean, bound: mean * loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS }
   }
 
-  private _warmingUpAmong (endpoints: readonly EndpointEntry[]): readonly EndpointEntry[] {
-    const { permits, warmUps } = this._options
-    // Endpoints that warm up have a rate limit, so that nearly always none has to be looked at.
-    return warmUps === undefined || !permits.isNeeded ? [] : endpoints.filter((endpoint) => warmUps.limitOf(endpoint) !== undefined)
-  }
-
-  private _meanOf (endpoints: readonly EndpointEntry[]): number {
+  private _sumOf (endpoints: readonly EndpointEntry[]): number {
     const { loads } = this._options
-    return endpoints.reduce((sum, { id }) => sum + loads.total(id), 0) / Math.max(1, endpoints.length)
+    return endpoints.reduce((sum, { id }) => sum + loads.total(id), 0)
   }
 }
