EndpointSelector: the check for a holder does not choose one

Cause: to learn whether a holder has capacity, the selector drew a random sample and compared loads, and then did it again for the choice. The holders of the key were looked up twice per choice.

Change: the holders with capacity, and the least loaded of them, are two methods. Random numbers are drawn for the choice alone; this changes the numbers that a simulation with cold endpoints draws, not the distribution of the choices.

--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -71,7 +71,7 @@
     )
     const key = EndpointSelector.keyOf(prompt)
     // A cached context saves more than a cold endpoint gains.
-    const isForHolder = key !== undefined && suited !== healthy && !needsWarm && this._holderWithCapacity(key, healthy, bound) !== undefined
+    const isForHolder = key !== undefined && suited !== healthy && !needsWarm && this._holdersWithCapacity(this._options.holders.holders(key), healthy, bound).length > 0
     const chosenFrom = isForHolder ? healthy : suited
     const candidates = isShort && chosenFrom === healthy ? this._preferCapacity(healthy, bound) : chosenFrom
     if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, undefined, undefined, bound)
@@ -153,7 +153,7 @@
     key: string, service: string, candidates: readonly EndpointEntry[], bound: number, mayRunAt: MayRunAt | undefined
   ): ChosenEndpoint {
     const holders = this._options.holders.holders(key)
-    const holder = this._holderWithCapacity(key, candidates, bound)
+    const holder = this._leastLoadedHolder(this._holdersWithCapacity(holders, candidates, bound))
     if (holder !== undefined) return this._createChosen(holder, ChoiceReason.HOLDER, undefined, undefined, bound)
     const lookup = this._options.permits.isNeeded ? RENDEZVOUS_LOOKUP_WITH_LIMITS : RENDEZVOUS_CANDIDATES
     const order = this._orders.first(service, key, lookup, mayRunAt)
@@ -165,12 +165,15 @@
     return this._createChosen(leastLoaded, ChoiceReason.LEAST_LOADED, primary, source, bound)
   }
 
-  /** Returns the least loaded of the candidates that hold the context of a key and have capacity, those of the own availability zone first. */
-  private _holderWithCapacity (key: string, candidates: readonly EndpointEntry[], bound: number): EndpointEntry | undefined {
-    const holders = this._options.holders.holders(key)
-    const withCapacity = candidates.filter((endpoint) => holders.includes(endpoint.id) && this._hasCapacity(endpoint, bound))
-    const sameZone = withCapacity.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
-    return this._leastLoaded(sameZone.length > 0 ? sameZone : withCapacity)
+  /** Returns the candidates that hold a context and have capacity. */
+  private _holdersWithCapacity (holders: readonly string[], candidates: readonly EndpointEntry[], bound: number): readonly EndpointEntry[] {
+    return candidates.filter((endpoint) => holders.includes(endpoint.id) && this._hasCapacity(endpoint, bound))
+  }
+
+  /** Returns the least loaded of some holders, those of the own availability zone first. */
+  private _leastLoadedHolder (holders: readonly EndpointEntry[]): EndpointEntry | undefined {
+    const sameZone = holders.filter((endpoint) => endpoint.availabilityZone === this._options.availabilityZone)
+    return this._leastLoaded(sameZone.length > 0 ? sameZone : holders)
   }
 
   /**
