EndpointHealth: no copy of the endpoints while none is ejected

Cause: preferAdmitted runs twice per choice and copied the list of all endpoints of the service each time, although nearly always none is ejected.

Change: the list itself is returned then.

--- a/packages/gateway/src/choice/endpoint-health.ts
+++ b/packages/gateway/src/choice/endpoint-health.ts
@@ -60,7 +60,8 @@
    * @param endpoints candidates
    */
   preferAdmitted (endpoints: readonly EndpointEntry[]): readonly EndpointEntry[] {
-    const admitted = endpoints.filter((endpoint) => !this._isEjected(endpoint.id))
+    if (!endpoints.some(({ id }) => this._isEjected(id))) return endpoints
+    const admitted = endpoints.filter(({ id }) => !this._isEjected(id))
     return admitted.length > 0 ? admitted : endpoints
   }
 
