ChosenEndpoint: the comment no longer lists three of five reasons

Cause: the comment named holder, home and least-loaded; granted and trial were added since.

Change: it refers to ChoiceReason by its type alone. No code is changed.

--- a/packages/gateway/src/choice/chosen-endpoint.ts
+++ b/packages/gateway/src/choice/chosen-endpoint.ts
@@ -7,7 +7,7 @@
   readonly endpoint: EndpointEntry
   /** Endpoint from which the cached context can be copied; undefined if the chosen endpoint holds it or no endpoint does. */
   readonly contextHolder: EndpointEntry | undefined
-  /** Reason for the decision: `holder`, `home` or `least-loaded`. */
+  /** Reason for the decision. */
   readonly reason: ChoiceReason
   /**
    * Whether the endpoint was chosen as the primary of the key, that is, the first one of its rendezvous order, which every
