ColdPreference: cold endpoints are not searched for in a list of them

Cause: for each candidate, the list of cold candidates was searched, which takes time in proportion to the square of their number when a zone returns. coldAmong was public and had no other caller.

Change: the table is asked for each candidate; nothing is copied if none is cold.

--- a/packages/gateway/src/warm-up/cold-preference.ts
+++ b/packages/gateway/src/warm-up/cold-preference.ts
@@ -25,20 +25,11 @@
   apply (
     candidates: readonly EndpointEntry[], needsWarm: boolean, hasCapacity: (endpoint: EndpointEntry) => boolean, isBelowMean: (endpoint: EndpointEntry) => boolean
   ): readonly EndpointEntry[] {
-    const cold = this.coldAmong(candidates)
-    if (cold.length === 0) return candidates
-    const preferred = needsWarm ? [] : cold.filter((endpoint) => hasCapacity(endpoint) && isBelowMean(endpoint))
+    const isCold = (endpoint: EndpointEntry): boolean => this._warmUps?.isCold(endpoint) === true
+    if (!candidates.some(isCold)) return candidates
+    const preferred = needsWarm ? [] : candidates.filter((endpoint) => isCold(endpoint) && hasCapacity(endpoint) && isBelowMean(endpoint))
     if (preferred.length > 0) return preferred
-    const warm = candidates.filter((endpoint) => !cold.includes(endpoint))
+    const warm = candidates.filter((endpoint) => !isCold(endpoint))
     return warm.some(hasCapacity) ? warm : candidates
   }
-
-  /**
-   * Returns the candidates that are cold.
-   * @param candidates endpoints that a request may go to
-   */
-  coldAmong (candidates: readonly EndpointEntry[]): readonly EndpointEntry[] {
-    const { _warmUps: warmUps } = this
-    return warmUps === undefined ? [] : candidates.filter((endpoint) => warmUps.isCold(endpoint))
-  }
 }
