ColdPresumptions: ended ones do not begin again, and those of a later incarnation stay

Cause: two faults. After a lost connection without a success, the presumption ends after the warm-up time and 5 s. For 5 s more, a success began it again: the endpoint was cold without a log entry, with permits of the higher rate, and only while another endpoint was cold, too. And a late registration of one incarnation ended what other routers had told of the next one.

Change: a success counts only during the presumption; a registration ends only one of its own incarnation.

--- a/packages/gateway/src/test/warm-up-table_test.ts
+++ b/packages/gateway/src/test/warm-up-table_test.ts
@@ -132,6 +132,26 @@
   expect(state.warmUps.isCold(WARM)).toBe(false)
 })
 
+// Guards against an endpoint that is limited again, without a log entry and with its permits, because a call succeeds after the end.
+test('a success after a presumption has ended does not begin it again', () => {
+  register(WARM)
+  state.warmUps.connectionLost(WARM)
+  clock.time += 8_000
+  state.warmUps.succeeded(WARM)
+  expect([state.warmUps.isCold(WARM), state.warmUps.revision]).toEqual([false, 1])
+})
+
+// Guards against a late registration that ends what other routers know of the next incarnation.
+test('a registration ends no presumption of a later incarnation', () => {
+  const restarted = { ...WARM, startedAt: 2, revision: 7 }
+  register(WARM)
+  state.warmUps.learn([{ endpointId: 'e', startedAt: 2, leftMs: 6_000, ageMs: 0 }], clock.time)
+  clock.time += 2_100
+  register({ ...WARM, revision: 6 })
+  register(restarted)
+  expect(state.warmUps.isCold(restarted)).toBe(true)
+})
+
 test('after an evacuation the endpoints of the zone are presumed to be cold, except those of services without a rule', () => {
   const others = [{ ...WARM, id: 'f', service: 'unruled' }, { ...WARM, id: 'g', availabilityZone: 'y' }]
   for (const entry of [WARM, ...others]) register(entry)
--- a/packages/gateway/src/warm-up/cold-presumptions.ts
+++ b/packages/gateway/src/warm-up/cold-presumptions.ts
@@ -79,8 +79,8 @@
    */
   succeeded ({ id, startedAt }: EndpointEntry, durationMs: number): boolean {
     const known = this._known.get(id)
-    if (known === undefined || !known.isAwaitingSuccess || known.startedAt !== startedAt) return false
     const now = this._clock.now()
+    if (known?.startedAt !== startedAt || !known.isAwaitingSuccess || known.coldUntil <= now) return false
     return this._set(id, { startedAt, coldUntil: now + durationMs, observedAt: now, isAwaitingSuccess: false, isFromUpstream: false })
   }
 
@@ -91,7 +91,7 @@
   registered ({ id, startedAt }: EndpointEntry): void {
     const known = this._known.get(id)
     const now = this._clock.now()
-    if (known === undefined || known.coldUntil <= now || now - known.observedAt < REGISTRATION_DELAY_MS) return
+    if (known?.startedAt !== startedAt || known.coldUntil <= now || now - known.observedAt < REGISTRATION_DELAY_MS) return
     this._set(id, { startedAt, coldUntil: now, observedAt: now, isAwaitingSuccess: false, isFromUpstream: known.isFromUpstream })
   }
 
