WarmUpTable: one look-up for an endpoint that is not cold

Cause: as soon as any endpoint was cold, each request looked up registration, presumption, clock and rule of all endpoints of its service, several times each; and endpoints of services without a rule were looked up in full while they stated a cold time.

Change: the tracked endpoints, which are all that are cold or were until recently, decide first, then the rule. Calls to an incarnation that has been replaced are no longer logged as cold because of other endpoints.

--- a/packages/gateway/src/warm-up/warm-up-table.ts
+++ b/packages/gateway/src/warm-up/warm-up-table.ts
@@ -27,6 +27,7 @@
   private readonly _options: WarmUpTableOptions
   private readonly _registered: RegisteredWarmUps
   private readonly _presumptions: ColdPresumptions
+  /** All endpoints that are cold or were until recently, so that nothing is computed for the others. */
   private readonly _tracked = new Map<string, TrackedEndpoint>()
   private _onCold: (endpointId: string) => void = () => undefined
   private _onNews: () => void = () => undefined
@@ -92,7 +93,7 @@
    * @param endpoint the endpoint
    */
   isCold (endpoint: EndpointEntry): boolean {
-    if (this._tracked.size === 0) return false
+    if (!this._tracked.has(endpoint.id)) return false
     return this._coldUntil(endpoint) > this._options.clock.now() && this._options.ruleOf(endpoint.service) !== undefined
   }
 
@@ -112,11 +113,11 @@
    * @param endpoint the endpoint
    */
   permitRateOf (endpoint: EndpointEntry): number | undefined {
-    if (this._tracked.size === 0) return undefined
-    const warmMs = this._options.clock.now() - this._coldUntil(endpoint)
-    if (warmMs >= RETURN_TO_FULL_SHARE_MS) return undefined
+    if (!this._tracked.has(endpoint.id)) return undefined
     const rule = this._options.ruleOf(endpoint.service)
     if (rule === undefined) return undefined
+    const warmMs = this._options.clock.now() - this._coldUntil(endpoint)
+    if (warmMs >= RETURN_TO_FULL_SHARE_MS) return undefined
     const rate = permitRate(rule, this._options.bounds())
     return warmMs < 0 ? rate : rate * 2 ** (1 + Math.floor(warmMs / DOUBLING_MS))
   }
@@ -167,7 +168,7 @@
    * @param endpoint the endpoint
    */
   succeeded (endpoint: EndpointEntry): void {
-    if (this._tracked.size === 0) return
+    if (!this._tracked.has(endpoint.id)) return
     const rule = this._options.ruleOf(endpoint.service)
     if (rule !== undefined && this._presumptions.succeeded(endpoint, rule.durationMs)) this._onNews()
   }
