WarmUpTable: what surrounds a change of a cold time stands once

Cause: four methods had to call _noticeWarm before a change and _track after it, in this order; a comment asked for it.

Change: _update does both. ColdPresumptions.apply takes one note, since notes do not depend on each other. Log entries for one endpoint come in the same order as before, those of different endpoints in one message in the order of the endpoints.

--- a/packages/gateway/src/warm-up/cold-presumptions.ts
+++ b/packages/gateway/src/warm-up/cold-presumptions.ts
@@ -118,24 +118,21 @@
   }
 
   /**
-   * Applies the presumptions of another router that are newer.
-   * @param notes the presumptions
-   * @param sentAt time at which they were requested or received
-   * @param isFromUpstream whether they come from a router to which this one does not report
-   * @returns whether one of them is news
+   * Applies a presumption of another router if it is newer.
+   * @param note the presumption
+   * @param sentAt time at which it was requested or received
+   * @param isFromUpstream whether it comes from a router to which this one does not report
+   * @returns whether it is news
    */
-  apply (notes: readonly ColdNote[], sentAt: number, isFromUpstream: boolean): boolean {
+  apply ({ endpointId, startedAt, leftMs, ageMs }: ColdNote, sentAt: number, isFromUpstream: boolean): boolean {
     const now = this._clock.now()
-    const changes = notes.map(({ endpointId, startedAt, leftMs, ageMs }) => {
-      const known = this._known.get(endpointId)
-      const observedAt = sentAt - ageMs
-      if (known !== undefined && (known.observedAt >= observedAt || known.startedAt > startedAt)) return false
-      if (known === undefined && leftMs === 0) return false
-      // What this router has observed comes back from the followed one, dated by its clock.
-      if (known?.startedAt === startedAt && Math.abs(now + leftMs - known.coldUntil) <= NEWS_MS) return false
-      return this._set(endpointId, { startedAt, coldUntil: now + leftMs, observedAt, isAwaitingSuccess: false, isFromUpstream })
-    })
-    return changes.includes(true)
+    const known = this._known.get(endpointId)
+    const observedAt = sentAt - ageMs
+    if (known !== undefined && (known.observedAt >= observedAt || known.startedAt > startedAt)) return false
+    if (known === undefined && leftMs === 0) return false
+    // What this router has observed comes back from the followed one, dated by its clock.
+    if (known?.startedAt === startedAt && Math.abs(now + leftMs - known.coldUntil) <= NEWS_MS) return false
+    return this._set(endpointId, { startedAt, coldUntil: now + leftMs, observedAt, isAwaitingSuccess: false, isFromUpstream })
   }
 
   /**
--- a/packages/gateway/src/warm-up/warm-up-table.ts
+++ b/packages/gateway/src/warm-up/warm-up-table.ts
@@ -131,12 +131,11 @@
   record (entry: EndpointEntry, current: EndpointEntry | undefined): boolean {
     const tracked = this._tracked.get(entry.id)
     if (tracked !== undefined && tracked.endpoint.startedAt !== entry.startedAt) this._tracked.delete(entry.id)
-    this._noticeWarm(entry.id)
-    const isNews = this._registered.record(entry, current)
-    const isNewer = current?.startedAt === entry.startedAt && entry.revision > current.revision
-    if (isNewer) this._presumptions.registered(entry)
-    this._track(entry, ColdCause.REGISTRATION)
-    return isNews
+    return this._update(entry.id, entry, ColdCause.REGISTRATION, () => {
+      const isNewer = current?.startedAt === entry.startedAt && entry.revision > current.revision
+      if (isNewer) this._presumptions.registered(entry)
+      return this._registered.record(entry, current)
+    })
   }
 
   /**
@@ -157,9 +156,7 @@
     const rule = this._options.ruleOf(endpoint.service)
     // A call to an earlier incarnation tells nothing of the present one.
     if (rule === undefined || this._options.endpoints.find(endpoint.id)?.startedAt !== endpoint.startedAt) return
-    this._noticeWarm(endpoint.id)
-    const isNews = this._presumptions.connectionLost(endpoint, rule.durationMs)
-    this._track(endpoint, ColdCause.CONNECTION_LOST)
+    const isNews = this._update(endpoint.id, endpoint, ColdCause.CONNECTION_LOST, () => this._presumptions.connectionLost(endpoint, rule.durationMs))
     if (isNews) this._onNews()
   }
 
@@ -181,10 +178,7 @@
   presumeZoneCold (zone: string): void {
     for (const endpoint of this._options.endpoints.entries) {
       const rule = endpoint.availabilityZone === zone ? this._options.ruleOf(endpoint.service) : undefined
-      if (rule === undefined) continue
-      this._noticeWarm(endpoint.id)
-      this._presumptions.presume(endpoint, rule.durationMs)
-      this._track(endpoint, ColdCause.EVACUATION_ENDED)
+      if (rule !== undefined) this._update(endpoint.id, endpoint, ColdCause.EVACUATION_ENDED, () => this._presumptions.presume(endpoint, rule.durationMs))
     }
   }
 
@@ -242,13 +236,19 @@
   }
 
   private _apply (notes: readonly ColdNote[], sentAt: number, isFromUpstream: boolean): boolean {
-    for (const { endpointId } of notes) this._noticeWarm(endpointId)
-    const isNews = this._presumptions.apply(notes, sentAt, isFromUpstream)
-    for (const { endpointId } of notes) {
-      const endpoint = this._options.endpoints.find(endpointId)
-      if (endpoint !== undefined) this._track(endpoint, ColdCause.OTHER_ROUTER)
-    }
-    return isNews
+    const changes = notes.map((note) => {
+      const endpoint = this._options.endpoints.find(note.endpointId)
+      return this._update(note.endpointId, endpoint, ColdCause.OTHER_ROUTER, () => this._presumptions.apply(note, sentAt, isFromUpstream))
+    })
+    return changes.includes(true)
+  }
+
+  /** Changes what is known of an endpoint. An end of its cold time that was not logged yet is logged before, and a new cold time after that. */
+  private _update<Result> (id: string, registered: EndpointEntry | undefined, cause: ColdCause, change: () => Result): Result {
+    this._noticeWarm(id)
+    const result = change()
+    if (registered !== undefined) this._track(registered, cause)
+    return result
   }
 
   private _track (endpoint: EndpointEntry, cause: ColdCause): void {
@@ -264,7 +264,7 @@
     this._onCold(endpoint.id)
   }
 
-  /** Logs that an endpoint is warm again if it was cold before. To be called before its cold time changes, which may begin anew. */
+  /** Logs that an endpoint is warm again if it was cold before. */
   private _noticeWarm (id: string): void {
     const tracked = this._tracked.get(id)
     if (tracked === undefined || !tracked.isLogged || this._coldUntil(tracked.endpoint) > this._options.clock.now()) return
