permitRate: the issuing time is the sum of the times of permits

Cause: 3.25 s in permitRate repeated three constants of HeldPermits and PermitPool. A change of one of them would have broken the bound on requests to cold endpoints without notice.

Change: the three stand in PermitTimes; the sum is computed. All values are the same.

--- a/packages/gateway/src/limits/held-permits.ts
+++ b/packages/gateway/src/limits/held-permits.ts
@@ -1,7 +1,5 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
-
-/** Time for which a permit can be used, in milliseconds; what one router does not use is issued anew to others. */
-const LIFETIME_MS = 750
+import { PermitTimes } from './permit-times.js'
 
 /** Permits that this router may use, by endpoint. */
 export class HeldPermits {
@@ -36,7 +34,7 @@
    */
   add (endpointId: string, count: number): void {
     const expiries = this._expiries.get(endpointId) ?? []
-    const expiresAt = this._clock.now() + LIFETIME_MS
+    const expiresAt = this._clock.now() + PermitTimes.LIFETIME_MS
     for (let number = 0; number < count; number += 1) expiries.push(expiresAt)
     this._expiries.set(endpointId, expiries)
   }
--- a/packages/gateway/src/limits/permit-pool.ts
+++ b/packages/gateway/src/limits/permit-pool.ts
@@ -1,9 +1,6 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
+import { PermitTimes } from './permit-times.js'
 
-/** Time whose permits a pool holds at most, in milliseconds, beside one that is growing; limits the burst after a time in which nobody wanted any. */
-const BURST_MS = 500
-/** Time for which received permits can be issued, in milliseconds. */
-const DEPOSIT_LIFETIME_MS = 1_000
 const MS_PER_SECOND = 1_000
 
 /** Permits for one endpoint that a router can issue: a token bucket that fills with time, or with what another router has issued. */
@@ -37,13 +34,13 @@
     // Routers that lose each other at the same time would otherwise issue their first permits at the same time.
     if (this._accruedAt === undefined) this._level = Math.max(this._level, this._random())
     else this._level += perSecond * (now - this._accruedAt) / MS_PER_SECOND
-    this._level = Math.min(this._level, 1 + perSecond * BURST_MS / MS_PER_SECOND)
+    this._level = Math.min(this._level, 1 + perSecond * PermitTimes.BURST_MS / MS_PER_SECOND)
     this._accruedAt = now
   }
 
   /** Stops filling with time, and drops what was received too long ago. */
   stopAccruing (): void {
-    if (this._clock.now() - this._depositedAt >= DEPOSIT_LIFETIME_MS) this._level = 0
+    if (this._clock.now() - this._depositedAt >= PermitTimes.DEPOSIT_LIFETIME_MS) this._level = 0
     this._accruedAt = undefined
   }
 
--- a/packages/gateway/src/warm-up/permit-rate.ts
+++ b/packages/gateway/src/warm-up/permit-rate.ts
@@ -1,11 +1,13 @@
+import { PermitTimes } from '../limits/permit-times.js'
 import type { WarmUpRule } from '../model/warm-up-rule.js'
 import type { WarmUpBounds } from './warm-up-bounds.js'
 
+const MS_PER_SECOND = 1_000
 /**
- * Time whose permits can be used within one second, in seconds: that second, 0.75 s for which a router may hold a permit, 1 s for which
- * another one may pass it on, and the half second that a pool holds.
+ * Time whose permits can be used within one second, in seconds: that second, and before it the time for which a router may hold a permit,
+ * another one may pass it on, and a pool may keep it.
  */
-const ISSUING_TIME_S = 3.25
+const ISSUING_TIME_S = 1 + (PermitTimes.LIFETIME_MS + PermitTimes.DEPOSIT_LIFETIME_MS + PermitTimes.BURST_MS) / MS_PER_SECOND
 /** Permit that a pool holds in addition. */
 const EXTRA_PERMITS = 1
 
