ColdPresumptions: the times of the exchange stand once

Cause: OWN_OBSERVATION_MS and ENDED_RETENTION_MS were copied from EndpointLimits, whose exchange presumptions share.

Change: ObservationTimes in limits/. All values are the same.

--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -3,16 +3,13 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { KnownLimit } from './known-limit.js'
 import type { LimitNote } from './limit-note.js'
+import { ObservationTimes } from './observation-times.js'
 import type { RateLimits } from './rate-limits.js'
 
 /** Source of statements that this router has read in a response itself. */
 const RESPONSE = 'response'
 /** Source of the end of a limit that nobody has repeated for long. */
 const EXPIRY = 'expiry'
-/** Time for which an own observation counts more than what the followed router says; that router knows of it within this time. */
-const OWN_OBSERVATION_MS = 1_500
-/** Time for which the end of a limit is remembered, so that all routers hear of it. */
-const ENDED_RETENTION_MS = 5_000
 /** Time after which a limit is forgotten that no endpoint and no router has repeated, since the endpoint may be gone. */
 const LIMIT_LIFETIME_MS = 60_000
 /**
@@ -121,7 +118,7 @@
    */
   retain (notes: readonly LimitNote[], source: string): void {
     const upstream = new Map(notes.map((note) => [note.endpointId, note]))
-    const oldestOwn = this._clock.now() - OWN_OBSERVATION_MS
+    const oldestOwn = this._clock.now() - ObservationTimes.OWN_PRECEDENCE_MS
     for (const [id, known] of [...this._known]) {
       if (!known.isFromUpstream && known.observedAt >= oldestOwn) continue
       const note = upstream.get(id)
@@ -147,7 +144,7 @@
   removeExpired (): void {
     const now = this._clock.now()
     for (const [id, { requestsPerSecond, observedAt, heardAt }] of this._known) {
-      const isEnded = requestsPerSecond === undefined && now - observedAt >= ENDED_RETENTION_MS
+      const isEnded = requestsPerSecond === undefined && now - observedAt >= ObservationTimes.ENDED_RETENTION_MS
       if (isEnded || now - heardAt >= LIMIT_LIFETIME_MS) this._forget(id, EXPIRY)
     }
   }
--- a/packages/gateway/src/warm-up/cold-presumptions.ts
+++ b/packages/gateway/src/warm-up/cold-presumptions.ts
@@ -1,11 +1,10 @@
+import { ObservationTimes } from '../limits/observation-times.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { ColdNote } from './cold-note.js'
 
 /** Time in which further losses of connections change nothing: an endpoint that is down refuses many, and each change is told to all routers. */
 const REFRESH_MS = 2_500
-/** Time for which an own observation counts more than what the followed router says; that router knows of it within this time. */
-const OWN_OBSERVATION_MS = 1_500
 /** Time within which an endpoint that lost its connections returns or is removed by the store. */
 const RETURN_MS = 5_000
 /**
@@ -13,8 +12,6 @@
  * routers, each with a delay.
  */
 const REGISTRATION_DELAY_MS = 2_000
-/** Time after its end for which a presumption is told to other routers. */
-const ENDED_RETENTION_MS = 5_000
 /** Difference between two ends of a presumption from which other routers have to hear of it. */
 const NEWS_MS = 500
 
@@ -143,7 +140,7 @@
     const ids = new Set(notes.map(({ endpointId }) => endpointId))
     const now = this._clock.now()
     for (const [id, known] of this._known) {
-      if (ids.has(id) || known.coldUntil <= now || now - known.observedAt < OWN_OBSERVATION_MS) continue
+      if (ids.has(id) || known.coldUntil <= now || now - known.observedAt < ObservationTimes.OWN_PRECEDENCE_MS) continue
       this._set(id, { ...known, coldUntil: now, isAwaitingSuccess: false })
     }
   }
@@ -151,7 +148,7 @@
   /** Forgets presumptions that have ended some time ago. To be called regularly. */
   removeExpired (): void {
     const now = this._clock.now()
-    for (const [id, { coldUntil }] of this._known) if (now - coldUntil >= ENDED_RETENTION_MS) this._known.delete(id)
+    for (const [id, { coldUntil }] of this._known) if (now - coldUntil >= ObservationTimes.ENDED_RETENTION_MS) this._known.delete(id)
   }
 
   private _toNotes (known: readonly (readonly [string, Presumption])[]): readonly ColdNote[] {
