warm-up-at-scale_test: the router that starts knows of cold endpoints, and permits are used

Cause: the check of the bound for a router that starts held also if no request reached an endpoint, and nothing showed that the router knew of the cold time before it served.

Change: both are checked, with the bounds that the other tests of the file use.

--- a/packages/gateway/src/test/warm-up-at-scale_test.ts
+++ b/packages/gateway/src/test/warm-up-at-scale_test.ts
@@ -48,7 +48,7 @@
 }, 120_000)
 
 // Guards against a router that starts, does not know of the cold time and serves all at once.
-test('31 routers, one of which starts while endpoints are cold: the bound holds', async () => {
+test('31 routers, one of which starts while endpoints are cold: it knows of them before it serves, and the bound holds', async () => {
   const load = FLEETS[1][1]
   const cold = new ColdFleet(load, load.endpoints, simulated.signal)
   const [started] = cold.fleet.fleet.names as [string]
@@ -58,7 +58,9 @@
   await vi.advanceTimersByTimeAsync(2_000)
   cold.fleet.fleet.network.heal()
   await vi.advanceTimersByTimeAsync(1_000)
+  expect(cold.fleet.fleet.stateOf(started).warmUps.coldCount).toBe(load.endpoints)
   cold.fleet.idle.clear()
   await vi.advanceTimersByTimeAsync(5_000)
   expect(cold.mostInASecond()).toBeLessThanOrEqual(ColdFleet.ALLOWED)
+  expect(cold.rateOfEach(3_000, 8_000)).toBeGreaterThan(MINIMUM_USE * ColdFleet.PERMITS_PER_SECOND)
 }, 60_000)
