Tests of the gateway: one waitUntil

Cause: evacuation_test, gateway_test and store-feed_test each had the same function.

No check is changed.

--- a/packages/gateway/src/test/evacuation_test.ts
+++ b/packages/gateway/src/test/evacuation_test.ts
@@ -8,6 +8,7 @@
 import { GatewayFixture } from './gateway-fixture.js'
 import { MemoryStore } from './memory-store.js'
 import { TestEndpoint } from './test-endpoint.js'
+import { waitUntil } from './wait-until.js'
 
 const REQUESTS = 20
 
@@ -45,10 +46,6 @@
   store.configurations.put('config', { ...createConfiguration(3), ...changes })
 }
 
-async function waitUntil (condition: () => boolean): Promise<void> {
-  while (!condition()) await sleep(5)
-}
-
 async function waitForLine (router: GatewayFixture, event: string, value: unknown): Promise<void> {
   await waitUntil(() => router.lines.some((line) => line.event === event && Object.values(line.fields).includes(value)))
 }
--- a/packages/gateway/src/test/gateway_test.ts
+++ b/packages/gateway/src/test/gateway_test.ts
@@ -6,6 +6,7 @@
 import { createConfiguration } from './create-configuration.js'
 import { GatewayFixture } from './gateway-fixture.js'
 import { TestEndpoint } from './test-endpoint.js'
+import { waitUntil } from './wait-until.js'
 
 let fixture: GatewayFixture
 
@@ -33,11 +34,6 @@
 
 const arrivals = (): number => fixture.endpoints.reduce((sum, endpoint) => sum + endpoint.requests.length, 0)
 
-/** Waits until a condition holds. */
-async function waitUntil (condition: () => boolean | Promise<boolean>): Promise<void> {
-  while (!await condition()) await sleep(10)
-}
-
 test('forwards a request and its response unchanged', async () => {
   const callerResponse = await fixture.call('POST', '/pay/a?b=c', { deadline: '3000', key: 'k1' }, 'body')
   expect([callerResponse.status, callerResponse.headers.signature, callerResponse.body.slice(0, 6)]).toEqual([200, 'signed', 'from e'])
--- a/packages/gateway/src/test/store-feed_test.ts
+++ b/packages/gateway/src/test/store-feed_test.ts
@@ -4,6 +4,7 @@
 import { StoreFeed } from '@mimosarock/gateway/membership/store-feed.js'
 import type { TopicReader } from '@mimosarock/gateway/model/topic-reader.js'
 import { MemoryStore } from './memory-store.js'
+import { waitUntil } from './wait-until.js'
 
 const clock = { now: () => performance.now() }
 
@@ -31,10 +32,6 @@
   return { routers, pages, state, feed, stop }
 }
 
-async function waitUntil (condition: () => boolean): Promise<void> {
-  while (!condition()) await sleep(5)
-}
-
 test('the newest values are read first, then changes', async () => {
   const { routers, pages, stop } = createFeed()
   await waitUntil(() => pages.length === 1)
