--- a/packages/gateway/src/test/warm-up-table_test.ts
+++ b/packages/gateway/src/test/warm-up-table_test.ts
@@ -1,6 +1,7 @@
 import { beforeEach, expect, test } from 'vitest'
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
+import { EffectiveLimits } from '@mimosarock/gateway/warm-up/effective-limits.js'
 import { createFleetState } from './create-fleet-state.js'
 
 const RULE = { durationMs: 3_000, requestsPerSecond: 20 }
@@ -82,10 +83,16 @@
 })
 
 test('the limit is the smaller of what the endpoint states and the permit rate', () => {
+  const limits = new EffectiveLimits(state.limits, state.warmUps)
   register(COLD)
+  const effective = [2, 100, undefined].map((stated) => {
+    state.limits.record(WARM, stated)
+    return [limits.limitOf(WARM), limits.permitRateOf(WARM)]
+  })
+  expect(effective).toEqual([2, PERMIT_RATE, PERMIT_RATE].map((limit) => [limit, limit]))
   state.limits.record(WARM, 2)
   getPermits()
-  expect(state.permits.heldFor(WARM)).toBeLessThanOrEqual(3)
+  expect([1, 2, 3]).toContain(state.permits.heldFor(WARM))
 })
 
 // Guards against a burst of permits that were issued at a higher rate when the endpoint becomes cold again.
@@ -132,6 +139,26 @@
   expect(state.warmUps.isCold(WARM)).toBe(false)
 })
 
+// Guards against an endpoint that is limited again, without a log entry and with its permits, because a call succeeds after the end.
+test('a success after a presumption has ended does not begin it again', () => {
+  register(WARM)
+  state.warmUps.connectionLost(WARM)
+  clock.time += 8_000
+  state.warmUps.succeeded(WARM)
+  expect([state.warmUps.isCold(WARM), state.warmUps.revision]).toEqual([false, 1])
+})
+
+// Guards against a late registration that ends what other routers know of the next incarnation.
+test('a registration ends no presumption of a later incarnation', () => {
+  const restarted = { ...WARM, startedAt: 2, revision: 7 }
+  register(WARM)
+  state.warmUps.learn([{ endpointId: 'e', startedAt: 2, leftMs: 6_000, ageMs: 0 }], clock.time)
+  clock.time += 2_100
+  register({ ...WARM, revision: 6 })
+  register(restarted)
+  expect(state.warmUps.isCold(restarted)).toBe(true)
+})
+
 test('after an evacuation the endpoints of the zone are presumed to be cold, except those of services without a rule', () => {
   const others = [{ ...WARM, id: 'f', service: 'unruled' }, { ...WARM, id: 'g', availabilityZone: 'y' }]
   for (const entry of [WARM, ...others]) register(entry)
--- a/packages/gateway/src/warm-up/cold-presumptions.ts
+++ b/packages/gateway/src/warm-up/cold-presumptions.ts
@@ -1,11 +1,10 @@
+import { ObservationTimes } from '../limits/observation-times.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { ColdNote } from './cold-note.js'
 
 /** Time in which further losses of connections change nothing: an endpoint that is down refuses many, and each change is told to all routers. */
 const REFRESH_MS = 2_500
-/** Time for which an own observation counts more than what the followed router says; that router knows of it within this time. */
-const OWN_OBSERVATION_MS = 1_500
 /** Time within which an endpoint that lost its connections returns or is removed by the store. */
 const RETURN_MS = 5_000
 /**
@@ -13,8 +12,6 @@
  * routers, each with a delay.
  */
 const REGISTRATION_DELAY_MS = 2_000
-/** Time after its end for which a presumption is told to other routers. */
-const ENDED_RETENTION_MS = 5_000
 /** Difference between two ends of a presumption from which other routers have to hear of it. */
 const NEWS_MS = 500
 
@@ -79,8 +76,8 @@
    */
   succeeded ({ id, startedAt }: EndpointEntry, durationMs: number): boolean {
     const known = this._known.get(id)
-    if (known === undefined || !known.isAwaitingSuccess || known.startedAt !== startedAt) return false
     const now = this._clock.now()
+    if (known?.startedAt !== startedAt || !known.isAwaitingSuccess || known.coldUntil <= now) return false
     return this._set(id, { startedAt, coldUntil: now + durationMs, observedAt: now, isAwaitingSuccess: false, isFromUpstream: false })
   }
 
@@ -91,7 +88,7 @@
   registered ({ id, startedAt }: EndpointEntry): void {
     const known = this._known.get(id)
     const now = this._clock.now()
-    if (known === undefined || known.coldUntil <= now || now - known.observedAt < REGISTRATION_DELAY_MS) return
+    if (known?.startedAt !== startedAt || known.coldUntil <= now || now - known.observedAt < REGISTRATION_DELAY_MS) return
     this._set(id, { startedAt, coldUntil: now, observedAt: now, isAwaitingSuccess: false, isFromUpstream: known.isFromUpstream })
   }
 
@@ -118,24 +115,21 @@
   }
 
   /**
-   * Applies the presumptions of another router that are newer.
-   * @param notes the presumptions
-   * @param sentAt time at which they were requested or received
-   * @param isFromUpstream whether they come from a router to which this one does not report
-   * @returns whether one of them is news
+   * Applies a presumption of another router if it is newer.
+   * @param note the presumption
+   * @param sentAt time at which it was requested or received
+   * @param isFromUpstream whether it comes from a router to which this one does not report
+   * @returns whether it is news
    */
-  apply (notes: readonly ColdNote[], sentAt: number, isFromUpstream: boolean): boolean {
+  apply ({ endpointId, startedAt, leftMs, ageMs }: ColdNote, sentAt: number, isFromUpstream: boolean): boolean {
     const now = this._clock.now()
-    const changes = notes.map(({ endpointId, startedAt, leftMs, ageMs }) => {
-      const known = this._known.get(endpointId)
-      const observedAt = sentAt - ageMs
-      if (known !== undefined && (known.observedAt >= observedAt || known.startedAt > startedAt)) return false
-      if (known === undefined && leftMs === 0) return false
-      // What this router has observed comes back from the followed one, dated by its clock.
-      if (known?.startedAt === startedAt && Math.abs(now + leftMs - known.coldUntil) <= NEWS_MS) return false
-      return this._set(endpointId, { startedAt, coldUntil: now + leftMs, observedAt, isAwaitingSuccess: false, isFromUpstream })
-    })
-    return changes.includes(true)
+    const known = this._known.get(endpointId)
+    const observedAt = sentAt - ageMs
+    if (known !== undefined && (known.observedAt >= observedAt || known.startedAt > startedAt)) return false
+    if (known === undefined && leftMs === 0) return false
+    // What this router has observed comes back from the followed one, dated by its clock.
+    if (known?.startedAt === startedAt && Math.abs(now + leftMs - known.coldUntil) <= NEWS_MS) return false
+    return this._set(endpointId, { startedAt, coldUntil: now + leftMs, observedAt, isAwaitingSuccess: false, isFromUpstream })
   }
 
   /**
@@ -146,7 +140,7 @@
     const ids = new Set(notes.map(({ endpointId }) => endpointId))
     const now = this._clock.now()
     for (const [id, known] of this._known) {
-      if (ids.has(id) || known.coldUntil <= now || now - known.observedAt < OWN_OBSERVATION_MS) continue
+      if (ids.has(id) || known.coldUntil <= now || now - known.observedAt < ObservationTimes.OWN_PRECEDENCE_MS) continue
       this._set(id, { ...known, coldUntil: now, isAwaitingSuccess: false })
     }
   }
@@ -154,7 +148,7 @@
   /** Forgets presumptions that have ended some time ago. To be called regularly. */
   removeExpired (): void {
     const now = this._clock.now()
-    for (const [id, { coldUntil }] of this._known) if (now - coldUntil >= ENDED_RETENTION_MS) this._known.delete(id)
+    for (const [id, { coldUntil }] of this._known) if (now - coldUntil >= ObservationTimes.ENDED_RETENTION_MS) this._known.delete(id)
   }
 
   private _toNotes (known: readonly (readonly [string, Presumption])[]): readonly ColdNote[] {
