A stream is continued elsewhere only after an event with an id, and only by an event stream

Callers saw: a stream that had begun and broke off was followed by the text of the next endpoint's answer where that had status 200 and another type than events; a response without events, or with events without ids, was followed by a second copy from its beginning.

Cause: whether a stream may be resumed was decided by the route alone. Nothing asked whether the caller's response names a place to go on from, or whether what follows is an event stream; only the status was compared.

Change: ResponseRelay.canContinue; mayRetry asks it for streams; a response that continues a stream has to be one of events.

--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -220,7 +220,7 @@
     const { authorized: { route, service }, relay } = this._options
     const outcome = call.receivedParts > 0 ? CallOutcome.BROKEN : CallOutcome.NO_ANSWER
     const attempts = { total: this._attempts, runs: this._runs + 1 }
-    if (this._options.timeLeftMs() < MINIMUM_RETRY_MS || !mayRetry(route, outcome, attempts, relay.isStarted)) return
+    if (this._options.timeLeftMs() < MINIMUM_RETRY_MS || !mayRetry(route, outcome, attempts, relay)) return
     if (!this._dependencies.retryBudgetOf(service).take()) return
     this._hasTakenRetry = true
     call.giveUp(isEndpointSilent ? 'the endpoint is silent' : 'no progress')
@@ -267,7 +267,7 @@
     }
     if (this._records.lossesBeforeAnswer >= this._maximumLosses) return false
     const attempts = { total: this._attempts, runs: this._runs }
-    if (!mayRetry(authorized.route, outcome, attempts, relay.isStarted)) return false
+    if (!mayRetry(authorized.route, outcome, attempts, relay)) return false
     return outcome === CallOutcome.NOT_SENT || this._dependencies.retryBudgetOf(authorized.service).take()
   }
 
--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -77,17 +77,25 @@
     return this._splitter?.lastEventId
   }
 
+  /**
+   * Whether another endpoint can continue the response: nothing of it was written to the caller, or the last event that was has an id,
+   * after which the other endpoint goes on.
+   */
+  get canContinue (): boolean {
+    return !this._isStarted || this._splitter?.endsWithId === true
+  }
+
   /**
    * Starts a response. A stream that is resumed at another endpoint keeps its first head.
    * @param head head of the endpoint's response
-   * @returns false if a resumed stream has another status than the first head; the call then counts as broken
+   * @returns false if the response does not continue the stream that was begun; the call then counts as broken
    */
   start (head: ResponseHead): boolean {
     this._isDelimited = head.isDelimited
     this._hasUsableBytes = false
     this._pausedAt = undefined
     this._wasUnread = false
-    if (this._isStarted) return head.status === this._head?.status
+    if (this._isStarted) return head.status === this._head?.status && isEventStream(head)
     this._head = head
     this._isComplete = false
     this._buffered = []
--- a/packages/gateway/src/test/event-splitter_test.ts
+++ b/packages/gateway/src/test/event-splitter_test.ts
@@ -31,3 +31,17 @@
   splitter.push(Buffer.from('data: id: 8\n\n: comment\n\n'))
   expect(splitter.lastEventId).toBe('7')
 })
+
+// Guards against a resumption that sends the caller events again which came after the last one with an id.
+test.each([
+  [true, ['id: 1\ndata: a\n\n', ': comment\n\n']],
+  [true, ['data: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\n', 'id: 3\nda']],
+  [false, ['id: 1\ndata: a\n\n', 'data: b\n\n']],
+  [false, ['id: 1\ndata: a\n\ndata: id: 2\n\n']],
+  [false, ['data: a\n\n']],
+  [false, []]
+])('a stream can be continued after its last event only if that has an id: %s, %j', (isExpected, chunks) => {
+  const splitter = new EventSplitter()
+  for (const chunk of chunks) splitter.push(Buffer.from(chunk))
+  expect(splitter.endsWithId).toBe(isExpected)
+})
