--- a/packages/gateway/src/caller/report-request.ts
+++ b/packages/gateway/src/caller/report-request.ts
@@ -32,7 +32,7 @@
     endpoint: chosen?.endpoint.id,
     choice: chosen?.reason,
     context_from: chosen?.contextHolder?.id,
-    load: chosen?.load,
+    load: chosen === undefined ? undefined : Math.round(chosen.load),
     bound: chosen === undefined ? undefined : Math.round(chosen.bound),
     endpoint_limit: chosen === undefined ? undefined : limits.limitOf(chosen.endpoint),
     cold: chosen !== undefined && warmUps.isCold(chosen.endpoint) ? true : undefined,
--- a/packages/gateway/src/membership/load-snapshot.ts
+++ b/packages/gateway/src/membership/load-snapshot.ts
@@ -15,6 +15,16 @@
   readonly positions: ReadonlyMap<string, number>
   /** The reports of other routers that are included in the counts, by router. */
   readonly reports: ReadonlyMap<string, LoadByEndpoint>
+  /** Number of routers that are included, this one among them. */
+  readonly routers: number
+}
+
+/** Requests in flight of some routers. */
+interface SummedLoad {
+  /** Counts as encoded by `encodeLoads`. */
+  readonly load: string
+  /** Number of routers in the counts. */
+  readonly routers: number
 }
 
 /**
@@ -39,17 +49,18 @@
   }
 
   /**
-   * Returns the counts without the requests that one router reported, as encoded by `encodeLoads`.
-   * @param router name of the excluded router
+   * Returns the counts without the requests that some routers reported.
+   * @param excluded names of the excluded routers
    */
-  without (router: string): string {
-    const { counts, positions, reports } = this._current()
+  without (excluded: readonly string[]): SummedLoad {
+    const { counts, positions, reports, routers } = this._current()
     const remaining = [...counts]
-    for (const [endpoint, count] of Object.entries(reports.get(router) ?? {})) {
+    const counted = excluded.filter((router) => reports.has(router))
+    for (const [endpoint, count] of counted.flatMap((router) => Object.entries(reports.get(router) ?? {}))) {
       const position = positions.get(endpoint)
       if (position !== undefined) remaining[position] = Math.max(0, (remaining[position] ?? 0) - count)
     }
-    return encodeLoads(remaining)
+    return { load: encodeLoads(remaining.map((count) => Math.round(count))), routers: routers - counted.length }
   }
 
   private _current (): Snapshot {
@@ -63,7 +74,8 @@
       expiresAt: now + Math.floor(ids.length * LIFETIME_MS_PER_ENDPOINT),
       counts: ids.map((id) => this._loads.total(id)),
       positions: hasSameEndpoints ? current.positions : new Map(ids.map((id, index) => [id, index])),
-      reports: this._loads.lastReports()
+      reports: this._loads.lastReports(),
+      routers: this._loads.countedRouters + 1
     }
     return this._snapshot
   }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -51,10 +51,12 @@
   /** Milliseconds since the endpoints were last verified against the store; -1 if never. */
   readonly endpointsAgeMs: number
   /**
-   * Requests in flight of all routers except the requester, as encoded by `encodeLoads`, in the order of the answering
-   * router's endpoints.
+   * Requests in flight of all routers except the requester and those whose reports it relays, as encoded by `encodeLoads`, in the order
+   * of the answering router's endpoints.
    */
   readonly load: string
+  /** Number of routers whose requests are counted in `load`; undefined from an earlier version. */
+  readonly loadRouters?: number | undefined
   /** Keys whose context an endpoint has newly cached. */
   readonly notes: readonly HolderNote[]
   /** The requester's new position in the notes, as `instance:number`. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -19,8 +19,6 @@
 const LARGE_FLEET_REQUESTS_PER_ROUTER_LIST = 32
 /** Maximum number of mirrored endpoint tables: one for the router that is followed, and some for other peers. */
 const MAXIMUM_MIRRORS = 4
-/** Router name under which `LoadView` stores the combined load of all other routers. Each answer replaces the previous load. */
-const FLEET_LOAD_KEY = 'fleet'
 
 /** Sends sync requests to other routers and applies their answers. */
 export class SyncClient {
@@ -89,7 +87,8 @@
       configurationVersion: configuration.version,
       evacuations: evacuations.news,
       endpointsRevision: this._mirrors.get(address)?.revision,
-      load: reportsLoad ? loads.localLoadsWith(followers) : {},
+      load: reportsLoad ? loads.localLoads() : {},
+      relayedLoads: reportsLoad ? loads.relayedReports() : undefined,
       notes: holderChanges.changesForUpstream,
       notesCursor: this._receivedCursors.get(address),
       ...quarantineNews.fields,
@@ -118,7 +117,7 @@
   applyFollowed (address: string, answer: SyncAnswer, isRelaying: boolean): void {
     const { holders, loads } = this._state
     const mirror = this._mirrors.get(address)
-    if (mirror?.revision === answer.endpointsRevision) loads.report(FLEET_LOAD_KEY, decodeLoads(answer.load, mirror.ids))
+    if (mirror?.revision === answer.endpointsRevision) loads.reportFleet(decodeLoads(answer.load, mirror.ids), answer.loadRouters)
     for (const { key, endpointId } of answer.notes) {
       if (isRelaying) holders.relay(key, endpointId)
       else holders.learn(key, endpointId)
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -1,5 +1,6 @@
 import type { HolderNote } from '../choice/holder-note.js'
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
+import type { LoadReport } from '../choice/load-report.js'
 import type { EraEvacuations } from '../evacuation/era-evacuations.js'
 import type { EraNews } from '../model/era-news.js'
 import type { DemandReport } from '../fairness/demand-report.js'
@@ -30,8 +31,10 @@
   readonly evacuations?: readonly EraEvacuations[] | undefined
   /** Last received revision of the answering router's endpoints; undefined for none. */
   readonly endpointsRevision: string | undefined
-  /** Requests in flight of the requester, and of the routers on whose behalf it syncs. */
+  /** Requests in flight of the requester; empty if it reports none to the answering router. */
   readonly load: LoadByEndpoint
+  /** Load reports that the requester has received; undefined if it reports no loads to the answering router, or is of an earlier version. */
+  readonly relayedLoads?: readonly LoadReport[] | undefined
   /** Keys whose context an endpoint has newly cached since the last request. */
   readonly notes: readonly HolderNote[]
   /** News about suspect prompt parts and requests since the last request; undefined for none. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -44,13 +44,13 @@
    * @param request request of the other router
    */
   answer (request: SyncRequest): SyncAnswer {
-    const { configuration, endpoints, evacuations, fairness, holders, limits, loads, outliers, quarantine, routers } = this._state
+    const { configuration, endpoints, evacuations, fairness, holders, limits, outliers, quarantine, routers } = this._state
     this._state.storeEra.learn(request.storeEra, request.router.name)
     evacuations.learn(request.evacuations, request.router.name, false)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
     for (const router of request.routers ?? []) routers.recordContact(router, router.heardAgoMs)
-    loads.report(request.router.name, request.load)
+    this._recordLoads(request)
     const holderChanges = holders.notesSince(this._positionIn(request.notesCursor), MAXIMUM_NOTES)
     for (const note of request.notes) holders.add(note.key, note.endpointId)
     const quarantineChanges = quarantine.notesSince(this._positionIn(request.quarantineCursor), MAXIMUM_QUARANTINE_CHANGES)
@@ -70,7 +70,7 @@
       ...this._endpointUpdate(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
       endpointsAgeMs: this._ageMs(this._state.endpointsFreshness.verifiedAt),
-      load: this._loadSnapshot.without(request.router.name),
+      ...this._loadOfOthers(request),
       notes: holderChanges.changes,
       notesCursor: `${this._instance}:${holderChanges.cursor}`,
       quarantine: isEmpty(quarantineChanges.notes) ? undefined : quarantineChanges.notes,
@@ -119,6 +119,21 @@
     return { configurationVersion, configurationPatches: undefined, configurationSource: source?.address }
   }
 
+  private _recordLoads ({ router, load, relayedLoads }: SyncRequest): void {
+    const { loads, routers } = this._state
+    const reportsLoad = relayedLoads !== undefined || Object.keys(load).length > 0
+    if (reportsLoad) loads.report(router.name, load)
+    for (const report of relayedLoads ?? []) {
+      if (report.router !== routers.self.name) loads.report(report.router, report.load, report.ageMs)
+    }
+  }
+
+  private _loadOfOthers ({ router, relayedLoads }: SyncRequest): Pick<SyncAnswer, 'load' | 'loadRouters'> {
+    const relayed = (relayedLoads ?? []).map((report) => report.router)
+    const { load, routers } = this._loadSnapshot.without([router.name, ...relayed])
+    return { load, loadRouters: routers }
+  }
+
   private _limitUpdate ({ router, limitsRevision, permitRequest }: SyncRequest): Pick<SyncAnswer, 'limits' | 'coldEndpoints' | 'limitsRevision' | 'permits'> {
     const { limits, permits, warmUps } = this._state
     const revision = `${this._instance}:${limits.revision + warmUps.revision}`
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -55,7 +55,7 @@
     permits,
     fairness: new WorkspaceFairness(clock, log, random),
     outliers: new FleetOutliers({ endpoints, clock, log, random }),
-    loads: new LoadView(() => clock.now()),
+    loads: new LoadView(() => clock.now(), () => routers.size),
     quarantine: new RequestQuarantine({ clock, log, rank: () => routers.ownRank })
   }
 }
