Test of a stream that is resumed outside of an evacuated zone: the second endpoint answers with events

It answered with the type text/plain, which the router no longer takes for the continuation of a stream. With the type that endpoints use the test is as strict as before: the same body, whole, from the same endpoints.

--- a/packages/gateway/src/test/evacuation_test.ts
+++ b/packages/gateway/src/test/evacuation_test.ts
@@ -101,7 +101,10 @@
   const running = router.call('POST', '/resume/')
   await waitUntil(() => response !== undefined)
   const other = await addEndpoint({ availabilityZone: 'za' })
-  other.behavior = (request, resumed) => TestEndpoint.respond(request, resumed, `id: 2\ndata: after ${String(request.headers['last-event'])}\n\n`)
+  other.behavior = (request, resumed) => {
+    const headers = { 'request-id': request.headers['request-id'], signature: 's', 'content-type': 'text/event-stream' }
+    resumed.writeHead(200, headers).end(`id: 2\ndata: after ${String(request.headers['last-event'])}\n\n`)
+  }
   await evacuate(router, 'zb')
   await waitForLine(router, 'endpoint-registered', other.id)
   response?.socket?.resetAndDestroy()
