Load reports of one sync request are recorded together

A request of the first router of a zone relays the reports of all routers of the zone; each of them called the listeners and counted the routers of the fleet again. Now that is done once a request.

--- a/packages/gateway/src/choice/load-view.ts
+++ b/packages/gateway/src/choice/load-view.ts
@@ -121,20 +121,23 @@
   }
 
   /**
-   * Records the load report of another router, which replaces an older one. A report that has expired, or is older than the one that is known, is ignored.
+   * Records a load report that another router has just made; it replaces the one before.
    * @param router name of the router
    * @param load requests that it has in flight
-   * @param ageMs time since it made the report, in milliseconds; 0 if it comes from the router itself
    */
-  report (router: string, load: LoadByEndpoint, ageMs = 0): void {
+  report (router: string, load: LoadByEndpoint): void {
+    this.reportAll([{ router, ageMs: 0, load }])
+  }
+
+  /**
+   * Records load reports of other routers, some of which may have been relayed. One that has expired, or is older than the one that is known of its router, is
+   * ignored.
+   * @param reports the reports
+   */
+  reportAll (reports: readonly LoadReport[]): void {
     const now = this._now()
-    const reportedAt = now - ageMs
     this._removeExpired(now)
-    if (ageMs >= REPORT_LIFETIME_MS || reportedAt < (this._reports.get(router)?.reportedAt ?? -Infinity)) return
-    this._add(this.lastReportOf(router), -1)
-    this._reports.set(router, { load, reportedAt })
-    this._add(load, 1)
-    this._nextExpiry = Math.min(this._nextExpiry, reportedAt + REPORT_LIFETIME_MS)
+    for (const report of reports) this._replace(report, now)
     this._recordReport()
   }
 
@@ -165,6 +168,15 @@
     return new Map([...this._reports].map(([router, { load }]) => [router, load]))
   }
 
+  private _replace ({ router, ageMs, load }: LoadReport, now: number): void {
+    const reportedAt = now - ageMs
+    if (ageMs >= REPORT_LIFETIME_MS || reportedAt < (this._reports.get(router)?.reportedAt ?? -Infinity)) return
+    this._add(this.lastReportOf(router), -1)
+    this._reports.set(router, { load, reportedAt })
+    this._add(load, 1)
+    this._nextExpiry = Math.min(this._nextExpiry, reportedAt + REPORT_LIFETIME_MS)
+  }
+
   private _recordReport (): void {
     this._fleetFraction = this._computeFleetFraction()
     this._reportCount += 1
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -122,10 +122,9 @@
   private _recordLoads ({ router, load, relayedLoads }: SyncRequest): void {
     const { loads, routers } = this._state
     const reportsLoad = relayedLoads !== undefined || Object.keys(load).length > 0
-    if (reportsLoad) loads.report(router.name, load)
-    for (const report of relayedLoads ?? []) {
-      if (report.router !== routers.self.name) loads.report(report.router, report.load, report.ageMs)
-    }
+    if (!reportsLoad) return
+    const relayed = (relayedLoads ?? []).filter((report) => report.router !== routers.self.name)
+    loads.reportAll([{ router: router.name, ageMs: 0, load }, ...relayed])
   }
 
   private _loadOfOthers ({ router, relayedLoads }: SyncRequest): Pick<SyncAnswer, 'load' | 'loadRouters'> {
--- a/packages/gateway/src/test/load-view_test.ts
+++ b/packages/gateway/src/test/load-view_test.ts
@@ -75,14 +75,12 @@
 test('a report counts once, by its newest copy, for a time from when it was made', () => {
   const { clock, view } = createView()
   clock.ms = 5_000
-  view.report('a', { e: 5 }, 300)
-  view.report('a', { e: 3 }, 600)
-  view.report('b', { e: 9 }, 1_500)
+  view.reportAll([{ router: 'a', ageMs: 300, load: { e: 5 } }, { router: 'a', ageMs: 600, load: { e: 3 } }, { router: 'b', ageMs: 1_500, load: { e: 9 } }])
   expect([view.total('e'), view.relayedReports()]).toEqual([5, [{ router: 'a', ageMs: 300, load: { e: 5 } }]])
-  view.report('a', { e: 2 }, 0)
+  view.report('a', { e: 2 })
   expect(view.total('e')).toBe(2)
   clock.ms += 1_000
-  view.report('a', { e: 2 }, 1_000)
+  view.reportAll([{ router: 'a', ageMs: 1_000, load: { e: 2 } }])
   clock.ms += 500
   expect([view.relayedReports(), view.total('e')]).toEqual([[], 0])
 })
