A router to which no other one answers reads the endpoints itself, and does not take that for an outage of the store

Cause: after the loss of all routers they are busy and answer each other late. One that gets no answer asks up to four routers of its zone and four others, one after the other with 450 ms each, before it reads the endpoints itself; only the operator's records were read after 1.5 s.

Change: after a second without an answer of any router the endpoints are read too, and the limit is 1 s for both; an outage needs an answer of another router since the last verification.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -27,10 +27,10 @@
 /** Time since the last round after which a router may no longer be the reader, since another one may have taken over. */
 const CONFIRMATION_TIMEOUT_MS = 1_500
 /**
- * Time without an answer of any router after which this one reads the operator's records itself. The search for a router that answers
- * may take twice as long, and an evacuation has to be known within 5 s.
+ * Time without an answer of any router after which this one reads the store itself. The search for a router that answers may take
+ * several times as long, and an endpoint that leaves has to be known within 3 s.
  */
-const CUT_OFF_MS = 1_500
+const CUT_OFF_MS = 1_000
 /** Options of a sync with a router that is not followed: exchanges state and known routers, without reporting loads. */
 const DISCOVERY_OPTIONS: SyncOptions = { reportsLoad: false, followers: [] }
 /** Options of a follower that has no followers itself. */
@@ -158,6 +158,14 @@
     return this._lastAnsweredAt !== undefined && this._clock.now() - this._lastAnsweredAt >= CUT_OFF_MS
   }
 
+  /**
+   * Whether another router has answered this one since a given time, or none is known.
+   * @param time time of the clock, in milliseconds
+   */
+  hasHeardOthersSince (time: number): boolean {
+    return this._routers.size === 1 || (this._lastAnsweredAt ?? -Infinity) > time
+  }
+
   /** Starts the next round without a pause, to report a change of this router's state. */
   syncSoon (): void {
     this._pause.end()
--- a/packages/gateway/src/membership/outage-detector.ts
+++ b/packages/gateway/src/membership/outage-detector.ts
@@ -11,18 +11,22 @@
 /**
  * Detects whether removed entries may have expired only because the store was unavailable. This requires that no router
  * of the fleet could read the store: if the store refuses only one router, that router still receives updates from
- * other routers. A router that only lost touch with the others, or was suspended, has not seen the store fail.
+ * other routers. A router that only lost touch with the others, or was suspended, has not seen the store fail. One that reached neither the store nor
+ * the others knows nothing of the store, which may have served them all the time.
  */
 export class OutageDetector {
   private readonly _clock: ElapsedClock
+  private readonly _hasHeardOthersSince: (time: number) => boolean
   private _outageEndedAt = -Infinity
   private _failedAt = -Infinity
 
   /**
    * @param clock clock that includes suspensions, during which this router could not read the store either
+   * @param hasHeardOthersSince returns whether another router has answered this one since a time of the clock, or there is no other
    */
-  constructor (clock: ElapsedClock) {
+  constructor (clock: ElapsedClock, hasHeardOthersSince: (time: number) => boolean) {
     this._clock = clock
+    this._hasHeardOthersSince = hasHeardOthersSince
   }
 
   /** Records that this router tried to read the endpoints and failed. */
@@ -36,7 +40,7 @@
    */
   recordRead (previouslyVerifiedAt: number): void {
     if (previouslyVerifiedAt === -Infinity) return
-    if (this._failedAt < previouslyVerifiedAt) return
+    if (this._failedAt < previouslyVerifiedAt || !this._hasHeardOthersSince(previouslyVerifiedAt)) return
     if (this._clock.now() - previouslyVerifiedAt > OUTAGE_THRESHOLD_MS) this._outageEndedAt = this._clock.now()
   }
 
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -16,7 +16,7 @@
   const clock = { ms: 100_000, now (): number { return this.ms } }
   const table = new EndpointTable(clock, new SilentEventLog())
   table.apply(['1', '2'].map((id) => ({ key: id, value: createEntry(id) })), NO_OUTAGE)
-  return { clock, table, outageDetector: new OutageDetector(clock) }
+  return { clock, table, outageDetector: new OutageDetector(clock, () => true) }
 }
 
 const readyIds = (table: EndpointTable): string[] => table.ready('s').map((entry) => entry.id)
--- /dev/null
+++ b/packages/gateway/src/test/fleet-tasks_test.ts
@@ -0,0 +1,98 @@
+import { expect, test, vi } from 'vitest'
+import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
+import { pause } from '@mimosarock/gateway/membership/pause.js'
+import type { PeerRpcClient } from '@mimosarock/gateway/membership/peer-rpc-client.js'
+import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
+import { FleetTasks } from '@mimosarock/gateway/wiring/fleet-tasks.js'
+import { createConfiguration } from './create-configuration.js'
+import { createFleetState } from './create-fleet-state.js'
+import { MemoryStore } from './memory-store.js'
+import { useSimulatedTime } from './use-simulated-time.js'
+
+const ROUTERS = 78
+const ZONES = 3
+const CALL_TIMEOUT_MS = 450
+/** Time in which a router notices that the store answers again, and reads it. */
+const NOTICED_MS = 1_000
+/** Stated bound: from this time after the acknowledgement that it leaves, an endpoint gets no request. */
+const BOUND_MS = 3_000
+/** Part of the bound for a request on its way, and for the reading by the store's clock. */
+const MARGIN_MS = 500
+const clock = { now: () => performance.now() + 1_000_000 }
+const simulated = useSimulatedTime()
+
+/** A router of a large fleet that follows another one, whose store holds two endpoints. */
+async function startFollower () {
+  const store = new MemoryStore()
+  const entryOf = (id: string) => ({ id, service: 'app', address: `${id}:1`, availabilityZone: 'z0', slots: 4, isDraining: false, startedAt: 1, revision: 1 })
+  store.configurations.put('config', createConfiguration(3))
+  for (const id of ['e1', 'e2']) store.endpoints.put(id, entryOf(id))
+  const source = createFleetState('r0', clock, { availabilityZone: 'z0' })
+  const state = createFleetState('r1', clock, { availabilityZone: 'z1' })
+  for (let index = 0; index < ROUTERS; index += 1) {
+    const entry = { name: `r${index}`, address: `r${index}`, availabilityZone: `z${index % ZONES}` }
+    for (const { routers } of [source, state]) routers.recordContact(entry, 0)
+  }
+  const readStore = (): void => {
+    source.configuration.adopt(createConfiguration(3), 'store')
+    source.configuration.markRead(clock.now())
+    source.configuration.markVerified(clock.now())
+    source.endpoints.replace(['e1', 'e2'].map(entryOf), undefined)
+    source.endpointsFreshness.verifiedAt = clock.now()
+  }
+  readStore()
+  const peers = { areSilent: false, areStale: false }
+  const server = new SyncServer(source, 'r0', () => clock.now(), () => 0)
+  const peerClient: Pick<PeerRpcClient, 'sync' | 'configurationUpdate'> = {
+    sync: async (_address, request) => {
+      if (peers.areSilent) await pause(CALL_TIMEOUT_MS)
+      if (peers.areSilent) throw new Error('no answer')
+      if (!peers.areStale) readStore()
+      return JSON.parse(JSON.stringify(server.answer(request)))
+    },
+    configurationUpdate: async (_address, fromVersion) => server.configurationUpdate(fromVersion)
+  }
+  const tasks = new FleetTasks({ state, store, peerClient: peerClient as PeerRpcClient, seeds: ['r0'], clock, log: new SilentEventLog(), onProgress: () => undefined })
+  tasks.run(simulated.signal).catch(() => undefined)
+  await vi.advanceTimersByTimeAsync(3_000)
+  return { store, state, tasks, peers }
+}
+
+// Guards against DRAIN as on darovnik-zoznamy-grown, scale-1: after the loss of all routers others do not answer for seconds, and a router searched one after the
+// other for one that does before it read the store, which would have told it at once that an endpoint had left.
+test('a router of a large fleet to which no other one answers any more learns from the store in time that an endpoint has left', async () => {
+  const { store, state, tasks, peers } = await startFollower()
+  expect([tasks.source !== undefined, state.endpoints.find('e1') !== undefined]).toEqual([true, true])
+  peers.areSilent = true
+  store.endpoints.put('e1', undefined)
+  await vi.advanceTimersByTimeAsync(BOUND_MS - MARGIN_MS)
+  expect([state.endpoints.find('e1'), state.endpoints.find('e2') !== undefined]).toEqual([undefined, true])
+})
+
+// Guards against a removed endpoint that is kept as after an outage of the store, since this router alone had lost touch with the store and the others.
+test('a router that had lost touch with the store and all others drops an endpoint that has left meanwhile as soon as it reads the store', async () => {
+  const { store, state, peers } = await startFollower()
+  peers.areSilent = true
+  store.endpoints.isDown = true
+  store.endpoints.put('e1', undefined)
+  await vi.advanceTimersByTimeAsync(8_000)
+  expect(state.endpoints.find('e1')).not.toBe(undefined)
+  store.endpoints.isDown = false
+  await vi.advanceTimersByTimeAsync(NOTICED_MS)
+  expect([state.endpoints.find('e1'), state.endpoints.find('e2') !== undefined]).toEqual([undefined, true])
+})
+
+// Guards against a fleet without endpoints after an outage of the store, in which their registrations lapse: the others answer, so it was lost to all.
+test('a router that others answer, none of which can read the store, keeps an endpoint that is missing after the outage for some time', async () => {
+  const { store, state, peers } = await startFollower()
+  peers.areStale = true
+  store.endpoints.isDown = true
+  store.endpoints.put('e1', undefined)
+  await vi.advanceTimersByTimeAsync(12_000)
+  store.endpoints.isDown = false
+  await vi.advanceTimersByTimeAsync(NOTICED_MS)
+  expect(state.endpoints.find('e1')).not.toBe(undefined)
+  await vi.advanceTimersByTimeAsync(BOUND_MS)
+  state.endpoints.removeExpired()
+  expect([state.endpoints.find('e1'), state.endpoints.find('e2') !== undefined]).toEqual([undefined, true])
+})
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -108,14 +108,14 @@
 
   private _createEndpointFeed (): StoreFeed<EndpointEntry> {
     const { state: { endpoints, endpointsFreshness }, store, clock, log, onProgress } = this._options
-    const outageDetector = new OutageDetector(clock)
+    const outageDetector = new OutageDetector(clock, (time) => this._sync.hasHeardOthersSince(time))
     const readings = new EndpointReadings(endpoints, endpointsFreshness, outageDetector, store.era)
     return new StoreFeed({
       topic: 'endpoints',
       reader: store.endpoints,
       waitMs: ENDPOINTS_WAIT_MS,
       pauseMs: ENDPOINTS_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || endpointsFreshness.verifiedAt === -Infinity,
+      shouldRead: () => this._sync.isReader || this._sync.isCutOff || endpointsFreshness.verifiedAt === -Infinity,
       onPage: (page, readAt) => {
         readings.apply(page, readAt)
         onProgress()
