Endpoints below the load bound are preferred whatever the reason of the choice

Callers saw: calls without a prompt, and requests whose holders are full, at an endpoint above the load bound while others were below it.

Cause: the least loaded of a sample was taken without asking for the bound; only while endpoints stated rate limits were those with capacity preferred. A sample of two of a few endpoints often has none below.

Change: samples are drawn from the endpoints below the bound if there are some; the case for rate limits is gone. The formula of the bound stands once, in load-bound.ts.

--- a/packages/gateway/src/choice/endpoint-selector.ts
+++ b/packages/gateway/src/choice/endpoint-selector.ts
@@ -76,7 +76,10 @@
     const isForHolder = key !== undefined && suited !== healthy && !needsWarm && this._holdersWithCapacity(this._options.holders.holders(key), healthy, bound).length > 0
     const chosenFrom = isForHolder ? healthy : suited
     const candidates = isShort && chosenFrom === healthy ? this._preferCapacity(healthy, bound) : chosenFrom
-    if (key === undefined) return this._createChosen(this._leastLoaded(candidates) as EndpointEntry, ChoiceReason.LEAST_LOADED, undefined, undefined, bound)
+    if (key === undefined) {
+      const leastLoaded = this._leastLoaded(this._preferBelowBound(candidates, bound)) as EndpointEntry
+      return this._createChosen(leastLoaded, ChoiceReason.LEAST_LOADED, undefined, undefined, bound)
+    }
     return this._chooseForKey(key, service, candidates, bound, mayRunAt)
   }
 
@@ -208,14 +211,18 @@
     return this._options.loads.total(id) >= slots * BUSY_FRACTION
   }
 
-  /** Returns the candidates that have capacity, those without a rate limit if there are some; all candidates if none has capacity. */
+  /** Returns the candidates that have capacity, those without a rate limit if there are some; if none has capacity, those below the load bound. */
   private _preferCapacity (candidates: readonly EndpointEntry[], bound: number): readonly EndpointEntry[] {
-    const { permits } = this._options
-    if (!permits.isNeeded) return candidates
     const withCapacity = candidates.filter((endpoint) => this._hasCapacity(endpoint, bound))
-    const unlimited = withCapacity.filter((endpoint) => !this._statesLimit(endpoint))
+    const unlimited = this._options.permits.isNeeded ? withCapacity.filter((endpoint) => !this._statesLimit(endpoint)) : withCapacity
     if (unlimited.length > 0) return unlimited
-    return withCapacity.length > 0 ? withCapacity : candidates
+    return withCapacity.length > 0 ? withCapacity : this._preferBelowBound(candidates, bound)
+  }
+
+  /** Returns the candidates that are below the load bound, or all of them if none is. */
+  private _preferBelowBound (candidates: readonly EndpointEntry[], bound: number): readonly EndpointEntry[] {
+    const belowBound = candidates.filter(({ id }) => this._options.loads.total(id) < bound)
+    return belowBound.length > 0 ? belowBound : candidates
   }
 
   private _createChosen (
--- a/packages/gateway/src/choice/service-loads.ts
+++ b/packages/gateway/src/choice/service-loads.ts
@@ -1,12 +1,8 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { EndpointSelectorOptions } from './endpoint-selector-options.js'
+import { loadBound } from './load-bound.js'
 import type { ServiceLoad } from './service-load.js'
 
-/** Fraction of the promised load bound at which an endpoint is skipped; the rest is a margin for late load reports. */
-const BOUND_FRACTION = 0.8
-/** Requests that an endpoint may have in flight in addition to the multiple of the mean load. */
-const BOUND_SLACK_REQUESTS = 2
-
 /** Inputs of `ServiceLoads`. */
 type Options = Pick<EndpointSelectorOptions, 'endpoints' | 'health' | 'loads' | 'loadBoundFactor' | 'permits' | 'warmUps'>
 
@@ -36,7 +32,7 @@
     const evacuated = endpoints.evacuated(service)
     const count = unlimited.length + warmingUp.length + evacuated.length
     const mean = (this._sumOf(unlimited) + this._sumOf(warmingUp) + this._sumOf(evacuated)) / Math.max(1, count)
-    return { mean, bound: mean * loadBoundFactor() * BOUND_FRACTION + BOUND_SLACK_REQUESTS }
+    return { mean, bound: loadBound(mean, loadBoundFactor()) }
   }
 
   private _sumOf (endpoints: readonly EndpointEntry[]): number {
--- a/packages/gateway/src/test/endpoint-selector_test.ts
+++ b/packages/gateway/src/test/endpoint-selector_test.ts
@@ -7,11 +7,12 @@
 import { LoadView } from '@mimosarock/gateway/choice/load-view.js'
 import { EndpointTable } from '@mimosarock/gateway/membership/endpoint-table.js'
 import { createPermits } from './create-permits.js'
+import { seededRandom } from './seeded-random.js'
 
 const ENDPOINTS = 8
 const NONE = { excluded: new Set<string>() }
 
-function createFixture (isLarge = false) {
+function createFixture (isLarge = false, routers = 1, random: () => number = Math.random) {
   const clock = { ms: 50_000, now (): number { return this.ms } }
   const endpoints = new EndpointTable(clock, new SilentEventLog())
   endpoints.apply(Array.from({ length: ENDPOINTS }, (_, index) => ({
@@ -30,7 +31,7 @@
   const loads = new LoadView(() => clock.now())
   const holders = new HolderTable()
   const health = new EndpointHealth(clock)
-  const selector = new EndpointSelector({ endpoints, loads, holders, health, pauses: new EndpointPauses(clock), permits: createPermits(endpoints, clock), availabilityZone: 'z0', loadBoundFactor: () => 2, routerCount: () => 1, random: Math.random, isFleetLarge: () => isLarge })
+  const selector = new EndpointSelector({ endpoints, loads, holders, health, pauses: new EndpointPauses(clock), permits: createPermits(endpoints, clock), availabilityZone: 'z0', loadBoundFactor: () => 2, routerCount: () => routers, random, isFleetLarge: () => isLarge })
   return { clock, endpoints, loads, holders, health, selector }
 }
 
@@ -139,3 +140,12 @@
   expect(selector.chooseGranted(other, promptOf('abc')).contextHolder).toBeUndefined()
   expect(selector.preferredFor('s', [])).toBeUndefined()
 })
+
+// Guards against endpoints above the load bound that are chosen since a sample of two has no others.
+test.each([['without a prompt', []], ['whose holders are full', promptOf('abc')]])('many routers: a request %s never goes to an endpoint above the load bound while others are below', (_name, prompt) => {
+  const { holders, loads, selector } = createFixture(true, 78, seededRandom(5))
+  for (const id of ['e0', 'e1', 'e2']) for (let count = 0; count < 40; count += 1) loads.begin(id)
+  for (const id of ['e0', 'e1', 'e2']) holders.add('abc', id)
+  const chosen = Array.from({ length: 500 }, () => selector.choose('s', prompt, NONE)?.endpoint.id)
+  expect(chosen.filter((id) => ['e0', 'e1', 'e2'].includes(id ?? ''))).toEqual([])
+})
