Slots are granted at endpoints below the load bound while these have some

Callers saw: requests of a service with slot grants at an endpoint with all its slots in use, while the others were idle and a multiple of the mean was promised.

Cause: an owner knew slots and expected times, not the bound. An endpoint that holds the context of many requests, or the only one that is not slow, was filled to its slots.

Change: free endpoints below the bound are preferred; the bound is that of all other choices. No slot is left free for it: a request that may run nowhere else gets one above.

--- a/packages/bench/src/gateway/measure-slot-grants.ts
+++ b/packages/bench/src/gateway/measure-slot-grants.ts
@@ -38,7 +38,8 @@
     availableEndpoints: () => ENDPOINTS,
     health: new EndpointHealth(clock),
     reportedLoads: new ReportedLoads(clock, new SilentEventLog()),
-    fleetLoad: () => 0
+    fleetLoad: () => 0,
+    loadBoundFactor: () => 2
   }, () => true)
   // Lines arrive in the call that writes them, so each message is one line.
   const client: SlotClientConnection = new SlotClientConnection(new LineWriter((text) => { server.receive(text) }, (flush) => flush()))
--- a/packages/gateway/src/grants/slot-endpoints.ts
+++ b/packages/gateway/src/grants/slot-endpoints.ts
@@ -1,3 +1,4 @@
+import { loadBound } from '../choice/load-bound.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import { SlotGrants } from './slot-grants.js'
 import type { SlotOwnerOptions } from './slot-owner-options.js'
@@ -67,15 +68,29 @@
   }
 
   /**
-   * Returns the endpoint with the shortest expected time to completion; undefined if none that the request may use has a free slot.
+   * Returns the endpoint with the shortest expected time to completion, of those below the load bound if there are some; undefined if none that
+   * the request may use has a free slot.
    * @param request the request
    */
   choose (request: SlotRequest): EndpointEntry | undefined {
-    const allowed = this._options.availableEndpoints(this._service).filter((endpoint) => isAllowed(endpoint, request))
+    const { availableEndpoints, health } = this._options
+    const available = availableEndpoints(this._service)
+    const allowed = available.filter((endpoint) => isAllowed(endpoint, request))
+    const free = health.preferHealthy(allowed).filter((endpoint) => this._isFree(endpoint))
+    const bound = this._bound(available)
+    const belowBound = free.filter((endpoint) => this.grantsOf(endpoint).load < bound)
+    return this._quickest(belowBound.length > 0 ? belowBound : free, request)
+  }
+
+  private _bound (available: readonly EndpointEntry[]): number {
+    const total = available.reduce((sum, endpoint) => sum + this.grantsOf(endpoint).load, 0)
+    return loadBound(total / Math.max(1, available.length), this._options.loadBoundFactor())
+  }
+
+  private _quickest (endpoints: readonly EndpointEntry[], request: SlotRequest): EndpointEntry | undefined {
     let best: EndpointEntry | undefined
     let lowestCost = Infinity
-    for (const endpoint of this._options.health.preferHealthy(allowed)) {
-      if (!this._isFree(endpoint)) continue
+    for (const endpoint of endpoints) {
       const cost = this._cost(endpoint, request)
       if (cost >= lowestCost) continue
       best = endpoint
--- a/packages/gateway/src/grants/slot-owner-options.ts
+++ b/packages/gateway/src/grants/slot-owner-options.ts
@@ -23,4 +23,6 @@
    * @param endpointId id of the endpoint
    */
   readonly fleetLoad: (endpointId: string) => number
+  /** Returns the promised upper bound on an endpoint's load, as a multiple of the mean load. */
+  readonly loadBoundFactor: () => number
 }
--- a/packages/gateway/src/test/simulated-slot-router.ts
+++ b/packages/gateway/src/test/simulated-slot-router.ts
@@ -82,7 +82,7 @@
     }
     this.ownership = new SlotOwnership({ clock, routers, endpoints, isEnabled: () => load.usesGrants, isDown: (router) => this.links.isDown(router) })
     this.owners = new SlotOwners({
-      clock, random, availableEndpoints: (service) => endpoints.ready(service), health: new EndpointHealth(clock), reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: (id) => loads.total(id)
+      clock, random, availableEndpoints: (service) => endpoints.ready(service), health: new EndpointHealth(clock), reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: (id) => loads.total(id), loadBoundFactor: () => 2
     }, (service) => this.ownership.owns(service))
     const request = this.owners.request.bind(this.owners)
     this.owners.request = (holder, slot, listener) => request(holder, slot, {
--- a/packages/gateway/src/test/slot-connections_test.ts
+++ b/packages/gateway/src/test/slot-connections_test.ts
@@ -27,7 +27,7 @@
   isOwner = true
   const endpoint = { id: 'e', service: 's', address: 'e:1', availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 7, revision: 1 }
   owners = new SlotOwners({
-    clock, random: () => 0.5, availableEndpoints: () => [endpoint], health: new EndpointHealth(clock), reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: () => 0
+    clock, random: () => 0.5, availableEndpoints: () => [endpoint], health: new EndpointHealth(clock), reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: () => 0, loadBoundFactor: () => 2
   }, () => isOwner)
   slotServer = new SlotServer(owners)
   server = createServer()
--- a/packages/gateway/src/test/slot-granting_test.ts
+++ b/packages/gateway/src/test/slot-granting_test.ts
@@ -20,7 +20,7 @@
     const state = createFleetState(name, clock)
     for (const other of NAMES) state.routers.recordContact({ name: other, availabilityZone: 'z', address: other }, 0)
     state.endpoints.apply([{ key: 'e', value: ENDPOINT }], undefined)
-    const other = new SlotGranting({ state, availableEndpoints: () => [ENDPOINT], isEnabled: () => isEnabled, clock, log: new SilentEventLog(), metrics: new GatewayMetrics() })
+    const other = new SlotGranting({ state, availableEndpoints: () => [ENDPOINT], isEnabled: () => isEnabled, loadBoundFactor: () => 2, clock, log: new SilentEventLog(), metrics: new GatewayMetrics() })
     const lease = await other.client.acquire(REQUEST, signal)
     lease?.release(SlotOutcome.COMPLETE)
     if (lease !== undefined) granting = other
--- a/packages/gateway/src/test/slot-owner_test.ts
+++ b/packages/gateway/src/test/slot-owner_test.ts
@@ -29,7 +29,7 @@
   const endpoints = ['a', 'b'].map((id) => ({ id, service: 's', address: 'e:1', availabilityZone: `z${id}`, slots: 1, isDraining: false, startedAt: 1, revision: 1 }))
   let grants = 0
   return new SlotOwner('s', {
-    clock, random: () => 0.5, availableEndpoints: () => endpoints, health, reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: (id) => fleetLoads[id] ?? 0
+    clock, random: () => 0.5, availableEndpoints: () => endpoints, health, reportedLoads: new ReportedLoads(clock, new SilentEventLog()), fleetLoad: (id) => fleetLoads[id] ?? 0, loadBoundFactor: () => 2
   }, () => { grants += 1; return grants })
 }
 
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -112,6 +112,7 @@
       state: this._fleetState,
       availableEndpoints: (service) => this._pauses.withoutPaused(this._fleetState.endpoints.ready(service)),
       isEnabled: () => this._settings.current.grantsSlots,
+      loadBoundFactor: () => this._settings.current.loadBoundFactor,
       clock,
       log,
       metrics: this._metrics
--- a/packages/gateway/src/wiring/slot-granting-options.ts
+++ b/packages/gateway/src/wiring/slot-granting-options.ts
@@ -15,6 +15,8 @@
   readonly availableEndpoints: (service: string) => readonly EndpointEntry[]
   /** Returns whether slot grants are enabled. */
   readonly isEnabled: () => boolean
+  /** Returns the promised upper bound on an endpoint's load, as a multiple of the mean load. */
+  readonly loadBoundFactor: () => number
   /** Monotonic clock that also advances while the VM is suspended. */
   readonly clock: ElapsedClock
   /** Event log. */
--- a/packages/gateway/src/wiring/slot-granting.ts
+++ b/packages/gateway/src/wiring/slot-granting.ts
@@ -26,7 +26,7 @@
   /**
    * @param options state of this router and settings
    */
-  constructor ({ state, availableEndpoints, isEnabled, clock, log, metrics }: SlotGrantingOptions) {
+  constructor ({ state, availableEndpoints, isEnabled, loadBoundFactor, clock, log, metrics }: SlotGrantingOptions) {
     const { routers, endpoints, loads } = state
     const { name } = routers.self
     this.reportedLoads = new ReportedLoads(clock, log)
@@ -39,7 +39,8 @@
       // Releases report failures that other routers have seen; these do not count for the requests that this router sends by itself.
       health: new EndpointHealth(clock),
       reportedLoads: this.reportedLoads,
-      fleetLoad: (endpointId) => loads.total(endpointId)
+      fleetLoad: (endpointId) => loads.total(endpointId),
+      loadBoundFactor
     }, (service) => this._ownership.owns(service))
     this._server = new SlotServer(this._owners)
     this.client = new SlotClient({
