Review: a late report brings a server back that has left

Cause: the table of endpoints ignores a report that is older than the known entry, but not one that is older than an entry that was removed, except after a change of the store's era. A report that the store carries out some seconds late makes all routers use the server again.

The scripts use a loopback address of their own now, since one run beside another could not get its ports.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -88,7 +88,7 @@
   for (let number = 0; !ending.signal.aborted; number += 1) {
     const id = `${router.name}-${number}`
     const headers = { host: 'registry.example', 'attempt-id': id, 'deadline-ms': '1500', 'content-length': '4' }
-    const call = httpRequest({ agent, host: '127.0.0.1', port: router.port, path: '/retire/x', method: 'POST', headers }, (response) => {
+    const call = httpRequest({ agent, host: router.host, port: router.port, path: '/retire/x', method: 'POST', headers }, (response) => {
       response.resume()
       statuses.set(response.statusCode, (statuses.get(response.statusCode) ?? 0) + 1)
       response.on('end', () => record.add(`answer ${id} ${response.statusCode}`))
--- a/review/lib/router.mjs
+++ b/review/lib/router.mjs
@@ -24,8 +24,13 @@
     .replace(/\{\{([\w.]+)\}\}/g, (_, path) => String(path.split('.').reduce((value, name) => value?.[name], fields) ?? ''))
 }
 
+/** A loopback address of this process's own, so that scripts that run at the same time do not take each other's free ports. */
+const HOST = `127.${64 + (process.pid >> 8) % 64}.${process.pid % 256}.1`
+
 /** A router: the program of the deploy file as a process of its own. */
 export class Router {
+  host = HOST
+
   /**
    * @param options name, zone, directory for settings and log, bounds
    */
@@ -40,12 +45,12 @@
   /** Reserves the addresses. */
   async reserve () {
     const ports = []
-    for (let count = 0; count < 4; count += 1) ports.push(await freePort())
+    for (let count = 0; count < 4; count += 1) ports.push(await freePort(HOST))
     const [frontend, readiness, peers, metrics] = ports
     this.port = frontend
     this.readinessPort = readiness
-    this.peersAddress = `127.0.0.1:${peers}`
-    this._metrics = `127.0.0.1:${metrics}`
+    this.peersAddress = `${HOST}:${peers}`
+    this._metrics = `${HOST}:${metrics}`
   }
 
   /**
@@ -61,7 +66,7 @@
       region: this._zones[this.zone],
       zones: this._zones,
       limits: { maxFds: 4_100, memoryMb: 350 },
-      listen: { frontend: `127.0.0.1:${this.port}`, readiness: `127.0.0.1:${this.readinessPort}`, controlPlane: this.peersAddress },
+      listen: { frontend: `${HOST}:${this.port}`, readiness: `${HOST}:${this.readinessPort}`, controlPlane: this.peersAddress },
       metrics: this._metrics,
       platform: { address: storeAddress },
       seeds: seeds.join(','),
@@ -90,7 +95,7 @@
   /** Asks as the platform does. */
   isReady () {
     return new Promise((resolve) => {
-      get({ host: '127.0.0.1', port: this.readinessPort, path: '/mimosarock/readyz', agent: false }, (response) => {
+      get({ host: HOST, port: this.readinessPort, path: '/mimosarock/readyz', agent: false }, (response) => {
         response.resume()
         resolve(response.statusCode === 200)
       }).on('error', () => resolve(false))
