A router whose copy of the store is too old reads the store itself, whomever it follows

Cause: the reader was partitioned from the store but still answered. The others followed it until its copy was 1.7 s old (3.2 s for the configuration), noticed a round later, and then waited for routers that were as stale or did not answer. Only the time without any answer made a router read the store itself.

Change: the age of the router's own copy decides (bound less 0.5 s). A copy older than the bound less 1 s is not followed, of endpoints and configuration alike. The bounds are settings. Reads fail sooner, empty answers date the copy by the end of their wait, routers tell each other that they fail to read, so that an outage does not make all of them call the store.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -3,6 +3,8 @@
 import type { RouterEntry } from '../model/router-entry.js'
 import { FollowingState } from './following-state.js'
 import { peerCallFields } from './peer-call-fields.js'
+import { createAgeLimits } from './create-age-limits.js'
+import { FailingReaders } from './failing-readers.js'
 import type { FleetSyncOptions } from './fleet-sync-options.js'
 import { isFresh } from './is-fresh.js'
 import { PeerBackoffs } from './peer-backoffs.js'
@@ -26,11 +28,6 @@
 const AWAITING_SOURCE_INTERVAL_MS = 100
 /** Time since the last round after which a router may no longer be the reader, since another one may have taken over. */
 const CONFIRMATION_TIMEOUT_MS = 1_500
-/**
- * Time without an answer of any router after which this one reads the store itself. The search for a router that answers may take
- * several times as long, and an endpoint that leaves has to be known within 3 s.
- */
-const CUT_OFF_MS = 1_000
 /** Options of a sync with a router that is not followed: exchanges state and known routers, without reporting loads. */
 const DISCOVERY_OPTIONS: SyncOptions = { reportsLoad: false, followers: [] }
 /** Options of a follower that has no followers itself. */
@@ -60,6 +57,8 @@
   private readonly _seedDiscovery: SeedDiscovery
   private readonly _rotation: PeerRotation
   private readonly _isStoreFailing: () => boolean
+  private readonly _propagationBounds: FleetSyncOptions['propagationBounds']
+  private readonly _failingReaders: FailingReaders
   private readonly _backoffs: PeerBackoffs
   private readonly _pause: RoundPause
   private _followsZonePeer = false
@@ -85,6 +84,8 @@
     this._seedDiscovery = new SeedDiscovery(seeds, async (seed) => await this._syncWith(seed, DISCOVERY_OPTIONS))
     this._rotation = new PeerRotation(options.routers)
     this._isStoreFailing = options.isStoreFailing
+    this._propagationBounds = options.propagationBounds
+    this._failingReaders = new FailingReaders(clock)
   }
 
   /** Whether this router has to read the store, because no router ahead of it in the order is known to be fresh. */
@@ -153,9 +154,9 @@
     }
   }
 
-  /** Whether routers have answered this one before, but none has for some time. */
-  get isCutOff (): boolean {
-    return this._lastAnsweredAt !== undefined && this._clock.now() - this._lastAnsweredAt >= CUT_OFF_MS
+  /** Whether several other routers have stated a moment ago that they fail to read the store, which is then probably unavailable to all. */
+  get isOutageSuspected (): boolean {
+    return this._failingReaders.isOutageSuspected
   }
 
   /**
@@ -215,7 +216,7 @@
       if (attempts === MAXIMUM_PEERS_PER_ROUND) return this._readIfDue()
       attempts += 1
       const answer = await this._syncWith(router.address, { reportsLoad: true, followers })
-      if (answer !== undefined && isFresh(answer, 0)) return this._follow(router, answer, followers)
+      if (answer !== undefined && this._isFresh(answer, 0)) return this._follow(router, answer, followers)
       this._backOff(router, answer)
     }
   }
@@ -231,7 +232,7 @@
       if (this._backoffs.includes(router.address)) continue
       attempts += 1
       const answer = await this._syncWith(router.address, FOLLOWER_OPTIONS)
-      if (answer !== undefined && isFresh(answer, MAXIMUM_SOURCE_DISTANCE)) {
+      if (answer !== undefined && this._isFresh(answer, MAXIMUM_SOURCE_DISTANCE)) {
         this._follow(router, answer, FOLLOWER_OPTIONS.followers)
         return true
       }
@@ -273,6 +274,7 @@
     try {
       const answer = await this._client.sync(address, options)
       this._lastAnsweredAt = this._clock.now()
+      this._failingReaders.record(answer.name, answer.isStoreFailing === true)
       return answer
     } catch (error) {
       this._log.info('peer-unreachable', { address, problem: (error as Error).message, ...peerCallFields(error) })
@@ -280,6 +282,11 @@
     }
   }
 
+  private _isFresh (answer: SyncAnswer, maximumDistance: number): boolean {
+    const { endpointsMs, configurationMs } = this._propagationBounds()
+    return isFresh(answer, maximumDistance, { endpoints: createAgeLimits(endpointsMs), configuration: createAgeLimits(configurationMs) })
+  }
+
   private _backOff (router: RouterEntry, answer: SyncAnswer | undefined): void {
     this._backoffs.start(router.address, answer !== undefined)
     if (answer === undefined) return
--- a/packages/gateway/src/membership/store-feed-options.ts
+++ b/packages/gateway/src/membership/store-feed-options.ts
@@ -7,8 +7,8 @@
   readonly topic: string
   /** Reader of the topic. */
   readonly reader: TopicReader<Value>
-  /** How long the store holds a read open until there is a change, in milliseconds. */
-  readonly waitMs: number
+  /** Returns how long the store holds a read open until there is a change, in milliseconds. */
+  readonly waitMs: () => number
   /** Pause between two successful reads, in milliseconds. */
   readonly pauseMs: number
   /** Whether this router has to read the topic now. */
@@ -16,7 +16,7 @@
   /**
    * Called with each page that was read.
    * @param page changes, or the newest value of each key
-   * @param readAt time at which the read was sent, as of which the page is complete
+   * @param readAt time as of which the page is complete
    */
   readonly onPage: (page: TopicPage<Value>, readAt: number) => void
   /** Called after each failed read. */
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { StorePosition } from '../model/store-position.js'
+import type { TopicPage } from '../model/topic-page.js'
 import { pause } from './pause.js'
 import { ProgressTimeout } from './progress-timeout.js'
 import type { StoreFeedOptions } from './store-feed-options.js'
@@ -11,8 +12,12 @@
 const MAXIMUM_RETRY_MS = 600
 /** Interval at which a router that does not read checks whether it has to. */
 const CHECK_INTERVAL_MS = 50
-/** Margin on top of the requested wait time without any part of the answer after which a read is aborted. */
+/** Margin on top of the requested wait time without any part of the answer after which a read is aborted; of a first read, and after failures. */
 const PROGRESS_MARGIN_MS = 1_200
+/** The same margin while the last read succeeded, so that a connection that has gone silent is replaced soon. */
+const FIRST_PROGRESS_MARGIN_MS = 500
+/** Time for which a failed read counts as a sign of an unavailable store. */
+const FAILURE_RETENTION_MS = 2_000
 /** Maximum duration of a read; a large record takes seconds on a slow link. */
 const MAXIMUM_READ_MS = 15_000
 
@@ -23,6 +28,7 @@
   private readonly _log: EventLog
   private _position: StorePosition | undefined
   private _failures = 0
+  private _failedAt = -Infinity
   private _isReading = false
 
   /**
@@ -41,6 +47,11 @@
     return this._failures > 0
   }
 
+  /** Whether the last read failed a moment ago. */
+  get hasJustFailed (): boolean {
+    return this.isFailing && this._clock.now() - this._failedAt < FAILURE_RETENTION_MS
+  }
+
   /** Whether this router is reading the topic and the last read succeeded. */
   get isUpToDate (): boolean {
     return this._isReading && this._position !== undefined && this._failures === 0
@@ -65,16 +76,18 @@
 
   private async _read (signal: AbortSignal): Promise<void> {
     const sentAt = this._clock.now()
-    const timeout = new ProgressTimeout({ progressMs: this._options.waitMs + PROGRESS_MARGIN_MS, totalMs: MAXIMUM_READ_MS })
+    const waitMs = this._options.waitMs()
+    const timeout = new ProgressTimeout({ progressMs: waitMs + this._progressMarginMs, totalMs: MAXIMUM_READ_MS })
     const callSignal = AbortSignal.any([signal, timeout.signal])
     try {
-      const page = await this._options.reader.read(this._position, this._options.waitMs, callSignal, () => timeout.recordProgress())
+      const page = await this._options.reader.read(this._position, waitMs, callSignal, () => timeout.recordProgress())
       this._recordSuccess()
       this._position = page.nextPosition
-      this._options.onPage(page, sentAt)
+      this._options.onPage(page, this._completeAsOf(page, sentAt, waitMs))
     } catch (error) {
       if (signal.aborted) return
       this._failures += 1
+      this._failedAt = this._clock.now()
       this._options.onFailure?.()
       if (this._failures === 1) {
         this._log.warn('store-lost', { topic: this._options.topic, problem: (error as Error).message })
@@ -84,6 +97,19 @@
     }
   }
 
+  /**
+   * Time as of which a page is complete. The store answers a read as soon as there is a change, so that none was made in the wait that an
+   * empty page has taken.
+   */
+  private _completeAsOf (page: TopicPage<Value>, sentAt: number, waitMs: number): number {
+    const isEmpty = !page.isSnapshot && page.changes.length === 0
+    return isEmpty && this._clock.now() - sentAt >= waitMs ? sentAt + waitMs : sentAt
+  }
+
+  private get _progressMarginMs (): number {
+    return this._position === undefined || this._failures > 0 ? PROGRESS_MARGIN_MS : FIRST_PROGRESS_MARGIN_MS
+  }
+
   private _recordSuccess (): void {
     if (this._failures === 0) return
     this._log.info('store-regained', { topic: this._options.topic, failures: this._failures })
--- a/packages/gateway/src/membership/stored-quarantine.ts
+++ b/packages/gateway/src/membership/stored-quarantine.ts
@@ -40,7 +40,7 @@
     this._feed = new StoreFeed({
       topic: 'crashes',
       reader: options.store.crashes,
-      waitMs: WAIT_MS,
+      waitMs: () => WAIT_MS,
       pauseMs: PAUSE_MS,
       shouldRead: () => options.isReader() || !this._hasRead,
       onPage: (page) => this._apply(page)
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -27,6 +27,8 @@
    * to the store.
    */
   readonly distance: number | null
+  /** Whether the answering router has failed to read the store a moment ago; undefined if not, or from an earlier version. */
+  readonly isStoreFailing?: boolean | undefined
   /** Version of the answering router's configuration. */
   readonly configurationVersion: number
   /** Patches from the requester's configuration to a newer one; undefined if there is none or the change is large. */
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -19,6 +19,7 @@
   private readonly _instance: string
   private readonly _now: () => number
   private readonly _distance: () => number
+  private readonly _isStoreFailing: () => boolean
   private readonly _loadSnapshot: LoadSnapshot
   private readonly _updates: ConfigurationUpdates
   private readonly _transferSources: TransferSources
@@ -28,12 +29,14 @@
    * @param instance id of this process; positions and revisions of a previous process with another id are ignored
    * @param now returns the current time by the clock of this router
    * @param distance returns the distance of this router from the store, see `SyncAnswer.distance`
+   * @param isStoreFailing returns whether this router fails to read the store; never by default
    */
-  constructor (state: FleetState, instance: string, now: () => number, distance: () => number) {
+  constructor (state: FleetState, instance: string, now: () => number, distance: () => number, isStoreFailing: () => boolean = () => false) {
     this._state = state
     this._instance = instance
     this._now = now
     this._distance = distance
+    this._isStoreFailing = isStoreFailing
     this._loadSnapshot = new LoadSnapshot(state.endpoints, state.loads, { now })
     this._updates = new ConfigurationUpdates(state.configuration)
     this._transferSources = new TransferSources(state.routers.self, { now })
@@ -63,6 +66,7 @@
       name: routers.self.name,
       storeEra: this._state.storeEra.news,
       distance: this._distance(),
+      isStoreFailing: this._isStoreFailing() || undefined,
       ...this._configurationChange(request),
       configurationAgeMs: this._ageMs(configuration.verifiedAt),
       configurationReadAgeMs: this._ageMs(configuration.readAt),
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -1,3 +1,5 @@
+import type { PropagationBounds } from '../membership/propagation-bounds.js'
+
 /** Settings of a router process. */
 export interface GatewaySettings {
   /** Name of the VM. */
@@ -28,6 +30,8 @@
   readonly stopGraceMs: number
   /** Staleness of API keys above which requests that need one are rejected, in milliseconds; 0 for no limit. */
   readonly keyAgeLimitMs: number
+  /** Bounds within which changes of the endpoints and of the configuration have to be known. */
+  readonly propagationBounds: PropagationBounds
   /** Retry budget of the fleet, as a fraction of a service's requests. */
   readonly retryRatio: number
   /** Retries that the fleet may send in each window in addition to the fraction `retryRatio`. */
--- a/packages/gateway/src/settings/read-gateway-settings.ts
+++ b/packages/gateway/src/settings/read-gateway-settings.ts
@@ -9,6 +9,8 @@
 /** Warm-up bounds that hold without settings: the rate of the configuration, and nothing in addition. */
 const DEFAULT_WARM_UP_OVERAGE = 1
 const DEFAULT_WARM_UP_TOLERANCE = 0
+/** Bounds that hold without settings, in milliseconds. */
+const DEFAULT_PROPAGATION_MS = 2_000
 const ADDRESS = /^[^\s:]+:\d{1,5}$/
 
 /** Keys and values of one section. */
@@ -41,6 +43,10 @@
     store: address('fleet', 'store'),
     stopGraceMs: number('stop', 'grace_seconds') * MS_PER_SECOND,
     keyAgeLimitMs: value('keys', 'fail_closed') === 'true' ? number('keys', 'revoked_within_ms') : 0,
+    propagationBounds: {
+      endpointsMs: optionalNumber('propagation', 'endpoints_within_ms') ?? DEFAULT_PROPAGATION_MS,
+      configurationMs: optionalNumber('propagation', 'configuration_within_ms') ?? DEFAULT_PROPAGATION_MS
+    },
     retryRatio: number('retries', 'ratio'),
     retryAllowance: number('retries', 'allowance'),
     retryWindowMs: number('retries', 'window_seconds') * MS_PER_SECOND,
--- a/packages/gateway/src/test/fleet-tasks_test.ts
+++ b/packages/gateway/src/test/fleet-tasks_test.ts
@@ -52,7 +52,7 @@
     },
     configurationUpdate: async (_address, fromVersion) => server.configurationUpdate(fromVersion)
   }
-  const tasks = new FleetTasks({ state, store, peerClient: peerClient as PeerRpcClient, seeds: ['r0'], clock, log: new SilentEventLog(), onProgress: () => undefined })
+  const tasks = new FleetTasks({ state, store, peerClient: peerClient as PeerRpcClient, seeds: ['r0'], propagationBounds: () => ({ endpointsMs: BOUND_MS, configurationMs: BOUND_MS }), clock, log: new SilentEventLog(), onProgress: () => undefined })
   tasks.run(simulated.signal).catch(() => undefined)
   await vi.advanceTimersByTimeAsync(3_000)
   return { store, state, tasks, peers }
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -8,6 +8,7 @@
 import type { GatewayFixtureOptions } from './gateway-fixture-options.js'
 import { MemoryStore } from './memory-store.js'
 import { plainCodec } from './plain-codec.js'
+import { STATED_PROPAGATION_BOUNDS } from './stated-propagation-bounds.js'
 import { TestEndpoint } from './test-endpoint.js'
 
 /** Router with test endpoints whose behavior each test sets. */
@@ -53,6 +54,7 @@
       fileDescriptors: 4_000,
       stopGraceMs: this._stopGraceMs,
       keyAgeLimitMs: 5_000,
+      propagationBounds: STATED_PROPAGATION_BOUNDS,
       retryRatio: 0.2,
       retryAllowance: 50,
       retryWindowMs: 10_000,
--- a/packages/gateway/src/test/read-gateway-settings_test.ts
+++ b/packages/gateway/src/test/read-gateway-settings_test.ts
@@ -23,6 +23,8 @@
     'bounds.graceS': '8',
     'bounds.failClosed': 'true',
     'bounds.revokeMs': '5000',
+    'bounds.drainMs': '3000',
+    'bounds.configApplyMs': '2500',
     'bounds.retryRatio': '0.2',
     'bounds.budgetSlack': '52',
     'bounds.retryWindowS': '10',
--- a/packages/gateway/src/test/slow-fleet.ts
+++ b/packages/gateway/src/test/slow-fleet.ts
@@ -2,12 +2,15 @@
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import type { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
+import { createAgeLimits } from '@mimosarock/gateway/membership/create-age-limits.js'
+import { OverdueReading } from '@mimosarock/gateway/membership/overdue-reading.js'
 import { pause } from '@mimosarock/gateway/membership/pause.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
 import { createLargeConfiguration } from './create-large-configuration.js'
 import { createSync } from './create-sync.js'
+import { STATED_PROPAGATION_BOUNDS } from './stated-propagation-bounds.js'
 import { SimulatedNetwork } from './simulated-network.js'
 
 const FIRST_ROUTES = 250
@@ -18,6 +21,8 @@
 const ENDPOINTS_POLL_MS = 750
 /** Messages from this length on are compressed. */
 const COMPRESSED_BYTES = 4_096
+/** Age of the endpoints from which a router reads the store itself. */
+const MAXIMUM_AGE_MS = createAgeLimits(STATED_PROPAGATION_BOUNDS.endpointsMs).readMs
 const clock = { now: () => Date.now() }
 
 /** Fleet of routers on slow links, with a store that every router can read. */
@@ -37,7 +42,7 @@
   readonly withoutPeers = new Set<string>()
   private readonly _signal: AbortSignal
   private readonly _endpointCount: number
-  private readonly _routers = new Map<string, { readonly state: FleetState, readonly sync: FleetSync, readonly server: SyncServer }>()
+  private readonly _routers = new Map<string, { readonly state: FleetState, readonly sync: FleetSync, readonly server: SyncServer, readonly overdue: OverdueReading }>()
   /** Names of the readers that are reading the configuration. */
   private readonly _reading = new Set<string>()
 
@@ -79,7 +84,8 @@
       get isStoreFailing () { return isWithoutStore() }
     })
     const server = new SyncServer(state, name, () => clock.now(), () => sync.isReader && !isWithoutStore() ? 0 : sync.followingDistance)
-    this._routers.set(name, { state, sync, server })
+    const overdue = new OverdueReading({ isReader: () => sync.isReader, isOutageSuspected: () => sync.isOutageSuspected }, clock)
+    this._routers.set(name, { state, sync, server, overdue })
     sync.run(this._signal).catch(() => undefined)
   }
 
@@ -95,8 +101,8 @@
   private async _run (): Promise<void> {
     while (!this._signal.aborted) {
       await pause(STORE_POLL_MS, this._signal)
-      for (const [name, { state, sync }] of this._routers) {
-        if ((sync.isReader || sync.isCutOff) && !this.network.isCutOff(name) && !this.withoutStore.has(name)) this._readStore(state).catch(() => undefined)
+      for (const [name, { state, sync, overdue }] of this._routers) {
+        if ((sync.isReader || overdue.isDue(state.endpointsFreshness.verifiedAt, MAXIMUM_AGE_MS)) && !this.network.isCutOff(name) && !this.withoutStore.has(name)) this._readStore(state).catch(() => undefined)
         this._observe(name, state)
       }
     }
--- a/packages/gateway/src/test/store-feed_test.ts
+++ b/packages/gateway/src/test/store-feed_test.ts
@@ -16,7 +16,7 @@
   const feed = new StoreFeed({
     topic: 'routers',
     reader: routers,
-    waitMs: 20,
+    waitMs: () => 20,
     pauseMs: 5,
     shouldRead: () => state.shouldRead,
     onPage: (page) => {
@@ -81,7 +81,7 @@
   const values: unknown[] = []
   const abortController = new AbortController()
   const feed = new StoreFeed({
-    topic: 'large', reader, waitMs: 0, pauseMs: 5, shouldRead: () => true, onPage: ({ changes }) => values.push(changes[0]?.value)
+    topic: 'large', reader, waitMs: () => 0, pauseMs: 5, shouldRead: () => true, onPage: ({ changes }) => values.push(changes[0]?.value)
   }, clock, new SilentEventLog())
   const running = feed.run(abortController.signal)
   await waitUntil(() => values.length > 0 || feed.isFailing)
--- a/packages/gateway/src/wiring/fleet-tasks-options.ts
+++ b/packages/gateway/src/wiring/fleet-tasks-options.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { FleetState } from '../membership/fleet-state.js'
 import type { PeerRpcClient } from '../membership/peer-rpc-client.js'
+import type { PropagationBounds } from '../membership/propagation-bounds.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { FleetStore } from '../model/fleet-store.js'
 
@@ -14,6 +15,8 @@
   readonly peerClient: PeerRpcClient
   /** Addresses of routers that are asked first, host:port. */
   readonly seeds: readonly string[]
+  /** Returns the bounds within which this router has to know changes. */
+  readonly propagationBounds: () => PropagationBounds
   /** Monotonic clock that also advances while the VM is suspended. */
   readonly clock: ElapsedClock
   /** Event log. */
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -1,12 +1,15 @@
 import { ConfigurationReadings } from '../configuration/configuration-readings.js'
 import { selectConfigurations } from '../configuration/select-configurations.js'
 import { EvacuationReadings } from '../evacuation/evacuation-readings.js'
+import type { AgeLimits } from '../membership/age-limits.js'
 import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
+import { createAgeLimits } from '../membership/create-age-limits.js'
 import { connectLimits } from '../membership/connect-limits.js'
 import { connectOutliers } from '../membership/connect-outliers.js'
 import { FleetSync } from '../membership/fleet-sync.js'
 import { OutageDetector } from '../membership/outage-detector.js'
+import { OverdueReading } from '../membership/overdue-reading.js'
 import { RouterAnnouncer } from '../membership/router-announcer.js'
 import { StatePersistence } from '../membership/state-persistence.js'
 import { StoreFeed } from '../membership/store-feed.js'
@@ -16,8 +19,10 @@
 import type { OperatorRecord } from '../model/operator-record.js'
 import type { FleetTasksOptions } from './fleet-tasks-options.js'
 
-/** Long-poll wait for a new record of the operator; bounds the staleness of API keys. */
-const CONFIGURATION_WAIT_MS = 1_000
+/** Maximum long-poll wait for a new record of the operator; bounds the staleness of API keys. */
+const MAXIMUM_CONFIGURATION_WAIT_MS = 1_000
+/** Part of the age at which a router is not followed any more that is not spent with the wait for a new record. */
+const CONFIGURATION_WAIT_MARGIN_MS = 400
 /** Pause between two reads of the operator's records. */
 const CONFIGURATION_PAUSE_MS = 20
 /** Long-poll wait for a change of the endpoints. */
@@ -31,6 +36,7 @@
   private readonly _operatorFeed: StoreFeed<OperatorRecord>
   private readonly _endpointFeed: StoreFeed<EndpointEntry>
   private readonly _sync: FleetSync
+  private readonly _overdueReading: OverdueReading
   private _isRunning = false
 
   /**
@@ -41,6 +47,7 @@
     this._operatorFeed = this._createOperatorFeed()
     this._endpointFeed = this._createEndpointFeed()
     this._sync = this._createSync()
+    this._overdueReading = new OverdueReading({ isReader: () => this._sync.isReader, isOutageSuspected: () => this._sync.isOutageSuspected }, options.clock)
   }
 
   /** Whether this router has to read the store on behalf of the fleet. */
@@ -58,6 +65,11 @@
     return this._readsStore ? 0 : this._sync.followingDistance
   }
 
+  /** Whether this router has failed to read the store a moment ago. */
+  get isStoreFailing (): boolean {
+    return this._operatorFeed.hasJustFailed || this._endpointFeed.hasJustFailed
+  }
+
   /** Whether a seed has answered since the start, or none is expected to. */
   get hasAskedSeeds (): boolean {
     return this._sync.hasAskedSeeds
@@ -87,6 +99,14 @@
     return this._sync.isConfirmedReader && this._readsStore
   }
 
+  private get _endpointLimits (): AgeLimits {
+    return createAgeLimits(this._options.propagationBounds().endpointsMs)
+  }
+
+  private get _configurationLimits (): AgeLimits {
+    return createAgeLimits(this._options.propagationBounds().configurationMs)
+  }
+
   private _createOperatorFeed (): StoreFeed<OperatorRecord> {
     const { state: { configuration, evacuations }, store, clock, log, onProgress } = this._options
     const configurationReadings = new ConfigurationReadings(configuration, store.era)
@@ -94,15 +114,16 @@
     return new StoreFeed({
       topic: 'configuration',
       reader: store.operatorRecords,
-      waitMs: CONFIGURATION_WAIT_MS,
+      waitMs: () => Math.min(MAXIMUM_CONFIGURATION_WAIT_MS, this._configurationLimits.followMs - CONFIGURATION_WAIT_MARGIN_MS),
       pauseMs: CONFIGURATION_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || this._sync.isCutOff || configuration.readAt === -Infinity || !evacuations.isKnown,
+      shouldRead: () => this._sync.isReader || !evacuations.isKnown || this._overdueReading.isDue(configuration.readAt, this._configurationLimits.readMs),
       onPage: (page, readAt) => {
         // Requests that arrive with a new configuration must not reach a zone that was evacuated before.
         evacuationReadings.apply(page, readAt)
         configurationReadings.apply(selectConfigurations(page), readAt)
         onProgress()
-      }
+      },
+      onFailure: () => this._overdueReading.recordFailure()
     }, clock, log)
   }
 
@@ -113,25 +134,28 @@
     return new StoreFeed({
       topic: 'endpoints',
       reader: store.endpoints,
-      waitMs: ENDPOINTS_WAIT_MS,
+      waitMs: () => ENDPOINTS_WAIT_MS,
       pauseMs: ENDPOINTS_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || this._sync.isCutOff || endpointsFreshness.verifiedAt === -Infinity,
+      shouldRead: () => this._sync.isReader || this._overdueReading.isDue(endpointsFreshness.verifiedAt, this._endpointLimits.readMs),
       onPage: (page, readAt) => {
         readings.apply(page, readAt)
         onProgress()
       },
-      onFailure: () => outageDetector.recordFailure()
+      onFailure: () => {
+        outageDetector.recordFailure()
+        this._overdueReading.recordFailure()
+      }
     }, clock, log)
   }
 
   private _createSync (): FleetSync {
-    const { state, peerClient, seeds, clock, log, onProgress } = this._options
+    const { state, peerClient, seeds, propagationBounds, clock, log, onProgress } = this._options
     const transfer = new ConfigurationTransfer(state.configuration, async (address, fromVersion) => {
       return await peerClient.configurationUpdate(address, fromVersion)
     }, clock, log)
     const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), transfer, onProgress)
     const isStoreFailing = (): boolean => this._operatorFeed.isFailing || this._endpointFeed.isFailing
-    const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing }, clock, log)
+    const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing, propagationBounds }, clock, log)
     transfer.onAdopted(() => sync.syncSoon())
     state.quarantine.onNews(() => sync.syncSoon())
     state.evacuations.onNews(() => sync.syncSoon())
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -97,6 +97,7 @@
       store: options.store,
       peerClient: this._peerClient,
       seeds: settings.seeds,
+      propagationBounds: () => this._settings.current.propagationBounds,
       clock,
       log,
       onProgress: () => this._openGateWhenReady()
@@ -134,7 +135,7 @@
     for (const tasks of [this._tasks, this._slotGranting]) {
       tasks.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
     }
-    const sync = new SyncServer(this._fleetState, randomUUID(), () => clock.now(), () => this._tasks.distance)
+    const sync = new SyncServer(this._fleetState, randomUUID(), () => clock.now(), () => this._tasks.distance, () => this._tasks.isStoreFailing)
     const callerServer = createCallerServer(this._requestDependencies())
     this._callerServer = callerServer
     const peerServer = createPeerRpcServer(sync, () => this._knowledgeOf(sync), (bytes) => this._metrics.peerBytesSent.inc(bytes))
