A registration that the store carries out late no longer brings back an endpoint that has left

Cause: a report of the server was carried out 5.9 s late, after its entry had been removed. The endpoint table compared registrations with present entries alone; removals were consulted only after a change of the store's era. A registration of an earlier incarnation replaced a later one in the same way, followers knew only the revision of the last significant change, and a router that starts knew no removals.

Change: registrations from before a remembered removal and those of earlier incarnations are ignored at any time. Removals carry the newest revision seen and travel with the endpoints.

--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -4,8 +4,10 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { TopicChange } from '../model/topic-change.js'
 import type { EndpointChange } from './endpoint-change.js'
+import type { EndpointRemoval } from './endpoint-removal.js'
 import type { EndpointListener } from './endpoint-listener.js'
 import type { RegistrationRecorder } from './registration-recorder.js'
+import { isEarlierRegistration } from './is-earlier-registration.js'
 import { RemovedEndpoints } from './removed-endpoints.js'
 
 /** How long contexts can be copied from an endpoint after its removal. Its address may be reassigned afterwards. */
@@ -103,6 +105,21 @@
     return this._entries.values()
   }
 
+  /** Endpoints that were removed a short time ago. */
+  get removals (): readonly EndpointRemoval[] {
+    return this._removed.all
+  }
+
+  /**
+   * Records a removal that another router knows. What that one has seen last of the endpoint may be newer than what this one has.
+   * @param removal the removal
+   */
+  recordRemoval (removal: EndpointRemoval): void {
+    this._removed.add(removal)
+    const current = this._entries.get(removal.id)
+    if (current !== undefined && this._removed.precedesRemoval(current)) this._delete(removal.id)
+  }
+
   /** Prepares for content of the store that is older than what it held before. */
   storeEraChanged (): void {
     this._withholdingEnd = this._clock.now() + WITHHOLDING_MS
@@ -256,13 +273,21 @@
 
   /** Whether an entry is older than what is known of the endpoint. Withholds it if the endpoint was removed since. */
   private _isOutdated (entry: EndpointEntry, current: EndpointEntry | undefined): boolean {
-    if (current !== undefined) return entry.startedAt === current.startedAt && entry.revision < current.revision
-    if (this._clock.now() >= this._withholdingEnd || !this._removed.precedesRemoval(entry)) return false
+    if (current !== undefined) return isEarlierRegistration(entry, current)
+    if (this._clock.now() >= this._withholdingEnd) return this._precedesRemoval(entry)
+    if (!this._removed.mayPrecedeRemoval(entry)) return this._precedesRemoval(entry)
     if (!this._withheld.has(entry.id)) this._log.info('endpoint-withheld', { endpoint: entry.id, service: entry.service })
     this._withheld.set(entry.id, entry)
     return true
   }
 
+  /** Whether the store has carried out a registration late, after it had removed the endpoint. It says nothing of the endpoint as it is now. */
+  private _precedesRemoval (entry: EndpointEntry): boolean {
+    if (!this._removed.precedesRemoval(entry)) return false
+    this._log.info('endpoint-outdated', { endpoint: entry.id, service: entry.service, revision: entry.revision })
+    return true
+  }
+
   private _addWithheld (): void {
     const entries = [...this._withheld.values()]
     this._withheld.clear()
@@ -288,9 +313,10 @@
     if (entry === undefined) return
     this._entries.delete(id)
     if (entry.startedAt === UNKNOWN_START) this._leaving.delete(id)
-    this._removed.add(entry)
+    const { startedAt, revision } = entry
+    this._removed.add({ id, startedAt, revision })
     this._departed.set(id, { entry, expiresAt: this._clock.now() + DEPARTED_RETENTION_MS })
-    this._recordChange({ id, entry: undefined })
+    this._recordChange({ id, entry: undefined, removal: this._removed.find(id) })
     this._log.info('endpoint-gone', { endpoint: id, service: entry.service })
     for (const listener of this._listeners) listener.endpointRemoved(entry)
   }
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -10,6 +10,7 @@
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import type { ColdNote } from '../warm-up/cold-note.js'
 import type { EndpointChange } from './endpoint-change.js'
+import type { EndpointRemoval } from './endpoint-removal.js'
 import type { RouterContact } from './router-contact.js'
 
 /**
@@ -48,6 +49,8 @@
   readonly endpointChanges: readonly EndpointChange[] | undefined
   /** All endpoints, if the changes are not retained. */
   readonly endpoints: readonly EndpointEntry[] | undefined
+  /** Endpoints that were removed a short time ago, if the changes are not retained; undefined for none, or from an earlier version. */
+  readonly removedEndpoints?: readonly EndpointRemoval[] | undefined
   /** Revision of the endpoints, as `instance:number`. */
   readonly endpointsRevision: string
   /** Milliseconds since the endpoints were last verified against the store; -1 if never. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -186,6 +186,8 @@
     mirror.apply(answer)
     const verifiedAt = sentAt - answer.endpointsAgeMs
     if (answer.endpointsAgeMs < 0) return
+    for (const removal of answer.removedEndpoints ?? []) endpoints.recordRemoval(removal)
+    for (const { removal } of answer.endpointChanges ?? []) if (removal !== undefined) endpoints.recordRemoval(removal)
     // The endpoints of this router may be more recent.
     if (verifiedAt < endpointsFreshness.verifiedAt && !this._followsLastApplied(answer)) return
     endpointsFreshness.verifiedAt = Math.max(verifiedAt, endpointsFreshness.verifiedAt)
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -13,6 +13,9 @@
 /** Maximum number of changes concerning suspects in one answer; the remaining ones follow in the next answer. */
 const MAXIMUM_QUARANTINE_CHANGES = 500
 
+/** What an answer says of the endpoints. */
+type EndpointUpdate = Pick<SyncAnswer, 'endpoints' | 'endpointChanges' | 'removedEndpoints'>
+
 /** Answers sync requests of other routers. */
 export class SyncServer {
   private readonly _state: FleetState
@@ -156,15 +159,24 @@
     return { ejections: revision === ejectionsRevision ? undefined : outliers.notes(), ejectionsRevision: revision }
   }
 
-  private _endpointUpdate (knownRevision: string | undefined): Pick<SyncAnswer, 'endpoints' | 'endpointChanges'> {
+  private _endpointUpdate (knownRevision: string | undefined): EndpointUpdate {
     const { endpoints, warmUps } = this._state
     const [instance, revision] = (knownRevision ?? '').split(':')
     const changes = instance === this._instance ? endpoints.changesSince(Number(revision)) : undefined
-    if (changes === undefined) return { endpoints: Array.from(endpoints.entries, (entry) => warmUps.withTimeLeft(entry)), endpointChanges: undefined }
-    const endpointChanges = changes.map(({ id, entry }) => ({ id, entry: entry === undefined ? undefined : warmUps.withTimeLeft(entry) }))
+    if (changes === undefined) return this._allEndpoints()
+    const endpointChanges = changes.map(({ id, entry, removal }) => ({ id, entry: entry === undefined ? undefined : warmUps.withTimeLeft(entry), removal }))
     return { endpoints: undefined, endpointChanges: endpointChanges.length > 0 ? endpointChanges : undefined }
   }
 
+  private _allEndpoints (): EndpointUpdate {
+    const { endpoints, warmUps } = this._state
+    return {
+      endpoints: Array.from(endpoints.entries, (entry) => warmUps.withTimeLeft(entry)),
+      endpointChanges: undefined,
+      removedEndpoints: endpoints.removals.length === 0 ? undefined : endpoints.removals
+    }
+  }
+
   private _ageMs (verifiedAt: number): number {
     return verifiedAt === -Infinity ? -1 : Math.ceil(this._now() - verifiedAt)
   }
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -157,3 +157,48 @@
   restart(table, [createEntry('1', { startedAt: 2 }), createEntry('2')], clock)
   expect(readyIds(table).sort()).toEqual(['1', '2'])
 })
+
+// Guards against DRAIN as in review/4: the store carried out a report late, after the endpoint had left, and all routers used the endpoint again.
+test('a registration that the store carries out after the endpoint was removed brings it back only if it is newer than the last one', () => {
+  const { table } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { revision: 5, isDraining: true }) }, { key: '1', value: undefined }], NO_OUTAGE)
+  table.apply([{ key: '1', value: createEntry('1', { revision: 4 }) }], NO_OUTAGE)
+  expect(readyIds(table)).toEqual(['2'])
+  table.replace([createEntry('1', { revision: 5 }), createEntry('2')], NO_OUTAGE)
+  expect(readyIds(table)).toEqual(['2'])
+  table.apply([{ key: '1', value: createEntry('1', { revision: 6 }) }], NO_OUTAGE)
+  expect(readyIds(table).sort()).toEqual(['1', '2'])
+})
+
+// Guards against the same by a report of an earlier incarnation under the same id, whether the later one is there or was removed.
+test('a registration of an earlier incarnation neither replaces a later one nor brings it back', () => {
+  const { table } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { startedAt: 2, revision: 1, isDraining: true }) }], NO_OUTAGE)
+  table.apply([{ key: '1', value: createEntry('1', { startedAt: 1, revision: 9 }) }], NO_OUTAGE)
+  expect(table.find('1')).toMatchObject({ startedAt: 2, isDraining: true })
+  table.apply([{ key: '1', value: undefined }, { key: '1', value: createEntry('1', { startedAt: 1, revision: 9 }) }], NO_OUTAGE)
+  expect(readyIds(table)).toEqual(['2'])
+})
+
+// Guards against the same at a router that has missed the last registrations, or the removal itself.
+test('a removal that another router knows counts for registrations that this one has not seen, and removes an endpoint that it still has', () => {
+  const { table } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { revision: 3 }) }, { key: '1', value: undefined }], NO_OUTAGE)
+  table.recordRemoval({ id: '1', startedAt: 1, revision: 8 })
+  table.apply([{ key: '1', value: createEntry('1', { revision: 7 }) }], NO_OUTAGE)
+  expect(readyIds(table)).toEqual(['2'])
+  table.apply([{ key: '2', value: createEntry('2', { revision: 2 }) }], NO_OUTAGE)
+  table.recordRemoval({ id: '2', startedAt: 1, revision: 1 })
+  expect(readyIds(table)).toEqual(['2'])
+  table.recordRemoval({ id: '2', startedAt: 1, revision: 2 })
+  expect(readyIds(table)).toEqual([])
+})
+
+// Guards against the same after a long time with the id of the endpoint in use again, and against a table that grows for ever.
+test('a removal is forgotten after a while', () => {
+  const { table, clock } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { revision: 5 }) }, { key: '1', value: undefined }], NO_OUTAGE)
+  expect(table.removals).toEqual([{ id: '1', startedAt: 1, revision: 5 }])
+  clock.ms += 31_000
+  expect(table.removals).toEqual([])
+})
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -165,6 +165,27 @@
   expect(routers[0]?.endpoints.ready('s')).toEqual([])
 })
 
+// Guards against DRAIN as in review/4 at routers that read the store after the reader: what they had seen of the endpoint was older than the late report.
+test('with a removal, a follower and a router that starts learn the newest registration that the reader has seen', async () => {
+  const { clock, reader, routers, clients } = createFleet()
+  const [follower, starter] = routers as [FleetState, FleetState]
+  const late = { ...ENDPOINT, revision: 6 }
+  const markRead = (): void => { reader.endpointsFreshness.verifiedAt = clock.now() }
+  for (const revision of [1, 5, 7]) {
+    reader.endpoints.apply([{ key: 'e1', value: { ...ENDPOINT, revision } }], undefined)
+    markRead()
+    await follow(clients[0])
+  }
+  reader.endpoints.apply([{ key: 'e1', value: undefined }], undefined)
+  clock.ms += 100
+  markRead()
+  for (const client of clients) await follow(client)
+  for (const { endpoints } of [follower, starter]) {
+    endpoints.apply([{ key: 'e1', value: late }], undefined)
+    expect(endpoints.ready('s')).toEqual([])
+  }
+})
+
 test('for any sequence of endpoint changes and sources, a router has the endpoints and loads of the router it synced with', async () => {
   const change = fc.record({ id: fc.constantFrom('a', 'b', 'c', 'd', 'e'), isRemoved: fc.boolean(), slots: fc.integer({ min: 1, max: 3 }) })
   const step = fc.record({ changedSource: fc.constantFrom('reader', 'other'), changes: fc.array(change, { maxLength: 4 }), followedSource: fc.constantFrom('reader', 'other') })
