Every field of a stored record is checked for its type and range

Cause: the decoder checked few types and no range. Infinity slots make sums over a service no numbers, and become null between routers; a start of another type was read as 0, which counted as a new incarnation.

An earlier incarnation that goes on registering replaces a later one that is silent for 10 s.

--- a/packages/gateway/src/membership/endpoint-mirror.ts
+++ b/packages/gateway/src/membership/endpoint-mirror.ts
@@ -1,4 +1,5 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import { isValidEndpoint } from '../model/is-valid-endpoint.js'
 import type { SyncAnswer } from './sync-answer.js'
 
 /**
@@ -14,12 +15,12 @@
     return this._revision
   }
 
-  /** All endpoints, in the order of the other router. */
+  /** All valid endpoints, in the order of the other router. */
   get entries (): readonly EndpointEntry[] {
-    return [...this._entries.values()]
+    return [...this._entries.values()].filter(isValidEndpoint)
   }
 
-  /** Ids of the endpoints, in the same order. */
+  /** Ids of all endpoints, in the same order. */
   get ids (): readonly string[] {
     return [...this._entries.keys()]
   }
--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -22,6 +22,9 @@
  */
 const WITHHOLDING_MS = 4_500
 
+/** Time within which the store carries out the registrations of an endpoint that has started anew. */
+const LATE_REGISTRATION_MS = 10_000
+
 /** Maximum number of endpoints remembered as leaving; the first ones are forgotten first. */
 const MAXIMUM_LEAVING = 4_096
 /** Evacuations of a table that knows of none. */
@@ -60,6 +63,8 @@
   /** Registrations from before a removal, by endpoint id. */
   private readonly _withheld = new Map<string, EndpointEntry>()
   private _withholdingEnd = -Infinity
+  /** Times of the last registrations, by endpoint id. */
+  private readonly _registeredAt = new Map<string, number>()
   /** Start of the incarnation that stated that it is leaving, by endpoint id. */
   private readonly _leaving = new Map<string, number>()
   private readonly _clock: ElapsedClock
@@ -246,6 +251,7 @@
     const departed = this._departed.get(entry.id)
     if (departed !== undefined) this._expireDeparted(entry.id, departed.entry)
     this._lapsed.delete(entry.id)
+    this._registeredAt.set(entry.id, this._clock.now())
     const isNews = this._recorder?.record(entry, current) === true
     if (current !== undefined && !isNews && isSameEntry(current, entry)) {
       this._entries.set(entry.id, entry)
@@ -273,7 +279,7 @@
 
   /** Whether an entry is older than what is known of the endpoint. Withholds it if the endpoint was removed since. */
   private _isOutdated (entry: EndpointEntry, current: EndpointEntry | undefined): boolean {
-    if (current !== undefined) return isEarlierRegistration(entry, current)
+    if (current !== undefined) return isEarlierRegistration(entry, current) && !this._replacesSilent(entry, current)
     if (this._clock.now() >= this._withholdingEnd) return this._precedesRemoval(entry)
     if (!this._removed.mayPrecedeRemoval(entry)) return this._precedesRemoval(entry)
     if (!this._withheld.has(entry.id)) this._log.info('endpoint-withheld', { endpoint: entry.id, service: entry.service })
@@ -281,6 +287,12 @@
     return true
   }
 
+  /** Whether an entry is of an earlier incarnation that registers although the later one has not for so long that the store would have removed it. */
+  private _replacesSilent (entry: EndpointEntry, current: EndpointEntry): boolean {
+    const registeredAt = this._registeredAt.get(entry.id) ?? -Infinity
+    return entry.startedAt < current.startedAt && this._clock.now() - registeredAt >= LATE_REGISTRATION_MS
+  }
+
   /** Whether the store has carried out a registration late, after it had removed the endpoint. It says nothing of the endpoint as it is now. */
   private _precedesRemoval (entry: EndpointEntry): boolean {
     if (!this._removed.precedesRemoval(entry)) return false
@@ -312,6 +324,7 @@
     this._lapsed.delete(id)
     if (entry === undefined) return
     this._entries.delete(id)
+    this._registeredAt.delete(id)
     if (entry.startedAt === UNKNOWN_START) this._leaving.delete(id)
     const { startedAt, revision } = entry
     this._removed.add({ id, startedAt, revision })
--- a/packages/gateway/src/settings/read-gateway-settings.ts
+++ b/packages/gateway/src/settings/read-gateway-settings.ts
@@ -2,6 +2,7 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { parse } from 'ini'
+import { isAddress } from '../model/is-address.js'
 import type { GatewaySettings } from './gateway-settings.js'
 
 const MS_PER_SECOND = 1_000
@@ -11,7 +12,6 @@
 const DEFAULT_WARM_UP_TOLERANCE = 0
 /** Bounds that hold without settings, in milliseconds. */
 const DEFAULT_PROPAGATION_MS = 2_000
-const ADDRESS = /^[^\s:]+:\d{1,5}$/
 
 /** Keys and values of one section. */
 type Section = Readonly<Record<string, unknown>>
@@ -39,7 +39,7 @@
     readiness: address('listen', 'readiness'),
     peers: address('listen', 'peers'),
     metrics: value('listen', 'metrics') === undefined ? undefined : address('listen', 'metrics'),
-    seeds: (value('fleet', 'seeds') ?? '').split(',').map((seed) => seed.trim()).filter((seed) => ADDRESS.test(seed)),
+    seeds: (value('fleet', 'seeds') ?? '').split(',').map((seed) => seed.trim()).filter(isAddress),
     store: address('fleet', 'store'),
     stopGraceMs: number('stop', 'grace_seconds') * MS_PER_SECOND,
     keyAgeLimitMs: value('keys', 'fail_closed') === 'true' ? number('keys', 'revoked_within_ms') : 0,
@@ -82,7 +82,7 @@
 
 function readAddress (value: string | undefined, field: string): string {
   const address = required(value, field)
-  if (!ADDRESS.test(address)) {
+  if (!isAddress(address)) {
     throw new MimosarockError(ResultCode.SETTINGS_INVALID_VALUE, `${field} must be an address of the form host:port`, { field })
   }
   return address
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -202,3 +202,14 @@
   clock.ms += 31_000
   expect(table.removals).toEqual([])
 })
+
+// Guards against a single entry of another writer, with a start in the future, that would keep the endpoint out as long as it registers.
+test('an earlier incarnation that goes on registering is used again when the later one has been silent for long', () => {
+  const { table, clock } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { startedAt: 9_000, address: 'elsewhere:1' }) }], NO_OUTAGE)
+  for (let revision = 1; revision <= 10; revision += 1) {
+    clock.ms += 1_000
+    table.apply([{ key: '1', value: createEntry('1', { revision }) }], NO_OUTAGE)
+    expect(table.find('1')?.startedAt).toBe(revision < 10 ? 9_000 : 1)
+  }
+})
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -331,3 +331,17 @@
   await follow(client)
   expect(follower.endpoints.ready('s')).toEqual([])
 })
+
+// Guards against a number that was too large for JSON and arrives as null: sums over the endpoints of the service are no numbers then, and all of its
+// requests are refused.
+test('an endpoint that another router tells without a number of slots is not used, and the loads of the others are assigned as before', async () => {
+  const { clock, reader, routers, clients } = createFleet()
+  const [first] = routers as [FleetState]
+  reader.endpoints.apply(['e1', 'e2'].map((id) => ({ key: id, value: { ...ENDPOINT, id, slots: id === 'e1' ? Infinity : 4 } })), undefined)
+  reader.endpointsFreshness.verifiedAt = clock.now()
+  await follow(clients[0])
+  reader.loads.begin('e2')
+  await follow(clients[0])
+  expect(first.endpoints.ready('s').map(({ id }) => id)).toEqual(['e2'])
+  expect(first.loads.total('e2')).toBe(1)
+})
