A planned stop refuses what may outlast it until it is sent, and answers what is at work at its end

Cause: the time left was checked when the head arrived, and once more only after a second. A request whose body came within that second, or that waited in a queue, was passed on without the time that it may need. What was still at work at the end was cut. A connection with an unsent rest of its response counted as idle, and the process ended.

Change: the check is repeated before a request is sent, queued requests are refused when refusing begins, requests at work are answered before the exit, and the stop waits for responses to be sent.

--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -1,3 +1,4 @@
+import type { LiveRequests } from './live-requests.js'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { RouteTimes } from '../admission/route-times.js'
 import type { ServiceAdmissions } from '../admission/service-admissions.js'
@@ -30,6 +31,8 @@
 
 /** Components of the router that all requests share. */
 export interface RequestDependencies {
+  /** Requests that have not been answered. */
+  readonly liveRequests: LiveRequests
   /** Monotonic clock that also advances while the VM is suspended. */
   readonly clock: ElapsedClock
   /** Event log. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -13,8 +13,9 @@
 import type { AuthorizedRequest } from './authorized-request.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
 import { EndpointAttempts } from './endpoint-attempts.js'
+import { createStoppingError } from './create-stopping-error.js'
+import type { LiveRequest } from './live-request.js'
 import { nextEventLoopIteration } from './next-event-loop-iteration.js'
-import { notRunError } from './not-run-error.js'
 import { readRequestBody } from './read-request-body.js'
 import { reportRequest } from './report-request.js'
 import type { RequestDependencies } from './request-dependencies.js'
@@ -36,7 +37,7 @@
  * Serves one request of a caller, from its head to the end of its response: authorization, admission, the attempts at
  * endpoints and error responses.
  */
-export class RequestTask {
+export class RequestTask implements LiveRequest {
   private readonly _dependencies: RequestDependencies
   private readonly _request: IncomingMessage
   private readonly _response: ServerResponse
@@ -54,6 +55,10 @@
   private _path: AdmissionPath | undefined
   private _firstByteMs: number | undefined
   private _attempts: EndpointAttempts | undefined
+  private _authorized: AuthorizedRequest | undefined
+  /** Ends the attempts when the time of the request is over; undefined while there are none. */
+  private _servingTimer: NodeJS.Timeout | undefined
+  private _isRefusedForStop = false
 
   /**
    * @param dependencies components of the router, shared by all requests
@@ -74,6 +79,7 @@
   /** Serves the request. Failures are reported to the caller and logged; they do not reject the promise. */
   async run (): Promise<void> {
     this._dependencies.state.requestsInFlight += 1
+    this._dependencies.liveRequests.add(this)
     this._dependencies.eventLoopMeter.recordArrival()
     this._response.on('close', () => this._onClose())
     this._response.on('drain', () => this._attempts?.resume())
@@ -83,6 +89,7 @@
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = this._authorize()
+      this._authorized = authorized
       const body = await readRequestBody(this._request, this._maximumBodyBytes(), this._held)
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
@@ -99,9 +106,17 @@
     }
     if (authorized !== undefined && admission !== undefined) this._release(authorized, admission, code)
     this._dependencies.state.requestsInFlight -= 1
+    this._dependencies.liveRequests.delete(this)
     this._report(authorized, code)
   }
 
+  limitToStop (): void {
+    if (this._servingTimer !== undefined) this._setServingTimer()
+    if (this._admissionWait === undefined || this._authorized === undefined || this._endsBeforeStop(this._authorized)) return
+    this._isRefusedForStop = true
+    this._admissionWait.abort()
+  }
+
   private _release ({ service, route }: AuthorizedRequest, admission: AdmissionPath, code: ResultCode): void {
     const elapsedMs = this._dependencies.clock.now() - this._admittedAt
     if (code === ResultCode.OK) this._dependencies.routeTimes.record(service, route.name, elapsedMs)
@@ -139,9 +154,13 @@
   }
 
   private _requireTimeBeforeStop (authorized: AuthorizedRequest): void {
+    if (!this._endsBeforeStop(authorized)) throw createStoppingError()
+  }
+
+  /** Whether the request ends before a stopping router exits, however long it takes. */
+  private _endsBeforeStop (authorized: AuthorizedRequest): boolean {
     const { stopDeadline } = this._dependencies.state
-    if (stopDeadline === undefined || performance.now() + this._timeLeftMs(authorized) <= stopDeadline) return
-    throw notRunError(ResultCode.ROUTER_STOPPING, 'the router is stopping and cannot finish the request in time', 0)
+    return stopDeadline === undefined || performance.now() + this._ownTimeLeftMs(authorized) <= stopDeadline
   }
 
   /**
@@ -191,7 +210,10 @@
     const queuedAt = this._admittedAt
     try {
       await admission.wait(request, this._admissionWait.signal)
+    } catch (error) {
+      throw this._isRefusedForStop ? createStoppingError() : error
     } finally {
+      this._admissionWait = undefined
       this._admittedAt = clock.now()
       this._waitedMs += this._admittedAt - queuedAt
     }
@@ -200,6 +222,7 @@
   private async _serve (authorized: AuthorizedRequest, admission: AdmissionPath, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
     this._authorizeAgainAfterDelay()
+    this._requireTimeBeforeStop(authorized)
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
     const relay = new ResponseRelay({
@@ -218,7 +241,7 @@
       authorized, content, request: this._request, body, relay, admission, timeLeftMs: () => this._timeLeftMs(authorized)
     })
     this._attempts = attempts
-    const timer = setTimeout(() => attempts.endAtDeadline(), Math.max(0, this._timeLeftMs(authorized)))
+    this._setServingTimer()
     try {
       await attempts.run()
       this._dependencies.quarantine.recordCompletion(content)
@@ -226,12 +249,33 @@
       if (!relay.hasBufferedResponse || this._isCallerDisconnected) throw error
       relay.finish()
     } finally {
-      clearTimeout(timer)
+      clearTimeout(this._servingTimer)
+      this._servingTimer = undefined
     }
   }
 
-  /** Milliseconds until the caller's deadline or the route's timeout, whichever is earlier, less the response margin. */
+  /** Ends the attempts when the time of the request is over. To be called again when that time becomes shorter. */
+  private _setServingTimer (): void {
+    clearTimeout(this._servingTimer)
+    if (this._authorized === undefined) return
+    this._servingTimer = setTimeout(() => this._endServing(), Math.max(0, this._timeLeftMs(this._authorized)))
+  }
+
+  private _endServing (): void {
+    // The timer was set before the response had begun, which has more time in a stopping router.
+    if (this._authorized !== undefined && this._timeLeftMs(this._authorized) > 0) this._setServingTimer()
+    else this._attempts?.endAtDeadline()
+  }
+
+  /** Milliseconds until the request has to be answered; a stopping router answers before it exits, unless the response has begun and may be complete by then. */
   private _timeLeftMs (authorized: AuthorizedRequest): number {
+    const { stopDeadline } = this._dependencies.state
+    const untilStopMs = stopDeadline === undefined || this._response.headersSent ? Infinity : stopDeadline - performance.now()
+    return Math.min(this._ownTimeLeftMs(authorized), untilStopMs)
+  }
+
+  /** Milliseconds until the caller's deadline or the route's timeout, whichever is earlier, less the response margin. */
+  private _ownTimeLeftMs (authorized: AuthorizedRequest): number {
     const limit = Math.min(authorized.caller.deadlineMs ?? Infinity, authorized.route.timeoutMs)
     return this._startedAt + limit - RESPONSE_MARGIN_MS - this._dependencies.clock.now()
   }
--- a/packages/gateway/src/memory/held-bytes.ts
+++ b/packages/gateway/src/memory/held-bytes.ts
@@ -45,6 +45,11 @@
     return this._maximumUnsentBytes
   }
 
+  /** Number of responses that are not sent completely, those of requests in flight included. */
+  get unsentResponses (): number {
+    return this._connections.size
+  }
+
   /** Number of bytes held for all connections. */
   get total (): number {
     return this._bodyBytes + this._unsentBytes()
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -11,6 +11,7 @@
 import { HomeRegions } from '../homes/home-regions.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { RequestDependencies } from '../caller/request-dependencies.js'
+import { LiveRequests } from '../caller/live-requests.js'
 import { StartupGate } from '../caller/startup-gate.js'
 import { EventLoopMeter } from '../caller/event-loop-meter.js'
 import { EndpointSelector } from '../choice/endpoint-selector.js'
@@ -65,6 +66,7 @@
   private readonly _pauses: EndpointPauses
   private readonly _homeRegions: HomeRegions
   private readonly _heldBytes: HeldBytes
+  private readonly _liveRequests = new LiveRequests()
   private readonly _retryBudgets: FleetRetryBudgets
   private readonly _servers: Server[] = []
   private readonly _startupGate = new StartupGate()
@@ -154,7 +156,13 @@
   /** Drains the router with a {@link GracefulShutdown}, then closes all servers and connections. */
   async stop (): Promise<void> {
     const { log } = this._options
-    await new GracefulShutdown(this._callerServer as Server, this._state, this._settings.current.stopGraceMs, log).run()
+    await new GracefulShutdown({
+      server: this._callerServer as Server,
+      state: this._state,
+      graceMs: this._settings.current.stopGraceMs,
+      onStopDeadline: () => this._liveRequests.limitToStop(),
+      unsentResponses: () => this._heldBytes.unsentResponses
+    }, log).run()
     this._stopping.abort()
     for (const server of this._servers) server.close()
     this._connections.closeAll()
@@ -219,6 +227,7 @@
       endpointSelector,
       connections: this._connections,
       heldBytes: this._heldBytes,
+      liveRequests: this._liveRequests,
       metrics: this._metrics,
       state: this._state,
       isFleetLarge: () => this._fleetState.routers.isLarge,
