Metrics: calls to the store by topic and operation

The platform charges for each call, and no metric told which ones a router makes. mimosarock_store_calls_total counts them, so that a rise can be traced to a topic without a patched copy.

--- a/packages/gateway/src/model/fleet-store.ts
+++ b/packages/gateway/src/model/fleet-store.ts
@@ -3,6 +3,7 @@
 import type { EndpointEntry } from './endpoint-entry.js'
 import type { OperatorRecord } from './operator-record.js'
 import type { RouterEntry } from './router-entry.js'
+import type { StoreCallNote } from './store-call-note.js'
 import type { StoreEra } from './store-era.js'
 import type { TopicReader } from './topic-reader.js'
 
@@ -18,6 +19,11 @@
   readonly routers: TopicReader<RouterEntry>
   /** Saved crashes of quarantined suspects; one record. */
   readonly crashes: TopicReader<readonly CrashNote[]>
+  /**
+   * Sets the listener that is called before each call to the store, which the platform charges for; it replaces the previous one.
+   * @param onCall listener
+   */
+  onCall: (onCall: (call: StoreCallNote) => void) => void
   /**
    * Announces routers to the fleet.
    * @param entries routers to announce
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -18,6 +18,14 @@
     registers: [this.registry]
   })
 
+  /** Calls to the platform's store by topic and operation. */
+  readonly storeCalls = new Counter({
+    name: 'mimosarock_store_calls_total',
+    help: 'Calls to the store of the platform, by topic and operation.',
+    labelNames: ['topic', 'operation'],
+    registers: [this.registry]
+  })
+
   /** Retries by service and outcome of the failed call. */
   readonly retries = new Counter({
     name: 'mimosarock_retries_total',
--- a/packages/gateway/src/test/knowledge-fleet.ts
+++ b/packages/gateway/src/test/knowledge-fleet.ts
@@ -175,6 +175,7 @@
       endpoints: linkTo(store.endpoints),
       routers: linkTo(store.routers),
       crashes: linkTo(store.crashes),
+      onCall: () => undefined,
       announce: async (entries) => await store.announce(entries),
       saveHolders: async (notes) => await store.saveHolders(notes),
       saveCrashes: async (crashes) => await store.saveCrashes(crashes),
--- a/packages/gateway/src/test/memory-store.ts
+++ b/packages/gateway/src/test/memory-store.ts
@@ -83,6 +83,10 @@
     this.operatorRecords.put(`evacuate/${zone}`, { zone, isEvacuated })
   }
 
+  onCall (): void {
+    // Calls are not counted.
+  }
+
   async announce (entries: readonly RouterEntry[]): Promise<void> {
     for (const entry of entries) this.routers.put(entry.name, entry)
   }
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -81,6 +81,7 @@
     this._options = options
     const { clock, log, settings } = options
     this._settings = new LiveSettings(settings)
+    options.store.onCall(({ topic, operation }) => this._metrics.storeCalls.inc({ topic, operation }))
     this._pauses = new EndpointPauses(clock)
     this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log, Math.random, () => {
       const { warmUpOverage: overage, warmUpTolerance: tolerance } = this._settings.current
