A router that is receiving a large configuration is still followed, and routers that have heard of it do not read it from the store

What callers would have seen: on a change with 1,160 more routes, routers on slow processors all read the whole configuration from the store at once and were late for seconds.

--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -21,6 +21,7 @@
   private _inForce: ConfigurationInForce | undefined
   private _verifiedAt = -Infinity
   private _readAt = -Infinity
+  private _heardAt = -Infinity
   private readonly _patches: ConfigurationPatch[] = []
   private readonly _listeners: ((configuration: GatewayConfiguration) => void)[] = []
 
@@ -56,6 +57,14 @@
     return this._readAt
   }
 
+  /**
+   * Latest clock time as of which this router knows which version the store holds, whether or not it has that version; -Infinity if
+   * never. A large change is transferred after it has been heard of.
+   */
+  get heardAt (): number {
+    return this._heardAt
+  }
+
   /** Milliseconds since the version in force was last verified to be the newest in the store. */
   get ageMs (): number {
     return this._clock.now() - this._verifiedAt
@@ -128,6 +137,15 @@
    */
   markRead (readAt: number): void {
     if (readAt > this._readAt) this._readAt = readAt
+    this.markHeard(readAt)
+  }
+
+  /**
+   * Records that the newest version in the store was known at a given time.
+   * @param heardAt the time, by the clock
+   */
+  markHeard (heardAt: number): void {
+    if (heardAt > this._heardAt) this._heardAt = heardAt
   }
 
   /**
--- a/packages/gateway/src/membership/create-age-limits.ts
+++ b/packages/gateway/src/membership/create-age-limits.ts
@@ -10,8 +10,6 @@
  * of the router that takes over, and another interval until the others have asked that one.
  */
 const TAKEOVER_ALLOWANCE_MS = 1_000
-/** Maximum age of a router that is followed where the bound is long. A sound reader is younger. */
-const MAXIMUM_FOLLOW_MS = 1_400
 /** Minimum of the limits. Below it, routers would not follow a sound reader, which reads the store about twice a second. */
 const MINIMUM_FOLLOW_MS = 900
 const MINIMUM_READ_MS = 1_200
@@ -19,10 +17,11 @@
 /**
  * Derives the age limits from the time within which all routers have to know a change.
  * @param boundMs the bound, in milliseconds
+ * @param maximumFollowMs age above which a router is not followed although the bound would allow it, in milliseconds; unlimited by default
  */
-export function createAgeLimits (boundMs: number): AgeLimits {
+export function createAgeLimits (boundMs: number, maximumFollowMs = Infinity): AgeLimits {
   return {
-    followMs: Math.max(MINIMUM_FOLLOW_MS, Math.min(MAXIMUM_FOLLOW_MS, boundMs - TAKEOVER_ALLOWANCE_MS)),
+    followMs: Math.max(MINIMUM_FOLLOW_MS, Math.min(maximumFollowMs, boundMs - TAKEOVER_ALLOWANCE_MS)),
     readMs: Math.max(MINIMUM_READ_MS, boundMs - READ_ALLOWANCE_MS)
   }
 }
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -4,6 +4,7 @@
 import { FollowingState } from './following-state.js'
 import { peerCallFields } from './peer-call-fields.js'
 import { createAgeLimits } from './create-age-limits.js'
+import { createEndpointAgeLimits } from './create-endpoint-age-limits.js'
 import { FailingReaders } from './failing-readers.js'
 import type { FleetSyncOptions } from './fleet-sync-options.js'
 import { isFresh } from './is-fresh.js'
@@ -284,7 +285,7 @@
 
   private _isFresh (answer: SyncAnswer, maximumDistance: number): boolean {
     const { endpointsMs, configurationMs } = this._propagationBounds()
-    return isFresh(answer, maximumDistance, { endpoints: createAgeLimits(endpointsMs), configuration: createAgeLimits(configurationMs) })
+    return isFresh(answer, maximumDistance, { endpoints: createEndpointAgeLimits(endpointsMs), configuration: createAgeLimits(configurationMs) })
   }
 
   private _backOff (router: RouterEntry, answer: SyncAnswer | undefined): void {
@@ -295,7 +296,7 @@
       peer: router.name,
       distance: answer.distance ?? undefined,
       store_era: answer.storeEra?.era,
-      configuration_age_ms: Math.round(answer.configurationReadAgeMs),
+      configuration_age_ms: Math.round(answer.configurationHeardAgeMs ?? answer.configurationReadAgeMs),
       endpoints_age_ms: Math.round(answer.endpointsAgeMs)
     })
   }
--- a/packages/gateway/src/membership/is-fresh.ts
+++ b/packages/gateway/src/membership/is-fresh.ts
@@ -11,7 +11,7 @@
   // The source must be closer to the store than this router. Two routers that follow each other would both stop reading
   // the store.
   return answer.distance !== null && answer.distance <= maximumDistance &&
-    isYoung(answer.configurationReadAgeMs, limits.configuration) && isYoung(answer.endpointsAgeMs, limits.endpoints)
+    isYoung(answer.configurationHeardAgeMs ?? answer.configurationReadAgeMs, limits.configuration) && isYoung(answer.endpointsAgeMs, limits.endpoints)
 }
 
 function isYoung (ageMs: number, limits: AgeLimits): boolean {
--- a/packages/gateway/src/membership/store-feed-options.ts
+++ b/packages/gateway/src/membership/store-feed-options.ts
@@ -19,6 +19,11 @@
    * @param readAt time as of which the page is complete
    */
   readonly onPage: (page: TopicPage<Value>, readAt: number) => void
+  /**
+   * Called when the first part of an answer has arrived. A long answer takes seconds on a slow link; what it contains is known to be on its way.
+   * @param completeAsOf time as of which the answer is complete
+   */
+  readonly onAnswerBegun?: (completeAsOf: number) => void
   /** Called after each failed read. */
   readonly onFailure?: () => void
 }
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -18,6 +18,8 @@
 const FIRST_PROGRESS_MARGIN_MS = 500
 /** Time for which a failed read counts as a sign of an unavailable store. */
 const FAILURE_RETENTION_MS = 2_000
+/** Time that the first part of an answer is assumed to have been on its way. */
+const ANSWER_LATENCY_MS = 100
 /** Maximum duration of a read; a large record takes seconds on a slow link. */
 const MAXIMUM_READ_MS = 15_000
 
@@ -78,9 +80,14 @@
     const sentAt = this._clock.now()
     const waitMs = this._options.waitMs()
     const timeout = new ProgressTimeout({ progressMs: waitMs + this._progressMarginMs, totalMs: MAXIMUM_READ_MS })
+    let hasBegun = false
     const callSignal = AbortSignal.any([signal, timeout.signal])
     try {
-      const page = await this._options.reader.read(this._position, waitMs, callSignal, () => timeout.recordProgress())
+      const page = await this._options.reader.read(this._position, waitMs, callSignal, () => {
+        timeout.recordProgress()
+        if (!hasBegun) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS))
+        hasBegun = true
+      })
       this._recordSuccess()
       this._position = page.nextPosition
       this._options.onPage(page, this._completeAsOf(page, sentAt, waitMs))
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -43,6 +43,11 @@
   readonly configurationAgeMs: number
   /** Milliseconds since the configuration in the store was last read; -1 if never. */
   readonly configurationReadAgeMs: number
+  /**
+   * Milliseconds since the answering router last knew which version the store holds, although it may still be receiving that version; -1 if
+   * never, undefined from an earlier version.
+   */
+  readonly configurationHeardAgeMs?: number | undefined
   /** Evacuated zones, a record for each era of the store that counts; undefined if the requester knows the same. */
   readonly evacuations?: readonly EraEvacuations[] | undefined
   /** Endpoint changes since the requester's revision; undefined if there are none or they are not retained. */
--- a/packages/gateway/src/test/store-feed_test.ts
+++ b/packages/gateway/src/test/store-feed_test.ts
@@ -89,3 +89,30 @@
   await running
   expect(values).toEqual(['large'])
 })
+
+// Guards against routers that leave a reader which is receiving a large configuration, and all read it themselves, because of the age of the one before.
+test('a feed tells when an answer has begun to arrive, as of about that time, before it is complete', async () => {
+  const begun: number[] = []
+  let isComplete = false
+  const reader: TopicReader<string> = {
+    read: async (_position, _waitMs, _signal, onProgress) => {
+      await sleep(200)
+      onProgress?.()
+      await sleep(50)
+      onProgress?.()
+      expect(isComplete).toBe(false)
+      return { changes: [{ key: 'k', value: 'large' }], nextPosition: { era: 1, offset: 1 }, isSnapshot: true }
+    }
+  }
+  const abortController = new AbortController()
+  const startedAt = clock.now()
+  const feed = new StoreFeed({
+    topic: 'large', reader, waitMs: () => 0, pauseMs: 1_000, shouldRead: () => true, onPage: () => { isComplete = true }, onAnswerBegun: (asOf) => begun.push(asOf)
+  }, clock, new SilentEventLog())
+  const running = feed.run(abortController.signal)
+  await waitUntil(() => isComplete)
+  abortController.abort()
+  await running
+  expect(begun.length).toBe(1)
+  expect(begun[0]).toBeGreaterThan(startedAt)
+})
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -5,6 +5,7 @@
 import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
 import { createAgeLimits } from '../membership/create-age-limits.js'
+import { createEndpointAgeLimits } from '../membership/create-endpoint-age-limits.js'
 import { connectLimits } from '../membership/connect-limits.js'
 import { connectOutliers } from '../membership/connect-outliers.js'
 import { FleetSync } from '../membership/fleet-sync.js'
@@ -100,7 +101,7 @@
   }
 
   private get _endpointLimits (): AgeLimits {
-    return createAgeLimits(this._options.propagationBounds().endpointsMs)
+    return createEndpointAgeLimits(this._options.propagationBounds().endpointsMs)
   }
 
   private get _configurationLimits (): AgeLimits {
@@ -116,13 +117,14 @@
       reader: store.operatorRecords,
       waitMs: () => Math.min(MAXIMUM_CONFIGURATION_WAIT_MS, this._configurationLimits.followMs - CONFIGURATION_WAIT_MARGIN_MS),
       pauseMs: CONFIGURATION_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || !evacuations.isKnown || this._overdueReading.isDue(configuration.readAt, this._configurationLimits.readMs),
+      shouldRead: () => this._sync.isReader || !evacuations.isKnown || this._overdueReading.isDue(configuration.heardAt, this._configurationLimits.readMs),
       onPage: (page, readAt) => {
         // Requests that arrive with a new configuration must not reach a zone that was evacuated before.
         evacuationReadings.apply(page, readAt)
         configurationReadings.apply(selectConfigurations(page), readAt)
         onProgress()
       },
+      onAnswerBegun: (completeAsOf) => configuration.markHeard(completeAsOf),
       onFailure: () => this._overdueReading.recordFailure()
     }, clock, log)
   }
