A router that starts reads the configuration from the store at once, also if it has heard of it

Found when the change was read again: since a router that has heard of a version does not read it, one that starts waited to be sent the configuration by another router. The new test of fleet-tasks_test failed before.

--- a/packages/gateway/src/test/fleet-tasks_test.ts
+++ b/packages/gateway/src/test/fleet-tasks_test.ts
@@ -7,6 +7,7 @@
 import { createConfiguration } from './create-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
 import { MemoryStore } from './memory-store.js'
+import { STATED_PROPAGATION_BOUNDS } from './stated-propagation-bounds.js'
 import { useSimulatedTime } from './use-simulated-time.js'
 
 const ROUTERS = 78
@@ -96,3 +97,20 @@
   state.endpoints.removeExpired()
   expect([state.endpoints.find('e1'), state.endpoints.find('e2') !== undefined]).toEqual([undefined, true])
 })
+
+// Guards against a router that starts and waits to be sent a configuration of which it has heard, although it could read it at once.
+test('a router that starts reads the configuration from the store, also if it has heard of it before', async () => {
+  const store = new MemoryStore()
+  store.configurations.put('config', createConfiguration(3))
+  const state = createFleetState('r1', clock)
+  state.configuration.markHeard(clock.now())
+  state.evacuations.recordReading({ offset: 1, zones: [], isSettled: true })
+  state.routers.recordContact({ name: 'r0', address: 'r0', availabilityZone: 'z' }, 0)
+  const peerClient = { sync: async () => await new Promise(() => undefined) }
+  const tasks = new FleetTasks({
+    state, store, peerClient: peerClient as unknown as PeerRpcClient, seeds: ['r0'], propagationBounds: () => STATED_PROPAGATION_BOUNDS, clock, log: new SilentEventLog(), onProgress: () => undefined
+  })
+  tasks.run(simulated.signal).catch(() => undefined)
+  await vi.advanceTimersByTimeAsync(200)
+  expect(state.configuration.version).toBe(3)
+})
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -100,6 +100,11 @@
     return this._sync.isConfirmedReader && this._readsStore
   }
 
+  /** A router that has heard of a version need not read it, as other routers send it. */
+  private get _isConfigurationOverdue (): boolean {
+    return this._overdueReading.isDue(this._options.state.configuration.heardAt, this._configurationLimits.readMs)
+  }
+
   private get _endpointLimits (): AgeLimits {
     return createEndpointAgeLimits(this._options.propagationBounds().endpointsMs)
   }
@@ -117,7 +122,7 @@
       reader: store.operatorRecords,
       waitMs: () => Math.min(MAXIMUM_CONFIGURATION_WAIT_MS, this._configurationLimits.followMs - CONFIGURATION_WAIT_MARGIN_MS),
       pauseMs: CONFIGURATION_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || !evacuations.isKnown || this._overdueReading.isDue(configuration.heardAt, this._configurationLimits.readMs),
+      shouldRead: () => this._sync.isReader || configuration.readAt === -Infinity || !evacuations.isKnown || this._isConfigurationOverdue,
       onPage: (page, readAt) => {
         // Requests that arrive with a new configuration must not reach a zone that was evacuated before.
         evacuationReadings.apply(page, readAt)
