A router that lacks a version of which it has heard does not tell others that it is current

Found when the change was read again: a router that had heard of a large configuration and was still being sent it told its followers the age of what it had heard. They had not heard of that version, took themselves for current and did not read the store when the bound came near.

It tells the age of its last reading now. The new test of sync_test failed before (heard 0 ms ago in place of 1,000).

--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -22,6 +22,7 @@
   private _verifiedAt = -Infinity
   private _readAt = -Infinity
   private _heardAt = -Infinity
+  private _heardVersion = 0
   private readonly _patches: ConfigurationPatch[] = []
   private readonly _listeners: ((configuration: GatewayConfiguration) => void)[] = []
 
@@ -65,6 +66,11 @@
     return this._heardAt
   }
 
+  /** What other routers may be told of `heardAt`: this router can tell them of no version that it lacks, so that it tells the last reading then. */
+  get knownAt (): number {
+    return this._heardVersion > this.version ? this._readAt : this._heardAt
+  }
+
   /** Milliseconds since the version in force was last verified to be the newest in the store. */
   get ageMs (): number {
     return this._clock.now() - this._verifiedAt
@@ -143,8 +149,10 @@
   /**
    * Records that the newest version in the store was known at a given time.
    * @param heardAt the time, by the clock
+   * @param version version of the configuration that was heard of; 0 if it is not known yet
    */
-  markHeard (heardAt: number): void {
+  markHeard (heardAt: number, version = 0): void {
+    this._heardVersion = Math.max(this._heardVersion, version)
     if (heardAt > this._heardAt) this._heardAt = heardAt
   }
 
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -168,7 +168,7 @@
   private _applyConfigurationAges (answer: SyncAnswer, sentAt: number): void {
     const { configuration } = this._state
     const heardAgeMs = answer.configurationHeardAgeMs ?? answer.configurationReadAgeMs
-    if (heardAgeMs >= 0) configuration.markHeard(sentAt - heardAgeMs)
+    if (heardAgeMs >= 0) configuration.markHeard(sentAt - heardAgeMs, answer.configurationVersion)
     if (configuration.version < answer.configurationVersion) return
     if (answer.configurationReadAgeMs >= 0) configuration.markRead(sentAt - answer.configurationReadAgeMs)
     if (answer.configurationAgeMs >= 0) configuration.markVerified(sentAt - answer.configurationAgeMs)
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -73,7 +73,7 @@
       ...this._configurationChange(request),
       configurationAgeMs: this._ageMs(configuration.verifiedAt),
       configurationReadAgeMs: this._ageMs(configuration.readAt),
-      configurationHeardAgeMs: this._ageMs(configuration.heardAt),
+      configurationHeardAgeMs: this._ageMs(configuration.knownAt),
       evacuations: evacuations.newsFor(request.evacuations),
       ...this._endpointUpdate(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -10,6 +10,7 @@
 import type { Route } from '@mimosarock/gateway/model/route.js'
 import { createConfiguration } from './create-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
+import { createLargeConfiguration } from './create-large-configuration.js'
 
 class ManualClock {
   ms = 10_000
@@ -345,3 +346,28 @@
   expect(first.endpoints.ready('s').map(({ id }) => id)).toEqual(['e2'])
   expect(first.loads.total('e2')).toBe(1)
 })
+
+// Guards against a router that takes itself for current although it has heard of no new version: the router that it follows has heard of one, and does not have
+// it to pass on.
+test('a router that lacks a version of which it has heard does not tell others that it is current', async () => {
+  const { clock, reader, routers, clients } = createFleet()
+  const [follower, other] = routers as [FleetState, FleetState]
+  const server = new SyncServer(follower, 'i2', () => clock.now(), () => 1)
+  const otherClient = createClient(other, clock, () => server)
+  const readByReader = (version: number): void => {
+    reader.configuration.adopt({ ...createLargeConfiguration(version, version === 1 ? 10 : 1_500) }, 'store')
+    reader.configuration.markVerified(clock.now())
+  }
+  readByReader(1)
+  await follow(clients[0])
+  while (follower.configuration.version < 1) await nextIteration()
+  await follow(clients[0])
+  clock.ms += 1_000
+  readByReader(2)
+  await clients[0]?.sync('reader', FOLLOWER_OPTIONS)
+  expect(follower.configuration.version).toBe(1)
+  const answer = server.answer({ router: other.routers.self, storeEra: undefined, routers: undefined, routerCount: 3, configurationVersion: 1, endpointsRevision: undefined, load: {}, notes: [], notesCursor: undefined })
+  expect([follower.configuration.heardAt, answer.configurationHeardAgeMs]).toEqual([clock.now(), 1_000])
+  await otherClient.sync('follower', FOLLOWER_OPTIONS)
+  expect(other.configuration.heardAt).toBeLessThan(clock.now())
+})
