A rate limit outlasts the removal of its endpoint

An endpoint's statement was dropped with its registration. An older one of another router could come back, and an endpoint that returned got requests without a limit until it had stated it again. The metric counts registered endpoints only.

--- a/packages/gateway/src/limits/endpoint-limits.ts
+++ b/packages/gateway/src/limits/endpoint-limits.ts
@@ -20,7 +20,8 @@
 
 /**
  * Rate limits that endpoints state in their responses. The newest statement counts, whichever router has read it: routers report
- * what they read to the router that they follow, and adopt what that one knows.
+ * what they read to the router that they follow, and adopt what that one knows. A statement outlasts the removal of its endpoint: an older one that
+ * another router tells must not take its place, and the endpoint may return.
  */
 export class EndpointLimits implements RateLimits {
   private readonly _known = new Map<string, KnownLimit>()
@@ -149,14 +150,6 @@
     }
   }
 
-  /**
-   * Forgets an endpoint that is gone.
-   * @param endpointId id of the endpoint
-   */
-  remove (endpointId: string): void {
-    this._known.delete(endpointId)
-  }
-
   private _toNotes (known: readonly (readonly [string, KnownLimit])[]): readonly LimitNote[] {
     const now = this._clock.now()
     return known.map(([endpointId, { startedAt, requestsPerSecond, observedAt }]) => {
--- a/packages/gateway/src/status/create-metrics-server.ts
+++ b/packages/gateway/src/status/create-metrics-server.ts
@@ -22,9 +22,9 @@
   metrics: GatewayMetrics, fleetState: FleetState, clock: ElapsedClock, state: GatewayState, heldBytes: HeldBytes, ownedServices: () => readonly string[]
 ): Server {
   return createServer((_request, response) => {
-    const { configuration, endpointsFreshness, evacuations, fairness, limits, loads, outliers, quarantine, storeEra, warmUps } = fleetState
+    const { configuration, endpoints, endpointsFreshness, evacuations, fairness, limits, loads, outliers, quarantine, storeEra, warmUps } = fleetState
     metrics.limitedWorkspaces.set(fairness.limitedCount)
-    metrics.limitedEndpoints.set(limits.limitedIds.length)
+    metrics.limitedEndpoints.set(limits.limitedIds.filter((id) => endpoints.find(id) !== undefined).length)
     metrics.coldEndpoints.set(warmUps.coldCount)
     metrics.countedRouters.set(loads.countedRouters + 1)
     metrics.fleetLoadFraction.set(loads.fleetFraction)
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -125,7 +125,6 @@
       endpointRestarted: (entry) => this._fleetState.holders.removeEndpoint(entry.id),
       endpointRemoved: (entry) => {
         this._connections.close(entry.id)
-        this._fleetState.limits.remove(entry.id)
         this._fleetState.permits.remove(entry.id)
       },
       endpointExpired: (entry) => this._fleetState.holders.removeEndpoint(entry.id)
