--- a/packages/gateway/src/membership/age-limits.ts
+++ b/packages/gateway/src/membership/age-limits.ts
@@ -1,4 +1,4 @@
-/** How old a router's copy of what the store holds may become. */
+/** How old a router's copy of one kind of state in the store may become. */
 export interface AgeLimits {
   /** Age above which a router is not followed any more, in milliseconds. */
   readonly followMs: number
--- a/packages/gateway/src/membership/fleet-sync-options.ts
+++ b/packages/gateway/src/membership/fleet-sync-options.ts
@@ -1,4 +1,4 @@
-import type { PropagationBounds } from './propagation-bounds.js'
+import type { FleetAgeLimits } from './fleet-age-limits.js'
 import type { RouterTable } from './router-table.js'
 import type { SyncClient } from './sync-client.js'
 
@@ -12,6 +12,6 @@
   readonly seeds: readonly string[]
   /** Whether this router currently fails to read the store. */
   readonly isStoreFailing: () => boolean
-  /** Returns the bounds from which the maximum age of a router that is followed is derived. */
-  readonly propagationBounds: () => PropagationBounds
+  /** Returns the limits of the age of a router that is followed. */
+  readonly ageLimits: () => FleetAgeLimits
 }
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -3,8 +3,6 @@
 import type { RouterEntry } from '../model/router-entry.js'
 import { FollowingState } from './following-state.js'
 import { peerCallFields } from './peer-call-fields.js'
-import { createAgeLimits } from './create-age-limits.js'
-import { createEndpointAgeLimits } from './create-endpoint-age-limits.js'
 import { FailingReaders } from './failing-readers.js'
 import type { FleetSyncOptions } from './fleet-sync-options.js'
 import { isFresh } from './is-fresh.js'
@@ -58,7 +56,7 @@
   private readonly _seedDiscovery: SeedDiscovery
   private readonly _rotation: PeerRotation
   private readonly _isStoreFailing: () => boolean
-  private readonly _propagationBounds: FleetSyncOptions['propagationBounds']
+  private readonly _ageLimits: FleetSyncOptions['ageLimits']
   private readonly _failingReaders: FailingReaders
   private readonly _backoffs: PeerBackoffs
   private readonly _pause: RoundPause
@@ -85,7 +83,7 @@
     this._seedDiscovery = new SeedDiscovery(seeds, async (seed) => await this._syncWith(seed, DISCOVERY_OPTIONS))
     this._rotation = new PeerRotation(options.routers)
     this._isStoreFailing = options.isStoreFailing
-    this._propagationBounds = options.propagationBounds
+    this._ageLimits = options.ageLimits
     this._failingReaders = new FailingReaders(clock)
   }
 
@@ -217,7 +215,7 @@
       if (attempts === MAXIMUM_PEERS_PER_ROUND) return this._readIfDue()
       attempts += 1
       const answer = await this._syncWith(router.address, { reportsLoad: true, followers })
-      if (answer !== undefined && this._isFresh(answer, 0)) return this._follow(router, answer, followers)
+      if (answer !== undefined && isFresh(answer, 0, this._ageLimits())) return this._follow(router, answer, followers)
       this._backOff(router, answer)
     }
   }
@@ -233,7 +231,7 @@
       if (this._backoffs.includes(router.address)) continue
       attempts += 1
       const answer = await this._syncWith(router.address, FOLLOWER_OPTIONS)
-      if (answer !== undefined && this._isFresh(answer, MAXIMUM_SOURCE_DISTANCE)) {
+      if (answer !== undefined && isFresh(answer, MAXIMUM_SOURCE_DISTANCE, this._ageLimits())) {
         this._follow(router, answer, FOLLOWER_OPTIONS.followers)
         return true
       }
@@ -283,11 +281,6 @@
     }
   }
 
-  private _isFresh (answer: SyncAnswer, maximumDistance: number): boolean {
-    const { endpointsMs, configurationMs } = this._propagationBounds()
-    return isFresh(answer, maximumDistance, { endpoints: createEndpointAgeLimits(endpointsMs), configuration: createAgeLimits(configurationMs) })
-  }
-
   private _backOff (router: RouterEntry, answer: SyncAnswer | undefined): void {
     this._backoffs.start(router.address, answer !== undefined)
     if (answer === undefined) return
--- a/packages/gateway/src/membership/is-fresh.ts
+++ b/packages/gateway/src/membership/is-fresh.ts
@@ -1,4 +1,5 @@
 import type { AgeLimits } from './age-limits.js'
+import type { FleetAgeLimits } from './fleet-age-limits.js'
 import type { SyncAnswer } from './sync-answer.js'
 
 /**
@@ -7,7 +8,7 @@
  * @param maximumDistance maximum number of routers between it and the store
  * @param limits age limits of the endpoints and of the configuration
  */
-export function isFresh (answer: SyncAnswer, maximumDistance: number, limits: { readonly endpoints: AgeLimits, readonly configuration: AgeLimits }): boolean {
+export function isFresh (answer: SyncAnswer, maximumDistance: number, limits: FleetAgeLimits): boolean {
   // The source must be closer to the store than this router. Two routers that follow each other would both stop reading
   // the store.
   return answer.distance !== null && answer.distance <= maximumDistance &&
--- a/packages/gateway/src/test/create-sync.ts
+++ b/packages/gateway/src/test/create-sync.ts
@@ -7,7 +7,7 @@
 import type { SyncCall } from '@mimosarock/gateway/membership/sync-call.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import type { TransferCall } from '@mimosarock/gateway/membership/transfer-call.js'
-import { STATED_PROPAGATION_BOUNDS } from './stated-propagation-bounds.js'
+import { STATED_AGE_LIMITS } from './stated-age-limits.js'
 import type { ElapsedClock } from '@mimosarock/gateway/model/elapsed-clock.js'
 
 /** How a router of a test reaches the others and the store. */
@@ -28,7 +28,7 @@
   const log = new SilentEventLog()
   const transfer = new ConfigurationTransfer(state.configuration, transferCall, clock, log)
   const client = new SyncClient(state, clock, call, transfer, () => undefined)
-  const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => surroundings.isStoreFailing, propagationBounds: () => STATED_PROPAGATION_BOUNDS }, clock, log)
+  const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => surroundings.isStoreFailing, ageLimits: () => STATED_AGE_LIMITS }, clock, log)
   transfer.onAdopted(() => sync.syncSoon())
   connectLimits(state, sync)
   state.fairness.setFollowing(() => sync.isFollowing)
--- a/packages/gateway/src/test/fleet-sync_test.ts
+++ b/packages/gateway/src/test/fleet-sync_test.ts
@@ -5,7 +5,7 @@
 import { RouterTable } from '@mimosarock/gateway/membership/router-table.js'
 import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
 import type { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
-import { STATED_PROPAGATION_BOUNDS } from './stated-propagation-bounds.js'
+import { STATED_AGE_LIMITS } from './stated-age-limits.js'
 
 const clock = { now: () => performance.now() + 100_000 }
 
@@ -30,7 +30,7 @@
     },
     applyFollowed: () => undefined
   } as unknown as SyncClient
-  const sync = new FleetSync({ routers, client, seeds: [], isStoreFailing: () => peers.isStoreFailing === true, propagationBounds: () => STATED_PROPAGATION_BOUNDS }, clock, new SilentEventLog())
+  const sync = new FleetSync({ routers, client, seeds: [], isStoreFailing: () => peers.isStoreFailing === true, ageLimits: () => STATED_AGE_LIMITS }, clock, new SilentEventLog())
   const abortController = new AbortController()
   const running = sync.run(abortController.signal)
   while (!condition(sync, requestedAddresses)) await sleep(5)
@@ -75,7 +75,7 @@
 function startSync (seeds: Readonly<Record<string, () => Promise<SyncAnswer>>>) {
   const routers = new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, clock)
   const client = { sync: async (address: string) => await (seeds[address] as () => Promise<SyncAnswer>)(), applyFollowed: () => undefined } as unknown as SyncClient
-  const sync = new FleetSync({ routers, client, seeds: Object.keys(seeds), isStoreFailing: () => false, propagationBounds: () => STATED_PROPAGATION_BOUNDS }, clock, new SilentEventLog())
+  const sync = new FleetSync({ routers, client, seeds: Object.keys(seeds), isStoreFailing: () => false, ageLimits: () => STATED_AGE_LIMITS }, clock, new SilentEventLog())
   const abortController = new AbortController()
   const running = sync.run(abortController.signal)
   return { sync, abortController, running }
@@ -104,7 +104,7 @@
 test('a reader that was paused does not write to the store on the permission it had before', async () => {
   const pausable = { skewMs: 0, now (): number { return performance.now() + 100_000 + this.skewMs } }
   const routers = new RouterTable({ name: 'self', availabilityZone: 'z', address: 'self' }, pausable)
-  const sync = new FleetSync({ routers, client: {} as SyncClient, seeds: [], isStoreFailing: () => false, propagationBounds: () => STATED_PROPAGATION_BOUNDS }, pausable, new SilentEventLog())
+  const sync = new FleetSync({ routers, client: {} as SyncClient, seeds: [], isStoreFailing: () => false, ageLimits: () => STATED_AGE_LIMITS }, pausable, new SilentEventLog())
   const abortController = new AbortController()
   const running = sync.run(abortController.signal)
   while (!sync.isConfirmedReader) await sleep(5)
@@ -135,7 +135,7 @@
     },
     applyFollowed: () => undefined
   } as unknown as SyncClient
-  const sync = new FleetSync({ routers, client, seeds: [], isStoreFailing: () => false, propagationBounds: () => STATED_PROPAGATION_BOUNDS }, manual, new SilentEventLog())
+  const sync = new FleetSync({ routers, client, seeds: [], isStoreFailing: () => false, ageLimits: () => STATED_AGE_LIMITS }, manual, new SilentEventLog())
   const abortController = new AbortController()
   const running = sync.run(abortController.signal)
   while (sync.followingDistance !== 1) await sleep(5)
--- a/packages/gateway/src/test/slow-fleet.ts
+++ b/packages/gateway/src/test/slow-fleet.ts
@@ -2,7 +2,6 @@
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import type { FleetSync } from '@mimosarock/gateway/membership/fleet-sync.js'
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
-import { createAgeLimits } from '@mimosarock/gateway/membership/create-age-limits.js'
 import { OverdueReading } from '@mimosarock/gateway/membership/overdue-reading.js'
 import { pause } from '@mimosarock/gateway/membership/pause.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
@@ -10,7 +9,7 @@
 import { createFleetState } from './create-fleet-state.js'
 import { createLargeConfiguration } from './create-large-configuration.js'
 import { createSync } from './create-sync.js'
-import { STATED_PROPAGATION_BOUNDS } from './stated-propagation-bounds.js'
+import { STATED_AGE_LIMITS } from './stated-age-limits.js'
 import { SimulatedNetwork } from './simulated-network.js'
 
 const FIRST_ROUTES = 250
@@ -22,7 +21,7 @@
 /** Messages from this length on are compressed. */
 const COMPRESSED_BYTES = 4_096
 /** Age of the endpoints from which a router reads the store itself. */
-const MAXIMUM_AGE_MS = createAgeLimits(STATED_PROPAGATION_BOUNDS.endpointsMs).readMs
+const MAXIMUM_AGE_MS = STATED_AGE_LIMITS.endpoints.readMs
 const clock = { now: () => Date.now() }
 
 /** Fleet of routers on slow links, with a store that every router can read. */
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -1,11 +1,10 @@
 import { ConfigurationReadings } from '../configuration/configuration-readings.js'
 import { selectConfigurations } from '../configuration/select-configurations.js'
 import { EvacuationReadings } from '../evacuation/evacuation-readings.js'
-import type { AgeLimits } from '../membership/age-limits.js'
 import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
-import { createAgeLimits } from '../membership/create-age-limits.js'
-import { createEndpointAgeLimits } from '../membership/create-endpoint-age-limits.js'
+import { createFleetAgeLimits } from '../membership/create-fleet-age-limits.js'
+import type { FleetAgeLimits } from '../membership/fleet-age-limits.js'
 import { connectLimits } from '../membership/connect-limits.js'
 import { connectOutliers } from '../membership/connect-outliers.js'
 import { FleetSync } from '../membership/fleet-sync.js'
@@ -102,15 +101,11 @@
 
   /** A router that has heard of a version need not read it, as other routers send it. */
   private get _isConfigurationOverdue (): boolean {
-    return this._overdueReading.isDue(this._options.state.configuration.heardAt, this._configurationLimits.readMs)
+    return this._overdueReading.isDue(this._options.state.configuration.heardAt, this._ageLimits.configuration.readMs)
   }
 
-  private get _endpointLimits (): AgeLimits {
-    return createEndpointAgeLimits(this._options.propagationBounds().endpointsMs)
-  }
-
-  private get _configurationLimits (): AgeLimits {
-    return createAgeLimits(this._options.propagationBounds().configurationMs)
+  private get _ageLimits (): FleetAgeLimits {
+    return createFleetAgeLimits(this._options.propagationBounds())
   }
 
   private _createOperatorFeed (): StoreFeed<OperatorRecord> {
@@ -120,7 +115,7 @@
     return new StoreFeed({
       topic: 'configuration',
       reader: store.operatorRecords,
-      waitMs: () => Math.min(MAXIMUM_CONFIGURATION_WAIT_MS, this._configurationLimits.followMs - CONFIGURATION_WAIT_MARGIN_MS),
+      waitMs: () => Math.min(MAXIMUM_CONFIGURATION_WAIT_MS, this._ageLimits.configuration.followMs - CONFIGURATION_WAIT_MARGIN_MS),
       pauseMs: CONFIGURATION_PAUSE_MS,
       shouldRead: () => this._sync.isReader || configuration.readAt === -Infinity || !evacuations.isKnown || this._isConfigurationOverdue,
       onPage: (page, readAt) => {
@@ -143,7 +138,7 @@
       reader: store.endpoints,
       waitMs: () => ENDPOINTS_WAIT_MS,
       pauseMs: ENDPOINTS_PAUSE_MS,
-      shouldRead: () => this._sync.isReader || this._overdueReading.isDue(endpointsFreshness.verifiedAt, this._endpointLimits.readMs),
+      shouldRead: () => this._sync.isReader || this._overdueReading.isDue(endpointsFreshness.verifiedAt, this._ageLimits.endpoints.readMs),
       onPage: (page, readAt) => {
         readings.apply(page, readAt)
         onProgress()
@@ -156,13 +151,13 @@
   }
 
   private _createSync (): FleetSync {
-    const { state, peerClient, seeds, propagationBounds, clock, log, onProgress } = this._options
+    const { state, peerClient, seeds, clock, log, onProgress } = this._options
     const transfer = new ConfigurationTransfer(state.configuration, async (address, fromVersion) => {
       return await peerClient.configurationUpdate(address, fromVersion)
     }, clock, log)
     const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), transfer, onProgress)
     const isStoreFailing = (): boolean => this._operatorFeed.isFailing || this._endpointFeed.isFailing
-    const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing, propagationBounds }, clock, log)
+    const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing, ageLimits: () => this._ageLimits }, clock, log)
     transfer.onAdopted(() => sync.syncSoon())
     state.quarantine.onNews(() => sync.syncSoon())
     state.evacuations.onNews(() => sync.syncSoon())
