--- a/packages/gateway/src/test/knowledge-age_test.ts
+++ b/packages/gateway/src/test/knowledge-age_test.ts
@@ -1,5 +1,4 @@
 import { expect, test, vi } from 'vitest'
-import { createConfiguration } from './create-configuration.js'
 import { KnowledgeFleet } from './knowledge-fleet.js'
 import { useSimulatedTime } from './use-simulated-time.js'
 
@@ -11,58 +10,32 @@
 ]
 /** Part of a bound for a request that is on its way. */
 const MARGIN_MS = 200
-const WARM_UP_MS = 2_500
 const FREEZE_AFTER_MS = 700
-const ZONE = 'z0'
 const TEST_TIMEOUT_MS = 400_000
 const simulated = useSimulatedTime()
 
-async function startFleet ({ routers, boundMs }: typeof FLEETS[number]): Promise<KnowledgeFleet> {
-  const fleet = new KnowledgeFleet(routers, { endpointsMs: boundMs, configurationMs: boundMs }, simulated.signal)
-  await vi.advanceTimersByTimeAsync(WARM_UP_MS)
-  await fleet.untilReaderHasRead()
-  return fleet
-}
-
-/** Changes what the store holds: an endpoint is leaving, a configuration, an evacuation. */
-function changeAll (fleet: KnowledgeFleet): void {
-  fleet.drain(0)
-  fleet.store.configurations.put('config', createConfiguration(2))
-  fleet.store.putEvacuation(ZONE, true)
-}
-
-/** Returns the longest time until a router knows each change. */
-async function longestDelays (fleet: KnowledgeFleet, limitMs: number, excluded: readonly string[]): Promise<readonly number[]> {
-  const delays = await Promise.all([
-    fleet.delaysUntil(({ endpoints }) => endpoints.find('e0')?.isDraining === true, limitMs, excluded),
-    fleet.delaysUntil(({ configuration }) => configuration.version === 2, limitMs, excluded),
-    fleet.delaysUntil(({ evacuations }) => evacuations.includes(ZONE), limitMs, excluded)
-  ])
-  return delays.map((ofRouters) => Math.max(...ofRouters))
-}
-
 // Guards against DRAIN as in review/1: the other routers followed a reader that had lost the store until what it knew was too old.
 test('the reader loses the store, and all others know in time what has changed just after its last read', async () => {
-  const size = FLEETS[0] as typeof FLEETS[number]
-  const fleet = await startFleet(size)
+  const [{ routers, boundMs }] = FLEETS as [typeof FLEETS[number]]
+  const fleet = await KnowledgeFleet.start(routers, boundMs, simulated.signal)
   const [reader] = fleet.order as [string]
   fleet.setHasStore([reader], false)
-  changeAll(fleet)
-  const delays = await longestDelays(fleet, size.boundMs, [reader])
-  expect(Math.max(...delays)).toBeLessThanOrEqual(size.boundMs - MARGIN_MS)
+  fleet.changeStore()
+  const delays = await fleet.storeDelays(boundMs, [reader])
+  expect(Math.max(...Object.values(delays))).toBeLessThanOrEqual(boundMs - MARGIN_MS)
 })
 
 // Guards against CONFIG as in review/3, and against DRAIN and EVAC for the same cause: besides, each router waited for one that did not answer before it
 // asked the next one.
-test.each(FLEETS)('$routers routers: the reader loses the store and the next one freezes, and all others know in time what has changed', async (size) => {
-  const fleet = await startFleet(size)
+test.each(FLEETS)('$routers routers: the reader loses the store and the next one freezes, and all others know in time what has changed', async ({ routers, boundMs, evacuationMs }) => {
+  const fleet = await KnowledgeFleet.start(routers, boundMs, simulated.signal)
   const [reader, second] = fleet.order as [string, string]
   fleet.setHasStore([reader], false)
-  changeAll(fleet)
+  fleet.changeStore()
   setTimeout(() => fleet.freeze([second]), FREEZE_AFTER_MS)
-  const [endpoints, configuration, evacuation] = await longestDelays(fleet, size.evacuationMs, [reader, second]) as [number, number, number]
-  expect(Math.max(endpoints, configuration)).toBeLessThanOrEqual(size.boundMs - MARGIN_MS)
-  expect(evacuation).toBeLessThanOrEqual(size.evacuationMs - MARGIN_MS)
+  const { endpoints, configuration, evacuation } = await fleet.storeDelays(evacuationMs, [reader, second])
+  expect(Math.max(endpoints, configuration)).toBeLessThanOrEqual(boundMs - MARGIN_MS)
+  expect(evacuation).toBeLessThanOrEqual(evacuationMs - MARGIN_MS)
 }, TEST_TIMEOUT_MS)
 
 /** Calls to the store that a fleet may make in a second, whatever its size, while one router reads for all. */
@@ -74,13 +47,13 @@
 const OUTAGE_CALLS_PER_ROUTER = 3
 
 // Guards against routers that read the store themselves without need: each call is paid for, and the store serves all routers from one budget.
-test.each(FLEETS.slice(0, 2))('$routers routers: one of them reads the store for all, and few calls are made while it is unavailable to all', async (size) => {
-  const fleet = await startFleet(size)
+test.each(FLEETS.slice(0, 2))('$routers routers: one of them reads the store for all, and few calls are made while it is unavailable to all', async ({ routers, boundMs }) => {
+  const fleet = await KnowledgeFleet.start(routers, boundMs, simulated.signal)
   const before = fleet.storeCalls
   await vi.advanceTimersByTimeAsync(STEADY_MS)
   expect(fleet.storeCalls - before).toBeLessThanOrEqual(READER_CALLS_PER_SECOND * STEADY_MS / 1_000)
   const beforeOutage = fleet.storeCalls
   fleet.setHasStore(fleet.order, false)
   await vi.advanceTimersByTimeAsync(OUTAGE_MS)
-  expect(fleet.storeCalls - beforeOutage).toBeLessThanOrEqual(OUTAGE_CALLS_OF_FIRST_READERS + OUTAGE_CALLS_PER_ROUTER * size.routers)
+  expect(fleet.storeCalls - beforeOutage).toBeLessThanOrEqual(OUTAGE_CALLS_OF_FIRST_READERS + OUTAGE_CALLS_PER_ROUTER * routers)
 }, TEST_TIMEOUT_MS)
--- a/packages/gateway/src/test/knowledge-fleet.ts
+++ b/packages/gateway/src/test/knowledge-fleet.ts
@@ -22,6 +22,11 @@
 /** Time after which a caller gives up a router that does not answer. */
 const PEER_TIMEOUT_MS = 450
 const STEP_MS = 20
+const WARM_UP_MS = 2_500
+/** What changes in the store. */
+const LEAVING_ENDPOINT = 0
+const CHANGED_VERSION = 2
+const EVACUATED_ZONE = 'z0'
 
 /** What a router of the fleet can reach. */
 interface Reach {
@@ -44,6 +49,7 @@
   readonly clock = { now: () => performance.now() + 1_000_000 }
   private readonly _signal: AbortSignal
   private readonly _routers = new Map<string, KnowledgeRouter>()
+  private readonly _leaving = new Set<number>()
   private _revision = 1
   private _stepping: Promise<void> | undefined
 
@@ -63,6 +69,19 @@
     this._sendHeartbeats().catch(() => undefined)
   }
 
+  /**
+   * Starts a fleet, and lets it run until its reader has just read the endpoints.
+   * @param routerCount number of routers
+   * @param boundMs time within which all routers have to know a change of the endpoints or the configuration
+   * @param signal ends the fleet
+   */
+  static async start (routerCount: number, boundMs: number, signal: AbortSignal): Promise<KnowledgeFleet> {
+    const fleet = new KnowledgeFleet(routerCount, { endpointsMs: boundMs, configurationMs: boundMs }, signal)
+    await vi.advanceTimersByTimeAsync(WARM_UP_MS)
+    await fleet._untilReaderHasRead()
+    return fleet
+  }
+
   /** Calls of all routers to the store so far. */
   get storeCalls (): number {
     return [...this._routers.values()].reduce((sum, { reach }) => sum + reach.storeCalls, 0)
@@ -74,8 +93,16 @@
     return (first as KnowledgeRouter).state.routers.inReaderOrder().map(({ name }) => name)
   }
 
+  /**
+   * State of a router.
+   * @param name name of the router
+   */
+  stateOf (name: string): FleetState {
+    return this._find(name).state
+  }
+
   /** Lets the store and its readers go on until the reader has sent a read of the endpoints whose answer it has. */
-  async untilReaderHasRead (): Promise<void> {
+  private async _untilReaderHasRead (): Promise<void> {
     const { endpointsFreshness } = this._find(this.order[0] as string).state
     const before = endpointsFreshness.verifiedAt
     while (endpointsFreshness.verifiedAt === before) await vi.advanceTimersByTimeAsync(1)
@@ -92,19 +119,36 @@
     for (const name of names) this._find(name).reach.hasPeers = false
   }
 
-  /** Registers an endpoint as leaving. */
-  drain (index: number): void {
+  /** Changes what the store holds: an endpoint is leaving, a configuration, an evacuation. */
+  changeStore (): void {
+    this._leaving.add(LEAVING_ENDPOINT)
     this._revision += 1
-    this.store.endpoints.put(`e${index}`, { ...entryOf(index, this._revision), isDraining: true })
+    this._register(LEAVING_ENDPOINT)
+    this.store.configurations.put('config', createConfiguration(CHANGED_VERSION))
+    this.store.putEvacuation(EVACUATED_ZONE, true)
+  }
+
+  /**
+   * Returns the longest time until a router knows each change of the store, in milliseconds.
+   * @param limitMs time after which a router counts as never knowing it
+   * @param excluded names of routers that are left out
+   */
+  async storeDelays (limitMs: number, excluded: readonly string[]): Promise<{ readonly endpoints: number, readonly configuration: number, readonly evacuation: number }> {
+    const [endpoints, configuration, evacuation] = await Promise.all([
+      this.longestDelay((state) => state.endpoints.find(`e${LEAVING_ENDPOINT}`)?.isDraining === true, limitMs, excluded),
+      this.longestDelay((state) => state.configuration.version === CHANGED_VERSION, limitMs, excluded),
+      this.longestDelay((state) => state.evacuations.includes(EVACUATED_ZONE), limitMs, excluded)
+    ])
+    return { endpoints, configuration, evacuation }
   }
 
   /**
-   * Returns for each router the time until it knows something, in milliseconds.
+   * Returns the longest time until a router knows something, in milliseconds.
    * @param knows whether a router with this state knows it
    * @param limitMs time after which a router counts as never knowing it
    * @param excluded names of routers that are left out
    */
-  async delaysUntil (knows: (state: FleetState) => boolean, limitMs: number, excluded: readonly string[]): Promise<readonly number[]> {
+  async longestDelay (knows: (state: FleetState) => boolean, limitMs: number, excluded: readonly string[]): Promise<number> {
     const startedAt = this.clock.now()
     const delays = new Map<string, number>()
     const names = [...this._routers.keys()].filter((name) => !excluded.includes(name))
@@ -112,7 +156,7 @@
       for (const name of names) if (!delays.has(name) && knows(this._find(name).state)) delays.set(name, this.clock.now() - startedAt)
       await this._step()
     }
-    return names.map((name) => delays.get(name) ?? Infinity)
+    return Math.max(...names.map((name) => delays.get(name) ?? Infinity))
   }
 
   /** Advances the time, once for all that wait for the same step. */
@@ -184,14 +228,14 @@
   }
 
   private _register (index: number): void {
-    this.store.endpoints.put(`e${index}`, entryOf(index, this._revision))
+    this.store.endpoints.put(`e${index}`, { ...entryOf(index, this._revision), isDraining: this._leaving.has(index) })
   }
 
-  /** Lets all endpoints but the first one, which the tests let leave, register again and again. */
+  /** Lets all endpoints register again and again. */
   private async _sendHeartbeats (): Promise<void> {
     while (!this._signal.aborted) {
       this._revision += 1
-      for (let index = 1; index < ENDPOINTS; index += 1) {
+      for (let index = 0; index < ENDPOINTS; index += 1) {
         await pause(HEARTBEAT_MS / ENDPOINTS, this._signal)
         this._register(index)
       }
