What decides whether a registration is outdated has a class of its own

endpoint-table held the registered endpoints and, besides, removals, withheld registrations and the times of the last ones, which all serve one question. RegistrationOrder answers it; the behaviour and the tests are the same.

--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -7,8 +7,7 @@
 import type { EndpointRemoval } from './endpoint-removal.js'
 import type { EndpointListener } from './endpoint-listener.js'
 import type { RegistrationRecorder } from './registration-recorder.js'
-import { isEarlierRegistration } from './is-earlier-registration.js'
-import { RemovedEndpoints } from './removed-endpoints.js'
+import { RegistrationOrder } from './registration-order.js'
 
 /** How long contexts can be copied from an endpoint after its removal. Its address may be reassigned afterwards. */
 const DEPARTED_RETENTION_MS = 1_800
@@ -16,15 +15,6 @@
 /** Maximum number of changes retained for routers with an older revision. A router misses more only after a long absence. */
 const MAXIMUM_CHANGES = 2_048
 
-/**
- * How long after a change of the store's era a registration from before a removal is withheld. By then the store has removed
- * an endpoint that does not register again: it does so after three heartbeats, which come once a second.
- */
-const WITHHOLDING_MS = 4_500
-
-/** Time within which the store carries out the registrations of an endpoint that has started anew. */
-const LATE_REGISTRATION_MS = 10_000
-
 /** Maximum number of endpoints remembered as leaving; the first ones are forgotten first. */
 const MAXIMUM_LEAVING = 4_096
 /** Evacuations of a table that knows of none. */
@@ -50,21 +40,14 @@
  * Registered endpoints. An entry that is removed while the store is available is deleted immediately. An entry that
  * expires during an outage of the store is retained for a grace period, in which a live endpoint registers again. An
  * entry of a draining endpoint is deleted immediately in both cases.
- *
- * After the store has come back from an older copy, that copy may list endpoints that have been removed since. They are
- * withheld until they register again, or until the store would have removed them.
+ * Registrations that are older than what is known of their endpoint do not count, see `RegistrationOrder`.
  */
 export class EndpointTable {
   private readonly _entries = new Map<string, EndpointEntry>()
   /** Ends of the grace periods of entries that the store removed during or shortly after an outage, by endpoint id. */
   private readonly _lapsed = new Map<string, number>()
   private readonly _departed = new Map<string, DepartedEntry>()
-  private readonly _removed: RemovedEndpoints
-  /** Registrations from before a removal, by endpoint id. */
-  private readonly _withheld = new Map<string, EndpointEntry>()
-  private _withholdingEnd = -Infinity
-  /** Times of the last registrations, by endpoint id. */
-  private readonly _registeredAt = new Map<string, number>()
+  private readonly _order: RegistrationOrder
   /** Start of the incarnation that stated that it is leaving, by endpoint id. */
   private readonly _leaving = new Map<string, number>()
   private readonly _clock: ElapsedClock
@@ -87,7 +70,7 @@
     this._clock = clock
     this._log = log
     this._evacuations = evacuations
-    this._removed = new RemovedEndpoints(clock)
+    this._order = new RegistrationOrder(clock, log)
   }
 
   /** Revision number; incremented by each change that other routers need. */
@@ -112,7 +95,7 @@
 
   /** Endpoints that were removed a short time ago. */
   get removals (): readonly EndpointRemoval[] {
-    return this._removed.all
+    return this._order.removals
   }
 
   /**
@@ -120,14 +103,12 @@
    * @param removal the removal
    */
   recordRemoval (removal: EndpointRemoval): void {
-    this._removed.add(removal)
-    const current = this._entries.get(removal.id)
-    if (current !== undefined && this._removed.precedesRemoval(current)) this._delete(removal.id)
+    if (this._order.learnRemoval(removal, this._entries.get(removal.id))) this._delete(removal.id)
   }
 
   /** Prepares for content of the store that is older than what it held before. */
   storeEraChanged (): void {
-    this._withholdingEnd = this._clock.now() + WITHHOLDING_MS
+    this._order.storeEraChanged()
   }
 
   /**
@@ -220,7 +201,7 @@
    */
   replace (entries: readonly EndpointEntry[], gracePeriodEnd: number | undefined): void {
     const registeredIds = new Set(entries.map((entry) => entry.id))
-    for (const id of this._withheld.keys()) if (!registeredIds.has(id)) this._withheld.delete(id)
+    this._order.retainWithheld(registeredIds)
     for (const id of [...this._entries.keys()]) {
       if (!registeredIds.has(id) && !this._lapsed.has(id)) this._remove(id, gracePeriodEnd)
     }
@@ -232,9 +213,9 @@
    * that are no longer withheld.
    */
   removeExpired (): void {
-    if (this._lapsed.size === 0 && this._departed.size === 0 && this._withheld.size === 0) return
+    if (this._lapsed.size === 0 && this._departed.size === 0 && !this._order.isWithholding) return
     const now = this._clock.now()
-    if (now >= this._withholdingEnd) this._addWithheld()
+    for (const entry of this._order.releaseWithheld()) this._put(entry)
     for (const [id, departed] of this._departed) {
       if (now >= departed.expiresAt) this._expireDeparted(id, departed.entry)
     }
@@ -245,13 +226,12 @@
 
   private _put (registered: EndpointEntry): void {
     const current = this._entries.get(registered.id)
-    if (this._isOutdated(registered, current)) return
+    if (this._order.isOutdated(registered, current)) return
     const entry = this._isLeaving(registered) ? { ...registered, isDraining: true } : registered
-    this._withheld.delete(entry.id)
     const departed = this._departed.get(entry.id)
     if (departed !== undefined) this._expireDeparted(entry.id, departed.entry)
     this._lapsed.delete(entry.id)
-    this._registeredAt.set(entry.id, this._clock.now())
+    this._order.recordRegistration(entry)
     const isNews = this._recorder?.record(entry, current) === true
     if (current !== undefined && !isNews && isSameEntry(current, entry)) {
       this._entries.set(entry.id, entry)
@@ -277,37 +257,8 @@
     return leavingStart === startedAt
   }
 
-  /** Whether an entry is older than what is known of the endpoint. Withholds it if the endpoint was removed since. */
-  private _isOutdated (entry: EndpointEntry, current: EndpointEntry | undefined): boolean {
-    if (current !== undefined) return isEarlierRegistration(entry, current) && !this._replacesSilent(entry, current)
-    if (this._clock.now() >= this._withholdingEnd) return this._precedesRemoval(entry)
-    if (!this._removed.mayPrecedeRemoval(entry)) return this._precedesRemoval(entry)
-    if (!this._withheld.has(entry.id)) this._log.info('endpoint-withheld', { endpoint: entry.id, service: entry.service })
-    this._withheld.set(entry.id, entry)
-    return true
-  }
-
-  /** Whether an entry is of an earlier incarnation that registers although the later one has not for so long that the store would have removed it. */
-  private _replacesSilent (entry: EndpointEntry, current: EndpointEntry): boolean {
-    const registeredAt = this._registeredAt.get(entry.id) ?? -Infinity
-    return entry.startedAt < current.startedAt && this._clock.now() - registeredAt >= LATE_REGISTRATION_MS
-  }
-
-  /** Whether the store has carried out a registration late, after it had removed the endpoint. It says nothing of the endpoint as it is now. */
-  private _precedesRemoval (entry: EndpointEntry): boolean {
-    if (!this._removed.precedesRemoval(entry)) return false
-    this._log.info('endpoint-outdated', { endpoint: entry.id, service: entry.service, revision: entry.revision })
-    return true
-  }
-
-  private _addWithheld (): void {
-    const entries = [...this._withheld.values()]
-    this._withheld.clear()
-    for (const entry of entries) this._put(entry)
-  }
-
   private _remove (id: string, gracePeriodEnd: number | undefined): void {
-    this._withheld.delete(id)
+    this._order.dropWithheld(id)
     const entry = this._entries.get(id)
     if (entry === undefined) return
     if (gracePeriodEnd === undefined || entry.isDraining) {
@@ -324,12 +275,11 @@
     this._lapsed.delete(id)
     if (entry === undefined) return
     this._entries.delete(id)
-    this._registeredAt.delete(id)
     if (entry.startedAt === UNKNOWN_START) this._leaving.delete(id)
     const { startedAt, revision } = entry
-    this._removed.add({ id, startedAt, revision })
+    const removal = this._order.recordRemoval({ id, startedAt, revision })
     this._departed.set(id, { entry, expiresAt: this._clock.now() + DEPARTED_RETENTION_MS })
-    this._recordChange({ id, entry: undefined, removal: this._removed.find(id) })
+    this._recordChange({ id, entry: undefined, removal })
     this._log.info('endpoint-gone', { endpoint: id, service: entry.service })
     for (const listener of this._listeners) listener.endpointRemoved(entry)
   }
--- a/packages/gateway/src/membership/removed-endpoints.ts
+++ b/packages/gateway/src/membership/removed-endpoints.ts
@@ -38,13 +38,15 @@
   /**
    * Records the removal of an endpoint. Of several, the one of the newest registration is remembered.
    * @param removal the removal
+   * @returns the one that is remembered
    */
-  add (removal: EndpointRemoval): void {
+  add (removal: EndpointRemoval): EndpointRemoval {
     this._removeExpired()
     const known = this.find(removal.id)
     const newest = known !== undefined && isEarlierRegistration(removal, known) ? known : removal
     this._removals.delete(removal.id)
     this._removals.set(removal.id, { removal: newest, expiresAt: this._clock.now() + RETENTION_MS })
+    return newest
   }
 
   /**
