The time limit of a request has a class of its own

request-task held, beside the steps of a request, the arithmetic of its deadline and of a stopping router, and the timer for it. The behaviour and the tests are the same.

--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -22,11 +22,10 @@
 import { requestFingerprint } from './request-fingerprint.js'
 import { requireNotEvacuated } from './require-not-evacuated.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
+import { RequestTimeLimit } from './request-time-limit.js'
 
 /** Maximum body length if the configuration sets none. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 4_194_304
-/** Subtracted from the time limit of a request, which leaves time for the router's own response to reach the caller. */
-const RESPONSE_MARGIN_MS = 15
 /** Time after the head of a request arrived, from which it is authorized again before it is sent. */
 const AUTHORIZATION_LIFETIME_MS = 1_000
 /** Fraction of the latency objective of a route for which a request is worth keeping until an endpoint takes it. */
@@ -41,7 +40,7 @@
   private readonly _dependencies: RequestDependencies
   private readonly _request: IncomingMessage
   private readonly _response: ServerResponse
-  private readonly _startedAt: number
+  private readonly _time: RequestTimeLimit
   private readonly _held: HeldConnection
   private _isTooSlow = false
   private _requestId: string | undefined
@@ -55,9 +54,6 @@
   private _path: AdmissionPath | undefined
   private _firstByteMs: number | undefined
   private _attempts: EndpointAttempts | undefined
-  private _authorized: AuthorizedRequest | undefined
-  /** Ends the attempts when the time of the request is over; undefined while there are none. */
-  private _servingTimer: NodeJS.Timeout | undefined
   private _isRefusedForStop = false
 
   /**
@@ -69,7 +65,7 @@
     this._dependencies = dependencies
     this._request = request
     this._response = response
-    this._startedAt = dependencies.clock.now()
+    this._time = new RequestTimeLimit(dependencies.clock, dependencies.state, () => response.headersSent)
     this._held = dependencies.heldBytes.add({
       unsentBytes: () => response.writableLength,
       closeSlow: (unsentBytes) => this._closeSlow(unsentBytes)
@@ -89,7 +85,6 @@
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = this._authorize()
-      this._authorized = authorized
       const body = await readRequestBody(this._request, this._maximumBodyBytes(), this._held)
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
@@ -111,8 +106,8 @@
   }
 
   limitToStop (): void {
-    if (this._servingTimer !== undefined) this._setServingTimer()
-    if (this._admissionWait === undefined || this._authorized === undefined || this._endsBeforeStop(this._authorized)) return
+    this._time.shorten()
+    if (this._admissionWait === undefined || this._time.endsBeforeStop) return
     this._isRefusedForStop = true
     this._admissionWait.abort()
   }
@@ -134,7 +129,8 @@
       throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the request headers exceed ${limits.headerBytes} bytes`)
     }
     const authorized = authorizeRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs())
-    this._requireTimeBeforeStop(authorized)
+    this._time.setLimits(authorized)
+    this._requireTimeBeforeStop()
     return authorized
   }
 
@@ -150,17 +146,11 @@
    * keys were known by.
    */
   private _authorizeAgainAfterDelay (): void {
-    if (this._dependencies.clock.now() - this._startedAt >= AUTHORIZATION_LIFETIME_MS) this._authorize()
+    if (this._dependencies.clock.now() - this._time.startedAt >= AUTHORIZATION_LIFETIME_MS) this._authorize()
   }
 
-  private _requireTimeBeforeStop (authorized: AuthorizedRequest): void {
-    if (!this._endsBeforeStop(authorized)) throw createStoppingError()
-  }
-
-  /** Whether the request ends before a stopping router exits, however long it takes. */
-  private _endsBeforeStop (authorized: AuthorizedRequest): boolean {
-    const { stopDeadline } = this._dependencies.state
-    return stopDeadline === undefined || performance.now() + this._ownTimeLeftMs(authorized) <= stopDeadline
+  private _requireTimeBeforeStop (): void {
+    if (!this._time.endsBeforeStop) throw createStoppingError()
   }
 
   /**
@@ -183,7 +173,7 @@
     permits.countRequest(authorized.service)
     for (;;) {
       const homes = currentHomes.of(authorized)
-      const admission = admissionPaths.create(authorized, () => this._timeLeftMs(authorized), homes)
+      const admission = admissionPaths.create(authorized, () => this._time.leftMs, homes)
       this._path = admission
       await this._admit(admission, authorized)
       const newHomes = currentHomes.of(authorized)
@@ -202,7 +192,7 @@
       rank: authorized.priority,
       routeRank: authorized.route.priority,
       objectiveMs: authorized.route.objectiveMs,
-      timeLeftMs: this._timeLeftMs(authorized)
+      timeLeftMs: this._time.leftMs
     }
     this._admittedAt = clock.now()
     if (admission.tryAdmit(request)) return
@@ -222,7 +212,7 @@
   private async _serve (authorized: AuthorizedRequest, admission: AdmissionPath, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
     this._authorizeAgainAfterDelay()
-    this._requireTimeBeforeStop(authorized)
+    this._requireTimeBeforeStop()
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
     const relay = new ResponseRelay({
@@ -238,10 +228,10 @@
     })
     this._relay = relay
     const attempts = new EndpointAttempts(this._dependencies, {
-      authorized, content, request: this._request, body, relay, admission, timeLeftMs: () => this._timeLeftMs(authorized)
+      authorized, content, request: this._request, body, relay, admission, timeLeftMs: () => this._time.leftMs
     })
     this._attempts = attempts
-    this._setServingTimer()
+    this._time.start(() => attempts.endAtDeadline())
     try {
       await attempts.run()
       this._dependencies.quarantine.recordCompletion(content)
@@ -249,37 +239,10 @@
       if (!relay.hasBufferedResponse || this._isCallerDisconnected) throw error
       relay.finish()
     } finally {
-      clearTimeout(this._servingTimer)
-      this._servingTimer = undefined
+      this._time.stop()
     }
   }
 
-  /** Ends the attempts when the time of the request is over. To be called again when that time becomes shorter. */
-  private _setServingTimer (): void {
-    clearTimeout(this._servingTimer)
-    if (this._authorized === undefined) return
-    this._servingTimer = setTimeout(() => this._endServing(), Math.max(0, this._timeLeftMs(this._authorized)))
-  }
-
-  private _endServing (): void {
-    // The timer was set before the response had begun, which has more time in a stopping router.
-    if (this._authorized !== undefined && this._timeLeftMs(this._authorized) > 0) this._setServingTimer()
-    else this._attempts?.endAtDeadline()
-  }
-
-  /** Milliseconds until the request has to be answered; a stopping router answers before it exits, unless the response has begun and may be complete by then. */
-  private _timeLeftMs (authorized: AuthorizedRequest): number {
-    const { stopDeadline } = this._dependencies.state
-    const untilStopMs = stopDeadline === undefined || this._response.headersSent ? Infinity : stopDeadline - performance.now()
-    return Math.min(this._ownTimeLeftMs(authorized), untilStopMs)
-  }
-
-  /** Milliseconds until the caller's deadline or the route's timeout, whichever is earlier, less the response margin. */
-  private _ownTimeLeftMs (authorized: AuthorizedRequest): number {
-    const limit = Math.min(authorized.caller.deadlineMs ?? Infinity, authorized.route.timeoutMs)
-    return this._startedAt + limit - RESPONSE_MARGIN_MS - this._dependencies.clock.now()
-  }
-
   private _maximumBodyBytes (): number {
     return this._dependencies.configuration.inForce?.configuration.limits?.bodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES
   }
@@ -323,7 +286,7 @@
   }
 
   private _observeFirstByte (route: string): void {
-    this._firstByteMs = this._dependencies.clock.now() - this._startedAt
+    this._firstByteMs = this._dependencies.clock.now() - this._time.startedAt
     this._dependencies.metrics.firstByteSeconds.observe({ route }, this._firstByteMs / MS_PER_SECOND)
   }
 
@@ -340,7 +303,7 @@
       status: this._response.headersSent ? this._response.statusCode : 0,
       code,
       firstByteMs: this._firstByteMs,
-      elapsedMs: this._dependencies.clock.now() - this._startedAt,
+      elapsedMs: this._dependencies.clock.now() - this._time.startedAt,
       problem: this._problem ?? this._attempts?.problem
     })
   }
