A router that finds the first ones of the order stale goes on to those after them again

Found when the change was read again: since a stale router was asked again after 0.2 s, which is less than the interval between rounds, so that each round asked the same four. With these refused by the store, a router further down never found the one that reads it, and read the store itself after 2.5 s and more. The new test failed with 0.2 s.

--- a/packages/gateway/src/membership/peer-backoffs.ts
+++ b/packages/gateway/src/membership/peer-backoffs.ts
@@ -2,8 +2,11 @@
 
 /** Backoff after a router did not answer, during which it is not contacted. */
 const UNREACHABLE_BACKOFF_MS = 1_500
-/** Backoff after the state of a router was stale; shorter than the interval between sync requests, since that router may read the store meanwhile. */
-const STALE_BACKOFF_MS = 200
+/**
+ * Backoff after the state of a router was stale. It is short, since that router may follow another one soon, and longer than the interval between
+ * sync requests, so that the next round goes on to the routers after it.
+ */
+const STALE_BACKOFF_MS = 300
 
 /** Routers that are not contacted for a while. */
 export class PeerBackoffs {
--- a/packages/gateway/src/test/fleet-sync_test.ts
+++ b/packages/gateway/src/test/fleet-sync_test.ts
@@ -187,3 +187,31 @@
   const [first, second] = [requestedAddresses.indexOf('x'), requestedAddresses.indexOf('y')]
   expect(second).toBeGreaterThan(first)
 })
+
+// Guards against routers that ask the same first ones of the order in each round while these are refused by the store, and never the next ones, which read it.
+test('a router that finds the first ones of the order stale follows the first fresh one after them', async () => {
+  const entryOf = (index: number) => ({ name: `r${index}`, availabilityZone: 'z', address: `r${index}` })
+  const entries = Array.from({ length: 12 }, (_, index) => entryOf(index))
+  const table = new RouterTable(entries[0] as typeof entries[number], clock)
+  for (const entry of entries) table.recordContact(entry, 0)
+  const order = table.inReaderOrder()
+  const routers = new RouterTable(order.at(-1) as typeof entries[number], clock)
+  for (const entry of entries) routers.recordContact(entry, 0)
+  const first = order.slice(0, 4).map(({ address }) => address)
+  const state = { areFirstStale: false }
+  const client = {
+    sync: async (address: string) => {
+      return { name: address, distance: state.areFirstStale && first.includes(address) ? null : 0, storeEra: { era: 1, changedAgoMs: undefined }, configurationReadAgeMs: 10, endpointsAgeMs: 10 }
+    },
+    applyFollowed: () => undefined
+  } as unknown as SyncClient
+  const sync = new FleetSync({ routers, client, seeds: [], isStoreFailing: () => false, ageLimits: () => STATED_AGE_LIMITS }, clock, new SilentEventLog())
+  const abortController = new AbortController()
+  const running = sync.run(abortController.signal)
+  while (sync.source !== first[0]) await sleep(5)
+  state.areFirstStale = true
+  while (sync.source === first[0] && !sync.isReader) await sleep(5)
+  abortController.abort()
+  await running
+  expect([sync.source, sync.isReader]).toEqual([order[4]?.name, false])
+})
