--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -66,9 +66,14 @@
     return this._heardAt
   }
 
+  /** Newest version of which this router has heard and that it lacks; undefined if there is none. */
+  get awaitedVersion (): number | undefined {
+    return this._heardVersion > this.version ? this._heardVersion : undefined
+  }
+
   /** What other routers may be told of `heardAt`: this router can tell them of no version that it lacks, so that it tells the last reading then. */
   get knownAt (): number {
-    return this._heardVersion > this.version ? this._readAt : this._heardAt
+    return this.awaitedVersion === undefined ? this._heardAt : this._readAt
   }
 
   /** Milliseconds since the version in force was last verified to be the newest in the store. */
@@ -152,6 +157,8 @@
    * @param version version of the configuration that was heard of; 0 if it is not known yet
    */
   markHeard (heardAt: number, version = 0): void {
+    const isNews = version > Math.max(this._heardVersion, this.version)
+    if (isNews) this._log.info('configuration-awaited', { version, in_force: this.version })
     this._heardVersion = Math.max(this._heardVersion, version)
     if (heardAt > this._heardAt) this._heardAt = heardAt
   }
