Test of the wiring that lets a router with an old configuration read the store

The rule of fleet-tasks that compares the age of the configuration with its limit could be taken out without a failing test: the tests of the sums use a copy of the rule, and routers at the front of the reader order take over as readers before it counts.

--- a/packages/gateway/src/test/fleet-tasks_test.ts
+++ b/packages/gateway/src/test/fleet-tasks_test.ts
@@ -22,14 +22,24 @@
 const clock = { now: () => performance.now() + 1_000_000 }
 const simulated = useSimulatedTime()
 
+/** Position in the reader order of a router that leaves reading to many others while these answer. */
+const LATE_RANK = 60
+
+/** Name of the router at a position of the reader order of the fleet. */
+function nameAtRank (rank: number): string {
+  const { routers } = createFleetState('r0', clock, { availabilityZone: 'z0' })
+  for (let index = 0; index < ROUTERS; index += 1) routers.recordContact({ name: `r${index}`, address: `r${index}`, availabilityZone: `z${index % ZONES}` }, 0)
+  return routers.inReaderOrder()[rank]?.name as string
+}
+
 /** A router of a large fleet that follows another one, whose store holds two endpoints. */
-async function startFollower () {
+async function startFollower (name = 'r1') {
   const store = new MemoryStore()
   const entryOf = (id: string) => ({ id, service: 'app', address: `${id}:1`, availabilityZone: 'z0', slots: 4, isDraining: false, startedAt: 1, revision: 1 })
   store.configurations.put('config', createConfiguration(3))
   for (const id of ['e1', 'e2']) store.endpoints.put(id, entryOf(id))
   const source = createFleetState('r0', clock, { availabilityZone: 'z0' })
-  const state = createFleetState('r1', clock, { availabilityZone: 'z1' })
+  const state = createFleetState(name, clock, { availabilityZone: `z${Number(name.slice(1)) % ZONES}` })
   for (let index = 0; index < ROUTERS; index += 1) {
     const entry = { name: `r${index}`, address: `r${index}`, availabilityZone: `z${index % ZONES}` }
     for (const { routers } of [source, state]) routers.recordContact(entry, 0)
@@ -114,3 +124,12 @@
   await vi.advanceTimersByTimeAsync(200)
   expect(state.configuration.version).toBe(3)
 })
+
+// Guards against a configuration that a router does not read although its copy is too old, because others answer it: no other test fails without that rule.
+test('a router late in the order, whose peers answer and have lost the store, reads a changed configuration from the store within the bound', async () => {
+  const { store, state, peers } = await startFollower(nameAtRank(LATE_RANK))
+  peers.areStale = true
+  store.configurations.put('config', createConfiguration(4))
+  await vi.advanceTimersByTimeAsync(BOUND_MS - MARGIN_MS / 2)
+  expect(state.configuration.version).toBe(4)
+})
