--- a/packages/gateway/src/test/knowledge-fleet.ts
+++ b/packages/gateway/src/test/knowledge-fleet.ts
@@ -2,8 +2,10 @@
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import { pause } from '@mimosarock/gateway/membership/pause.js'
 import type { PeerRpcClient } from '@mimosarock/gateway/membership/peer-rpc-client.js'
+import { ProgressTimeout } from '@mimosarock/gateway/membership/progress-timeout.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import type { PropagationBounds } from '@mimosarock/gateway/membership/propagation-bounds.js'
+import type { TimeLimits } from '@mimosarock/gateway/membership/time-limits.js'
 import type { EndpointEntry } from '@mimosarock/gateway/model/endpoint-entry.js'
 import type { FleetStore } from '@mimosarock/gateway/model/fleet-store.js'
 import type { StorePosition } from '@mimosarock/gateway/model/store-position.js'
@@ -12,15 +14,20 @@
 import { vi } from 'vitest'
 import { createConfiguration } from './create-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
+import type { FleetLinks } from './fleet-links.js'
+import type { MessageReceiver } from './message-receiver.js'
 import { MemoryStore } from './memory-store.js'
 
 const ZONES = 3
+/** Name of the store as a member of the links. */
+const STORE = 'store'
 const ENDPOINTS = 24
 const HEARTBEAT_MS = 1_200
 const STORE_LATENCY_MS = 4
 const PEER_LATENCY_MS = 8
-/** Time after which a caller gives up a router that does not answer. */
-const PEER_TIMEOUT_MS = 450
+/** Limits of a sync request and of a transfer. */
+const SYNC_LIMITS: TimeLimits = { progressMs: 450, totalMs: 3_000 }
+const TRANSFER_LIMITS: TimeLimits = { progressMs: 1_000, totalMs: 15_000 }
 const STEP_MS = 20
 const WARM_UP_MS = 2_500
 /** What changes in the store. */
@@ -33,6 +40,8 @@
   hasStore: boolean
   hasPeers: boolean
   storeCalls: number
+  /** Time by which each message to and from the store is late, in milliseconds. */
+  storeDelayMs: number
 }
 
 /** A router with the tasks that keep its state up to date. */
@@ -43,11 +52,22 @@
   readonly reach: Reach
 }
 
+/** A call of a router to another one. */
+interface PeerCall {
+  readonly from: string
+  readonly to: string
+  readonly request: unknown
+  readonly limits: TimeLimits
+  /** Ends a transfer and is told of its progress; undefined for a sync request. */
+  readonly receiver: MessageReceiver | undefined
+}
+
 /** Fleet of routers in simulated time, each with its own path to one store. Paths are cut without a sign of it. */
 export class KnowledgeFleet {
   readonly store = new MemoryStore()
   readonly clock = { now: () => performance.now() + 1_000_000 }
   private readonly _signal: AbortSignal
+  private readonly _links: FleetLinks | undefined
   private readonly _routers = new Map<string, KnowledgeRouter>()
   private readonly _leaving = new Set<number>()
   private _revision = 1
@@ -57,9 +77,11 @@
    * @param routerCount number of routers
    * @param propagationBounds bounds within which all routers have to know a change
    * @param signal ends the fleet
+   * @param links links on which messages take time by their length; by default each message takes the same time
    */
-  constructor (routerCount: number, propagationBounds: PropagationBounds, signal: AbortSignal) {
+  constructor (routerCount: number, propagationBounds: PropagationBounds, signal: AbortSignal, links?: FleetLinks) {
     this._signal = signal
+    this._links = links
     this.store.configurations.put('config', createConfiguration(1))
     for (let index = 0; index < ENDPOINTS; index += 1) this._register(index)
     for (let index = 0; index < routerCount; index += 1) this._add(`r${index}`, `z${index % ZONES}`, propagationBounds)
@@ -74,9 +96,10 @@
    * @param routerCount number of routers
    * @param boundMs time within which all routers have to know a change of the endpoints or the configuration
    * @param signal ends the fleet
+   * @param links links on which messages take time by their length
    */
-  static async start (routerCount: number, boundMs: number, signal: AbortSignal): Promise<KnowledgeFleet> {
-    const fleet = new KnowledgeFleet(routerCount, { endpointsMs: boundMs, configurationMs: boundMs }, signal)
+  static async start (routerCount: number, boundMs: number, signal: AbortSignal, links?: FleetLinks): Promise<KnowledgeFleet> {
+    const fleet = new KnowledgeFleet(routerCount, { endpointsMs: boundMs, configurationMs: boundMs }, signal, links)
     await vi.advanceTimersByTimeAsync(WARM_UP_MS)
     await fleet._untilReaderHasRead()
     return fleet
@@ -113,6 +136,11 @@
     for (const name of names) this._find(name).reach.hasStore = hasStore
   }
 
+  /** Lets each message between routers and the store be late. */
+  delayStore (names: readonly string[], delayMs: number): void {
+    for (const name of names) this._find(name).reach.storeDelayMs = delayMs
+  }
+
   /** Stops routers from answering and from reaching anything. */
   freeze (names: readonly string[]): void {
     this.setHasStore(names, false)
@@ -170,12 +198,12 @@
   }
 
   private _add (name: string, availabilityZone: string, propagationBounds: PropagationBounds): void {
-    const reach = { hasStore: true, hasPeers: true, storeCalls: 0 }
+    const reach = { hasStore: true, hasPeers: true, storeCalls: 0, storeDelayMs: 0 }
     const state = createFleetState(name, this.clock, { availabilityZone })
     const tasks = new FleetTasks({
       state,
       store: this._storeOf(state, reach),
-      peerClient: this._peerClientOf(reach) as PeerRpcClient,
+      peerClient: this._peerClientOf(name, reach) as PeerRpcClient,
       seeds: [],
       propagationBounds: () => propagationBounds,
       clock: this.clock,
@@ -186,30 +214,57 @@
     this._routers.set(name, { state, tasks, server, reach })
   }
 
-  private _peerClientOf (reach: Reach): Pick<PeerRpcClient, 'sync' | 'configurationUpdate'> {
-    const call = async <Answer>(address: string, answer: (server: SyncServer) => Answer): Promise<Answer> => {
-      const peer = this._find(address)
-      await pause(PEER_LATENCY_MS)
-      if (!reach.hasPeers || !peer.reach.hasPeers) {
-        await pause(PEER_TIMEOUT_MS - PEER_LATENCY_MS)
-        throw new Error('no answer')
+  private _peerClientOf (name: string, reach: Reach): Pick<PeerRpcClient, 'sync' | 'configurationUpdate'> {
+    const call = async <Answer>(peerCall: PeerCall, answer: (server: SyncServer) => Answer): Promise<Answer> => {
+      const timeout = new ProgressTimeout(peerCall.limits)
+      try {
+        return await this._callPeer(peerCall, reach, timeout, answer)
+      } finally {
+        timeout.stop()
       }
-      return JSON.parse(JSON.stringify(answer(peer.server))) as Answer
     }
     return {
-      sync: async (address, request) => await call(address, (server) => server.answer(JSON.parse(JSON.stringify(request)))),
-      configurationUpdate: async (address, fromVersion) => await call(address, (server) => server.configurationUpdate(fromVersion))
+      sync: async (to, request) => {
+        return await call({ from: name, to, request, limits: SYNC_LIMITS, receiver: undefined }, (server) => server.answer(JSON.parse(JSON.stringify(request))))
+      },
+      configurationUpdate: async (to, fromVersion, receiver?: MessageReceiver) => {
+        return await call({ from: name, to, request: fromVersion, limits: TRANSFER_LIMITS, receiver }, (server) => server.configurationUpdate(fromVersion))
+      }
+    }
+  }
+
+  private async _callPeer<Answer> ({ from, to, request, receiver }: PeerCall, reach: Reach, timeout: ProgressTimeout, answer: (server: SyncServer) => Answer): Promise<Answer> {
+    const { reach: peerReach, server } = this._find(to)
+    const signals = receiver === undefined ? [timeout.signal] : [timeout.signal, receiver.signal]
+    const signal = AbortSignal.any(signals)
+    const requireReach = async (): Promise<void> => {
+      while (!signal.aborted && !(reach.hasPeers && peerReach.hasPeers)) await pause(STEP_MS, signal)
+      signal.throwIfAborted()
+    }
+    const recordProgress = (receivedPart: number): void => {
+      if (!reach.hasPeers || !peerReach.hasPeers) return
+      timeout.recordProgress()
+      receiver?.recordProgress(receivedPart)
     }
+    if (this._links === undefined) await pause(PEER_LATENCY_MS)
+    else await this._links.send(from, to, JSON.stringify(request), { signal, recordProgress: () => undefined })
+    await requireReach()
+    const text = JSON.stringify(answer(server))
+    await this._links?.send(to, from, text, { signal, recordProgress })
+    await requireReach()
+    return JSON.parse(text) as Answer
   }
 
-  private _storeOf ({ storeEra }: FleetState, reach: Reach): FleetStore {
+  private _storeOf ({ storeEra, routers }: FleetState, reach: Reach): FleetStore {
     const { store } = this
     const linkTo = <Value>(topic: TopicReader<Value>): TopicReader<Value> => ({
-      read: async (position: StorePosition | undefined, waitMs: number, signal: AbortSignal) => {
+      read: async (position: StorePosition | undefined, waitMs: number, signal: AbortSignal, onProgress: () => void = () => undefined) => {
         reach.storeCalls += 1
         await crossLink(reach, signal)
         const page = await topic.read(position, waitMs, signal)
         await crossLink(reach, signal)
+        onProgress()
+        await this._links?.send(STORE, routers.self.name, JSON.stringify(page.changes), { signal, recordProgress: onProgress })
         return page
       }
     })
@@ -245,7 +300,7 @@
 
 /** Waits as long as a message takes, or until the call is aborted if the path is cut. */
 async function crossLink (reach: Reach, signal: AbortSignal): Promise<void> {
-  await pause(STORE_LATENCY_MS, signal)
+  await pause(STORE_LATENCY_MS + reach.storeDelayMs, signal)
   while (!reach.hasStore && !signal.aborted) await pause(STEP_MS, signal)
   signal.throwIfAborted()
 }
