A router that knows that it lacks a version refuses nothing for good that this version may allow

Cause: a router learns that a version exists within a second, and its content as late as the links need. It answered from the version in force without asking whether it is the newest that it knows of. While the reader was still receiving a large version, nobody else knew of it at all.

Change: AwaitedConfiguration keeps the newest version that is known to exist and lacked. Sync answers tell it, also a version whose number is not known yet since the reader is receiving it; statements have an age, so that two routers do not keep one alive. A request that the version in force does not allow waits for the awaited one, for three tenths of its time and 1 s at most, and is then refused as not run (503, code 5015, Retry-After); what every version allows is served at once. Without an awaited version the refusal is final as before.

What routers of an earlier version read is checked as before.

--- a/packages/gateway/src/caller/authorize-request.ts
+++ b/packages/gateway/src/caller/authorize-request.ts
@@ -9,6 +9,8 @@
 import { notRunError } from './not-run-error.js'
 import { pickService } from './pick-service.js'
 
+/** Retry delay for callers while this router lacks the newest version; it arrives soon, and other routers have it. */
+const OUTDATED_RETRY_MS = 400
 /** Retry delay for callers while this router has no fresh configuration; other routers may have one. */
 const NO_CONFIGURATION_RETRY_MS = 400
 
@@ -19,7 +21,8 @@
  * @param target request target: path and query
  * @param state configuration to decide by
  * @param keyAgeLimitMs staleness of the API keys above which requests that need one are rejected, in milliseconds; 0 for no limit
- * @throws MimosarockError if the request is not allowed, or the configuration is missing or too stale to decide
+ * @throws MimosarockError if the request is not allowed, or the configuration is missing or too stale to decide; CONFIGURATION_OUTDATED if the
+ * version in force does not allow it and this router lacks a newer one, which may
  */
 export function authorizeRequest (
   caller: CallerRequest, host: string, target: string, state: ConfigurationState, keyAgeLimitMs: number
@@ -30,7 +33,7 @@
   }
   const path = pathOf(target)
   const route = inForce.routes.find(host, path)
-  if (route === undefined) throw new MimosarockError(ResultCode.ROUTE_UNKNOWN, 'no route matches the host and path')
+  if (route === undefined) throw notAllowedError(ResultCode.ROUTE_UNKNOWN, 'no route matches the host and path', state)
   const workspace = workspaceOf(caller, route, inForce, state, keyAgeLimitMs)
   return {
     caller,
@@ -54,10 +57,16 @@
     throw notRunError(ResultCode.CONFIGURATION_NOT_LOADED, 'the API keys known to this router are stale', NO_CONFIGURATION_RETRY_MS)
   }
   const workspace = caller.apiKey === undefined ? undefined : inForce.workspaceOf(caller.apiKey)
-  if (workspace === undefined) throw new MimosarockError(ResultCode.UNAUTHENTICATED, 'unknown API key')
+  if (workspace === undefined) throw notAllowedError(ResultCode.UNAUTHENTICATED, 'unknown API key', state)
   return workspace
 }
 
+function notAllowedError (code: ResultCode, message: string, { awaited }: ConfigurationState): MimosarockError {
+  // A refusal is final only if no newer version may allow the request.
+  if (awaited.version === undefined) return new MimosarockError(code, message)
+  return notRunError(ResultCode.CONFIGURATION_OUTDATED, `${message} in the version in force, and a newer one is awaited`, OUTDATED_RETRY_MS)
+}
+
 function pathOf (target: string): string {
   const query = target.indexOf('?')
   return query < 0 ? target : target.slice(0, query)
--- a/packages/gateway/src/caller/report-request.ts
+++ b/packages/gateway/src/caller/report-request.ts
@@ -26,7 +26,7 @@
     priority: authorized?.priority,
     homes: authorized === undefined ? undefined : describe(currentHomes.of(authorized)),
     configuration: authorized?.configurationVersion ?? configuration.version,
-    awaited_configuration: configuration.awaitedVersion,
+    awaited_configuration: configuration.awaited.version,
     configuration_age_ms: Math.round(configuration.ageMs),
     key: authorized === undefined ? undefined : EndpointSelector.keyOf(authorized.caller.prompt),
     prompt_tokens: authorized?.caller.promptTokens,
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -24,6 +24,7 @@
 import type { HeldBytes } from '../memory/held-bytes.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
 import type { GatewayState } from '../model/gateway-state.js'
+import type { ConfigurationArrivals } from './configuration-arrivals.js'
 import type { CurrentHomes } from './current-homes.js'
 import type { AdmissionPaths } from './admission-paths.js'
 import type { StartupGate } from './startup-gate.js'
@@ -41,6 +42,8 @@
   readonly codec: WireCodec
   /** Configuration in force. */
   readonly configuration: ConfigurationState
+  /** Lets requests wait for the next version of the configuration. */
+  readonly configurationArrivals: ConfigurationArrivals
   /** Admission control of each service: admits, queues or rejects requests. */
   readonly admissions: ServiceAdmissions
   /** Way on which each request is admitted and gets its endpoints. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -30,6 +30,9 @@
 const AUTHORIZATION_LIFETIME_MS = 1_000
 /** Fraction of the latency objective of a route for which a request is worth keeping until an endpoint takes it. */
 const MAXIMUM_WAIT_FRACTION = 0.5
+/** Maximum time for which a request waits for a version of the configuration that may allow it, in milliseconds and as a part of the time until its deadline. */
+const MAXIMUM_VERSION_WAIT_MS = 1_000
+const MAXIMUM_VERSION_WAIT_FRACTION = 0.3
 const MS_PER_SECOND = 1_000
 
 /**
@@ -44,6 +47,7 @@
   private readonly _held: HeldConnection
   private _isTooSlow = false
   private _requestId: string | undefined
+  private _callerDeadlineMs: number | undefined
   private _fingerprint: string | undefined
   private _isCallerDisconnected = false
   private _relay: ResponseRelay | undefined
@@ -84,7 +88,7 @@
     let code: ResultCode = ResultCode.OK
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
-      authorized = this._authorize()
+      authorized = await this._authorizeByNewestVersion()
       const body = await readRequestBody(this._request, this._maximumBodyBytes(), this._held)
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
@@ -118,12 +122,33 @@
     admission.release(elapsedMs)
   }
 
+  /** Authorizes the request. If only a version that this router lacks may allow it, it waits for that version. */
+  private async _authorizeByNewestVersion (): Promise<AuthorizedRequest> {
+    for (;;) {
+      try {
+        return this._authorize()
+      } catch (error) {
+        const isOutdated = error instanceof MimosarockError && error.code === ResultCode.CONFIGURATION_OUTDATED
+        const { configurationArrivals } = this._dependencies
+        if (!isOutdated || this._versionWaitLeftMs <= 0 || configurationArrivals.isFull) throw error
+        await configurationArrivals.wait(this._versionWaitLeftMs)
+      }
+      if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
+    }
+  }
+
+  private get _versionWaitLeftMs (): number {
+    const maximumMs = Math.min(MAXIMUM_VERSION_WAIT_MS, (this._callerDeadlineMs ?? Infinity) * MAXIMUM_VERSION_WAIT_FRACTION)
+    return this._time.startedAt + maximumMs - this._dependencies.clock.now()
+  }
+
   private _authorize (): AuthorizedRequest {
     const { codec, configuration, keyAgeLimitMs } = this._dependencies
     const { rawHeaders, headers, url } = this._request
     const caller = codec.readCallerRequest(rawHeaders)
     if (caller === undefined) throw new MimosarockError(ResultCode.INVALID_REQUEST, 'the request has no request id')
     this._requestId = caller.id
+    this._callerDeadlineMs = caller.deadlineMs
     const limits = configuration.inForce?.configuration.limits
     if (limits !== undefined && headBytes(rawHeaders) > limits.headerBytes) {
       throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the request headers exceed ${limits.headerBytes} bytes`)
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -2,6 +2,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { GatewayConfiguration } from '../model/gateway-configuration.js'
 import { applyPatch } from './apply-patch.js'
+import { AwaitedConfiguration } from './awaited-configuration.js'
 import { completeWarmUps } from './complete-warm-ups.js'
 import { ConfigurationInForce } from './configuration-in-force.js'
 import type { ConfigurationPatch } from './configuration-patch.js'
@@ -16,13 +17,14 @@
  * decreases.
  */
 export class ConfigurationState {
+  /** The newest version known to exist, while its content is not known. */
+  readonly awaited: AwaitedConfiguration
   private readonly _clock: ElapsedClock
   private readonly _log: EventLog
   private _inForce: ConfigurationInForce | undefined
   private _verifiedAt = -Infinity
   private _readAt = -Infinity
   private _heardAt = -Infinity
-  private _heardVersion = 0
   private readonly _patches: ConfigurationPatch[] = []
   private readonly _listeners: ((configuration: GatewayConfiguration) => void)[] = []
 
@@ -33,6 +35,7 @@
   constructor (clock: ElapsedClock, log: EventLog) {
     this._clock = clock
     this._log = log
+    this.awaited = new AwaitedConfiguration(clock)
   }
 
   /** The configuration in force; undefined until the first version is adopted. */
@@ -66,14 +69,9 @@
     return this._heardAt
   }
 
-  /** Newest version of which this router has heard and that it lacks; undefined if there is none. */
-  get awaitedVersion (): number | undefined {
-    return this._heardVersion > this.version ? this._heardVersion : undefined
-  }
-
   /** What other routers may be told of `heardAt`: this router can tell them of no version that it lacks, so that it tells the last reading then. */
   get knownAt (): number {
-    return this.awaitedVersion === undefined ? this._heardAt : this._readAt
+    return this.awaited.version === undefined ? this._heardAt : this._readAt
   }
 
   /** Milliseconds since the version in force was last verified to be the newest in the store. */
@@ -139,6 +137,7 @@
    */
   markVerified (verifiedAt: number): void {
     this.markRead(verifiedAt)
+    this.awaited.verify(verifiedAt)
     if (verifiedAt > this._verifiedAt) this._verifiedAt = verifiedAt
   }
 
@@ -152,17 +151,26 @@
   }
 
   /**
-   * Records that the newest version in the store was known at a given time.
+   * Records that it was known at a given time whether the store held a newer version than the one in force.
    * @param heardAt the time, by the clock
-   * @param version version of the configuration that was heard of; 0 if it is not known yet
    */
-  markHeard (heardAt: number, version = 0): void {
-    const isNews = version > Math.max(this._heardVersion, this.version)
-    if (isNews) this._log.info('configuration-awaited', { version, in_force: this.version })
-    this._heardVersion = Math.max(this._heardVersion, version)
+  markHeard (heardAt: number): void {
     if (heardAt > this._heardAt) this._heardAt = heardAt
   }
 
+  /**
+   * Records a version that a router has stated, and that this one may lack.
+   * @param version number of the version; 0 for a newer one than that in force whose number is not known yet
+   * @param statedAt time at which a router that had it, or was reading it, stated it, by the clock
+   * @param source name of the router that told it, for the log
+   */
+  hearOf (version: number, statedAt: number, source: string): void {
+    const before = this.awaited.version
+    this.awaited.hear(version, statedAt)
+    const after = this.awaited.version
+    if (after !== undefined && after !== before) this._log.info('configuration-awaited', { version: after, in_force: this.version, source })
+  }
+
   /**
    * Drops the verification if it was made at or after a given time, because what was read then was an older copy.
    * @param time the time, by the clock
@@ -173,12 +181,15 @@
 
   private _putInForce (configuration: GatewayConfiguration, source: string, startedAt: number): void {
     const replaced = this.version
+    const awaitedMs = this.awaited.elapsedMs
     this._inForce = new ConfigurationInForce(configuration)
+    this.awaited.putInForce(configuration.version)
     this._log.info('configuration-in-force', {
       version: configuration.version,
       replaced,
       source,
       routes: configuration.routes.length,
+      awaited_ms: Math.round(awaitedMs),
       indexing_ms: Math.round(performance.now() - startedAt)
     })
     for (const listener of this._listeners) listener(configuration)
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -2,6 +2,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { RouterEntry } from '../model/router-entry.js'
 import { FollowingState } from './following-state.js'
+import { configurationAgeMs } from './configuration-age-ms.js'
 import { peerCallFields } from './peer-call-fields.js'
 import { FailingReaders } from './failing-readers.js'
 import type { FleetSyncOptions } from './fleet-sync-options.js'
@@ -289,7 +290,8 @@
       peer: router.name,
       distance: answer.distance ?? undefined,
       store_era: answer.storeEra?.era,
-      configuration_age_ms: Math.round(answer.configurationHeardAgeMs ?? answer.configurationReadAgeMs),
+      configuration_age_ms: Math.round(configurationAgeMs(answer)),
+      awaited_configuration: answer.awaitedConfiguration?.version,
       endpoints_age_ms: Math.round(answer.endpointsAgeMs)
     })
   }
--- a/packages/gateway/src/membership/is-fresh.ts
+++ b/packages/gateway/src/membership/is-fresh.ts
@@ -1,4 +1,5 @@
 import type { AgeLimits } from './age-limits.js'
+import { configurationAgeMs } from './configuration-age-ms.js'
 import type { FleetAgeLimits } from './fleet-age-limits.js'
 import type { SyncAnswer } from './sync-answer.js'
 
@@ -12,7 +13,7 @@
   // The source must be closer to the store than this router. Two routers that follow each other would both stop reading
   // the store.
   return answer.distance !== null && answer.distance <= maximumDistance &&
-    isYoung(answer.configurationHeardAgeMs ?? answer.configurationReadAgeMs, limits.configuration) && isYoung(answer.endpointsAgeMs, limits.endpoints)
+    isYoung(configurationAgeMs(answer), limits.configuration) && isYoung(answer.endpointsAgeMs, limits.endpoints)
 }
 
 function isYoung (ageMs: number, limits: AgeLimits): boolean {
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -80,12 +80,13 @@
     const sentAt = this._clock.now()
     const waitMs = this._options.waitMs()
     const timeout = new ProgressTimeout({ progressMs: waitMs + this._progressMarginMs, totalMs: MAXIMUM_READ_MS })
+    const isChange = this._position !== undefined
     let hasBegun = false
     const callSignal = AbortSignal.any([signal, timeout.signal])
     try {
       const page = await this._options.reader.read(this._position, waitMs, callSignal, () => {
         timeout.recordProgress()
-        if (!hasBegun) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS))
+        if (!hasBegun) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS), isChange)
         hasBegun = true
       })
       this._recordSuccess()
--- a/packages/gateway/src/membership/sync-answer.ts
+++ b/packages/gateway/src/membership/sync-answer.ts
@@ -3,6 +3,7 @@
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { EraEvacuations } from '../evacuation/era-evacuations.js'
 import type { EraNews } from '../model/era-news.js'
+import type { AwaitedVersion } from '../configuration/awaited-version.js'
 import type { ConfigurationPatch } from '../configuration/configuration-patch.js'
 import type { EndpointPermits } from '../limits/endpoint-permits.js'
 import type { LimitNote } from '../limits/limit-note.js'
@@ -48,6 +49,8 @@
    * never, undefined from an earlier version.
    */
   readonly configurationHeardAgeMs?: number | undefined
+  /** Newer version of the configuration that the answering router knows to exist and lacks; undefined for none, or from an earlier version. */
+  readonly awaitedConfiguration?: AwaitedVersion | undefined
   /** Evacuated zones, a record for each era of the store that counts; undefined if the requester knows the same. */
   readonly evacuations?: readonly EraEvacuations[] | undefined
   /** Endpoint changes since the requester's revision; undefined if there are none or they are not retained. */
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -1,4 +1,5 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
+import { configurationAgeMs } from './configuration-age-ms.js'
 import type { ConfigurationTransfer } from './configuration-transfer.js'
 import { decodeLoads } from './decode-loads.js'
 import { EndpointMirror } from './endpoint-mirror.js'
@@ -153,6 +154,7 @@
     storeEra.learn(answer.storeEra, answer.name)
     const elapsedMs = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.recordContact(router, router.heardAgoMs + elapsedMs)
+    this._hearOfConfiguration(answer, sentAt)
     this._applyConfiguration(address, answer)
     // Ages and endpoints of an earlier era say nothing about what the store holds now.
     if (storeEra.isSame(answer.storeEra)) {
@@ -167,13 +169,21 @@
    */
   private _applyConfigurationAges (answer: SyncAnswer, sentAt: number): void {
     const { configuration } = this._state
-    const heardAgeMs = answer.configurationHeardAgeMs ?? answer.configurationReadAgeMs
-    if (heardAgeMs >= 0) configuration.markHeard(sentAt - heardAgeMs, answer.configurationVersion)
+    const heardAgeMs = configurationAgeMs(answer)
+    if (heardAgeMs >= 0) configuration.markHeard(sentAt - heardAgeMs)
     if (configuration.version < answer.configurationVersion) return
     if (answer.configurationReadAgeMs >= 0) configuration.markRead(sentAt - answer.configurationReadAgeMs)
     if (answer.configurationAgeMs >= 0) configuration.markVerified(sentAt - answer.configurationAgeMs)
   }
 
+  /** A router that has an older version than this one may lack just what this one has. */
+  private _hearOfConfiguration ({ name, storeEra, configurationVersion, awaitedConfiguration: awaited }: SyncAnswer, sentAt: number): void {
+    const { configuration } = this._state
+    if (!this._state.storeEra.isSame(storeEra)) return
+    configuration.hearOf(configurationVersion, sentAt, name)
+    if (awaited !== undefined && configurationVersion >= configuration.version) configuration.hearOf(awaited.version, sentAt - awaited.statedAgoMs, name)
+  }
+
   private _applyConfiguration (address: string, answer: SyncAnswer): void {
     const { configuration } = this._state
     if (answer.configurationPatches !== undefined) configuration.adoptPatches(answer.configurationPatches, answer.name)
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -1,4 +1,5 @@
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
+import type { AwaitedVersion } from '../configuration/awaited-version.js'
 import { ConfigurationUpdates } from './configuration-updates.js'
 import type { ConfigurationUpdate } from './configuration-update.js'
 import type { FleetState } from './fleet-state.js'
@@ -52,6 +53,7 @@
   answer (request: SyncRequest): SyncAnswer {
     const { configuration, endpoints, evacuations, fairness, holders, limits, outliers, quarantine, routers } = this._state
     this._state.storeEra.learn(request.storeEra, request.router.name)
+    if (this._state.storeEra.isSame(request.storeEra)) configuration.hearOf(request.configurationVersion, this._now(), request.router.name)
     evacuations.learn(request.evacuations, request.router.name, false)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
@@ -74,6 +76,7 @@
       configurationAgeMs: this._ageMs(configuration.verifiedAt),
       configurationReadAgeMs: this._ageMs(configuration.readAt),
       configurationHeardAgeMs: this._ageMs(configuration.knownAt),
+      awaitedConfiguration: this._awaitedConfiguration(),
       evacuations: evacuations.newsFor(request.evacuations),
       ...this._endpointUpdate(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
@@ -127,6 +130,11 @@
     return { configurationVersion, configurationPatches: undefined, configurationSource: source?.address }
   }
 
+  private _awaitedConfiguration (): AwaitedVersion | undefined {
+    const { version, statedAt, elapsedMs } = this._state.configuration.awaited
+    return version === undefined ? undefined : { version, statedAgoMs: this._ageMs(statedAt), elapsedMs }
+  }
+
   private _recordLoads ({ router, load, relayedLoads }: SyncRequest): void {
     const { loads, routers } = this._state
     const reportsLoad = relayedLoads !== undefined || Object.keys(load).length > 0
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -122,10 +122,17 @@
         // Requests that arrive with a new configuration must not reach a zone that was evacuated before.
         evacuationReadings.apply(page, readAt)
         configurationReadings.apply(selectConfigurations(page), readAt)
+        configuration.awaited.endReading()
         onProgress()
       },
-      onAnswerBegun: (completeAsOf) => configuration.markHeard(completeAsOf),
-      onFailure: () => this._overdueReading.recordFailure()
+      onAnswerBegun: (completeAsOf, isChange) => {
+        configuration.markHeard(completeAsOf)
+        if (isChange) configuration.awaited.beginReading()
+      },
+      onFailure: () => {
+        configuration.awaited.endReading()
+        this._overdueReading.recordFailure()
+      }
     }, clock, log)
   }
 
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -6,6 +6,7 @@
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
 import { UnknownZoneWarning } from '../evacuation/unknown-zone-warning.js'
+import { ConfigurationArrivals } from '../caller/configuration-arrivals.js'
 import { CurrentHomes } from '../caller/current-homes.js'
 import { HomeRegionWarnings } from '../homes/home-region-warnings.js'
 import { HomeRegions } from '../homes/home-regions.js'
@@ -204,6 +205,7 @@
       log,
       codec,
       configuration,
+      configurationArrivals: new ConfigurationArrivals(configuration),
       loads,
       holders,
       startupGate: this._startupGate,
--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -453,6 +453,12 @@
     ran: 'no',
     action: 'Correct the list. Without a valid one, requests are refused with 3023.'
   },
+  CONFIGURATION_OUTDATED: {
+    meaning: 'The configuration in force at the router does not allow the request, and the router knows that there is a newer version, which may allow it.',
+    httpStatus: 503,
+    ran: 'no',
+    action: 'Retry after the stated time; the newer version arrives within seconds, and other routers may have it.'
+  },
   UNAUTHENTICATED: {
     meaning: 'The caller, operator or peer did not present a valid API key or token.',
     httpStatus: 401,
