The content of a version has a bound: slow sources are replaced, others are asked, and the store is read at last

What callers saw: a route or key of an acknowledged version that some routers did not serve for seconds (CONFIG).

Cause: after a router had heard of a version, its content came from one source, with a limit on progress alone (1 s without any, 15 s in all), and the rule that reads an old configuration from the store counted it as informed. A reader that was receiving a long answer passed for stale, so that others read 450 kB each beside it; one that sent slowly or stopped held up all that it had been assigned to.

Change: - an attempt that has stalled for 0.25 s, or whose rest would take over 0.3 s, counts as slow after 0.3 s. Then another source is tried beside it, and the first to finish ends the other; the router that assigns sources is told of slow ones and passes them over, for others too; - while nobody sends in time, two further routers at a time are asked, every 0.15 s (SourceSearch), whether they have it or know who has; - the store is read when no source was in time for 0.8 s, or no other router answers for 0.35 s; - while the reader is receiving a version for over 0.5 s, the next two of the order read it too; after a long answer it reads once without a wait, since its age counts from the begin of that answer; - a router that has lacked a numbered version for 0.5 s is not followed, and a router that lacks one follows at 0.25 s within its zone.

--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -13,6 +13,7 @@
 import { RoundPause } from './round-pause.js'
 import type { RouterTable } from './router-table.js'
 import { SeedDiscovery } from './seed-discovery.js'
+import { SourceSearch } from './source-search.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncClient } from './sync-client.js'
 import type { SyncOptions } from './sync-options.js'
@@ -56,6 +57,7 @@
   private readonly _following: FollowingState
   private readonly _seedDiscovery: SeedDiscovery
   private readonly _rotation: PeerRotation
+  private readonly _sourceSearch: SourceSearch
   private readonly _isStoreFailing: () => boolean
   private readonly _ageLimits: FleetSyncOptions['ageLimits']
   private readonly _failingReaders: FailingReaders
@@ -83,6 +85,9 @@
     const seeds = options.seeds.filter((seed) => seed !== options.routers.self.address)
     this._seedDiscovery = new SeedDiscovery(seeds, async (seed) => await this._syncWith(seed, DISCOVERY_OPTIONS))
     this._rotation = new PeerRotation(options.routers)
+    this._sourceSearch = new SourceSearch(options.routers, () => this._client.isSourceOverdue, async ({ address }) => {
+      if (!this._backoffs.isUnreachable(address)) await this._syncWith(address, DISCOVERY_OPTIONS)
+    })
     this._isStoreFailing = options.isStoreFailing
     this._ageLimits = options.ageLimits
     this._failingReaders = new FailingReaders(clock)
@@ -145,6 +150,10 @@
   async run (signal: AbortSignal): Promise<void> {
     await this._seedDiscovery.run(signal)
     signal.addEventListener('abort', () => this._pause.close(), { once: true })
+    await Promise.all([this._runRounds(signal), this._sourceSearch.run(signal)])
+  }
+
+  private async _runRounds (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this._pause.beginRound()
       await this._runRound(signal)
@@ -195,7 +204,7 @@
 
   private get _intervalMs (): number {
     if (this._client.isAwaitingSource) return AWAITING_SOURCE_INTERVAL_MS
-    return this._followsZonePeer ? ZONE_FOLLOWER_INTERVAL_MS : SYNC_INTERVAL_MS
+    return this._followsZonePeer && !this._client.isAwaitingVersion ? ZONE_FOLLOWER_INTERVAL_MS : SYNC_INTERVAL_MS
   }
 
   private async _runRound (signal: AbortSignal): Promise<void> {
--- a/packages/gateway/src/membership/overdue-reading.ts
+++ b/packages/gateway/src/membership/overdue-reading.ts
@@ -33,8 +33,12 @@
    */
   isDue (verifiedAt: number, maximumAgeMs: number): boolean {
     if (verifiedAt === -Infinity) return true
-    const now = this._clock.now()
-    return now - verifiedAt >= maximumAgeMs && now >= this._heldOffUntil && !this._options.isOutageSuspected()
+    return this._clock.now() - verifiedAt >= maximumAgeMs && !this.isHeldOff
+  }
+
+  /** Whether reading is left to others, since the store is probably unavailable to this router or to the whole fleet. */
+  get isHeldOff (): boolean {
+    return this._clock.now() < this._heldOffUntil || this._options.isOutageSuspected()
   }
 
   /** Records that a read of the store failed. */
--- a/packages/gateway/src/membership/peer-backoffs.ts
+++ b/packages/gateway/src/membership/peer-backoffs.ts
@@ -8,10 +8,16 @@
  */
 const STALE_BACKOFF_MS = 300
 
+/** Time until which a router is not contacted, and why. */
+interface Backoff {
+  readonly until: number
+  readonly hasAnswered: boolean
+}
+
 /** Routers that are not contacted for a while. */
 export class PeerBackoffs {
   private readonly _clock: ElapsedClock
-  private readonly _until = new Map<string, number>()
+  private readonly _backoffs = new Map<string, Backoff>()
 
   /**
    * @param clock measures the backoffs
@@ -25,7 +31,15 @@
    * @param address address of the router
    */
   includes (address: string): boolean {
-    return (this._until.get(address) ?? -Infinity) > this._clock.now()
+    return this._find(address) !== undefined
+  }
+
+  /**
+   * Returns whether a router is not to be contacted now because it did not answer. One that is not followed may still have what this router needs.
+   * @param address address of the router
+   */
+  isUnreachable (address: string): boolean {
+    return this._find(address)?.hasAnswered === false
   }
 
   /**
@@ -34,6 +48,12 @@
    * @param hasAnswered whether it answered, with stale state
    */
   start (address: string, hasAnswered: boolean): void {
-    this._until.set(address, this._clock.now() + (hasAnswered ? STALE_BACKOFF_MS : UNREACHABLE_BACKOFF_MS))
+    const until = this._clock.now() + (hasAnswered ? STALE_BACKOFF_MS : UNREACHABLE_BACKOFF_MS)
+    this._backoffs.set(address, { until, hasAnswered })
+  }
+
+  private _find (address: string): Backoff | undefined {
+    const backoff = this._backoffs.get(address)
+    return backoff !== undefined && backoff.until > this._clock.now() ? backoff : undefined
   }
 }
--- a/packages/gateway/src/membership/peer-rpc-client.ts
+++ b/packages/gateway/src/membership/peer-rpc-client.ts
@@ -8,6 +8,7 @@
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
 import type { TimeLimits } from './time-limits.js'
+import type { TransferAttempt } from './transfer-attempt.js'
 
 /** Connect timeout. The latency between two zones is a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 450
@@ -20,6 +21,9 @@
 /** Keep-alive timeout of idle connections; longer than the interval between sync requests. */
 const KEEP_ALIVE_MS = 4_000
 
+/** Aborts a call and is told of its progress. */
+type Attempt = Pick<TransferAttempt, 'signal' | 'recordProgress'>
+
 const decompress = promisify(gunzip)
 
 /** Client for the JSON-RPC 2.0 interface of other routers, over HTTP. */
@@ -51,10 +55,11 @@
    * Requests a change of the configuration from a router.
    * @param address address of the router, host:port
    * @param fromVersion version of this router's configuration
-   * @throws PeerCallError if the router can't be reached, or if the response stops arriving
+   * @param attempt aborts the call, and is told of its progress
+   * @throws PeerCallError if the router can't be reached, if the response stops arriving, or if the call is aborted
    */
-  async configurationUpdate (address: string, fromVersion: number): Promise<ConfigurationUpdate> {
-    return await this._request(address, 'fleet.configuration', { fromVersion }, this._transferAgent, TRANSFER_LIMITS) as ConfigurationUpdate
+  async configurationUpdate (address: string, fromVersion: number, attempt: Attempt): Promise<ConfigurationUpdate> {
+    return await this._request(address, 'fleet.configuration', { fromVersion }, this._transferAgent, TRANSFER_LIMITS, attempt) as ConfigurationUpdate
   }
 
   /** Closes all connections and aborts requests in flight. */
@@ -62,15 +67,15 @@
     await Promise.all([this._syncAgent.destroy(), this._transferAgent.destroy()])
   }
 
-  private async _request (address: string, method: string, params: unknown, dispatcher: Agent, limits: TimeLimits): Promise<unknown> {
+  private async _request (address: string, method: string, params: unknown, dispatcher: Agent, limits: TimeLimits, attempt?: Attempt): Promise<unknown> {
     // Each HTTP request carries a single call, so its id has no meaning.
     const message = JSON.stringify(createJSONRPCRequest(1, method, params as JSONRPCParams))
-    const { error, result } = await this._post(address, message, dispatcher, limits)
+    const { error, result } = await this._post(address, message, dispatcher, limits, attempt)
     if (error !== undefined) throw new Error(`${method} failed: ${error.message}`)
     return result
   }
 
-  private async _post (address: string, message: string, dispatcher: Agent, limits: TimeLimits): Promise<JSONRPCResponse> {
+  private async _post (address: string, message: string, dispatcher: Agent, limits: TimeLimits, attempt?: Attempt): Promise<JSONRPCResponse> {
     const startedAt = performance.now()
     const timeout = new ProgressTimeout(limits)
     const chunks: Buffer[] = []
@@ -82,7 +87,7 @@
         dispatcher,
         headers: { 'content-type': 'application/json' },
         body: message,
-        signal: timeout.signal
+        signal: attempt === undefined ? timeout.signal : AbortSignal.any([timeout.signal, attempt.signal])
       })
       timeout.recordProgress()
       expectedBytes = Number(response.headers['content-length'])
@@ -91,6 +96,7 @@
         chunks.push(chunk as Buffer)
         receivedBytes += (chunk as Buffer).length
         this._onBytes((chunk as Buffer).length)
+        attempt?.recordProgress(receivedBytes / expectedBytes)
       }
       const body = Buffer.concat(chunks)
       const isCompressed = response.headers['content-encoding'] === 'gzip'
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -20,6 +20,8 @@
 const FAILURE_RETENTION_MS = 2_000
 /** Time that the first part of an answer is assumed to have been on its way. */
 const ANSWER_LATENCY_MS = 100
+/** Time from the first to the last part of an answer from which it counts as long. */
+const LONG_ANSWER_MS = 200
 /** Maximum duration of a read; a large record takes seconds on a slow link. */
 const MAXIMUM_READ_MS = 15_000
 
@@ -32,6 +34,8 @@
   private _failures = 0
   private _failedAt = -Infinity
   private _isReading = false
+  /** Whether the last answer took long to arrive, so that there may be a newer change. */
+  private _wasAnswerLong = false
 
   /**
    * @param options topic, timing and callbacks
@@ -78,17 +82,20 @@
 
   private async _read (signal: AbortSignal): Promise<void> {
     const sentAt = this._clock.now()
-    const waitMs = this._options.waitMs()
+    // The age of what was read counts from the begin of a long answer. A read without a wait shows at once that it is current.
+    const waitMs = this._wasAnswerLong ? 0 : this._options.waitMs()
+    this._wasAnswerLong = false
     const timeout = new ProgressTimeout({ progressMs: waitMs + this._progressMarginMs, totalMs: MAXIMUM_READ_MS })
     const isChange = this._position !== undefined
-    let hasBegun = false
+    let begunAt: number | undefined
     const callSignal = AbortSignal.any([signal, timeout.signal])
     try {
       const page = await this._options.reader.read(this._position, waitMs, callSignal, () => {
         timeout.recordProgress()
-        if (!hasBegun) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS), isChange)
-        hasBegun = true
+        if (begunAt === undefined) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS), isChange)
+        begunAt ??= this._clock.now()
       })
+      this._wasAnswerLong = begunAt !== undefined && this._clock.now() - begunAt >= LONG_ANSWER_MS
       this._recordSuccess()
       this._position = page.nextPosition
       this._options.onPage(page, this._completeAsOf(page, sentAt, waitMs))
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -18,6 +18,10 @@
 const REQUESTS_PER_ROUTER_LIST = 8
 /** One in this many requests to a router includes the list of known routers in a large fleet, where the list is long. */
 const LARGE_FLEET_REQUESTS_PER_ROUTER_LIST = 32
+/** Time for which a version is lacked from which further routers are asked for a source. */
+const SOURCE_OVERDUE_MS = 300
+/** The same time for a version that the reader is still receiving from the store. */
+const READING_OVERDUE_MS = 1_000
 /** Maximum number of mirrored endpoint tables: one for the router that is followed, and some for other peers. */
 const MAXIMUM_MIRRORS = 4
 
@@ -68,6 +72,18 @@
     return this._isAwaitingSource
   }
 
+  /** Whether this router knows that it lacks a version. */
+  get isAwaitingVersion (): boolean {
+    return this._state.configuration.awaited.version !== undefined
+  }
+
+  /** Whether this router has lacked a version for some time and no router is sending it in time. */
+  get isSourceOverdue (): boolean {
+    const { awaited } = this._state.configuration
+    if (awaited.version === undefined || this._transfer.isInTime) return false
+    return awaited.elapsedMs >= (awaited.version > 0 ? SOURCE_OVERDUE_MS : READING_OVERDUE_MS)
+  }
+
   /**
    * Sends a sync request to one router and applies its answer, except for what `applyFollowed` applies.
    * @param address address of the router, host:port
@@ -86,6 +102,7 @@
       routers: this._includesRouters(address) ? this._contacts(followers) : undefined,
       routerCount: routers.size,
       configurationVersion: configuration.version,
+      slowSources: this._transfer.slowSources,
       evacuations: evacuations.news,
       endpointsRevision: this._mirrors.get(address)?.revision,
       load: reportsLoad ? loads.localLoads() : {},
@@ -187,9 +204,11 @@
   private _applyConfiguration (address: string, answer: SyncAnswer): void {
     const { configuration } = this._state
     if (answer.configurationPatches !== undefined) configuration.adoptPatches(answer.configurationPatches, answer.name)
-    const lacksChange = configuration.version < answer.configurationVersion
-    this._isAwaitingSource = lacksChange && answer.configurationSource === undefined && !this._transfer.isRunning
-    if (lacksChange && answer.configurationSource !== undefined) this._transfer.start(answer.configurationSource, address)
+    const { configurationSource: source } = answer
+    const hasChange = configuration.version < answer.configurationVersion
+    const lacksChange = hasChange || (configuration.awaited.version ?? 0) > 0
+    this._isAwaitingSource = hasChange && source === undefined && !this._transfer.isInTime
+    if (lacksChange && source !== undefined) this._transfer.start(source, hasChange ? address : source)
   }
 
   private _applyEndpoints (address: string, answer: SyncAnswer, sentAt: number): void {
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -24,6 +24,8 @@
   readonly routerCount: number
   /** Version of the requester's configuration. */
   readonly configurationVersion: number
+  /** Addresses of routers from which a transfer of a newer version is slow or has failed; undefined for none, or from an earlier version. */
+  readonly slowSources?: readonly string[] | undefined
   /**
    * Evacuated zones that the requester knows, a record for each era of the store that counts; empty if it has not learned yet
    * whether there are any. Undefined if it has never heard of an evacuation.
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -120,13 +120,16 @@
   }
 
   private _configurationChange (
-    { router, configurationVersion: version }: SyncRequest
+    { router, configurationVersion: version, slowSources = [] }: SyncRequest
   ): Pick<SyncAnswer, 'configurationVersion' | 'configurationPatches' | 'configurationSource'> {
     const configurationVersion = this._state.configuration.version
     this._transferSources.record(router, version)
     const configurationPatches = this._updates.smallChangeSince(version)
-    if (this._updates.isNearlyCurrent(version)) return { configurationVersion, configurationPatches, configurationSource: undefined }
-    const source = this._transferSources.assign(router.name, (other) => this._updates.isNearlyCurrent(other))
+    const isNewest = version >= Math.max(configurationVersion, this._transferSources.newestVersion)
+    if (isNewest || configurationPatches !== undefined) return { configurationVersion, configurationPatches, configurationSource: undefined }
+    const source = this._transferSources.assign(router.name, {
+      ownVersion: configurationVersion, slowSources, hasChange: (other) => other > version && this._updates.isNearlyCurrent(other)
+    })
     return { configurationVersion, configurationPatches: undefined, configurationSource: source?.address }
   }
 
--- a/packages/gateway/src/test/create-sync.ts
+++ b/packages/gateway/src/test/create-sync.ts
@@ -29,7 +29,7 @@
   const transfer = new ConfigurationTransfer(state.configuration, transferCall, clock, log)
   const client = new SyncClient(state, clock, call, transfer, () => undefined)
   const sync = new FleetSync({ routers: state.routers, client, seeds: [], isStoreFailing: () => surroundings.isStoreFailing, ageLimits: () => STATED_AGE_LIMITS }, clock, log)
-  transfer.onAdopted(() => sync.syncSoon())
+  transfer.listen(() => sync.syncSoon())
   connectLimits(state, sync)
   state.fairness.setFollowing(() => sync.isFollowing)
   connectOutliers(state, sync)
--- a/packages/gateway/src/test/transfer-sources_test.ts
+++ b/packages/gateway/src/test/transfer-sources_test.ts
@@ -7,6 +7,7 @@
 const ASSIGNMENT_LIFETIME_MS = 1_500
 const createEntry = (name: string): RouterEntry => ({ name, availabilityZone: 'z', address: name })
 const hasChange = (version: number): boolean => version === 2
+const NEED = { ownVersion: 2, slowSources: [], hasChange }
 
 function createSources (): { clock: { ms: number, now (): number }, sources: TransferSources } {
   const clock = { ms: 100_000, now (): number { return this.ms } }
@@ -22,7 +23,7 @@
     const transfers = new Map<string, string>()
     for (const name of lacking) {
       sources.record(createEntry(name), 1)
-      const source = sources.assign(name, hasChange)
+      const source = sources.assign(name, NEED)
       if (source !== undefined) transfers.set(name, source.name)
     }
     const counts = new Map<string, number>()
@@ -40,20 +41,20 @@
 test('a router without a free source gets one when an assigned router has stopped reporting', () => {
   const { clock, sources } = createSources()
   for (const name of ['a', 'b', 'c']) sources.record(createEntry(name), 1)
-  expect(['a', 'b', 'c'].map((name) => sources.assign(name, hasChange)?.name)).toEqual(['self', 'self', undefined])
+  expect(['a', 'b', 'c'].map((name) => sources.assign(name, NEED)?.name)).toEqual(['self', 'self', undefined])
   clock.ms += ASSIGNMENT_LIFETIME_MS
   sources.record(createEntry('c'), 1)
-  expect(sources.assign('c', hasChange)?.name).toBe('self')
+  expect(sources.assign('c', NEED)?.name).toBe('self')
 })
 
 test('a router that asks again during its transfer keeps its source', () => {
   const { sources } = createSources()
   sources.record(createEntry('a'), 1)
-  expect(sources.assign('a', hasChange)?.name).toBe('self')
+  expect(sources.assign('a', NEED)?.name).toBe('self')
   sources.record(createEntry('a'), 1)
-  expect(sources.assign('a', hasChange)?.name).toBe('self')
+  expect(sources.assign('a', NEED)?.name).toBe('self')
   sources.record(createEntry('b'), 1)
-  expect(sources.assign('b', hasChange)?.name).toBe('self')
+  expect(sources.assign('b', NEED)?.name).toBe('self')
 })
 
 test('for any sequence of requests, a source has the change and is not the router that asks', () => {
@@ -66,7 +67,7 @@
       sources.record(createEntry(name), version)
       versions.set(name, version)
       if (hasChange(version)) continue
-      const source = sources.assign(name, hasChange)
+      const source = sources.assign(name, NEED)
       if (source === undefined) continue
       expect(source.name).not.toBe(name)
       expect(hasChange(versions.get(source.name) as number)).toBe(true)
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -30,6 +30,15 @@
 /** Pause between two reads of the endpoints. Each endpoint reports about once a second. */
 const ENDPOINTS_PAUSE_MS = 450
 
+/** Time for which a version is awaited, from which a router reads it from the store if no other router answers it. */
+const SILENT_OTHERS_READ_MS = 600
+/** Time without an answer of any other router from which they count as silent; while a version is awaited, several are asked in this time. */
+const OTHERS_SILENT_MS = 350
+/** Time that the reader may take to receive a version, from which the router after it in the order reads it as well; the next one after twice that. */
+const SLOW_READER_MS = 500
+/** Number of routers that read a version while the reader is still receiving it. */
+const MAXIMUM_FURTHER_READERS = 2
+
 /** Background tasks that keep the state of a router up to date from the store and the other routers, and save what only routers know. */
 export class FleetTasks {
   private readonly _options: FleetTasksOptions
@@ -37,6 +46,7 @@
   private readonly _endpointFeed: StoreFeed<EndpointEntry>
   private readonly _sync: FleetSync
   private readonly _overdueReading: OverdueReading
+  private readonly _transfer: ConfigurationTransfer
   private _isRunning = false
 
   /**
@@ -46,6 +56,7 @@
     this._options = options
     this._operatorFeed = this._createOperatorFeed()
     this._endpointFeed = this._createEndpointFeed()
+    this._transfer = this._createTransfer()
     this._sync = this._createSync()
     this._overdueReading = new OverdueReading({ isReader: () => this._sync.isReader, isOutageSuspected: () => this._sync.isOutageSuspected }, options.clock)
   }
@@ -99,9 +110,27 @@
     return this._sync.isConfirmedReader && this._readsStore
   }
 
-  /** A router that has heard of a version need not read it, as other routers send it. */
+  /** Whether this router has to read the operator's records although it is not the reader. */
   private get _isConfigurationOverdue (): boolean {
-    return this._overdueReading.isDue(this._options.state.configuration.heardAt, this._ageLimits.configuration.readMs)
+    const { configuration } = this._options.state
+    const { configuration: limits } = this._ageLimits
+    return this._overdueReading.isDue(configuration.heardAt, limits.readMs) || this._isContentOverdue || this._isReaderSlow
+  }
+
+  /** A router that has heard of a version need not read it while other routers send it in time. */
+  private get _isContentOverdue (): boolean {
+    const { clock, state: { configuration: { awaited } } } = this._options
+    if (awaited.version === undefined || this._overdueReading.isHeldOff) return false
+    const areOthersSilent = awaited.elapsedMs >= SILENT_OTHERS_READ_MS && !this._sync.hasHeardOthersSince(clock.now() - OTHERS_SILENT_MS)
+    return this._transfer.needsStore || (areOthersSilent && !this._transfer.isInTime)
+  }
+
+  /** Whether the reader takes so long to receive a version that this router is one of those that read it as well. */
+  private get _isReaderSlow (): boolean {
+    const { awaited } = this._options.state.configuration
+    if (awaited.version !== 0 || awaited.elapsedMs < SLOW_READER_MS || this._overdueReading.isHeldOff) return false
+    const { ownRank } = this._options.state.routers
+    return ownRank <= MAXIMUM_FURTHER_READERS && awaited.elapsedMs >= SLOW_READER_MS * ownRank
   }
 
   private get _ageLimits (): FleetAgeLimits {
@@ -157,15 +186,19 @@
     }, clock, log)
   }
 
+  private _createTransfer (): ConfigurationTransfer {
+    const { state, peerClient, clock, log } = this._options
+    return new ConfigurationTransfer(state.configuration, async (address, fromVersion, attempt) => {
+      return await peerClient.configurationUpdate(address, fromVersion, attempt)
+    }, clock, log)
+  }
+
   private _createSync (): FleetSync {
     const { state, peerClient, seeds, clock, log, onProgress } = this._options
-    const transfer = new ConfigurationTransfer(state.configuration, async (address, fromVersion) => {
-      return await peerClient.configurationUpdate(address, fromVersion)
-    }, clock, log)
-    const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), transfer, onProgress)
+    const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), this._transfer, onProgress)
     const isStoreFailing = (): boolean => this._operatorFeed.isFailing || this._endpointFeed.isFailing
     const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing, ageLimits: () => this._ageLimits }, clock, log)
-    transfer.onAdopted(() => sync.syncSoon())
+    this._transfer.listen(() => sync.syncSoon())
     state.quarantine.onNews(() => sync.syncSoon())
     state.evacuations.onNews(() => sync.syncSoon())
     sync.onSeedsAsked(onProgress)
