A router that has not known in time whether there is a newer version refuses nothing for good

What callers would have seen: 404 or 401 from a router that reaches neither the store nor another router in time, for what a newer version allows.

Cause: a refusal was final although the copy that it rests on was older than the bound within which a version has to be in force. So a refusal is final only if the router knew, at a moment that is not longer ago than the bound, that the store held no newer version. The limit is that of the settings (configuration_within_ms).

Tests: awaited-requests_test, a router without the store and the others; content_age_test, 6 and 76 routers on links that leave 200 kB/s, too slow for the change: no router refuses for good from the bound on (with the final refusal all routers without the version do).

--- a/packages/gateway/src/caller/authorize-request.ts
+++ b/packages/gateway/src/caller/authorize-request.ts
@@ -6,10 +6,11 @@
 import type { Route } from '../model/route.js'
 import type { Workspace } from '../model/workspace.js'
 import type { AuthorizedRequest } from './authorized-request.js'
+import type { ConfigurationAgeLimits } from './configuration-age-limits.js'
 import { notRunError } from './not-run-error.js'
 import { pickService } from './pick-service.js'
 
-/** Retry delay for callers while this router lacks the newest version; it arrives soon, and other routers have it. */
+/** Retry delay for callers while this router lacks the newest version, or may lack it; it arrives soon, and other routers have it. */
 const OUTDATED_RETRY_MS = 400
 /** Retry delay for callers while this router has no fresh configuration; other routers may have one. */
 const NO_CONFIGURATION_RETRY_MS = 400
@@ -20,12 +21,12 @@
  * @param host value of the Host header
  * @param target request target: path and query
  * @param state configuration to decide by
- * @param keyAgeLimitMs staleness of the API keys above which requests that need one are rejected, in milliseconds; 0 for no limit
+ * @param ageLimits how old the configuration may be
  * @throws MimosarockError if the request is not allowed, or the configuration is missing or too stale to decide; CONFIGURATION_OUTDATED if the
- * version in force does not allow it and this router lacks a newer one, which may
+ * version in force does not allow it and this router lacks a newer one, or may lack one, which may
  */
 export function authorizeRequest (
-  caller: CallerRequest, host: string, target: string, state: ConfigurationState, keyAgeLimitMs: number
+  caller: CallerRequest, host: string, target: string, state: ConfigurationState, ageLimits: ConfigurationAgeLimits
 ): AuthorizedRequest {
   const inForce = state.inForce
   if (inForce === undefined) {
@@ -33,8 +34,8 @@
   }
   const path = pathOf(target)
   const route = inForce.routes.find(host, path)
-  if (route === undefined) throw notAllowedError(ResultCode.ROUTE_UNKNOWN, 'no route matches the host and path', state)
-  const workspace = workspaceOf(caller, route, inForce, state, keyAgeLimitMs)
+  if (route === undefined) throw notAllowedError(ResultCode.ROUTE_UNKNOWN, 'no route matches the host and path', state, ageLimits)
+  const workspace = workspaceOf(caller, route, inForce, state, ageLimits)
   return {
     caller,
     route,
@@ -49,22 +50,27 @@
 }
 
 function workspaceOf (
-  caller: CallerRequest, route: Route, inForce: ConfigurationInForce, state: ConfigurationState, keyAgeLimitMs: number
+  caller: CallerRequest, route: Route, inForce: ConfigurationInForce, state: ConfigurationState, ageLimits: ConfigurationAgeLimits
 ): Workspace | undefined {
   if (!inForce.requiresApiKeys || route.isPublic) return undefined
   // Fails closed: a key may have been revoked while this router could not read the configuration.
-  if (keyAgeLimitMs > 0 && state.ageMs > keyAgeLimitMs) {
+  if (ageLimits.keysMs > 0 && state.ageMs > ageLimits.keysMs) {
     throw notRunError(ResultCode.CONFIGURATION_NOT_LOADED, 'the API keys known to this router are stale', NO_CONFIGURATION_RETRY_MS)
   }
   const workspace = caller.apiKey === undefined ? undefined : inForce.workspaceOf(caller.apiKey)
-  if (workspace === undefined) throw notAllowedError(ResultCode.UNAUTHENTICATED, 'unknown API key', state)
+  if (workspace === undefined) throw notAllowedError(ResultCode.UNAUTHENTICATED, 'unknown API key', state, ageLimits)
   return workspace
 }
 
-function notAllowedError (code: ResultCode, message: string, { awaited }: ConfigurationState): MimosarockError {
+function notAllowedError (code: ResultCode, message: string, { awaited, heardAgeMs }: ConfigurationState, { refusalMs }: ConfigurationAgeLimits): MimosarockError {
   // A refusal is final only if no newer version may allow the request.
-  if (awaited.version === undefined) return new MimosarockError(code, message)
-  return notRunError(ResultCode.CONFIGURATION_OUTDATED, `${message} in the version in force, and a newer one is awaited`, OUTDATED_RETRY_MS)
+  if (awaited.version !== undefined) return outdatedError(`${message} in the version in force, and a newer one is awaited`)
+  if (heardAgeMs >= refusalMs) return outdatedError(`${message} in the version in force, and there may be a newer one`)
+  return new MimosarockError(code, message)
+}
+
+function outdatedError (message: string): MimosarockError {
+  return notRunError(ResultCode.CONFIGURATION_OUTDATED, message, OUTDATED_RETRY_MS)
 }
 
 function pathOf (target: string): string {
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -24,6 +24,7 @@
 import type { HeldBytes } from '../memory/held-bytes.js'
 import type { GatewayMetrics } from '../status/gateway-metrics.js'
 import type { GatewayState } from '../model/gateway-state.js'
+import type { ConfigurationAgeLimits } from './configuration-age-limits.js'
 import type { ConfigurationArrivals } from './configuration-arrivals.js'
 import type { CurrentHomes } from './current-homes.js'
 import type { AdmissionPaths } from './admission-paths.js'
@@ -97,8 +98,8 @@
    * the endpoint is the primary of the context's key, that is, the first one of the key's rendezvous order.
    */
   readonly isFleetLarge: () => boolean
-  /** Returns the staleness of API keys above which requests that need one are rejected, in milliseconds; 0 for no limit. */
-  readonly keyAgeLimitMs: () => number
+  /** Returns how old the configuration may be for decisions on requests. */
+  readonly configurationAgeLimits: () => ConfigurationAgeLimits
   /**
    * Returns the retry budget of a service.
    * @param service name of the service
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -128,9 +128,10 @@
       try {
         return this._authorize()
       } catch (error) {
+        const { configuration, configurationArrivals } = this._dependencies
         const isOutdated = error instanceof MimosarockError && error.code === ResultCode.CONFIGURATION_OUTDATED
-        const { configurationArrivals } = this._dependencies
-        if (!isOutdated || this._versionWaitLeftMs <= 0 || configurationArrivals.isFull) throw error
+        const mayWait = configuration.awaited.version !== undefined && this._versionWaitLeftMs > 0 && !configurationArrivals.isFull
+        if (!isOutdated || !mayWait) throw error
         await configurationArrivals.wait(this._versionWaitLeftMs)
       }
       if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
@@ -143,7 +144,7 @@
   }
 
   private _authorize (): AuthorizedRequest {
-    const { codec, configuration, keyAgeLimitMs } = this._dependencies
+    const { codec, configuration, configurationAgeLimits } = this._dependencies
     const { rawHeaders, headers, url } = this._request
     const caller = codec.readCallerRequest(rawHeaders)
     if (caller === undefined) throw new MimosarockError(ResultCode.INVALID_REQUEST, 'the request has no request id')
@@ -153,7 +154,7 @@
     if (limits !== undefined && headBytes(rawHeaders) > limits.headerBytes) {
       throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the request headers exceed ${limits.headerBytes} bytes`)
     }
-    const authorized = authorizeRequest(caller, headers.host ?? '', url ?? '', configuration, keyAgeLimitMs())
+    const authorized = authorizeRequest(caller, headers.host ?? '', url ?? '', configuration, configurationAgeLimits())
     this._time.setLimits(authorized)
     this._requireTimeBeforeStop()
     return authorized
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -69,6 +69,11 @@
     return this._heardAt
   }
 
+  /** Milliseconds since this router last knew whether the store holds a newer version. */
+  get heardAgeMs (): number {
+    return this._clock.now() - this._heardAt
+  }
+
   /** What other routers may be told of `heardAt`: this router can tell them of no version that it lacks, so that it tells the last reading then. */
   get knownAt (): number {
     return this.awaited.version === undefined ? this._heardAt : this._readAt
--- a/packages/gateway/src/test/awaited-requests_test.ts
+++ b/packages/gateway/src/test/awaited-requests_test.ts
@@ -105,3 +105,13 @@
   await waitUntil(async () => (await fixture.call('GET', '/added/', HEADERS)).status === 200)
   expect((await fixture.call('GET', '/none/', HEADERS)).status).toBe(404)
 })
+
+// Guards against CONFIG while a router reaches neither the store nor another router: it does not know whether there is a newer version.
+test('a router that has not known for the time of the bound whether there is a newer version refuses no unknown route or key for good', async () => {
+  fixture.store.configurations.isDown = true
+  peer.server.closeAllConnections()
+  peer.server.close()
+  await waitUntil(async () => (await fixture.call('GET', '/none/', HEADERS)).status === 503)
+  const refused = await fixture.call('GET', '/keyed/', { ...HEADERS, key: 'k3' })
+  expect([refused.status, Number(refused.headers['retry-after']) > 0, (await fixture.call('GET', '/read/', HEADERS)).status]).toEqual([503, true, 200])
+})
--- a/packages/gateway/src/test/content-age_test.ts
+++ b/packages/gateway/src/test/content-age_test.ts
@@ -1,5 +1,6 @@
 import { expect, test, vi } from 'vitest'
 import { createLargeConfiguration } from './create-large-configuration.js'
+import { finalRefusals } from './final-refusals.js'
 import { FleetLinks } from './fleet-links.js'
 import { KnowledgeFleet } from './knowledge-fleet.js'
 import { useSimulatedTime } from './use-simulated-time.js'
@@ -59,6 +60,24 @@
   expect(delayMs).toBeLessThanOrEqual(boundMs)
 }, TEST_TIMEOUT_MS)
 
+/** Rate that the links leave in a fleet that can't receive the change within the bound. */
+const TOO_SLOW_BYTES_PER_SECOND = 200_000
+const OBSERVED_MS = 1_000
+const OBSERVING_INTERVAL_MS = 100
+
+// Guards against CONFIG where the content is late whatever routers do: a refusal for good is wrong then.
+test.each([SMALL, LARGE])('$routers routers on links that are too slow for a change, and none refuses for good what it allows, from the bound on', async ({ routers, boundMs }) => {
+  const fleet = await KnowledgeFleet.start(routers, boundMs, simulated.signal, new FleetLinks(TOO_SLOW_BYTES_PER_SECOND))
+  const configuration = createLargeConfiguration(2, ADDED_ROUTES)
+  fleet.store.configurations.put('config', configuration)
+  await vi.advanceTimersByTimeAsync(boundMs)
+  expect(fleet.order.filter((name) => fleet.stateOf(name).configuration.version === 1).length).toBeGreaterThan(0)
+  for (let elapsedMs = 0; elapsedMs < OBSERVED_MS; elapsedMs += OBSERVING_INTERVAL_MS) {
+    expect(finalRefusals(fleet, configuration, boundMs)).toEqual([])
+    await vi.advanceTimersByTimeAsync(OBSERVING_INTERVAL_MS)
+  }
+}, TEST_TIMEOUT_MS)
+
 // Guards against a change that follows another one closely and starts its transfer anew each time.
 test('6 routers: two large changes in series, and all have each of them within the bound', async () => {
   const fleet = await KnowledgeFleet.start(SMALL.routers, SMALL.boundMs, simulated.signal, new FleetLinks(BYTES_PER_SECOND))
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -233,7 +233,10 @@
       metrics: this._metrics,
       state: this._state,
       isFleetLarge: () => this._fleetState.routers.isLarge,
-      keyAgeLimitMs: () => Math.max(0, this._settings.current.keyAgeLimitMs - KEY_AGE_MARGIN_MS),
+      configurationAgeLimits: () => {
+        const { keyAgeLimitMs, propagationBounds } = this._settings.current
+        return { keysMs: Math.max(0, keyAgeLimitMs - KEY_AGE_MARGIN_MS), refusalMs: propagationBounds.configurationMs }
+      },
       retryBudgetOf: (service) => this._retryBudgets.get(service),
       maximumConnectionsOf: (service) => this._connectionsOf(service)
     }
