Only an answer that contains a change makes the fleet await a version, and a version that came with its change is not awaited

Unknown routes would have been refused as not run, with a wait of up to 1 s, instead of for good.

Cause: the first part of any answer to a read with a position counted as a change, an empty one too; on a processor that is busy with starting, other routers ask before its rest is read. Besides, each small change was logged as awaited, as a router heard of it before it applied the change in the same answer.

Change: the client of the store states with each part whether a change is among what has arrived; the answer's change is applied first.

--- a/packages/gateway/src/membership/store-feed-options.ts
+++ b/packages/gateway/src/membership/store-feed-options.ts
@@ -22,9 +22,10 @@
   /**
    * Called when the first part of an answer has arrived. A long answer takes seconds on a slow link; what it contains is known to be on its way.
    * @param completeAsOf time as of which the answer is complete
-   * @param isChange whether it contains what has changed since the read before, so that there is a change unless the answer ends at once
    */
-  readonly onAnswerBegun?: (completeAsOf: number, isChange: boolean) => void
+  readonly onAnswerBegun?: (completeAsOf: number) => void
+  /** Called for each received part of an answer that contains a change since the read before. */
+  readonly onChangeBegun?: () => void
   /** Called after each failed read. */
   readonly onFailure?: () => void
 }
--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -86,14 +86,14 @@
     const waitMs = this._wasAnswerLong ? 0 : this._options.waitMs()
     this._wasAnswerLong = false
     const timeout = new ProgressTimeout({ progressMs: waitMs + this._progressMarginMs, totalMs: MAXIMUM_READ_MS })
-    const isChange = this._position !== undefined
     let begunAt: number | undefined
     const callSignal = AbortSignal.any([signal, timeout.signal])
     try {
-      const page = await this._options.reader.read(this._position, waitMs, callSignal, () => {
+      const page = await this._options.reader.read(this._position, waitMs, callSignal, (hasChange) => {
         timeout.recordProgress()
-        if (begunAt === undefined) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS), isChange)
+        if (begunAt === undefined) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS))
         begunAt ??= this._clock.now()
+        if (hasChange) this._options.onChangeBegun?.()
       })
       this._wasAnswerLong = begunAt !== undefined && this._clock.now() - begunAt >= LONG_ANSWER_MS
       this._recordSuccess()
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -171,8 +171,9 @@
     storeEra.learn(answer.storeEra, answer.name)
     const elapsedMs = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.recordContact(router, router.heardAgoMs + elapsedMs)
+    if (answer.configurationPatches !== undefined) this._state.configuration.adoptPatches(answer.configurationPatches, answer.name)
     this._hearOfConfiguration(answer, sentAt)
-    this._applyConfiguration(address, answer)
+    this._transferConfiguration(address, answer)
     // Ages and endpoints of an earlier era say nothing about what the store holds now.
     if (storeEra.isSame(answer.storeEra)) {
       this._applyConfigurationAges(answer, sentAt)
@@ -201,9 +202,9 @@
     if (awaited !== undefined && configurationVersion >= configuration.version) configuration.hearOf(awaited.version, sentAt - awaited.statedAgoMs, name)
   }
 
-  private _applyConfiguration (address: string, answer: SyncAnswer): void {
+  /** Requests a large change from its source, if this router lacks one. */
+  private _transferConfiguration (address: string, answer: SyncAnswer): void {
     const { configuration } = this._state
-    if (answer.configurationPatches !== undefined) configuration.adoptPatches(answer.configurationPatches, answer.name)
     const { configurationSource: source } = answer
     const hasChange = configuration.version < answer.configurationVersion
     const lacksChange = hasChange || (configuration.awaited.version ?? 0) > 0
--- a/packages/gateway/src/test/knowledge-fleet.ts
+++ b/packages/gateway/src/test/knowledge-fleet.ts
@@ -258,13 +258,14 @@
   private _storeOf ({ storeEra, routers }: FleetState, reach: Reach): FleetStore {
     const { store } = this
     const linkTo = <Value>(topic: TopicReader<Value>): TopicReader<Value> => ({
-      read: async (position: StorePosition | undefined, waitMs: number, signal: AbortSignal, onProgress: () => void = () => undefined) => {
+      read: async (position: StorePosition | undefined, waitMs: number, signal: AbortSignal, onProgress: (hasChange: boolean) => void = () => undefined) => {
         reach.storeCalls += 1
         await crossLink(reach, signal)
         const page = await topic.read(position, waitMs, signal)
         await crossLink(reach, signal)
-        onProgress()
-        await this._links?.send(STORE, routers.self.name, JSON.stringify(page.changes), { signal, recordProgress: onProgress })
+        const recordProgress = (): void => onProgress(!page.isSnapshot && page.changes.length > 0)
+        recordProgress()
+        await this._links?.send(STORE, routers.self.name, JSON.stringify(page.changes), { signal, recordProgress })
         return page
       }
     })
--- a/packages/gateway/src/test/store-feed_test.ts
+++ b/packages/gateway/src/test/store-feed_test.ts
@@ -73,7 +73,7 @@
     read: async (_offset, _waitMs, signal, onProgress) => {
       for (let part = 0; part < parts; part += 1) {
         await sleep(partMs, undefined, { signal })
-        onProgress?.()
+        onProgress?.(false)
       }
       return { changes: [{ key: 'a', value: 'large' }], nextPosition: { era: 1, offset: 1 }, isSnapshot: true }
     }
@@ -98,9 +98,9 @@
   const reader: TopicReader<string> = {
     read: async (_position, _waitMs, _signal, onProgress) => {
       await sleep(200)
-      onProgress?.()
+      onProgress?.(false)
       await sleep(50)
-      onProgress?.()
+      onProgress?.(false)
       begunBeforeEnd = begun.length
       return { changes: [{ key: 'k', value: 'large' }], nextPosition: { era: 1, offset: 1 }, isSnapshot: true }
     }
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -154,10 +154,8 @@
         configuration.awaited.endReading()
         onProgress()
       },
-      onAnswerBegun: (completeAsOf, isChange) => {
-        configuration.markHeard(completeAsOf)
-        if (isChange) configuration.awaited.beginReading()
-      },
+      onAnswerBegun: (completeAsOf) => configuration.markHeard(completeAsOf),
+      onChangeBegun: () => configuration.awaited.beginReading(),
       onFailure: () => {
         configuration.awaited.endReading()
         this._overdueReading.recordFailure()
