An answer that a router reads late does not make its knowledge newer than the wait that it was for

What callers could see: a refusal for good, or a leaving endpoint served, by a router that was suspended while it waited for the store.

Cause: the first part of an answer dated what is known of the configuration to 0.1 s before it was read. After a suspension (or on a processor that is busy) an answer without a change, from the end of its wait, is read seconds later.

Change: the time is no later than the end of the wait, as for whole pages.

--- a/packages/gateway/src/membership/store-feed.ts
+++ b/packages/gateway/src/membership/store-feed.ts
@@ -91,7 +91,7 @@
     try {
       const page = await this._options.reader.read(this._position, waitMs, callSignal, (hasChange) => {
         timeout.recordProgress()
-        if (begunAt === undefined) this._options.onAnswerBegun?.(Math.max(sentAt, this._clock.now() - ANSWER_LATENCY_MS))
+        if (begunAt === undefined) this._options.onAnswerBegun?.(this._begunAsOf(sentAt, waitMs))
         begunAt ??= this._clock.now()
         if (hasChange) this._options.onChangeBegun?.()
       })
@@ -112,6 +112,14 @@
     }
   }
 
+  /**
+   * Time as of which an answer that has begun to arrive is complete. The store holds a read open for no longer than the wait, however late this
+   * process reads the answer.
+   */
+  private _begunAsOf (sentAt: number, waitMs: number): number {
+    return Math.max(sentAt, Math.min(sentAt + waitMs, this._clock.now() - ANSWER_LATENCY_MS))
+  }
+
   /**
    * Time as of which a page is complete. The store answers a read as soon as there is a change, so that none was made in the wait that an
    * empty page has taken.
