--- a/packages/gateway/src/membership/peer-rpc-client.ts
+++ b/packages/gateway/src/membership/peer-rpc-client.ts
@@ -2,13 +2,13 @@
 import { gunzip } from 'node:zlib'
 import { createJSONRPCRequest, type JSONRPCParams, type JSONRPCResponse } from 'json-rpc-2.0'
 import { Agent, request } from 'undici'
-import type { ConfigurationUpdate } from './configuration-update.js'
+import type { ConfigurationUpdate } from '../transfers/configuration-update.js'
 import { PeerCallError } from './peer-call-error.js'
 import { ProgressTimeout } from './progress-timeout.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
 import type { TimeLimits } from './time-limits.js'
-import type { TransferAttempt } from './transfer-attempt.js'
+import type { TransferAttempt } from '../transfers/transfer-attempt.js'
 
 /** Connect timeout. The latency between two zones is a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 450
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -1,6 +1,6 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import { configurationAgeMs } from './configuration-age-ms.js'
-import type { ConfigurationTransfer } from './configuration-transfer.js'
+import type { ConfigurationTransfer } from '../transfers/configuration-transfer.js'
 import { decodeLoads } from './decode-loads.js'
 import { EndpointMirror } from './endpoint-mirror.js'
 import type { FleetState } from './fleet-state.js'
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -1,13 +1,13 @@
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import type { AwaitedVersion } from '../configuration/awaited-version.js'
-import { ConfigurationUpdates } from './configuration-updates.js'
-import type { ConfigurationUpdate } from './configuration-update.js'
+import { ConfigurationUpdates } from '../transfers/configuration-updates.js'
+import type { ConfigurationUpdate } from '../transfers/configuration-update.js'
 import type { FleetState } from './fleet-state.js'
 import { LoadSnapshot } from './load-snapshot.js'
 import type { RouterKnowledge } from './router-knowledge.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
-import { TransferSources } from './transfer-sources.js'
+import { TransferSources } from '../transfers/transfer-sources.js'
 
 /** Maximum number of holder notes in one answer; the remaining ones follow in the next answer. */
 const MAXIMUM_NOTES = 1_000
--- a/packages/gateway/src/test/configuration-transfer_test.ts
+++ b/packages/gateway/src/test/configuration-transfer_test.ts
@@ -1,9 +1,9 @@
 import { expect, test, vi } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { ConfigurationState } from '@mimosarock/gateway/configuration/configuration-state.js'
-import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
-import type { ConfigurationUpdate } from '@mimosarock/gateway/membership/configuration-update.js'
-import type { TransferCall } from '@mimosarock/gateway/membership/transfer-call.js'
+import { ConfigurationTransfer } from '@mimosarock/gateway/transfers/configuration-transfer.js'
+import type { ConfigurationUpdate } from '@mimosarock/gateway/transfers/configuration-update.js'
+import type { TransferCall } from '@mimosarock/gateway/transfers/transfer-call.js'
 import { createConfiguration } from './create-configuration.js'
 import { useSimulatedTime } from './use-simulated-time.js'
 
--- a/packages/gateway/src/test/limit-exchange_test.ts
+++ b/packages/gateway/src/test/limit-exchange_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
-import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
+import { ConfigurationTransfer } from '@mimosarock/gateway/transfers/configuration-transfer.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -1,7 +1,7 @@
 import { setImmediate as nextIteration } from 'node:timers/promises'
 import fc from 'fast-check'
 import { expect, test, vi } from 'vitest'
-import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
+import { ConfigurationTransfer } from '@mimosarock/gateway/transfers/configuration-transfer.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
--- a/packages/gateway/src/test/transfer-sources_test.ts
+++ b/packages/gateway/src/test/transfer-sources_test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { TransferSources } from '@mimosarock/gateway/membership/transfer-sources.js'
+import { TransferSources } from '@mimosarock/gateway/transfers/transfer-sources.js'
 import type { RouterEntry } from '@mimosarock/gateway/model/router-entry.js'
 
 const MAXIMUM_TRANSFERS = 2
--- a/packages/gateway/src/test/zone-evacuations_test.ts
+++ b/packages/gateway/src/test/zone-evacuations_test.ts
@@ -5,7 +5,7 @@
 import { EvacuationReadings } from '@mimosarock/gateway/evacuation/evacuation-readings.js'
 import { UnknownZoneWarning } from '@mimosarock/gateway/evacuation/unknown-zone-warning.js'
 import { ZoneEvacuations } from '@mimosarock/gateway/evacuation/zone-evacuations.js'
-import { ConfigurationTransfer } from '@mimosarock/gateway/membership/configuration-transfer.js'
+import { ConfigurationTransfer } from '@mimosarock/gateway/transfers/configuration-transfer.js'
 import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import type { SyncRequest } from '@mimosarock/gateway/membership/sync-request.js'
--- a/packages/gateway/src/membership/configuration-transfer.ts
+++ b/packages/gateway/src/transfers/configuration-transfer.ts
@@ -1,7 +1,7 @@
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
 import type { ConfigurationState } from '../configuration/configuration-state.js'
 import type { ElapsedClock } from '../model/elapsed-clock.js'
-import { peerCallFields } from './peer-call-fields.js'
+import { peerCallFields } from '../membership/peer-call-fields.js'
 import { TransferAttempt } from './transfer-attempt.js'
 import type { TransferCall } from './transfer-call.js'
 
--- a/packages/gateway/src/membership/source-search.ts
+++ b/packages/gateway/src/transfers/source-search.ts
@@ -1,6 +1,6 @@
 import type { RouterEntry } from '../model/router-entry.js'
-import { pause } from './pause.js'
-import type { RouterTable } from './router-table.js'
+import { pause } from '../membership/pause.js'
+import type { RouterTable } from '../membership/router-table.js'
 
 /** Interval at which a router asks others while no known source sends it a version in time. */
 const INTERVAL_MS = 150
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -1,7 +1,7 @@
 import { ConfigurationReadings } from '../configuration/configuration-readings.js'
 import { selectConfigurations } from '../configuration/select-configurations.js'
 import { EvacuationReadings } from '../evacuation/evacuation-readings.js'
-import { ConfigurationTransfer } from '../membership/configuration-transfer.js'
+import { ConfigurationTransfer } from '../transfers/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
 import { createFleetAgeLimits } from '../membership/create-fleet-age-limits.js'
 import type { FleetAgeLimits } from '../membership/fleet-age-limits.js'
