--- a/packages/gateway/src/configuration/awaited-configuration.ts
+++ b/packages/gateway/src/configuration/awaited-configuration.ts
@@ -42,6 +42,11 @@
     return isUnnumbered ? UNNUMBERED : undefined
   }
 
+  /** Whether this router lacks a version and knows its number. */
+  get isNumbered (): boolean {
+    return this.version !== undefined && this.version !== UNNUMBERED
+  }
+
   /** Clock time at which a router that had the awaited version, or was reading it, stated it. */
   get statedAt (): number {
     if (this._isReading) return this._clock.now()
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -81,7 +81,7 @@
   get isSourceOverdue (): boolean {
     const { awaited } = this._state.configuration
     if (awaited.version === undefined || this._transfer.isInTime) return false
-    return awaited.elapsedMs >= (awaited.version > 0 ? SOURCE_OVERDUE_MS : READING_OVERDUE_MS)
+    return awaited.elapsedMs >= (awaited.isNumbered ? SOURCE_OVERDUE_MS : READING_OVERDUE_MS)
   }
 
   /**
@@ -207,7 +207,7 @@
     const { configuration } = this._state
     const { configurationSource: source } = answer
     const hasChange = configuration.version < answer.configurationVersion
-    const lacksChange = hasChange || (configuration.awaited.version ?? 0) > 0
+    const lacksChange = hasChange || configuration.awaited.isNumbered
     this._isAwaitingSource = hasChange && source === undefined && !this._transfer.isInTime
     if (lacksChange && source !== undefined) this._transfer.start(source, hasChange ? address : source)
   }
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -1,7 +1,6 @@
 import { ConfigurationReadings } from '../configuration/configuration-readings.js'
 import { selectConfigurations } from '../configuration/select-configurations.js'
 import { EvacuationReadings } from '../evacuation/evacuation-readings.js'
-import { ConfigurationTransfer } from '../transfers/configuration-transfer.js'
 import { EndpointReadings } from '../membership/endpoint-readings.js'
 import { createFleetAgeLimits } from '../membership/create-fleet-age-limits.js'
 import type { FleetAgeLimits } from '../membership/fleet-age-limits.js'
@@ -17,6 +16,8 @@
 import { SyncClient } from '../membership/sync-client.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import type { OperatorRecord } from '../model/operator-record.js'
+import { ConfigurationTransfer } from '../transfers/configuration-transfer.js'
+import { ContentReading } from '../transfers/content-reading.js'
 import type { FleetTasksOptions } from './fleet-tasks-options.js'
 
 /** Maximum long-poll wait for a new record of the operator; bounds the staleness of API keys. */
@@ -30,15 +31,6 @@
 /** Pause between two reads of the endpoints. Each endpoint reports about once a second. */
 const ENDPOINTS_PAUSE_MS = 450
 
-/** Time for which a version is awaited, from which a router reads it from the store if no other router answers it. */
-const SILENT_OTHERS_READ_MS = 600
-/** Time without an answer of any other router from which they count as silent; while a version is awaited, several are asked in this time. */
-const OTHERS_SILENT_MS = 350
-/** Time that the reader may take to receive a version, from which the router after it in the order reads it as well; the next one after twice that. */
-const SLOW_READER_MS = 500
-/** Number of routers that read a version while the reader is still receiving it. */
-const MAXIMUM_FURTHER_READERS = 2
-
 /** Background tasks that keep the state of a router up to date from the store and the other routers, and save what only routers know. */
 export class FleetTasks {
   private readonly _options: FleetTasksOptions
@@ -47,6 +39,7 @@
   private readonly _sync: FleetSync
   private readonly _overdueReading: OverdueReading
   private readonly _transfer: ConfigurationTransfer
+  private readonly _contentReading: ContentReading
   private _isRunning = false
 
   /**
@@ -59,6 +52,7 @@
     this._transfer = this._createTransfer()
     this._sync = this._createSync()
     this._overdueReading = new OverdueReading({ isReader: () => this._sync.isReader, isOutageSuspected: () => this._sync.isOutageSuspected }, options.clock)
+    this._contentReading = this._createContentReading()
   }
 
   /** Whether this router has to read the store on behalf of the fleet. */
@@ -114,23 +108,7 @@
   private get _isConfigurationOverdue (): boolean {
     const { configuration } = this._options.state
     const { configuration: limits } = this._ageLimits
-    return this._overdueReading.isDue(configuration.heardAt, limits.readMs) || this._isContentOverdue || this._isReaderSlow
-  }
-
-  /** A router that has heard of a version need not read it while other routers send it in time. */
-  private get _isContentOverdue (): boolean {
-    const { clock, state: { configuration: { awaited } } } = this._options
-    if (awaited.version === undefined || this._overdueReading.isHeldOff) return false
-    const areOthersSilent = awaited.elapsedMs >= SILENT_OTHERS_READ_MS && !this._sync.hasHeardOthersSince(clock.now() - OTHERS_SILENT_MS)
-    return this._transfer.needsStore || (areOthersSilent && !this._transfer.isInTime)
-  }
-
-  /** Whether the reader takes so long to receive a version that this router is one of those that read it as well. */
-  private get _isReaderSlow (): boolean {
-    const { awaited } = this._options.state.configuration
-    if (awaited.version !== 0 || awaited.elapsedMs < SLOW_READER_MS || this._overdueReading.isHeldOff) return false
-    const { ownRank } = this._options.state.routers
-    return ownRank <= MAXIMUM_FURTHER_READERS && awaited.elapsedMs >= SLOW_READER_MS * ownRank
+    return this._overdueReading.isDue(configuration.heardAt, limits.readMs) || this._contentReading.isDue
   }
 
   private get _ageLimits (): FleetAgeLimits {
@@ -191,6 +169,17 @@
     }, clock, log)
   }
 
+  private _createContentReading (): ContentReading {
+    const { clock, state: { configuration: { awaited }, routers } } = this._options
+    return new ContentReading({
+      awaited,
+      transfer: this._transfer,
+      overdueReading: this._overdueReading,
+      hasHeardOthersSince: (time) => this._sync.hasHeardOthersSince(time),
+      ownRank: () => routers.ownRank
+    }, clock)
+  }
+
   private _createSync (): FleetSync {
     const { state, peerClient, seeds, clock, log, onProgress } = this._options
     const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), this._transfer, onProgress)
