An answer of the store that has only begun to arrive makes no refusal final

It had been frozen; 45 ms after it woke the first part of a first read had arrived, and its copy was 3.46 s old.

Cause: the refusal's bound looked at when the router heard of what the store holds, and the begin of an answer counts for that (so that a reader that is receiving a long answer is still followed). What such an answer contains is not known yet. Change: it looks at the last whole reading of the store, by this router or another one.

--- a/packages/gateway/src/caller/authorize-request.ts
+++ b/packages/gateway/src/caller/authorize-request.ts
@@ -62,10 +62,10 @@
   return workspace
 }
 
-function notAllowedError (code: ResultCode, message: string, { awaited, heardAgeMs }: ConfigurationState, { refusalMs }: ConfigurationAgeLimits): MimosarockError {
+function notAllowedError (code: ResultCode, message: string, { awaited, readAgeMs }: ConfigurationState, { refusalMs }: ConfigurationAgeLimits): MimosarockError {
   // A refusal is final only if no newer version may allow the request.
   if (awaited.version !== undefined) return outdatedError(`${message} in the version in force, and a newer one is awaited`)
-  if (heardAgeMs >= refusalMs) return outdatedError(`${message} in the version in force, and there may be a newer one`)
+  if (readAgeMs >= refusalMs) return outdatedError(`${message} in the version in force, and there may be a newer one`)
   return new MimosarockError(code, message)
 }
 
--- a/packages/gateway/src/caller/configuration-age-limits.ts
+++ b/packages/gateway/src/caller/configuration-age-limits.ts
@@ -2,6 +2,6 @@
 export interface ConfigurationAgeLimits {
   /** Age of the API keys above which requests that need one are rejected, in milliseconds; 0 for no limit. */
   readonly keysMs: number
-  /** Time since a router last knew that there is no newer version from which it refuses no request for good, in milliseconds. */
+  /** Time since the store was read from which a router refuses no request for good, as there may be a newer version, in milliseconds. */
   readonly refusalMs: number
 }
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -69,9 +69,9 @@
     return this._heardAt
   }
 
-  /** Milliseconds since this router last knew whether the store holds a newer version. */
-  get heardAgeMs (): number {
-    return this._clock.now() - this._heardAt
+  /** Milliseconds since the store was last read as a whole, by this router or another one, and what it held was applied here. */
+  get readAgeMs (): number {
+    return this._clock.now() - this._readAt
   }
 
   /** What other routers may be told of `heardAt`: this router can tell them of no version that it lacks, so that it tells the last reading then. */
