--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -6,6 +6,7 @@
 import type { EndpointChange } from './endpoint-change.js'
 import type { EndpointRemoval } from './endpoint-removal.js'
 import type { EndpointListener } from './endpoint-listener.js'
+import type { EndpointOrigin } from './endpoint-origin.js'
 import type { RegistrationRecorder } from './registration-recorder.js'
 import { RegistrationOrder } from './registration-order.js'
 
@@ -19,6 +20,10 @@
 const MAXIMUM_LEAVING = 4_096
 /** Evacuations of a table that knows of none. */
 const NO_EVACUATIONS: Pick<ZoneEvacuations, 'includes' | 'revision'> = { revision: 0, includes: () => false }
+/** Origin of what this router has read itself. */
+const STORE: EndpointOrigin = { source: 'store', asOf: undefined }
+/** Origin of removals at the end of a time. */
+const EXPIRY: EndpointOrigin = { source: 'expiry', asOf: undefined }
 /** Start of an incarnation that did not state it. */
 const UNKNOWN_START = 0
 
@@ -101,9 +106,10 @@
   /**
    * Records a removal that another router knows. What that one has seen last of the endpoint may be newer than what this one has.
    * @param removal the removal
+   * @param origin where it came from
    */
-  recordRemoval (removal: EndpointRemoval): void {
-    if (this._order.learnRemoval(removal, this._entries.get(removal.id))) this._delete(removal.id)
+  recordRemoval (removal: EndpointRemoval, origin = STORE): void {
+    if (this._order.learnRemoval(removal, this._entries.get(removal.id))) this._delete(removal.id, origin)
   }
 
   /** Prepares for content of the store that is older than what it held before. */
@@ -189,7 +195,7 @@
   apply (changes: readonly TopicChange<EndpointEntry>[], gracePeriodEnd: number | undefined): void {
     for (const change of changes) {
       if (change.value !== undefined) this._put(change.value)
-      else this._remove(change.key, gracePeriodEnd)
+      else this._remove(change.key, gracePeriodEnd, STORE)
     }
   }
 
@@ -198,12 +204,13 @@
    * @param entries all registered endpoints
    * @param gracePeriodEnd time until which missing entries are retained after an outage of the store; undefined to
    * delete them immediately
+   * @param origin where the entries came from
    */
-  replace (entries: readonly EndpointEntry[], gracePeriodEnd: number | undefined): void {
+  replace (entries: readonly EndpointEntry[], gracePeriodEnd: number | undefined, origin = STORE): void {
     const registeredIds = new Set(entries.map((entry) => entry.id))
     this._order.retainWithheld(registeredIds)
     for (const id of [...this._entries.keys()]) {
-      if (!registeredIds.has(id) && !this._lapsed.has(id)) this._remove(id, gracePeriodEnd)
+      if (!registeredIds.has(id) && !this._lapsed.has(id)) this._remove(id, gracePeriodEnd, origin)
     }
     for (const entry of entries) this._put(entry)
   }
@@ -220,7 +227,7 @@
       if (now >= departed.expiresAt) this._expireDeparted(id, departed.entry)
     }
     for (const [id, expiresAt] of this._lapsed) {
-      if (now >= expiresAt) this._delete(id)
+      if (now >= expiresAt) this._delete(id, EXPIRY)
     }
   }
 
@@ -257,12 +264,12 @@
     return leavingStart === startedAt
   }
 
-  private _remove (id: string, gracePeriodEnd: number | undefined): void {
+  private _remove (id: string, gracePeriodEnd: number | undefined, origin: EndpointOrigin): void {
     this._order.dropWithheld(id)
     const entry = this._entries.get(id)
     if (entry === undefined) return
     if (gracePeriodEnd === undefined || entry.isDraining) {
-      this._delete(id)
+      this._delete(id, origin)
       return
     }
     if (this._lapsed.has(id)) return
@@ -270,7 +277,7 @@
     this._log.warn('endpoint-lapsed', { endpoint: id, keep_ms: Math.round(gracePeriodEnd - this._clock.now()) })
   }
 
-  private _delete (id: string): void {
+  private _delete (id: string, { source, asOf }: EndpointOrigin): void {
     const entry = this._entries.get(id)
     this._lapsed.delete(id)
     if (entry === undefined) return
@@ -280,7 +287,13 @@
     const removal = this._order.recordRemoval({ id, startedAt, revision })
     this._departed.set(id, { entry, expiresAt: this._clock.now() + DEPARTED_RETENTION_MS })
     this._recordChange({ id, entry: undefined, removal })
-    this._log.info('endpoint-gone', { endpoint: id, service: entry.service })
+    this._log.info('endpoint-gone', {
+      endpoint: id,
+      service: entry.service,
+      revision,
+      source,
+      age_ms: asOf === undefined ? undefined : Math.round(this._clock.now() - asOf)
+    })
     for (const listener of this._listeners) listener.endpointRemoved(entry)
   }
 
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -218,15 +218,16 @@
     mirror.apply(answer)
     const verifiedAt = sentAt - answer.endpointsAgeMs
     if (answer.endpointsAgeMs < 0) return
-    for (const removal of answer.removedEndpoints ?? []) endpoints.recordRemoval(removal)
-    for (const { removal } of answer.endpointChanges ?? []) if (removal !== undefined) endpoints.recordRemoval(removal)
+    const origin = { source: answer.name, asOf: verifiedAt }
+    for (const removal of answer.removedEndpoints ?? []) endpoints.recordRemoval(removal, origin)
+    for (const { removal } of answer.endpointChanges ?? []) if (removal !== undefined) endpoints.recordRemoval(removal, origin)
     // The endpoints of this router may be more recent.
     if (verifiedAt < endpointsFreshness.verifiedAt && !this._followsLastApplied(answer)) return
     endpointsFreshness.verifiedAt = Math.max(verifiedAt, endpointsFreshness.verifiedAt)
     this._appliedVerifiedAt = endpointsFreshness.verifiedAt
     const isUnchanged = this._appliedRevision === answer.endpointsRevision && this._localRevisionAfterApply === endpoints.revision
     if (isUnchanged) return
-    endpoints.replace(mirror.entries, undefined)
+    endpoints.replace(mirror.entries, undefined, origin)
     this._appliedRevision = answer.endpointsRevision
     this._localRevisionAfterApply = endpoints.revision
   }
