--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -17,13 +17,17 @@
   now (): number { return this.ms }
 }
 
-function createClient (state: FleetState, clock: ManualClock, serverOf: (address: string) => SyncServer): SyncClient {
+function createClient (state: FleetState, clock: ManualClock, serverOf: (address: string) => SyncServer, answersArrive: () => Promise<void> = async () => undefined): SyncClient {
   const transfer = new ConfigurationTransfer(state.configuration, async (address, fromVersion) => {
     // Transfers end after the sync requests that start them.
     await nextIteration()
     return copy(serverOf(address).configurationUpdate(fromVersion))
   }, clock, new SilentEventLog())
-  return new SyncClient(state, clock, async (address, request) => copy(serverOf(address).answer(copy(request))), transfer, () => undefined)
+  return new SyncClient(state, clock, async (address, request) => {
+    const answer = copy(serverOf(address).answer(copy(request)))
+    await answersArrive()
+    return answer
+  }, transfer, () => undefined)
 }
 
 /** Copies a message as sending it does. */
@@ -214,6 +218,101 @@
   }), { seed: 9, numRuns: 200 })
 })
 
+/** Sources of a router, with one endpoint each, whose answers can be delayed. */
+class DelayedSources {
+  readonly clock = new ManualClock()
+  readonly states = new Map<string, FleetState>()
+  private readonly _servers = new Map<string, SyncServer>()
+  private _arrivals: Promise<void>[] = []
+
+  constructor (count: number) {
+    for (let index = 0; index < count; index += 1) this.add(`s${index}`, ['e1'])
+  }
+
+  add (name: string, endpointIds: readonly string[]): void {
+    const state = createFleetState(name, this.clock)
+    this.states.set(name, state)
+    this._servers.set(name, new SyncServer(state, `i-${name}`, () => this.clock.now(), () => 0))
+    for (const id of endpointIds) this.register(name, id)
+    this.read(name)
+  }
+
+  /** Lets an endpoint register at a source. */
+  register (name: string, id: string): void {
+    this.states.get(name)?.endpoints.apply([{ key: id, value: { ...ENDPOINT, id, revision: 1 } }], undefined)
+    this.read(name)
+  }
+
+  /** Lets a source read the store, which holds what it knows. */
+  read (name: string): void {
+    this.clock.ms += 10
+    const state = this.states.get(name)
+    if (state !== undefined) state.endpointsFreshness.verifiedAt = this.clock.now()
+  }
+
+  /** Delays the answer to the next request until the returned function is called. */
+  delayAnswer (): () => void {
+    let arrive = (): void => undefined
+    this._arrivals.push(new Promise((resolve) => { arrive = resolve }))
+    return arrive
+  }
+
+  createClient (follower: FleetState): SyncClient {
+    return createClient(follower, this.clock, (name) => this._servers.get(name) as SyncServer, async () => await this._arrivals.shift())
+  }
+}
+
+const idsOf = ({ endpoints }: FleetState): string[] => [...endpoints.entries].map(({ id }) => id).sort()
+
+// Guards against LIMIT as on cascade-trailhead-grown: the changes of a list that the router had discarded meanwhile passed for the whole list.
+test('a router that asks many others while an answer is on its way keeps the endpoints that did not change', async () => {
+  const sources = new DelayedSources(8)
+  const follower = createFleetState('follower', sources.clock)
+  const client = sources.createClient(follower)
+  await client.sync('s0', FOLLOWER_OPTIONS)
+  sources.register('s0', 'e2')
+  const arrive = sources.delayAnswer()
+  const answer = client.sync('s0', FOLLOWER_OPTIONS)
+  for (const name of sources.states.keys()) if (name !== 's0') await client.sync(name, FOLLOWER_OPTIONS)
+  sources.read('s0')
+  arrive()
+  await answer
+  await client.sync('s0', FOLLOWER_OPTIONS)
+  expect(idsOf(follower)).toEqual(['e1', 'e2'])
+})
+
+// Guards against the same by an answer that arrives after a later one of the same router.
+test('changes since a revision apply to the list of that revision only, in whatever order answers arrive', async () => {
+  const sources = new DelayedSources(1)
+  const follower = createFleetState('follower', sources.clock)
+  const client = sources.createClient(follower)
+  await client.sync('s0', FOLLOWER_OPTIONS)
+  sources.register('s0', 'e2')
+  const arrive = sources.delayAnswer()
+  const late = client.sync('s0', FOLLOWER_OPTIONS)
+  sources.states.get('s0')?.endpoints.apply([{ key: 'e1', value: undefined }, { key: 'e2', value: undefined }], undefined)
+  sources.register('s0', 'e3')
+  await client.sync('s0', FOLLOWER_OPTIONS)
+  arrive()
+  await late
+  expect(idsOf(follower)).toEqual(['e3'])
+})
+
+// Guards against a wrong list that outlasts its source: what a list lacked counted as removed by the store.
+test('endpoints that a source lacked are used as soon as a source has them, also by the registrations that were known before', async () => {
+  const sources = new DelayedSources(1)
+  sources.add('incomplete', [])
+  const follower = createFleetState('follower', sources.clock)
+  const client = sources.createClient(follower)
+  await client.sync('s0', FOLLOWER_OPTIONS)
+  sources.read('incomplete')
+  await client.sync('incomplete', FOLLOWER_OPTIONS)
+  sources.read('s0')
+  await client.sync('s0', FOLLOWER_OPTIONS)
+  expect(idsOf(follower)).toEqual(['e1'])
+  expect(follower.endpoints.removals).toEqual([])
+})
+
 test('a router that missed more changes than are retained receives all endpoints', async () => {
   const { clock, reader, routers, clients } = createFleet()
   reader.endpointsFreshness.verifiedAt = clock.now()
