Changes of a list of endpoints apply only to the list that the request stated

Cause: SyncClient keeps copies of the lists of four other routers. A request states the revision of the copy; when other routers are asked before the answer arrives, the copy is dropped, and the changes of the answer were applied to an empty one, which passed for the whole list. The search for a source of a late version asks two more routers every 150 ms, which made it frequent.

Change: a request holds the copy that it is based on. An answer with changes is applied if that copy still has the revision that the request stated, one with all endpoints unless the copy is of a later revision of the same process. What does not follow is left out; the next answer brings it.

--- a/packages/gateway/src/membership/endpoint-mirror.ts
+++ b/packages/gateway/src/membership/endpoint-mirror.ts
@@ -26,10 +26,14 @@
   }
 
   /**
-   * Applies the endpoints, or endpoint changes, of an answer.
+   * Applies the endpoints of an answer, or the changes since the revision that its request stated. Answers to concurrent requests arrive in any
+   * order.
    * @param answer answer of the mirrored router
+   * @param baseRevision revision that the request stated
+   * @returns false if the answer does not follow from this copy, which then is as it was
    */
-  apply (answer: SyncAnswer): void {
+  apply (answer: SyncAnswer, baseRevision: string | undefined): boolean {
+    if (!this._canApply(answer, baseRevision)) return false
     if (answer.endpoints !== undefined) {
       this._entries.clear()
       for (const entry of answer.endpoints) this._entries.set(entry.id, entry)
@@ -39,5 +43,19 @@
       else this._entries.set(id, entry)
     }
     this._revision = answer.endpointsRevision
+    return true
+  }
+
+  private _canApply ({ endpoints, endpointsRevision }: SyncAnswer, baseRevision: string | undefined): boolean {
+    if (endpoints !== undefined) return !this._isLaterThan(endpointsRevision)
+    // Changes without the endpoints that did not change are no list.
+    return baseRevision !== undefined && baseRevision === this._revision
+  }
+
+  /** Whether this copy is of a later revision of the same process. */
+  private _isLaterThan (otherRevision: string): boolean {
+    const [instance, revision] = (this._revision ?? '').split(':')
+    const [otherInstance, other] = otherRevision.split(':')
+    return instance === otherInstance && Number(revision) > Number(other)
   }
 }
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -2,7 +2,8 @@
 import { configurationAgeMs } from './configuration-age-ms.js'
 import type { ConfigurationTransfer } from '../transfers/configuration-transfer.js'
 import { decodeLoads } from './decode-loads.js'
-import { EndpointMirror } from './endpoint-mirror.js'
+import type { EndpointMirror } from './endpoint-mirror.js'
+import { EndpointMirrors } from './endpoint-mirrors.js'
 import type { FleetState } from './fleet-state.js'
 import { LimitExchange } from './limit-exchange.js'
 import { OutlierExchange } from './outlier-exchange.js'
@@ -22,8 +23,16 @@
 const SOURCE_OVERDUE_MS = 300
 /** The same time for a version that the reader is still receiving from the store. */
 const READING_OVERDUE_MS = 1_000
-/** Maximum number of mirrored endpoint tables: one for the router that is followed, and some for other peers. */
-const MAXIMUM_MIRRORS = 4
+
+/** What a request is based on, which its answer refers to. */
+interface RequestBasis {
+  /** Time at which the request was sent, by the clock. */
+  readonly sentAt: number
+  /** Copy of the endpoints of the other router. */
+  readonly mirror: EndpointMirror
+  /** Revision of that copy when the request was sent. */
+  readonly endpointsRevision: string | undefined
+}
 
 /** Sends sync requests to other routers and applies their answers. */
 export class SyncClient {
@@ -38,7 +47,7 @@
   private readonly _sentCursors = new Map<string, number>()
   /** Number of requests sent to other routers, by address. */
   private readonly _requestCounts = new Map<string, number>()
-  private readonly _mirrors = new Map<string, EndpointMirror>()
+  private readonly _mirrors = new EndpointMirrors()
   /** Last applied endpoint revision of another router, and the revision of this router's endpoints afterwards. */
   private _appliedRevision: string | undefined
   private _localRevisionAfterApply = -1
@@ -95,7 +104,8 @@
     const sentCursor = this._sentCursors.get(address) ?? 0
     const holderChanges = holders.notesSince(sentCursor, MAXIMUM_NOTES)
     const quarantineNews = this._quarantineExchange.prepareRequest(address)
-    const sentAt = this._clock.now()
+    const mirror = this._mirrors.use(address)
+    const basis = { sentAt: this._clock.now(), mirror, endpointsRevision: mirror.revision }
     const answer = await this._call(address, {
       router: routers.self,
       storeEra: this._state.storeEra.news,
@@ -104,7 +114,7 @@
       configurationVersion: configuration.version,
       slowSources: this._transfer.slowSources,
       evacuations: evacuations.news,
-      endpointsRevision: this._mirrors.get(address)?.revision,
+      endpointsRevision: basis.endpointsRevision,
       load: reportsLoad ? loads.localLoads() : {},
       relayedLoads: reportsLoad ? loads.relayedReports() : undefined,
       notes: holderChanges.changesForUpstream,
@@ -116,9 +126,10 @@
     })
     quarantineNews.confirm()
     this._quarantineExchange.applyAnswer(address, answer, reportsLoad)
-    this._limitExchange.learn(answer, sentAt)
+    this._limitExchange.learn(answer, basis.sentAt)
     this._sentCursors.set(address, holderChanges.cursor)
-    this._applyAnswer(address, answer, sentAt)
+    this._mirrors.keep(address, mirror)
+    this._applyAnswer(address, answer, basis)
     evacuations.learn(answer.evacuations, answer.name, reportsLoad)
     this._onAnswer()
     return answer
@@ -134,7 +145,7 @@
    */
   applyFollowed (address: string, answer: SyncAnswer, isRelaying: boolean): void {
     const { holders, loads } = this._state
-    const mirror = this._mirrors.get(address)
+    const mirror = this._mirrors.find(address)
     if (mirror?.revision === answer.endpointsRevision) loads.reportFleet(decodeLoads(answer.load, mirror.ids), answer.loadRouters)
     for (const { key, endpointId } of answer.notes) {
       if (isRelaying) holders.relay(key, endpointId)
@@ -166,8 +177,9 @@
     return requestCount % (this._state.routers.isLarge ? LARGE_FLEET_REQUESTS_PER_ROUTER_LIST : REQUESTS_PER_ROUTER_LIST) === 0
   }
 
-  private _applyAnswer (address: string, answer: SyncAnswer, sentAt: number): void {
+  private _applyAnswer (address: string, answer: SyncAnswer, basis: RequestBasis): void {
     const { storeEra, routers } = this._state
+    const { sentAt } = basis
     storeEra.learn(answer.storeEra, answer.name)
     const elapsedMs = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.recordContact(router, router.heardAgoMs + elapsedMs)
@@ -177,7 +189,7 @@
     // Ages and endpoints of an earlier era say nothing about what the store holds now.
     if (storeEra.isSame(answer.storeEra)) {
       this._applyConfigurationAges(answer, sentAt)
-      this._applyEndpoints(address, answer, sentAt)
+      this._applyEndpoints(answer, basis)
     }
   }
 
@@ -212,15 +224,15 @@
     if (lacksChange && source !== undefined) this._transfer.start(source, hasChange ? address : source)
   }
 
-  private _applyEndpoints (address: string, answer: SyncAnswer, sentAt: number): void {
+  private _applyEndpoints (answer: SyncAnswer, { sentAt, mirror, endpointsRevision }: RequestBasis): void {
     const { endpoints, endpointsFreshness } = this._state
-    const mirror = this._mirror(address)
-    mirror.apply(answer)
+    const isApplied = mirror.apply(answer, endpointsRevision)
     const verifiedAt = sentAt - answer.endpointsAgeMs
     if (answer.endpointsAgeMs < 0) return
     const origin = { source: answer.name, asOf: verifiedAt }
     for (const removal of answer.removedEndpoints ?? []) endpoints.recordRemoval(removal, origin)
     for (const { removal } of answer.endpointChanges ?? []) if (removal !== undefined) endpoints.recordRemoval(removal, origin)
+    if (!isApplied) return
     // The endpoints of this router may be more recent.
     if (verifiedAt < endpointsFreshness.verifiedAt && !this._followsLastApplied(answer)) return
     endpointsFreshness.verifiedAt = Math.max(verifiedAt, endpointsFreshness.verifiedAt)
@@ -242,14 +254,4 @@
     const [appliedInstance, appliedRevision] = (this._appliedRevision ?? '').split(':')
     return instance === appliedInstance && Number(revision) >= Number(appliedRevision)
   }
-
-  private _mirror (address: string): EndpointMirror {
-    let mirror = this._mirrors.get(address)
-    if (mirror === undefined) {
-      mirror = new EndpointMirror()
-      this._mirrors.set(address, mirror)
-      if (this._mirrors.size > MAXIMUM_MIRRORS) this._mirrors.delete(this._mirrors.keys().next().value as string)
-    }
-    return mirror
-  }
 }
