An endpoint that another router's list lacks does not count as removed by the store

Callers saw a wrong list last: a router that had lost its endpoints turned down the news of each of them (246 endpoint-outdated in 2 s), and told others of the removals.

Cause: what was missing from the list of another router was recorded as a removal, with the newest registration that this router knew. For 30 s any registration up to that one counted as a late one from before the removal, and the removal was told to other routers as one of the store.

Change: the list of another router replaces the entries (EndpointTable.adopt) without a record of removals.

--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -195,24 +195,28 @@
   apply (changes: readonly TopicChange<EndpointEntry>[], gracePeriodEnd: number | undefined): void {
     for (const change of changes) {
       if (change.value !== undefined) this._put(change.value)
-      else this._remove(change.key, gracePeriodEnd, STORE)
+      else this._remove(change.key, gracePeriodEnd)
     }
   }
 
   /**
-   * Replaces all entries with the current state of the store or of another router.
+   * Replaces all entries with the current state of the store.
    * @param entries all registered endpoints
    * @param gracePeriodEnd time until which missing entries are retained after an outage of the store; undefined to
    * delete them immediately
-   * @param origin where the entries came from
    */
-  replace (entries: readonly EndpointEntry[], gracePeriodEnd: number | undefined, origin = STORE): void {
-    const registeredIds = new Set(entries.map((entry) => entry.id))
-    this._order.retainWithheld(registeredIds)
-    for (const id of [...this._entries.keys()]) {
-      if (!registeredIds.has(id) && !this._lapsed.has(id)) this._remove(id, gracePeriodEnd, origin)
-    }
-    for (const entry of entries) this._put(entry)
+  replace (entries: readonly EndpointEntry[], gracePeriodEnd: number | undefined): void {
+    this._replace(entries, (id) => this._remove(id, gracePeriodEnd))
+  }
+
+  /**
+   * Replaces all entries with those of another router. That it lacks an endpoint does not mean that the store has removed it: it may not have learned
+   * of it. A router that knows of the removal states that, see `recordRemoval`.
+   * @param entries all endpoints of the other router
+   * @param origin the other router
+   */
+  adopt (entries: readonly EndpointEntry[], origin: EndpointOrigin): void {
+    this._replace(entries, (id) => this._drop(id, origin))
   }
 
   /**
@@ -231,6 +235,13 @@
     }
   }
 
+  private _replace (entries: readonly EndpointEntry[], removeMissing: (id: string) => void): void {
+    const registeredIds = new Set(entries.map((entry) => entry.id))
+    this._order.retainWithheld(registeredIds)
+    for (const id of [...this._entries.keys()]) if (!registeredIds.has(id) && !this._lapsed.has(id)) removeMissing(id)
+    for (const entry of entries) this._put(entry)
+  }
+
   private _put (registered: EndpointEntry): void {
     const current = this._entries.get(registered.id)
     if (this._order.isOutdated(registered, current)) return
@@ -264,12 +275,12 @@
     return leavingStart === startedAt
   }
 
-  private _remove (id: string, gracePeriodEnd: number | undefined, origin: EndpointOrigin): void {
+  private _remove (id: string, gracePeriodEnd: number | undefined): void {
     this._order.dropWithheld(id)
     const entry = this._entries.get(id)
     if (entry === undefined) return
     if (gracePeriodEnd === undefined || entry.isDraining) {
-      this._delete(id, origin)
+      this._delete(id, STORE)
       return
     }
     if (this._lapsed.has(id)) return
@@ -277,23 +288,30 @@
     this._log.warn('endpoint-lapsed', { endpoint: id, keep_ms: Math.round(gracePeriodEnd - this._clock.now()) })
   }
 
-  private _delete (id: string, { source, asOf }: EndpointOrigin): void {
+  /** Deletes an endpoint that the store has removed. */
+  private _delete (id: string, origin: EndpointOrigin): void {
+    const entry = this._entries.get(id)
+    if (entry === undefined) this._lapsed.delete(id)
+    else this._deleteEntry(entry, origin, this._order.recordRemoval(entry))
+  }
+
+  /** Deletes an endpoint of which is not known whether the store has removed it. */
+  private _drop (id: string, origin: EndpointOrigin): void {
     const entry = this._entries.get(id)
-    this._lapsed.delete(id)
     if (entry === undefined) return
+    this._order.forget(id)
+    this._deleteEntry(entry, origin, undefined)
+  }
+
+  private _deleteEntry (entry: EndpointEntry, { source, asOf }: EndpointOrigin, removal: EndpointRemoval | undefined): void {
+    const { id, service, startedAt, revision } = entry
+    this._lapsed.delete(id)
     this._entries.delete(id)
-    if (entry.startedAt === UNKNOWN_START) this._leaving.delete(id)
-    const { startedAt, revision } = entry
-    const removal = this._order.recordRemoval({ id, startedAt, revision })
+    if (startedAt === UNKNOWN_START) this._leaving.delete(id)
     this._departed.set(id, { entry, expiresAt: this._clock.now() + DEPARTED_RETENTION_MS })
     this._recordChange({ id, entry: undefined, removal })
-    this._log.info('endpoint-gone', {
-      endpoint: id,
-      service: entry.service,
-      revision,
-      source,
-      age_ms: asOf === undefined ? undefined : Math.round(this._clock.now() - asOf)
-    })
+    const ageMs = asOf === undefined ? undefined : Math.round(this._clock.now() - asOf)
+    this._log.info('endpoint-gone', { endpoint: id, service, revision, source, age_ms: ageMs, removed: removal !== undefined })
     for (const listener of this._listeners) listener.endpointRemoved(entry)
   }
 
--- a/packages/gateway/src/membership/registration-order.ts
+++ b/packages/gateway/src/membership/registration-order.ts
@@ -78,13 +78,21 @@
   }
 
   /**
-   * Records that an endpoint is not present any more.
-   * @param removal its last registration, as far as it is known
+   * Records that the store has removed an endpoint.
+   * @param registration its last registration, as far as it is known
    * @returns the removal with the newest registration that is known
    */
-  recordRemoval (removal: EndpointRemoval): EndpointRemoval {
-    this._registeredAt.delete(removal.id)
-    return this._removed.add(removal)
+  recordRemoval ({ id, startedAt, revision }: EndpointRemoval): EndpointRemoval {
+    this.forget(id)
+    return this._removed.add({ id, startedAt, revision })
+  }
+
+  /**
+   * Forgets an endpoint that is not present any more.
+   * @param id id of the endpoint
+   */
+  forget (id: string): void {
+    this._registeredAt.delete(id)
   }
 
   /**
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -239,7 +239,7 @@
     this._appliedVerifiedAt = endpointsFreshness.verifiedAt
     const isUnchanged = this._appliedRevision === answer.endpointsRevision && this._localRevisionAfterApply === endpoints.revision
     if (isUnchanged) return
-    endpoints.replace(mirror.entries, undefined, origin)
+    endpoints.adopt(mirror.entries, origin)
     this._appliedRevision = answer.endpointsRevision
     this._localRevisionAfterApply = endpoints.revision
   }
