The search for a source of a late version asks other routers for that and nothing else

Cause: the search asked two routers every 150 ms with whole sync requests. Each answer of a router that is not followed has all its endpoints, up to 1,000 holders and the news of the quarantine from the oldest on, which both sides encode and compress while the links and processors are busy with that change; and it replaced the copies of the lists of those that are followed.

Change: fleet.configurationNews asks for a newer version or a source of it. What a sync request and a search say and learn of the configuration is one class, ConfigurationExchange. Routers of an earlier version do not know the call; the search passes them over.

--- a/packages/gateway/src/membership/create-peer-rpc-server.ts
+++ b/packages/gateway/src/membership/create-peer-rpc-server.ts
@@ -2,6 +2,7 @@
 import { promisify } from 'node:util'
 import { constants, gzip } from 'node:zlib'
 import { JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0'
+import type { ConfigurationRequest } from '../transfers/configuration-request.js'
 import type { RouterKnowledge } from './router-knowledge.js'
 import type { SyncRequest } from './sync-request.js'
 import type { SyncServer } from './sync-server.js'
@@ -22,6 +23,7 @@
 export function createPeerRpcServer (sync: SyncServer, knowledge: () => RouterKnowledge, onBytes: (bytes: number) => void): Server {
   const rpc = new JSONRPCServer()
   rpc.addMethod('fleet.sync', (params) => sync.answer(params as SyncRequest))
+  rpc.addMethod('fleet.configurationNews', (params) => sync.configurationNews(params as ConfigurationRequest))
   rpc.addMethod('fleet.configuration', ({ fromVersion }: { readonly fromVersion: number }) => sync.configurationUpdate(fromVersion))
   rpc.addMethod('fleet.knowledge', () => knowledge())
   return createServer((request, response) => {
--- a/packages/gateway/src/membership/fleet-sync.ts
+++ b/packages/gateway/src/membership/fleet-sync.ts
@@ -86,7 +86,7 @@
     this._seedDiscovery = new SeedDiscovery(seeds, async (seed) => await this._syncWith(seed, DISCOVERY_OPTIONS))
     this._rotation = new PeerRotation(options.routers)
     this._sourceSearch = new SourceSearch(options.routers, () => this._client.isSourceOverdue, async ({ address }) => {
-      if (!this._backoffs.isUnreachable(address)) await this._syncWith(address, DISCOVERY_OPTIONS)
+      if (!this._backoffs.isUnreachable(address)) await this._call(address, async () => await this._client.findSource(address))
     })
     this._isStoreFailing = options.isStoreFailing
     this._ageLimits = options.ageLimits
@@ -280,10 +280,16 @@
   }
 
   private async _syncWith (address: string, options: SyncOptions): Promise<SyncAnswer | undefined> {
+    const answer = await this._call(address, async () => await this._client.sync(address, options))
+    if (answer !== undefined) this._failingReaders.record(answer.name, answer.isStoreFailing === true)
+    return answer
+  }
+
+  /** Calls another router, and returns undefined if it does not answer. */
+  private async _call<Answer> (address: string, send: () => Promise<Answer>): Promise<Answer | undefined> {
     try {
-      const answer = await this._client.sync(address, options)
+      const answer = await send()
       this._lastAnsweredAt = this._clock.now()
-      this._failingReaders.record(answer.name, answer.isStoreFailing === true)
       return answer
     } catch (error) {
       this._log.info('peer-unreachable', { address, problem: (error as Error).message, ...peerCallFields(error) })
--- a/packages/gateway/src/membership/peer-rpc-client.ts
+++ b/packages/gateway/src/membership/peer-rpc-client.ts
@@ -2,8 +2,11 @@
 import { gunzip } from 'node:zlib'
 import { createJSONRPCRequest, type JSONRPCParams, type JSONRPCResponse } from 'json-rpc-2.0'
 import { Agent, request } from 'undici'
+import type { ConfigurationNews } from '../transfers/configuration-news.js'
+import type { ConfigurationRequest } from '../transfers/configuration-request.js'
 import type { ConfigurationUpdate } from '../transfers/configuration-update.js'
 import { PeerCallError } from './peer-call-error.js'
+import type { PeerCalls } from './peer-calls.js'
 import { ProgressTimeout } from './progress-timeout.js'
 import type { SyncAnswer } from './sync-answer.js'
 import type { SyncRequest } from './sync-request.js'
@@ -27,7 +30,7 @@
 const decompress = promisify(gunzip)
 
 /** Client for the JSON-RPC 2.0 interface of other routers, over HTTP. */
-export class PeerRpcClient {
+export class PeerRpcClient implements PeerCalls {
   private readonly _syncAgent = createAgent()
   /** Transfers have connections of their own, so that sync requests don't wait for them. */
   private readonly _transferAgent = createAgent()
@@ -51,6 +54,16 @@
     return await this._request(address, 'fleet.sync', params, this._syncAgent, SYNC_LIMITS) as SyncAnswer
   }
 
+  /**
+   * Asks a router for a newer configuration, or a source of it.
+   * @param address address of the router, host:port
+   * @param params version of this router
+   * @throws PeerCallError if the router can't be reached or does not answer in time
+   */
+  async configurationNews (address: string, params: ConfigurationRequest): Promise<ConfigurationNews> {
+    return await this._request(address, 'fleet.configurationNews', params, this._syncAgent, SYNC_LIMITS) as ConfigurationNews
+  }
+
   /**
    * Requests a change of the configuration from a router.
    * @param address address of the router, host:port
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -1,5 +1,6 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
-import { configurationAgeMs } from './configuration-age-ms.js'
+import { ConfigurationExchange } from '../transfers/configuration-exchange.js'
+import type { ConfigurationNews } from '../transfers/configuration-news.js'
 import type { ConfigurationTransfer } from '../transfers/configuration-transfer.js'
 import { decodeLoads } from './decode-loads.js'
 import type { EndpointMirror } from './endpoint-mirror.js'
@@ -7,10 +8,10 @@
 import type { FleetState } from './fleet-state.js'
 import { LimitExchange } from './limit-exchange.js'
 import { OutlierExchange } from './outlier-exchange.js'
+import type { PeerCalls } from './peer-calls.js'
 import { QuarantineExchange } from './quarantine-exchange.js'
 import type { RouterContact } from './router-contact.js'
 import type { SyncAnswer } from './sync-answer.js'
-import type { SyncCall } from './sync-call.js'
 import type { SyncOptions } from './sync-options.js'
 
 /** Maximum number of holder notes in one request; the remaining ones follow in the next request. */
@@ -19,10 +20,6 @@
 const REQUESTS_PER_ROUTER_LIST = 8
 /** One in this many requests to a router includes the list of known routers in a large fleet, where the list is long. */
 const LARGE_FLEET_REQUESTS_PER_ROUTER_LIST = 32
-/** Time for which a version is lacked from which further routers are asked for a source. */
-const SOURCE_OVERDUE_MS = 300
-/** The same time for a version that the reader is still receiving from the store. */
-const READING_OVERDUE_MS = 1_000
 
 /** What a request is based on, which its answer refers to. */
 interface RequestBasis {
@@ -38,8 +35,7 @@
 export class SyncClient {
   private readonly _state: FleetState
   private readonly _clock: ElapsedClock
-  private readonly _call: SyncCall
-  private readonly _transfer: ConfigurationTransfer
+  private readonly _calls: PeerCalls
   private readonly _onAnswer: () => void
   /** Positions reached in the holder notes of other routers, by address. */
   private readonly _receivedCursors = new Map<string, string>()
@@ -53,44 +49,55 @@
   private _localRevisionAfterApply = -1
   /** Time as of which the endpoints were verified by the last applied answer. */
   private _appliedVerifiedAt = -Infinity
+  private readonly _configurationExchange: ConfigurationExchange
   private readonly _quarantineExchange: QuarantineExchange
   private readonly _limitExchange: LimitExchange
   private readonly _outlierExchange: OutlierExchange
-  private _isAwaitingSource = false
 
   /**
    * @param state state to which answers are applied
    * @param clock clock for the age of received state
-   * @param call sends a request
+   * @param calls calls to other routers
    * @param transfer transfers large changes of the configuration
    * @param onAnswer called after each applied answer
    */
-  constructor (state: FleetState, clock: ElapsedClock, call: SyncCall, transfer: ConfigurationTransfer, onAnswer: () => void) {
+  constructor (state: FleetState, clock: ElapsedClock, calls: PeerCalls, transfer: ConfigurationTransfer, onAnswer: () => void) {
     this._state = state
+    this._configurationExchange = new ConfigurationExchange(state, transfer)
     this._quarantineExchange = new QuarantineExchange(state.quarantine)
     this._limitExchange = new LimitExchange(state, clock)
     this._outlierExchange = new OutlierExchange(state.outliers)
     this._clock = clock
-    this._call = call
-    this._transfer = transfer
+    this._calls = calls
     this._onAnswer = onAnswer
   }
 
   /** Whether the last answer announced a large change of the configuration that no router was free to send. */
   get isAwaitingSource (): boolean {
-    return this._isAwaitingSource
+    return this._configurationExchange.isAwaitingSource
   }
 
-  /** Whether this router knows that it lacks a version. */
+  /** Whether this router knows that it lacks a version of the configuration. */
   get isAwaitingVersion (): boolean {
-    return this._state.configuration.awaited.version !== undefined
+    return this._configurationExchange.isAwaitingVersion
   }
 
   /** Whether this router has lacked a version for some time and no router is sending it in time. */
   get isSourceOverdue (): boolean {
-    const { awaited } = this._state.configuration
-    if (awaited.version === undefined || this._transfer.isInTime) return false
-    return awaited.elapsedMs >= (awaited.isNumbered ? SOURCE_OVERDUE_MS : READING_OVERDUE_MS)
+    return this._configurationExchange.isSourceOverdue
+  }
+
+  /**
+   * Asks a router for a newer configuration, or a source of it, and for nothing else: several are asked while the links are busy with that version.
+   * @param address address of the router, host:port
+   * @returns the applied answer
+   */
+  async findSource (address: string): Promise<ConfigurationNews> {
+    const sentAt = this._clock.now()
+    const news = await this._calls.configurationNews(address, this._configurationExchange.requestFields())
+    this._configurationExchange.apply(address, news, sentAt)
+    this._onAnswer()
+    return news
   }
 
   /**
@@ -100,19 +107,16 @@
    * @returns the applied answer
    */
   async sync (address: string, { reportsLoad, followers }: SyncOptions): Promise<SyncAnswer> {
-    const { configuration, evacuations, holders, loads, routers } = this._state
+    const { evacuations, holders, loads, routers } = this._state
     const sentCursor = this._sentCursors.get(address) ?? 0
     const holderChanges = holders.notesSince(sentCursor, MAXIMUM_NOTES)
     const quarantineNews = this._quarantineExchange.prepareRequest(address)
     const mirror = this._mirrors.use(address)
     const basis = { sentAt: this._clock.now(), mirror, endpointsRevision: mirror.revision }
-    const answer = await this._call(address, {
-      router: routers.self,
-      storeEra: this._state.storeEra.news,
+    const answer = await this._calls.sync(address, {
+      ...this._configurationExchange.requestFields(),
       routers: this._includesRouters(address) ? this._contacts(followers) : undefined,
       routerCount: routers.size,
-      configurationVersion: configuration.version,
-      slowSources: this._transfer.slowSources,
       evacuations: evacuations.news,
       endpointsRevision: basis.endpointsRevision,
       load: reportsLoad ? loads.localLoads() : {},
@@ -180,48 +184,11 @@
   private _applyAnswer (address: string, answer: SyncAnswer, basis: RequestBasis): void {
     const { storeEra, routers } = this._state
     const { sentAt } = basis
-    storeEra.learn(answer.storeEra, answer.name)
+    this._configurationExchange.apply(address, answer, sentAt)
     const elapsedMs = this._clock.now() - sentAt
     for (const router of answer.routers ?? []) routers.recordContact(router, router.heardAgoMs + elapsedMs)
-    if (answer.configurationPatches !== undefined) this._state.configuration.adoptPatches(answer.configurationPatches, answer.name)
-    this._hearOfConfiguration(answer, sentAt)
-    this._transferConfiguration(address, answer)
-    // Ages and endpoints of an earlier era say nothing about what the store holds now.
-    if (storeEra.isSame(answer.storeEra)) {
-      this._applyConfigurationAges(answer, sentAt)
-      this._applyEndpoints(answer, basis)
-    }
-  }
-
-  /**
-   * The answer was created after the request was sent. Counting its ages from the time of sending can only overestimate
-   * them.
-   */
-  private _applyConfigurationAges (answer: SyncAnswer, sentAt: number): void {
-    const { configuration } = this._state
-    const heardAgeMs = configurationAgeMs(answer)
-    if (heardAgeMs >= 0) configuration.markHeard(sentAt - heardAgeMs)
-    if (configuration.version < answer.configurationVersion) return
-    if (answer.configurationReadAgeMs >= 0) configuration.markRead(sentAt - answer.configurationReadAgeMs)
-    if (answer.configurationAgeMs >= 0) configuration.markVerified(sentAt - answer.configurationAgeMs)
-  }
-
-  /** A router that has an older version than this one may lack just what this one has. */
-  private _hearOfConfiguration ({ name, storeEra, configurationVersion, awaitedConfiguration: awaited }: SyncAnswer, sentAt: number): void {
-    const { configuration } = this._state
-    if (!this._state.storeEra.isSame(storeEra)) return
-    configuration.hearOf(configurationVersion, sentAt, name)
-    if (awaited !== undefined && configurationVersion >= configuration.version) configuration.hearOf(awaited.version, sentAt - awaited.statedAgoMs, name)
-  }
-
-  /** Requests a large change from its source, if this router lacks one. */
-  private _transferConfiguration (address: string, answer: SyncAnswer): void {
-    const { configuration } = this._state
-    const { configurationSource: source } = answer
-    const hasChange = configuration.version < answer.configurationVersion
-    const lacksChange = hasChange || configuration.awaited.isNumbered
-    this._isAwaitingSource = hasChange && source === undefined && !this._transfer.isInTime
-    if (lacksChange && source !== undefined) this._transfer.start(source, hasChange ? address : source)
+    // Endpoints of an earlier era say nothing about what the store holds now.
+    if (storeEra.isSame(answer.storeEra)) this._applyEndpoints(answer, basis)
   }
 
   private _applyEndpoints (answer: SyncAnswer, { sentAt, mirror, endpointsRevision }: RequestBasis): void {
--- a/packages/gateway/src/membership/sync-request.ts
+++ b/packages/gateway/src/membership/sync-request.ts
@@ -2,30 +2,21 @@
 import type { LoadByEndpoint } from '../choice/load-by-endpoint.js'
 import type { LoadReport } from '../choice/load-report.js'
 import type { EraEvacuations } from '../evacuation/era-evacuations.js'
-import type { EraNews } from '../model/era-news.js'
 import type { DemandReport } from '../fairness/demand-report.js'
-import type { RouterEntry } from '../model/router-entry.js'
 import type { AnswerReport } from '../outliers/answer-report.js'
 import type { LimitNote } from '../limits/limit-note.js'
 import type { PermitRequest } from '../limits/permit-request.js'
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import type { ColdNote } from '../warm-up/cold-note.js'
+import type { ConfigurationRequest } from '../transfers/configuration-request.js'
 import type { RouterContact } from './router-contact.js'
 
 /** Sync request of a router to another one. */
-export interface SyncRequest {
-  /** The requesting router. */
-  readonly router: RouterEntry
-  /** Era of the store that the requester knows; undefined from an earlier version. */
-  readonly storeEra?: EraNews | undefined
+export interface SyncRequest extends ConfigurationRequest {
   /** Routers known to the requester; undefined in most requests, since they change rarely. */
   readonly routers: readonly RouterContact[] | undefined
   /** Number of live routers known to the requester, itself included. */
   readonly routerCount: number
-  /** Version of the requester's configuration. */
-  readonly configurationVersion: number
-  /** Addresses of routers from which a transfer of a newer version is slow or has failed; undefined for none, or from an earlier version. */
-  readonly slowSources?: readonly string[] | undefined
   /**
    * Evacuated zones that the requester knows, a record for each era of the store that counts; empty if it has not learned yet
    * whether there are any. Undefined if it has never heard of an evacuation.
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -1,5 +1,7 @@
 import type { QuarantineNotes } from '../quarantine/quarantine-notes.js'
 import type { AwaitedVersion } from '../configuration/awaited-version.js'
+import type { ConfigurationNews } from '../transfers/configuration-news.js'
+import type { ConfigurationRequest } from '../transfers/configuration-request.js'
 import { ConfigurationUpdates } from '../transfers/configuration-updates.js'
 import type { ConfigurationUpdate } from '../transfers/configuration-update.js'
 import type { FleetState } from './fleet-state.js'
@@ -51,9 +53,8 @@
    * @param request request of the other router
    */
   answer (request: SyncRequest): SyncAnswer {
-    const { configuration, endpoints, evacuations, fairness, holders, limits, outliers, quarantine, routers } = this._state
-    this._state.storeEra.learn(request.storeEra, request.router.name)
-    if (this._state.storeEra.isSame(request.storeEra)) configuration.hearOf(request.configurationVersion, this._now(), request.router.name)
+    const { endpoints, evacuations, fairness, holders, limits, outliers, quarantine, routers } = this._state
+    const configurationNews = this.configurationNews(request)
     evacuations.learn(request.evacuations, request.router.name, false)
     endpoints.removeExpired()
     routers.recordContact(request.router, 0)
@@ -68,15 +69,9 @@
     if (request.coldEndpoints !== undefined) this._state.warmUps.report(request.coldEndpoints)
     if (request.answers !== undefined) outliers.report(request.router.name, request.answers)
     return {
-      name: routers.self.name,
-      storeEra: this._state.storeEra.news,
+      ...configurationNews,
       distance: this._distance(),
       isStoreFailing: this._isStoreFailing() || undefined,
-      ...this._configurationChange(request),
-      configurationAgeMs: this._ageMs(configuration.verifiedAt),
-      configurationReadAgeMs: this._ageMs(configuration.readAt),
-      configurationHeardAgeMs: this._ageMs(configuration.knownAt),
-      awaitedConfiguration: this._awaitedConfiguration(),
       evacuations: evacuations.newsFor(request.evacuations),
       ...this._endpointUpdate(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
@@ -93,6 +88,25 @@
     }
   }
 
+  /**
+   * Records the version of a router and returns what this one knows of a newer one.
+   * @param request request of the other router
+   */
+  configurationNews (request: ConfigurationRequest): ConfigurationNews {
+    const { configuration, routers, storeEra } = this._state
+    storeEra.learn(request.storeEra, request.router.name)
+    if (storeEra.isSame(request.storeEra)) configuration.hearOf(request.configurationVersion, this._now(), request.router.name)
+    return {
+      name: routers.self.name,
+      storeEra: storeEra.news,
+      ...this._configurationChange(request),
+      configurationAgeMs: this._ageMs(configuration.verifiedAt),
+      configurationReadAgeMs: this._ageMs(configuration.readAt),
+      configurationHeardAgeMs: this._ageMs(configuration.knownAt),
+      awaitedConfiguration: this._awaitedConfiguration()
+    }
+  }
+
   /**
    * Returns the change of the configuration from a version to the one in force, however large it is.
    * @param fromVersion version of the requesting router
@@ -120,8 +134,8 @@
   }
 
   private _configurationChange (
-    { router, configurationVersion: version, slowSources = [] }: SyncRequest
-  ): Pick<SyncAnswer, 'configurationVersion' | 'configurationPatches' | 'configurationSource'> {
+    { router, configurationVersion: version, slowSources = [] }: ConfigurationRequest
+  ): Pick<ConfigurationNews, 'configurationVersion' | 'configurationPatches' | 'configurationSource'> {
     const configurationVersion = this._state.configuration.version
     this._transferSources.record(router, version)
     const configurationPatches = this._updates.smallChangeSince(version)
--- a/packages/gateway/src/test/fleet-tasks_test.ts
+++ b/packages/gateway/src/test/fleet-tasks_test.ts
@@ -1,9 +1,9 @@
 import { expect, test, vi } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { pause } from '@mimosarock/gateway/membership/pause.js'
-import type { PeerRpcClient } from '@mimosarock/gateway/membership/peer-rpc-client.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { FleetTasks } from '@mimosarock/gateway/wiring/fleet-tasks.js'
+import type { FleetTasksOptions } from '@mimosarock/gateway/wiring/fleet-tasks-options.js'
 import { createConfiguration } from './create-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
 import { MemoryStore } from './memory-store.js'
@@ -54,16 +54,20 @@
   readStore()
   const peers = { areSilent: false, areStale: false }
   const server = new SyncServer(source, 'r0', () => clock.now(), () => 0)
-  const peerClient: Pick<PeerRpcClient, 'sync' | 'configurationUpdate'> = {
+  const peerClient: FleetTasksOptions['peerClient'] = {
     sync: async (_address, request) => {
       if (peers.areSilent) await pause(CALL_TIMEOUT_MS)
       if (peers.areSilent) throw new Error('no answer')
       if (!peers.areStale) readStore()
       return JSON.parse(JSON.stringify(server.answer(request)))
     },
+    configurationNews: async (_address, request) => {
+      if (peers.areSilent) throw new Error('no answer')
+      return server.configurationNews(request)
+    },
     configurationUpdate: async (_address, fromVersion) => server.configurationUpdate(fromVersion)
   }
-  const tasks = new FleetTasks({ state, store, peerClient: peerClient as PeerRpcClient, seeds: ['r0'], propagationBounds: () => ({ endpointsMs: BOUND_MS, configurationMs: BOUND_MS }), clock, log: new SilentEventLog(), onProgress: () => undefined })
+  const tasks = new FleetTasks({ state, store, peerClient, seeds: ['r0'], propagationBounds: () => ({ endpointsMs: BOUND_MS, configurationMs: BOUND_MS }), clock, log: new SilentEventLog(), onProgress: () => undefined })
   tasks.run(simulated.signal).catch(() => undefined)
   await vi.advanceTimersByTimeAsync(3_000)
   return { store, state, tasks, peers }
@@ -118,7 +122,7 @@
   state.routers.recordContact({ name: 'r0', address: 'r0', availabilityZone: 'z' }, 0)
   const peerClient = { sync: async () => await new Promise(() => undefined) }
   const tasks = new FleetTasks({
-    state, store, peerClient: peerClient as unknown as PeerRpcClient, seeds: ['r0'], propagationBounds: () => STATED_PROPAGATION_BOUNDS, clock, log: new SilentEventLog(), onProgress: () => undefined
+    state, store, peerClient: peerClient as unknown as FleetTasksOptions['peerClient'], seeds: ['r0'], propagationBounds: () => STATED_PROPAGATION_BOUNDS, clock, log: new SilentEventLog(), onProgress: () => undefined
   })
   tasks.run(simulated.signal).catch(() => undefined)
   await vi.advanceTimersByTimeAsync(200)
--- a/packages/gateway/src/test/knowledge-fleet.ts
+++ b/packages/gateway/src/test/knowledge-fleet.ts
@@ -1,7 +1,6 @@
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
 import { pause } from '@mimosarock/gateway/membership/pause.js'
-import type { PeerRpcClient } from '@mimosarock/gateway/membership/peer-rpc-client.js'
 import { ProgressTimeout } from '@mimosarock/gateway/membership/progress-timeout.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import type { PropagationBounds } from '@mimosarock/gateway/membership/propagation-bounds.js'
@@ -11,6 +10,7 @@
 import type { StorePosition } from '@mimosarock/gateway/model/store-position.js'
 import type { TopicReader } from '@mimosarock/gateway/model/topic-reader.js'
 import { FleetTasks } from '@mimosarock/gateway/wiring/fleet-tasks.js'
+import type { FleetTasksOptions } from '@mimosarock/gateway/wiring/fleet-tasks-options.js'
 import { vi } from 'vitest'
 import { createConfiguration } from './create-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
@@ -203,7 +203,7 @@
     const tasks = new FleetTasks({
       state,
       store: this._storeOf(state, reach),
-      peerClient: this._peerClientOf(name, reach) as PeerRpcClient,
+      peerClient: this._peerClientOf(name, reach),
       seeds: [],
       propagationBounds: () => propagationBounds,
       clock: this.clock,
@@ -214,7 +214,7 @@
     this._routers.set(name, { state, tasks, server, reach })
   }
 
-  private _peerClientOf (name: string, reach: Reach): Pick<PeerRpcClient, 'sync' | 'configurationUpdate'> {
+  private _peerClientOf (name: string, reach: Reach): FleetTasksOptions['peerClient'] {
     const call = async <Answer>(peerCall: PeerCall, answer: (server: SyncServer) => Answer): Promise<Answer> => {
       const timeout = new ProgressTimeout(peerCall.limits)
       try {
@@ -227,6 +227,9 @@
       sync: async (to, request) => {
         return await call({ from: name, to, request, limits: SYNC_LIMITS, receiver: undefined }, (server) => server.answer(JSON.parse(JSON.stringify(request))))
       },
+      configurationNews: async (to, request) => {
+        return await call({ from: name, to, request, limits: SYNC_LIMITS, receiver: undefined }, (server) => server.configurationNews(request))
+      },
       configurationUpdate: async (to, fromVersion, receiver?: MessageReceiver) => {
         return await call({ from: name, to, request: fromVersion, limits: TRANSFER_LIMITS, receiver }, (server) => server.configurationUpdate(fromVersion))
       }
--- a/packages/gateway/src/test/large-change_test.ts
+++ b/packages/gateway/src/test/large-change_test.ts
@@ -42,6 +42,7 @@
   follower.routers.recordContact({ name: 'reader', availabilityZone: 'z', address }, 0)
   const sync = createSync(follower, clock, {
     sync: async (peer, request) => await peers.sync(peer, request),
+    configurationNews: async (peer, request) => await peers.configurationNews(peer, request),
     transfer: async (peer, fromVersion, attempt) => await peers.configurationUpdate(peer, fromVersion, attempt),
     isStoreFailing: true
   })
--- a/packages/gateway/src/test/large-fleet_test.ts
+++ b/packages/gateway/src/test/large-fleet_test.ts
@@ -48,6 +48,10 @@
         this.queries.set(address, (this.queries.get(address) ?? new Set()).add(name))
         return JSON.parse(JSON.stringify(this.routers.get(address)?.server.answer(JSON.parse(JSON.stringify(request)))))
       },
+      configurationNews: async (address, request) => {
+        if (isCut(address)) throw new Error('no answer')
+        return JSON.parse(JSON.stringify(this.routers.get(address)?.server.configurationNews(JSON.parse(JSON.stringify(request)))))
+      },
       transfer: async (address, fromVersion) => {
         if (isCut(address)) throw new Error('no answer')
         return JSON.parse(JSON.stringify(this.routers.get(address)?.server.configurationUpdate(fromVersion)))
--- a/packages/gateway/src/test/limit-exchange_test.ts
+++ b/packages/gateway/src/test/limit-exchange_test.ts
@@ -5,6 +5,7 @@
 import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
+import { createPeerCalls } from './create-peer-calls.js'
 import { createFleetState } from './create-fleet-state.js'
 
 const LIMIT = 40
@@ -25,7 +26,7 @@
     const answer = server.answer(JSON.parse(JSON.stringify(request)))
     return change(JSON.parse(JSON.stringify(answer)) as SyncAnswer)
   }
-  const client = new SyncClient(follower, clock, call, transfer, () => undefined)
+  const client = new SyncClient(follower, clock, createPeerCalls(call), transfer, () => undefined)
   follower.permits.setSource({ isFollowing: () => true, askSoon: () => undefined })
   const sync = async (): Promise<void> => {
     for (let number = 0; number < 10; number += 1) follower.permits.countRequest('s')
--- a/packages/gateway/src/test/slow-fleet.ts
+++ b/packages/gateway/src/test/slow-fleet.ts
@@ -77,6 +77,7 @@
     const isWithoutStore = (): boolean => this.withoutStore.has(name)
     const sync = createSync(state, clock, {
       sync: async (address, request) => await this._call(name, address, request, (server) => server.answer(request)),
+      configurationNews: async (address, request) => await this._call(name, address, request, (server) => server.configurationNews(request)),
       transfer: async (address, fromVersion) => {
         return await this._call(name, address, fromVersion, (server) => server.configurationUpdate(fromVersion))
       },
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -11,6 +11,7 @@
 import { createConfiguration } from './create-configuration.js'
 import { createFleetState } from './create-fleet-state.js'
 import { createLargeConfiguration } from './create-large-configuration.js'
+import { createPeerCalls } from './create-peer-calls.js'
 
 class ManualClock {
   ms = 10_000
@@ -23,10 +24,13 @@
     await nextIteration()
     return copy(serverOf(address).configurationUpdate(fromVersion))
   }, clock, new SilentEventLog())
-  return new SyncClient(state, clock, async (address, request) => {
-    const answer = copy(serverOf(address).answer(copy(request)))
-    await answersArrive()
-    return answer
+  return new SyncClient(state, clock, {
+    sync: async (address, request) => {
+      const answer = copy(serverOf(address).answer(copy(request)))
+      await answersArrive()
+      return answer
+    },
+    configurationNews: async (address, request) => copy(serverOf(address).configurationNews(copy(request)))
   }, transfer, () => undefined)
 }
 
@@ -385,12 +389,12 @@
   reader.endpoints.apply([{ key: 'e1', value: ENDPOINT }], undefined)
   reader.endpointsFreshness.verifiedAt = clock.now()
   const transfer = new ConfigurationTransfer(router.configuration, async () => ({ patches: undefined, configuration: undefined }), clock, new SilentEventLog())
-  const client = new SyncClient(router, clock, async (_address, request) => {
+  const client = new SyncClient(router, clock, createPeerCalls(async (_address, request) => {
     const answer = copy(server.answer(copy(request)))
     // The router reads the store itself while the answer is on its way.
     router.storeEra.observe(2)
     return answer
-  }, transfer, () => undefined)
+  }), transfer, () => undefined)
   await client.sync('reader', FOLLOWER_OPTIONS)
   expect([router.configuration.verifiedAt, router.endpointsFreshness.verifiedAt, router.endpoints.find('e1')]).toEqual([-Infinity, -Infinity, undefined])
 })
--- a/packages/gateway/src/test/workspace-fairness_test.ts
+++ b/packages/gateway/src/test/workspace-fairness_test.ts
@@ -6,6 +6,7 @@
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { FleetShares } from '@mimosarock/gateway/fairness/fleet-shares.js'
+import { createPeerCalls } from './create-peer-calls.js'
 import { createFleetState } from './create-fleet-state.js'
 import { FairFleet } from './fair-fleet.js'
 
@@ -64,7 +65,7 @@
   const [reader, follower] = ['reader', 'follower'].map((name) => createFleetState(name, clock)) as [FleetState, FleetState]
   const server = new SyncServer(reader, 'i', () => clock.now(), () => 0)
   const transfer = new ConfigurationTransfer(follower.configuration, async () => await Promise.reject(new Error('unused')), clock, new SilentEventLog())
-  const client = new SyncClient(follower, clock, async (_, request) => JSON.parse(JSON.stringify(server.answer(request))) as SyncAnswer, transfer, () => undefined)
+  const client = new SyncClient(follower, clock, createPeerCalls(async (_, request) => JSON.parse(JSON.stringify(server.answer(request))) as SyncAnswer), transfer, () => undefined)
   follower.fairness.setFollowing(() => true)
   const sync = async (): Promise<void> => {
     client.applyFollowed('reader', await client.sync('reader', { reportsLoad: true, followers: [] }), false)
--- a/packages/gateway/src/test/zone-evacuations_test.ts
+++ b/packages/gateway/src/test/zone-evacuations_test.ts
@@ -11,6 +11,7 @@
 import type { SyncRequest } from '@mimosarock/gateway/membership/sync-request.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
 import { StoreEra } from '@mimosarock/gateway/model/store-era.js'
+import { createPeerCalls } from './create-peer-calls.js'
 import { createFleetState } from './create-fleet-state.js'
 
 const ZONES = ['za', 'zb', 'zc']
@@ -179,7 +180,7 @@
     return answers.at(-1) as SyncAnswer
   }
   const transfer = new ConfigurationTransfer(follower.configuration, async () => await Promise.reject(new Error('unused')), clock, new SilentEventLog())
-  const client = new SyncClient(follower, clock, call, transfer, () => undefined)
+  const client = new SyncClient(follower, clock, createPeerCalls(call), transfer, () => undefined)
   follower.evacuations.recordReading({ era: 1, offset: 11, zones: ['za'], isSettled: true })
   reader.evacuations.recordReading({ era: 1, offset: 10, zones: ['zb'], isSettled: true })
   await client.sync('reader', { reportsLoad: true, followers: [] })
--- a/packages/gateway/src/wiring/fleet-tasks-options.ts
+++ b/packages/gateway/src/wiring/fleet-tasks-options.ts
@@ -12,7 +12,7 @@
   /** Client of the platform's store. */
   readonly store: FleetStore
   /** Calls to other routers. */
-  readonly peerClient: PeerRpcClient
+  readonly peerClient: Pick<PeerRpcClient, 'sync' | 'configurationNews' | 'configurationUpdate'>
   /** Addresses of routers that are asked first, host:port. */
   readonly seeds: readonly string[]
   /** Returns the bounds within which this router has to know changes. */
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -182,7 +182,7 @@
 
   private _createSync (): FleetSync {
     const { state, peerClient, seeds, clock, log, onProgress } = this._options
-    const client = new SyncClient(state, clock, async (address, request) => await peerClient.sync(address, request), this._transfer, onProgress)
+    const client = new SyncClient(state, clock, peerClient, this._transfer, onProgress)
     const isStoreFailing = (): boolean => this._operatorFeed.isFailing || this._endpointFeed.isFailing
     const sync = new FleetSync({ routers: state.routers, client, seeds, isStoreFailing, ageLimits: () => this._ageLimits }, clock, log)
     this._transfer.listen(() => sync.syncSoon())
