A router that has lacked a known version for the time of the bound decides nothing by an older one

Cause: a router acted on its knowledge of a newer version only where the version in force refused a request.

Change: AwaitedConfiguration knows since when some router has known of the first version that this one lacks; sync answers state it (configurationKnownMs, knownMs), so that it does not count from the moment of hearing. This holds only while some router has stated within 2 s that it has the version or is reading it; if nobody has it any more, the older one counts as the newest there is.

--- a/packages/gateway/src/caller/authorize-request.ts
+++ b/packages/gateway/src/caller/authorize-request.ts
@@ -23,7 +23,7 @@
  * @param state configuration to decide by
  * @param ageLimits how old the configuration may be
  * @throws MimosarockError if the request is not allowed, or the configuration is missing or too stale to decide; CONFIGURATION_OUTDATED if the
- * version in force does not allow it and this router lacks a newer one, or may lack one, which may
+ * version in force does not allow it and this router lacks a newer one, or may lack one, which may, or if this router has lacked a newer one for too long
  */
 export function authorizeRequest (
   caller: CallerRequest, host: string, target: string, state: ConfigurationState, ageLimits: ConfigurationAgeLimits
@@ -32,6 +32,7 @@
   if (inForce === undefined) {
     throw notRunError(ResultCode.CONFIGURATION_NOT_LOADED, 'no configuration has been loaded yet', NO_CONFIGURATION_RETRY_MS)
   }
+  requireInTime(state, ageLimits)
   const path = pathOf(target)
   const route = inForce.routes.find(host, path)
   if (route === undefined) throw notAllowedError(ResultCode.ROUTE_UNKNOWN, 'no route matches the host and path', state, ageLimits)
@@ -49,6 +50,11 @@
   }
 }
 
+function requireInTime ({ awaited }: ConfigurationState, { lackingMs }: ConfigurationAgeLimits): void {
+  // What a newer version removes, or sends to another service, must not be served by an older one for longer than a change may take.
+  if (awaited.lackedMs >= lackingMs) throw outdatedError('a newer version of the configuration is late')
+}
+
 function workspaceOf (
   caller: CallerRequest, route: Route, inForce: ConfigurationInForce, state: ConfigurationState, ageLimits: ConfigurationAgeLimits
 ): Workspace | undefined {
--- a/packages/gateway/src/caller/configuration-age-limits.ts
+++ b/packages/gateway/src/caller/configuration-age-limits.ts
@@ -4,4 +4,6 @@
   readonly keysMs: number
   /** Time since the store was read from which a router refuses no request for good, as there may be a newer version, in milliseconds. */
   readonly refusalMs: number
+  /** Time for which some router has known of a version that this one lacks, from which this one decides nothing by an older one, in milliseconds. */
+  readonly lackingMs: number
 }
--- a/packages/gateway/src/configuration/awaited-configuration.ts
+++ b/packages/gateway/src/configuration/awaited-configuration.ts
@@ -4,6 +4,10 @@
 const UNNUMBERED = 0
 /** Time for which a statement counts that the store holds a newer version of unknown number; it is repeated while that version is being read. */
 const UNNUMBERED_LIFETIME_MS = 1_000
+/** Time for which a statement shows that some router still has the version, so that this one can get it. */
+const OBTAINABLE_LIFETIME_MS = 2_000
+/** Maximum number of lacked versions whose times are kept. */
+const MAXIMUM_KNOWN_VERSIONS = 64
 
 /** A version that a router was told of. */
 interface StatedVersion {
@@ -24,6 +28,11 @@
   private _versionInForce = 0
   private _verifiedAt = -Infinity
   private _since: number | undefined
+  /** Time from which the first of the versions that this router lacks was known, to this router or another one. */
+  private _lackingSince = -Infinity
+  private _inForceKnownSince = -Infinity
+  /** Times from which the lacked versions were known, by number. */
+  private readonly _knownSince = new Map<number, number>()
 
   /**
    * @param clock clock of the router, which includes suspensions
@@ -58,17 +67,39 @@
     return this.version === undefined || this._since === undefined ? 0 : this._clock.now() - this._since
   }
 
+  /**
+   * Milliseconds since the first of the versions that this router lacks became known to some router, while another router has stated a moment ago that it has one or is
+   * reading it; 0 if it lacks none, or if nobody seems to have it any more.
+   */
+  get lackedMs (): number {
+    const now = this._clock.now()
+    if (this.version === undefined || now - this.statedAt >= OBTAINABLE_LIFETIME_MS) return 0
+    return now - this._lackingSince
+  }
+
+  /** Clock time from which the first of the versions that this router lacks was known to some router. */
+  get lackingSince (): number {
+    return this._lackingSince
+  }
+
+  /** Clock time from which the version in force was known to some router, as far as this one has heard; -Infinity if there is none. */
+  get inForceKnownSince (): number {
+    return this._inForceKnownSince
+  }
+
   /**
    * Records that a router has stated a version.
    * @param version number of the version; 0 if only that it is newer than the one in force is known
    * @param statedAt clock time at which a router that had it, or was reading it, stated it
+   * @param knownSince clock time from which some router knew of it
    */
-  hear (version: number, statedAt: number): void {
+  hear (version: number, statedAt: number, knownSince = this._clock.now()): void {
     const before = this.version
     if (version === UNNUMBERED) this._unnumberedStatedAt = Math.max(statedAt, this._unnumberedStatedAt)
     else if (version > this._newest.version) this._newest = { version, statedAt }
     else if (version === this._newest.version && statedAt > this._newest.statedAt) this._newest = { version, statedAt }
     this._startAfter(before)
+    if (this.version !== undefined && (version === UNNUMBERED || version > this._versionInForce)) this._recordKnown(version, knownSince, before)
   }
 
   /** Records that this router has begun to receive a version from the store. */
@@ -88,9 +119,13 @@
    * @param version number of the version
    */
   putInForce (version: number): void {
+    const now = this._clock.now()
+    this._inForceKnownSince = this._knownSince.get(version) ?? (this.version === UNNUMBERED ? this._lackingSince : now)
     this._versionInForce = version
     this._unnumberedStatedAt = -Infinity
-    this._since = this._clock.now()
+    this._since = now
+    for (const known of [...this._knownSince.keys()]) if (known <= version) this._knownSince.delete(known)
+    this._lackingSince = Math.min(now, ...this._knownSince.values())
   }
 
   /**
@@ -102,7 +137,19 @@
   }
 
   private _startAfter (before: number | undefined): void {
+    if (this.version === before) return
+    const now = this._clock.now()
     const isNew = before === undefined || before === UNNUMBERED
-    if (isNew && this.version !== before) this._since = this._clock.now()
+    if (isNew) this._since = now
+    if (before !== undefined) return
+    this._lackingSince = now
+    this._knownSince.clear()
+  }
+
+  private _recordKnown (version: number, since: number, before: number | undefined): void {
+    this._lackingSince = Math.min(this._lackingSince, since)
+    if (version === UNNUMBERED || this._knownSince.size >= MAXIMUM_KNOWN_VERSIONS) return
+    const firstSince = before === UNNUMBERED ? this._lackingSince : since
+    this._knownSince.set(version, Math.min(this._knownSince.get(version) ?? Infinity, firstSince))
   }
 }
--- a/packages/gateway/src/configuration/awaited-version.ts
+++ b/packages/gateway/src/configuration/awaited-version.ts
@@ -6,4 +6,6 @@
   readonly statedAgoMs: number
   /** Milliseconds for which the router has lacked the version; from the time on at which it learned its number, once it has. */
   readonly elapsedMs: number
+  /** Milliseconds since some router has known of a version that the router lacks; undefined from an earlier version of the program. */
+  readonly knownMs?: number | undefined
 }
--- a/packages/gateway/src/configuration/configuration-state.ts
+++ b/packages/gateway/src/configuration/configuration-state.ts
@@ -168,10 +168,11 @@
    * @param version number of the version; 0 for a newer one than that in force whose number is not known yet
    * @param statedAt time at which a router that had it, or was reading it, stated it, by the clock
    * @param source name of the router that told it, for the log
+   * @param knownSince time from which some router knew of it, by the clock; by default now
    */
-  hearOf (version: number, statedAt: number, source: string): void {
+  hearOf (version: number, statedAt: number, source: string, knownSince?: number): void {
     const before = this.awaited.version
-    this.awaited.hear(version, statedAt)
+    this.awaited.hear(version, statedAt, knownSince)
     const after = this.awaited.version
     if (after !== undefined && after !== before) this._log.info('configuration-awaited', { version: after, in_force: this.version, source })
   }
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -100,6 +100,7 @@
       name: routers.self.name,
       storeEra: storeEra.news,
       ...this._configurationChange(request),
+      configurationKnownMs: configuration.version === 0 ? undefined : this._ageMs(configuration.awaited.inForceKnownSince),
       configurationAgeMs: this._ageMs(configuration.verifiedAt),
       configurationReadAgeMs: this._ageMs(configuration.readAt),
       configurationHeardAgeMs: this._ageMs(configuration.knownAt),
@@ -148,8 +149,8 @@
   }
 
   private _awaitedConfiguration (): AwaitedVersion | undefined {
-    const { version, statedAt, elapsedMs } = this._state.configuration.awaited
-    return version === undefined ? undefined : { version, statedAgoMs: this._ageMs(statedAt), elapsedMs }
+    const { version, statedAt, elapsedMs, lackingSince } = this._state.configuration.awaited
+    return version === undefined ? undefined : { version, statedAgoMs: this._ageMs(statedAt), elapsedMs, knownMs: this._ageMs(lackingSince) }
   }
 
   private _recordLoads ({ router, load, relayedLoads }: SyncRequest): void {
--- a/packages/gateway/src/test/authorize-request_test.ts
+++ b/packages/gateway/src/test/authorize-request_test.ts
@@ -9,12 +9,13 @@
 import { plainCodec } from './plain-codec.js'
 
 const BOUND_MS = 2_000
+const LIMITS = { keysMs: 0, refusalMs: BOUND_MS, lackingMs: 1_200 }
 const caller = plainCodec.readCallerRequest(['request-id', 'r1']) as CallerRequest
 
-/** Result code of a request on a route that the version in force does not have. */
-function refusalOf (state: ConfigurationState): ResultCode {
+/** Result code of a request, by default on a route that the version in force does not have. */
+function refusalOf (state: ConfigurationState, path = '/none/x'): ResultCode {
   try {
-    authorizeRequest(caller, 'h', '/none/x', state, { keysMs: 0, refusalMs: BOUND_MS })
+    authorizeRequest(caller, 'h', path, state, LIMITS)
     return ResultCode.OK
   } catch (error) {
     return (error as MimosarockError).code
@@ -34,3 +35,31 @@
   state.markRead(clock.now())
   expect(refusalOf(state)).toBe(ResultCode.ROUTE_UNKNOWN)
 })
+
+// Guards against CONFIG: a router that had known of a version for the whole bound went on serving what that version removes.
+test('a router that has lacked a version of which others tell for the time of the bound serves nothing by an older one', () => {
+  const clock = { ms: 10_000, now (): number { return this.ms } }
+  const state = new ConfigurationState(clock, new SilentEventLog())
+  state.adopt(createConfiguration(1), 'store')
+  state.hearOf(2, clock.now(), 'r1')
+  clock.ms += LIMITS.lackingMs - 1
+  state.hearOf(3, clock.now(), 'r1')
+  expect(refusalOf(state, '/read/x')).toBe(ResultCode.OK)
+  clock.ms += 1
+  expect(refusalOf(state, '/read/x')).toBe(ResultCode.CONFIGURATION_OUTDATED)
+  state.adopt(createConfiguration(2), 'r1')
+  expect(refusalOf(state, '/read/x')).toBe(ResultCode.OK)
+  clock.ms += LIMITS.lackingMs
+  state.hearOf(3, clock.now(), 'r1')
+  expect(refusalOf(state, '/read/x')).toBe(ResultCode.CONFIGURATION_OUTDATED)
+})
+
+// Guards against a fleet that serves nothing since all that had a version are gone: without its content, the older one is the newest there is.
+test('a version that no router has stated for a while stops no request', () => {
+  const clock = { ms: 10_000, now (): number { return this.ms } }
+  const state = new ConfigurationState(clock, new SilentEventLog())
+  state.adopt(createConfiguration(1), 'store')
+  state.hearOf(2, clock.now(), 'r1')
+  clock.ms += 60_000
+  expect(refusalOf(state, '/read/x')).toBe(ResultCode.OK)
+})
--- a/packages/gateway/src/test/awaited-configuration_test.ts
+++ b/packages/gateway/src/test/awaited-configuration_test.ts
@@ -47,3 +47,19 @@
   clock.ms = 3_600
   expect(awaited.version).toBe(undefined)
 })
+
+// Guards against CONFIG: a router that heard of a version late counted the time from then on, though others had known of it for the whole bound.
+test('the time for which a version is lacked counts from the moment at which some router knew of it, and goes on with the next one that is lacked', () => {
+  const { clock, awaited } = createAwaited()
+  clock.ms = 2_000
+  awaited.hear(0, 1_990, 1_700)
+  expect(awaited.lackedMs).toBe(300)
+  awaited.hear(4, 2_000)
+  clock.ms = 2_500
+  awaited.hear(5, 2_500, 2_300)
+  expect(awaited.lackedMs).toBe(800)
+  awaited.putInForce(4)
+  expect([awaited.lackedMs, awaited.inForceKnownSince]).toEqual([200, 1_700])
+  awaited.putInForce(5)
+  expect([awaited.lackedMs, awaited.inForceKnownSince]).toEqual([0, 2_300])
+})
--- a/packages/gateway/src/test/content-age_test.ts
+++ b/packages/gateway/src/test/content-age_test.ts
@@ -1,8 +1,10 @@
 import { expect, test, vi } from 'vitest'
+import { createConfiguration } from './create-configuration.js'
 import { createLargeConfiguration } from './create-large-configuration.js'
 import { finalRefusals } from './final-refusals.js'
 import { FleetLinks } from './fleet-links.js'
 import { KnowledgeFleet } from './knowledge-fleet.js'
+import { servedByOlder } from './served-by-older.js'
 import { useSimulatedTime } from './use-simulated-time.js'
 
 /** Sizes of deployments with the time within which a change has to be in force. */
@@ -78,6 +80,17 @@
   }
 }, TEST_TIMEOUT_MS)
 
+// Guards against CONFIG in the same place: what the change removes, or moves to another service, was still served by the older version.
+test.each([SMALL, LARGE])('$routers routers on links that are too slow for a change, and none serves by the older version, from the bound on', async ({ routers, boundMs }) => {
+  const fleet = await KnowledgeFleet.start(routers, boundMs, simulated.signal, new FleetLinks(TOO_SLOW_BYTES_PER_SECOND))
+  fleet.store.configurations.put('config', createLargeConfiguration(2, ADDED_ROUTES))
+  await vi.advanceTimersByTimeAsync(boundMs)
+  for (let elapsedMs = 0; elapsedMs < OBSERVED_MS; elapsedMs += OBSERVING_INTERVAL_MS) {
+    expect(servedByOlder(fleet, createConfiguration(1), 2, boundMs)).toEqual([])
+    await vi.advanceTimersByTimeAsync(OBSERVING_INTERVAL_MS)
+  }
+}, TEST_TIMEOUT_MS)
+
 // Guards against a change that follows another one closely and starts its transfer anew each time.
 test('6 routers: two large changes in series, and all have each of them within the bound', async () => {
   const fleet = await KnowledgeFleet.start(SMALL.routers, SMALL.boundMs, simulated.signal, new FleetLinks(BYTES_PER_SECOND))
--- a/packages/gateway/src/test/final-refusals.ts
+++ b/packages/gateway/src/test/final-refusals.ts
@@ -18,7 +18,7 @@
   const caller = plainCodec.readCallerRequest(['request-id', 'r1']) as CallerRequest
   return fleet.order.filter((name) => {
     try {
-      authorizeRequest(caller, host, pathPrefix, fleet.stateOf(name).configuration, { keysMs: 0, refusalMs: boundMs })
+      authorizeRequest(caller, host, pathPrefix, fleet.stateOf(name).configuration, { keysMs: 0, refusalMs: boundMs, lackingMs: Infinity })
       return false
     } catch (error) {
       return (error as MimosarockError).code !== ResultCode.CONFIGURATION_OUTDATED
--- a/packages/gateway/src/transfers/configuration-exchange.ts
+++ b/packages/gateway/src/transfers/configuration-exchange.ts
@@ -85,11 +85,12 @@
   }
 
   /** A router that has an older version than this one may lack just what this one has. */
-  private _hearOf ({ name, storeEra, configurationVersion, awaitedConfiguration: awaited }: ConfigurationNews, sentAt: number): void {
+  private _hearOf ({ name, storeEra, configurationVersion, configurationKnownMs = 0, awaitedConfiguration: awaited }: ConfigurationNews, sentAt: number): void {
     const { configuration } = this._state
     if (!this._state.storeEra.isSame(storeEra)) return
-    configuration.hearOf(configurationVersion, sentAt, name)
-    if (awaited !== undefined && configurationVersion >= configuration.version) configuration.hearOf(awaited.version, sentAt - awaited.statedAgoMs, name)
+    configuration.hearOf(configurationVersion, sentAt, name, sentAt - configurationKnownMs)
+    if (awaited === undefined || configurationVersion < configuration.version) return
+    configuration.hearOf(awaited.version, sentAt - awaited.statedAgoMs, name, sentAt - (awaited.knownMs ?? 0))
   }
 
   /** Requests a large change from its source, if this router lacks one. */
--- a/packages/gateway/src/transfers/configuration-news.ts
+++ b/packages/gateway/src/transfers/configuration-news.ts
@@ -10,6 +10,8 @@
   readonly storeEra?: EraNews | undefined
   /** Version of the answering router's configuration. */
   readonly configurationVersion: number
+  /** Milliseconds since some router has known of that version; undefined from an earlier version of the program. */
+  readonly configurationKnownMs?: number | undefined
   /** Patches from the requester's configuration to a newer one; undefined if there is none or the change is large. */
   readonly configurationPatches: readonly ConfigurationPatch[] | undefined
   /**
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http'
 import { ProcessPressure } from '../admission/process-pressure.js'
 import { RouteTimes } from '../admission/route-times.js'
+import { ACKNOWLEDGEMENT_ALLOWANCE_MS } from '../caller/acknowledgement-allowance-ms.js'
 import { AdmissionPaths } from '../caller/admission-paths.js'
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
@@ -235,7 +236,11 @@
       isFleetLarge: () => this._fleetState.routers.isLarge,
       configurationAgeLimits: () => {
         const { keyAgeLimitMs, propagationBounds } = this._settings.current
-        return { keysMs: Math.max(0, keyAgeLimitMs - KEY_AGE_MARGIN_MS), refusalMs: propagationBounds.configurationMs }
+        return {
+          keysMs: Math.max(0, keyAgeLimitMs - KEY_AGE_MARGIN_MS),
+          refusalMs: propagationBounds.configurationMs,
+          lackingMs: propagationBounds.configurationMs - ACKNOWLEDGEMENT_ALLOWANCE_MS
+        }
       },
       retryBudgetOf: (service) => this._retryBudgets.get(service),
       maximumConnectionsOf: (service) => this._connectionsOf(service)
