The parts of an event of a stream are joined when it is complete

Other requests waited while an endpoint sent an event without an end: with each part that arrived, all parts so far were copied again, up to 1 MiB.

--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -145,9 +145,9 @@
   findProblem (isEnded: boolean): string | undefined {
     if (isEnded && !this._isDelimited && this.wasUnread) return 'the connection ended after the response was not read for some time'
     if (this._splitter === undefined) return undefined
-    if (this._splitter.partialEvent.length > MAXIMUM_EVENT_BYTES) return 'an event does not end'
+    if (this._splitter.partialBytes > MAXIMUM_EVENT_BYTES) return 'an event does not end'
     if (!isEnded) return undefined
-    if (this._splitter.partialEvent.length > 0) return 'the stream ended inside an event'
+    if (this._splitter.partialBytes > 0) return 'the stream ended inside an event'
     // A connection that was closed is no sign that the stream had ended before its first event.
     return this._hasUsableBytes || this._isDelimited ? undefined : 'the stream ended before its first event'
   }
--- a/packages/gateway/src/test/event-splitter_test.ts
+++ b/packages/gateway/src/test/event-splitter_test.ts
@@ -14,7 +14,7 @@
       expect(events === '' || /\n\r?\n$/.test(events)).toBe(true)
       out += events
     }
-    expect([out, splitter.lastEventId, splitter.partialEvent.length]).toEqual([STREAM, '3', 0])
+    expect([out, splitter.lastEventId, splitter.partialBytes]).toEqual([STREAM, '3', 0])
   }), { seed: 3, numRuns: 300 })
 })
 
