What a server sends in response to one request is limited before the HTTP client parses or keeps it, for every caller

Cause: limits counted after the parser had read a whole part of 64 kB (some ten thousand headers), an informational response ended the head, trailers were not looked at, and only calls of endpoints had limits at all. In packages/router a refusal without an end held its call for ever.

Change: ResponseLimit follows the framing of a response on its connection (heads, informational ones too, sizes of chunks, trailers) and counts lines and bytes; limitedConnector closes the connection before the client sees the part that exceeds them. Used for endpoints, other routers, the store, the log service, the VM list, probes, and heads of all calls of packages/router; bodies that are kept are bounded there (readBoundedBody), those that nobody needs are received up to 64 KiB (discardBody). Requests to the address for other routers are bounded. The length of an endpoint's response has a setting. fetchRouterKnowledge (a command, 2 s) is as it was.

--- a/packages/coordination/src/counted-connector.ts
+++ b/packages/coordination/src/counted-connector.ts
@@ -1,18 +1,16 @@
-import type { Socket } from 'node:net'
-import { buildConnector } from 'undici'
+import type { buildConnector } from 'undici'
+import { DEFAULT_HEAD_LIMITS } from './http/default-head-limits.js'
+import { limitedConnector } from './http/limited-connector.js'
 import type { TrafficCounter } from './membership/traffic-counter.js'
 
+/** Maximum length of a response of the platform's services, with its head. */
+const MAXIMUM_RESPONSE_BYTES = 67_108_864
+
 /**
- * Creates a connector for undici; the bytes written to its sockets are counted as control traffic.
+ * Creates a connector for undici. Its connections are closed when a response does not end; the bytes written to its sockets are counted as control traffic.
  * @param timeoutMs connect timeout in milliseconds
  * @param traffic counts the bytes written to the sockets; if omitted, nothing is counted
  */
 export function countedConnector (timeoutMs: number, traffic?: TrafficCounter): buildConnector.connector {
-  const connector = buildConnector({ timeout: timeoutMs })
-  return (options, callback) => connector(options, (...result) => {
-    // After a failed connect the socket is undefined, although its declared type is null.
-    const socket = result[1] as Socket | null | undefined
-    if (socket !== null && socket !== undefined) traffic?.watch(socket)
-    callback(...result)
-  })
+  return limitedConnector(timeoutMs, { ...DEFAULT_HEAD_LIMITS, responseBytes: MAXIMUM_RESPONSE_BYTES }, (socket) => traffic?.watch(socket))
 }
--- a/packages/gateway/src/membership/create-peer-rpc-server.ts
+++ b/packages/gateway/src/membership/create-peer-rpc-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse } from 'node:http'
 import { promisify } from 'node:util'
 import { constants, gzip } from 'node:zlib'
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0'
 import type { ConfigurationRequest } from '../transfers/configuration-request.js'
 import type { RouterKnowledge } from './router-knowledge.js'
@@ -12,6 +13,9 @@
 /** Length of a response from which it is compressed, in bytes; most responses are shorter. */
 const MINIMUM_COMPRESSED_BYTES = 4_096
 
+/** Maximum length of a request, in bytes; one with the loads and holders of hundreds of routers has some hundred thousand. */
+const MAXIMUM_REQUEST_BYTES = 16_777_216
+
 const compress = promisify(gzip)
 
 /**
@@ -38,9 +42,8 @@
 }
 
 async function answer (rpc: JSONRPCServer, request: IncomingMessage, response: ServerResponse): Promise<number> {
-  const chunks: Buffer[] = []
-  for await (const chunk of request) chunks.push(chunk as Buffer)
-  const message = JSON.parse(Buffer.concat(chunks).toString()) as JSONRPCRequest
+  const received = await readBoundedBody(request, MAXIMUM_REQUEST_BYTES)
+  const message = JSON.parse(received.toString()) as JSONRPCRequest
   const result = Buffer.from(JSON.stringify(await rpc.receive(message)))
   const isCompressed = result.length >= MINIMUM_COMPRESSED_BYTES
   const body = isCompressed ? await compress(result, { level: constants.Z_BEST_SPEED }) : result
--- a/packages/gateway/src/membership/peer-rpc-client.ts
+++ b/packages/gateway/src/membership/peer-rpc-client.ts
@@ -1,5 +1,7 @@
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
+import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
+import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
 import { createJSONRPCRequest, type JSONRPCParams, type JSONRPCResponse } from 'json-rpc-2.0'
 import { Agent, request } from 'undici'
 import type { ConfigurationNews } from '../transfers/configuration-news.js'
@@ -19,8 +21,9 @@
 const SYNC_LIMITS = { progressMs: 450, totalMs: 3_000 }
 /** Limits of a transfer. Its sender may have several to send at a time. */
 const TRANSFER_LIMITS = { progressMs: 1_000, totalMs: 15_000 }
-/** Maximum length of a decompressed response, in bytes. */
-const MAXIMUM_RESPONSE_BYTES = 67_108_864
+/** Maximum length of a response with its head, and of its decompressed body, in bytes. A long one is compressed. */
+const RESPONSE_LIMITS = { ...DEFAULT_HEAD_LIMITS, responseBytes: 16_777_216 }
+const MAXIMUM_DECOMPRESSED_BYTES = 67_108_864
 /** Keep-alive timeout of idle connections; longer than the interval between sync requests. */
 const KEEP_ALIVE_MS = 4_000
 
@@ -113,7 +116,7 @@
       }
       const body = Buffer.concat(chunks)
       const isCompressed = response.headers['content-encoding'] === 'gzip'
-      const text = isCompressed ? await decompress(body, { maxOutputLength: MAXIMUM_RESPONSE_BYTES }) : body
+      const text = isCompressed ? await decompress(body, { maxOutputLength: MAXIMUM_DECOMPRESSED_BYTES }) : body
       return JSON.parse(text.toString()) as JSONRPCResponse
     } catch (error) {
       throw new PeerCallError(error as Error, performance.now() - startedAt, receivedBytes, expectedBytes)
@@ -124,5 +127,5 @@
 }
 
 function createAgent (): Agent {
-  return new Agent({ connections: 1, pipelining: 1, connectTimeout: CONNECT_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_MS })
+  return new Agent({ connections: 1, pipelining: 1, connect: limitedConnector(CONNECT_TIMEOUT_MS, RESPONSE_LIMITS), keepAliveTimeout: KEEP_ALIVE_MS })
 }
--- a/packages/gateway/src/sending/call-result.ts
+++ b/packages/gateway/src/sending/call-result.ts
@@ -9,6 +9,8 @@
   readonly head: ResponseHead | undefined
   /** Whether the call failed because its connection did, after it was sent. */
   readonly isConnectionLost: boolean
+  /** Whether the call was ended since its response did not; undefined if not. */
+  readonly isEndless?: boolean
   /** Description of the failure, for the log; undefined after a complete response. */
   readonly problem: string | undefined
 }
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -1,4 +1,5 @@
 import { Readable } from 'node:stream'
+import { RESPONSE_TOO_LONG } from '@mimosarock/coordination/http/response-too-long.js'
 import type { Dispatcher, Pool } from 'undici'
 import type { ResponseHead } from '../model/response-head.js'
 import type { WireCodec } from '../model/wire-codec.js'
@@ -16,6 +17,8 @@
 const MAXIMUM_REJECTION_BYTES = 65_536
 /** Maximum number of informational responses before the final one. */
 const MAXIMUM_INFORMATIONAL_RESPONSES = 8
+/** Error codes of responses that did not end: of the connection, and of the HTTP client. */
+const ENDLESS_CODES = new Set([RESPONSE_TOO_LONG, 'UND_ERR_HEADERS_OVERFLOW'])
 const FIRST_FINAL_STATUS = 200
 const FIRST_FAILURE_STATUS = 300
 
@@ -34,6 +37,7 @@
   private _discardedBytes = 0
   private _isPaused = false
   private _isConnectionLost = false
+  private _isEndless = false
   private _discardTimer: NodeJS.Timeout | undefined
 
   /** Resolves when the call has ended; never rejects. */
@@ -145,7 +149,7 @@
     this._receivedParts += 1
     const hasCapacity = this._receiver.data(chunk)
     const problem = this._receiver.findProblem(false)
-    if (problem !== undefined) return this._end(CallOutcome.BROKEN, problem)
+    if (problem !== undefined) return this._endEndless(CallOutcome.BROKEN, problem)
     if (hasCapacity) return
     this._isPaused = true
     controller.pause()
@@ -171,8 +175,10 @@
     clearTimeout(this._discardTimer)
     const problem = (error as NodeJS.ErrnoException).code ?? error.message
     if (!this.isSent) return this._end(CallOutcome.NOT_SENT, problem)
+    const outcome = this._head === undefined ? CallOutcome.NO_ANSWER : CallOutcome.BROKEN
+    if (ENDLESS_CODES.has(problem)) return this._endEndless(outcome, problem)
     this._isConnectionLost = true
-    this._end(this._head === undefined ? CallOutcome.NO_ANSWER : CallOutcome.BROKEN, problem)
+    this._end(outcome, problem)
   }
 
   private _headers (): string[] {
@@ -194,7 +200,7 @@
 
   private _countInformational (): void {
     this._informationalResponses += 1
-    if (this._informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) this._end(CallOutcome.NO_ANSWER, 'too many informational responses')
+    if (this._informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) this._endEndless(CallOutcome.NO_ANSWER, 'too many informational responses')
   }
 
   private _discard (controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -202,10 +208,16 @@
     if (this._discardedBytes > MAXIMUM_REJECTION_BYTES) controller.abort(new Error('the body of the rejection is too long'))
   }
 
+  /** Ends a call whose response would not end; its connection was not lost, the router closes it. */
+  private _endEndless (outcome: CallOutcome, problem: string): void {
+    this._isEndless = true
+    this._end(outcome, problem)
+  }
+
   private _end (outcome: CallOutcome, problem: string | undefined): void {
     if (this._isEnded) return
     this._isEnded = true
-    this._resolve({ outcome, head: this._head, isConnectionLost: this._isConnectionLost, problem })
+    this._resolve({ outcome, head: this._head, isConnectionLost: this._isConnectionLost, isEndless: this._isEndless, problem })
     if (outcome === CallOutcome.COMPLETE || outcome === CallOutcome.NOT_SENT) return
     const error = new Error(problem ?? outcome)
     if (outcome === CallOutcome.REJECTED) this._discardRest(error)
--- a/packages/gateway/src/sending/endpoint-connections.ts
+++ b/packages/gateway/src/sending/endpoint-connections.ts
@@ -1,3 +1,4 @@
+import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
 import { Pool } from 'undici'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
 import { createEndpointConnector } from './create-endpoint-connector.js'
@@ -24,6 +25,14 @@
 /** Connection pools of all endpoints: for each one a pool for calls that may be repeated and a pool for calls that may not. */
 export class EndpointConnections {
   private readonly _pools = new Map<string, EndpointPools>()
+  private readonly _maximumResponseBytes: () => number
+
+  /**
+   * @param maximumResponseBytes returns the maximum length of a response, in bytes; it holds for the connections of pools that are created from then on
+   */
+  constructor (maximumResponseBytes: () => number) {
+    this._maximumResponseBytes = maximumResponseBytes
+  }
 
   /**
    * Returns the connection pool for a call and creates it on first use or after a change of the endpoint's address.
@@ -40,8 +49,8 @@
     if (pools === undefined) {
       pools = {
         address: endpoint.address,
-        regular: createPool(endpoint.address, IDLE_TIMEOUT_MS, maximumConnections),
-        shortIdle: createPool(endpoint.address, SHORT_IDLE_TIMEOUT_MS, maximumConnections)
+        regular: this._createPool(endpoint.address, IDLE_TIMEOUT_MS, maximumConnections),
+        shortIdle: this._createPool(endpoint.address, SHORT_IDLE_TIMEOUT_MS, maximumConnections)
       }
       this._pools.set(endpoint.id, pools)
     }
@@ -65,18 +74,18 @@
   closeAll (): void {
     for (const id of [...this._pools.keys()]) this.close(id)
   }
-}
 
-function createPool (address: string, idleTimeoutMs: number, maximumConnections: number): Pool {
-  return new Pool(`http://${address}`, {
-    connections: maximumConnections,
-    pipelining: 1,
-    connect: createEndpointConnector(CONNECT_TIMEOUT_MS),
-    keepAliveTimeout: idleTimeoutMs,
-    keepAliveMaxTimeout: idleTimeoutMs,
-    keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-    // The router enforces a deadline for each call as a whole.
-    headersTimeout: 0,
-    bodyTimeout: 0
-  })
+  private _createPool (address: string, idleTimeoutMs: number, maximumConnections: number): Pool {
+    return new Pool(`http://${address}`, {
+      connections: maximumConnections,
+      pipelining: 1,
+      connect: createEndpointConnector(CONNECT_TIMEOUT_MS, { ...DEFAULT_HEAD_LIMITS, responseBytes: this._maximumResponseBytes() }),
+      keepAliveTimeout: idleTimeoutMs,
+      keepAliveMaxTimeout: idleTimeoutMs,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      // The router enforces a deadline for each call as a whole.
+      headersTimeout: 0,
+      bodyTimeout: 0
+    })
+  }
 }
--- a/packages/gateway/src/settings/gateway-settings.ts
+++ b/packages/gateway/src/settings/gateway-settings.ts
@@ -44,6 +44,8 @@
   readonly warmUpOverage: number
   /** Requests that may arrive at a cold endpoint in any second in addition to the multiple `warmUpOverage` of its rate. */
   readonly warmUpTolerance: number
+  /** Maximum length of a response of an endpoint, in bytes; a longer one is cut off. */
+  readonly maximumResponseBytes: number
   /** Whether services with fewer slots than the fleet has routers are served by slot grants. */
   readonly grantsSlots: boolean
   /** Whether endpoints that fail much more requests than the others of their service are ejected for some time. */
--- a/packages/gateway/src/settings/read-gateway-settings.ts
+++ b/packages/gateway/src/settings/read-gateway-settings.ts
@@ -10,6 +10,8 @@
 /** Warm-up bounds that hold without settings: the rate of the configuration, and nothing in addition. */
 const DEFAULT_WARM_UP_OVERAGE = 1
 const DEFAULT_WARM_UP_TOLERANCE = 0
+/** Maximum length of a response that holds without settings. */
+const DEFAULT_MAXIMUM_RESPONSE_BYTES = 67_108_864
 /** Bounds that hold without settings, in milliseconds. */
 const DEFAULT_PROPAGATION_MS = 2_000
 
@@ -53,6 +55,7 @@
     loadBoundFactor: number('load', 'bound_factor'),
     warmUpOverage: optionalNumber('warm_up', 'overage') ?? DEFAULT_WARM_UP_OVERAGE,
     warmUpTolerance: optionalNumber('warm_up', 'tolerance') ?? DEFAULT_WARM_UP_TOLERANCE,
+    maximumResponseBytes: optionalNumber('endpoints', 'maximum_response_bytes') ?? DEFAULT_MAXIMUM_RESPONSE_BYTES,
     grantsSlots: value('dispatch', 'slot_grants') !== 'false',
     ejectsOutliers: value('outliers', 'ejection') !== 'false'
   }
--- a/packages/gateway/src/test/connection-faults_test.ts
+++ b/packages/gateway/src/test/connection-faults_test.ts
@@ -7,7 +7,7 @@
 import { CallOutcome } from '@mimosarock/gateway/sending/call-outcome.js'
 import { plainCodec } from './plain-codec.js'
 
-const connections = new EndpointConnections()
+const connections = new EndpointConnections(() => Infinity)
 const servers: Server[] = []
 
 afterEach(() => {
--- a/packages/gateway/src/test/endpoint-call_test.ts
+++ b/packages/gateway/src/test/endpoint-call_test.ts
@@ -9,7 +9,7 @@
 
 const ID = 'a1'
 const servers: Server[] = []
-const connections = new EndpointConnections()
+const connections = new EndpointConnections(() => Infinity)
 
 afterEach(() => {
   connections.closeAll()
--- a/packages/gateway/src/test/endpoint-wishes_test.ts
+++ b/packages/gateway/src/test/endpoint-wishes_test.ts
@@ -122,7 +122,7 @@
 })
 
 test('a call that waits for a connection is not sent to an endpoint that takes no more requests meanwhile', async () => {
-  const connections = new EndpointConnections()
+  const connections = new EndpointConnections(() => Infinity)
   let received = 0
   let isUsable = true
   const server = createServer((socket) => socket.on('data', (bytes) => {
--- a/packages/gateway/src/test/gateway-fixture.ts
+++ b/packages/gateway/src/test/gateway-fixture.ts
@@ -64,6 +64,7 @@
       memoryBytes: undefined,
       warmUpOverage: 1,
       warmUpTolerance: 0,
+      maximumResponseBytes: 67_108_864,
       grantsSlots: true,
       ejectsOutliers: true,
       ...this._options.settings
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -59,7 +59,7 @@
   private readonly _stopping = new AbortController()
   private readonly _state: GatewayState = { isStopping: false, stopDeadline: undefined, requestsInFlight: 0 }
   private readonly _metrics = new GatewayMetrics()
-  private readonly _connections = new EndpointConnections()
+  private readonly _connections = new EndpointConnections(() => this._settings.current.maximumResponseBytes)
   private readonly _peerClient = new PeerRpcClient((bytes) => this._metrics.peerBytesReceived.inc(bytes))
   private readonly _fleetState: FleetState
   private readonly _unknownZoneWarning: UnknownZoneWarning
--- a/packages/router/src/caller/service-handler.ts
+++ b/packages/router/src/caller/service-handler.ts
@@ -1,10 +1,11 @@
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
+import { RESPONSE_TOO_LONG } from '@mimosarock/coordination/http/response-too-long.js'
 import type { IncomingMessage } from 'node:http'
 import type { ConfigurationIndex } from '@mimosarock/coordination/configuration-index.js'
 import type { Pool, Route, Workspace } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
-import { collectResponse } from '../responses/collect-response.js'
 import type { CallPlan } from '../entry/call-plan.js'
 import { writeResponseBody } from '../forward/write-response-body.js'
 import type { KeyedResponse } from '../operations/keyed-response.js'
@@ -97,15 +98,22 @@
   private async _dispatchOnce (exchange: Exchange, plan: CallPlan, signal: AbortSignal): Promise<KeyedResponse> {
     const { response: endpointResponse } = await this._options.directPlacement.place(plan, signal)
     exchange.fields.endpoint = endpointResponse.endpoint
-    const collected = await collectResponse(endpointResponse.body, this._options.maximumBodyBytes)
-    if (collected.error !== undefined) {
-      throw new MimosarockError(ResultCode.OUTCOME_UNKNOWN, 'the response ended prematurely', { run: RunState.UNKNOWN, cause: collected.error })
-    }
-    const chunks: Uint8Array[] = []
-    for await (const chunk of collected.body) chunks.push(chunk)
+    const body = await this._readWhole(endpointResponse.body)
     const headers = { ...endpointResponse.headers }
     delete headers['content-length']
-    return { status: endpointResponse.status, headers, body: Buffer.concat(chunks) }
+    return { status: endpointResponse.status, headers, body }
+  }
+
+  /** Reads a response that is kept for its key, for as long as that may be. */
+  private async _readWhole (body: AsyncIterable<Uint8Array>): Promise<Buffer> {
+    const { maximumBodyBytes } = this._options
+    try {
+      return await readBoundedBody(body, maximumBodyBytes)
+    } catch (cause) {
+      const isTooLong = (cause as { code?: unknown }).code === RESPONSE_TOO_LONG
+      const message = isTooLong ? `the response is longer than ${maximumBodyBytes} bytes` : 'the response ended prematurely'
+      throw new MimosarockError(ResultCode.OUTCOME_UNKNOWN, message, { run: RunState.UNKNOWN, cause })
+    }
   }
 
   private _plan (
--- a/packages/router/src/contexts/context-transfers.ts
+++ b/packages/router/src/contexts/context-transfers.ts
@@ -1,8 +1,11 @@
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import type { ContextTransfersOptions } from './context-transfers-options.js'
 
 /** Multiple of the estimated transfer time after which an import is aborted. */
 const TIMEOUT_FACTOR = 3
 const MINIMUM_TIMEOUT_MS = 50
+/** Maximum length of an engine's answer, which has two numbers, in bytes. */
+const MAXIMUM_RESPONSE_BYTES = 65_536
 
 /** Transfers the cached contexts of displaced chats between engines where that is cheaper than recomputing them. */
 export class ContextTransfers {
@@ -65,10 +68,9 @@
       firstByteTimeoutMs: timeoutMs,
       silenceTimeoutMs: timeoutMs
     }, AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]))
-    const chunks: Uint8Array[] = []
-    for await (const chunk of response.body) chunks.push(chunk)
+    const body = await readBoundedBody(response.body, MAXIMUM_RESPONSE_BYTES)
     if (response.status !== 200) return { tokens: 0, bytes: 0 }
-    const result = JSON.parse(Buffer.concat(chunks).toString()) as { tokens?: unknown, bytes?: unknown }
+    const result = JSON.parse(body.toString()) as { tokens?: unknown, bytes?: unknown }
     return { tokens: Number(result.tokens) || 0, bytes: Number(result.bytes) || 0 }
   }
 }
--- a/packages/router/src/forward/forward-client.ts
+++ b/packages/router/src/forward/forward-client.ts
@@ -1,3 +1,5 @@
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
+import { RESPONSE_TOO_LONG } from '@mimosarock/coordination/http/response-too-long.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
@@ -102,13 +104,11 @@
   return new MimosarockError(ResultCode.OWNER_UNREACHABLE, `the owner of ${call.endpoint} does not respond`, { run: cause.run, cause })
 }
 
-async function readText (response: HttpResponse): Promise<string> {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
-  for await (const chunk of response.body) {
-    bytes += chunk.length
-    if (bytes > MAXIMUM_REFUSAL_BYTES) throw new MimosarockError(ResultCode.PEER_PROTOCOL, 'a refusal exceeds the maximum size', { run: RunState.UNKNOWN })
-    chunks.push(chunk)
+async function readText ({ body }: HttpResponse): Promise<string> {
+  try {
+    return (await readBoundedBody(body, MAXIMUM_REFUSAL_BYTES)).toString('utf8')
+  } catch (error) {
+    if ((error as { code?: unknown }).code !== RESPONSE_TOO_LONG) throw error
+    throw new MimosarockError(ResultCode.PEER_PROTOCOL, 'a refusal exceeds the maximum size', { run: RunState.UNKNOWN })
   }
-  return Buffer.concat(chunks).toString('utf8')
 }
--- a/packages/router/src/http/bounded-http-client.ts
+++ b/packages/router/src/http/bounded-http-client.ts
@@ -1,3 +1,5 @@
+import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
+import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
 import { Agent, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
@@ -15,6 +17,8 @@
  * avoids sending a request on a connection that the server is closing.
  */
 const IDLE_CONNECTION_MS = 4_000
+/** What a server may send in answer to one request. Bodies are passed on as they arrive, at the rate of their reader. */
+const RESPONSE_LIMITS = { ...DEFAULT_HEAD_LIMITS, responseBytes: Infinity }
 
 /**
  * HTTP client of one server with separate timeouts for connecting, the first byte, and silence within the response
@@ -138,7 +142,7 @@
 
   private _connectionOptions (): Client.Options {
     return {
-      connect: { timeout: this._options.connectTimeoutMs },
+      connect: limitedConnector(this._options.connectTimeoutMs, RESPONSE_LIMITS),
       keepAliveTimeout: IDLE_CONNECTION_MS,
       pipelining: 1,
       // Disabled: this class enforces the timeouts with its own timers, which are exact to the millisecond.
--- a/packages/router/src/operations/http-status-call.ts
+++ b/packages/router/src/operations/http-status-call.ts
@@ -1,5 +1,5 @@
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { request } from 'undici'
-import type { Dispatcher } from 'undici'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import type { StatusCall } from './status-call.js'
@@ -23,7 +23,7 @@
   async readRunCount (address: string, path: string, timeoutMs: number): Promise<number> {
     try {
       const response = await request(`http://${address}${path}`, { reset: true, signal: AbortSignal.timeout(timeoutMs) })
-      const parsed: unknown = JSON.parse(await readBoundedBody(response))
+      const parsed: unknown = JSON.parse((await readBoundedBody(response.body, MAXIMUM_RESPONSE_BYTES)).toString())
       const runs = (parsed as { runs?: unknown } | null)?.runs
       if (response.statusCode === 200 && typeof runs === 'number' && Number.isSafeInteger(runs) && runs >= 0) return runs
     } catch (error) {
@@ -32,14 +32,3 @@
     throw new MimosarockError(ResultCode.ENDPOINT_FAILED, `the status call to ${address} did not return the number of runs`)
   }
 }
-
-async function readBoundedBody (response: Dispatcher.ResponseData): Promise<string> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  for await (const chunk of response.body) {
-    bytes += (chunk as Buffer).length
-    if (bytes > MAXIMUM_RESPONSE_BYTES) throw new MimosarockError(ResultCode.ENDPOINT_FAILED, 'the response to the status call is too large')
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks).toString()
-}
--- a/packages/router/src/orders/http-engine-order-client.ts
+++ b/packages/router/src/orders/http-engine-order-client.ts
@@ -1,3 +1,5 @@
+import { discardBody } from '@mimosarock/coordination/http/discard-body.js'
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { request } from 'undici'
 import { z } from 'zod'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
@@ -8,6 +10,8 @@
 import type { EngineState } from './engine-state.js'
 
 const HTTP_CONFLICT = 409
+/** Maximum length of the state of an engine, in bytes. */
+const MAXIMUM_RESPONSE_BYTES = 1_048_576
 const OrdersResponse = z.object({
   models: z.array(z.object({ model: z.string(), state: z.string() })),
   adapters: z.array(z.string()).default([]),
@@ -28,7 +32,7 @@
   async read (address: string, timeoutMs: number): Promise<EngineState> {
     try {
       const response = await request(`http://${address}/v1/orders`, { reset: true, signal: AbortSignal.timeout(timeoutMs) })
-      const { models, adapters, role } = OrdersResponse.parse(await response.body.json())
+      const { models, adapters, role } = OrdersResponse.parse(JSON.parse((await readBoundedBody(response.body, MAXIMUM_RESPONSE_BYTES)).toString()))
       const inState = (state: string): string[] => models.filter((entry) => entry.state === state).map((entry) => entry.model)
       return { loaded: inState('loaded'), loading: inState('loading'), adapters, role }
     } catch (error) {
@@ -54,7 +58,7 @@
   private async _put (address: string, body: string, headers: Record<string, string>, timeoutMs: number): Promise<number> {
     try {
       const response = await request(`http://${address}/v1/orders`, { method: 'PUT', body, headers, reset: true, signal: AbortSignal.timeout(timeoutMs) })
-      await response.body.dump()
+      await discardBody(response.body)
       return response.statusCode
     } catch (error) {
       throw notConfirmedError(address, error)
--- a/packages/router/src/owner/owned-endpoint-dispatch.ts
+++ b/packages/router/src/owner/owned-endpoint-dispatch.ts
@@ -1,3 +1,4 @@
+import { discardBody } from '@mimosarock/coordination/http/discard-body.js'
 import type { AdmissionTicket } from '@mimosarock/placement/admission-ticket.js'
 import { EndpointAvailability } from '@mimosarock/placement/endpoint-availability.js'
 import { PoolKind } from '@mimosarock/schema/gen/mimosarock/v1/mimosarock_pb.js'
@@ -67,7 +68,7 @@
         firstByteTimeoutMs: CANCEL_TIMEOUT_MS,
         silenceTimeoutMs: CANCEL_TIMEOUT_MS
       }, AbortSignal.timeout(CANCEL_TIMEOUT_MS))
-      for await (const chunk of response.body) if (chunk.length === 0) break
+      await discardBody(response.body)
     } catch {
       // The engine ends the stream when its resume window expires.
     }
@@ -104,7 +105,7 @@
       ownConnection: call.ownConnection === true
     }, signal)
     if (pool.kind !== PoolKind.SERVICE && ENGINE_REFUSALS.has(response.status)) {
-      await discard(response)
+      await discardBody(response.body)
       throw new MimosarockError(ResultCode.OVERLOADED, `engine ${call.endpoint} refused with status ${response.status}`)
     }
     return response
@@ -133,7 +134,3 @@
     if (error.code === ResultCode.ENDPOINT_FAILED && error.run !== RunState.RAN) this._options.health.recordFailure(call.pool, call.endpoint)
   }
 }
-
-async function discard (response: HttpResponse): Promise<void> {
-  for await (const chunk of response.body) if (chunk.length === 0) break
-}
--- a/packages/router/src/responses/resumable-stream.ts
+++ b/packages/router/src/responses/resumable-stream.ts
@@ -1,3 +1,4 @@
+import { discardBody } from '@mimosarock/coordination/http/discard-body.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
@@ -125,7 +126,7 @@
     }
     const resumed = await this._options.dispatch.dispatch(call, this._options.signal)
     if (resumed.status === OK) return { call, response: resumed }
-    for await (const chunk of resumed.body) if (chunk.length === 0) break
+    await discardBody(resumed.body)
     this._resumptionsWithoutProgress = MAXIMUM_RESUMPTIONS_WITHOUT_PROGRESS
     throw new Error('the engine no longer has the stream')
   }
--- a/packages/router/src/watch/endpoint-probe-client.ts
+++ b/packages/router/src/watch/endpoint-probe-client.ts
@@ -1,5 +1,6 @@
-import type { Socket } from 'node:net'
-import { Client, buildConnector } from 'undici'
+import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
+import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
+import { Client } from 'undici'
 import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
@@ -7,6 +8,8 @@
 const SUCCESS_STATUS = 200
 /** Timeout of an idle connection; the polls of load and cache events are frequent enough to reuse it. */
 const IDLE_CONNECTION_MS = 15_000
+/** What an endpoint may send in answer to one probe; pages of cache events are the longest. */
+const RESPONSE_LIMITS = { ...DEFAULT_HEAD_LIMITS, responseBytes: 16_777_216 }
 
 /** Reads the health, load and cache events of an endpoint over one connection, which counts as control traffic. */
 export class EndpointProbeClient {
@@ -61,16 +64,10 @@
   }
 
   private _open (): Client {
-    const connector = buildConnector({ timeout: this._connectTimeoutMs })
     return new Client(`http://${this._address}`, {
-      connect: (options, callback) => connector(options, (...result) => {
-        // The socket of a failed connect is undefined, although its type says null.
-        const socket = result[1] as Socket | null | undefined
-        if (socket !== null && socket !== undefined) {
-          this._connections += 1
-          this._traffic.watch(socket)
-        }
-        callback(...result)
+      connect: limitedConnector(this._connectTimeoutMs, RESPONSE_LIMITS, (socket) => {
+        this._connections += 1
+        this._traffic.watch(socket)
       }),
       keepAliveTimeout: IDLE_CONNECTION_MS,
       headersTimeout: 0,
