An endpoint that answers without end again and again is paused

An answer that ends begins anew, so that one caller whose requests lead to such answers does not take the endpoint from the others. The router closes the connection, so this counts neither as a loss nor as a crash. Not played with processes.

--- a/packages/gateway/src/caller/attempt-records.ts
+++ b/packages/gateway/src/caller/attempt-records.ts
@@ -90,6 +90,8 @@
       this._recordHealth(endpoint.id, result)
       recordWarmth(this._dependencies.warmUps, endpoint, result)
     }
+    if (result.isEndless === true) this._dependencies.endlessEndpoints.recordEndless(endpoint)
+    else if (result.outcome === CallOutcome.COMPLETE) this._dependencies.endlessEndpoints.recordEnded(endpoint)
     const verdict = this._verdictOf(result, end)
     if (!result.isConnectionLost) return this._recordAnswer(endpoint, verdict)
     // Whatever crashes an endpoint is dealt with as a crash, and tells nothing of the incarnation that follows.
--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -3,6 +3,7 @@
 import type { RouteTimes } from '../admission/route-times.js'
 import type { ServiceAdmissions } from '../admission/service-admissions.js'
 import type { EndpointSelector } from '../choice/endpoint-selector.js'
+import type { EndlessEndpoints } from '../choice/endless-endpoints.js'
 import type { EndpointPauses } from '../choice/endpoint-pauses.js'
 import type { EndpointHealth } from '../choice/endpoint-health.js'
 import type { HolderTable } from '../choice/holder-table.js'
@@ -63,6 +64,8 @@
   readonly endpoints: EndpointTable
   /** Endpoints that want no requests for some time. */
   readonly pauses: EndpointPauses
+  /** Pauses endpoints whose responses do not end. */
+  readonly endlessEndpoints: EndlessEndpoints
   /** Rate limits that endpoints state. */
   readonly limits: EndpointLimits
   /** Permits for requests to endpoints with a rate limit. */
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -18,6 +18,7 @@
 import { EventLoopMeter } from '../caller/event-loop-meter.js'
 import { EndpointSelector } from '../choice/endpoint-selector.js'
 import { EndpointHealth } from '../choice/endpoint-health.js'
+import { EndlessEndpoints } from '../choice/endless-endpoints.js'
 import { EndpointPauses } from '../choice/endpoint-pauses.js'
 import { GracefulShutdown } from '../shutdown/graceful-shutdown.js'
 import type { FleetState } from '../membership/fleet-state.js'
@@ -209,6 +210,7 @@
       configurationArrivals: new ConfigurationArrivals(configuration),
       loads,
       holders,
+      endlessEndpoints: new EndlessEndpoints(this._pauses, clock),
       startupGate: this._startupGate,
       currentHomes: new CurrentHomes(this._homeRegions, configuration),
       endpoints,
