A removal that the store lists before a registration which another router has told does not remove the endpoint

A router that had heard of the new registration from another one read the removal afterwards, removed the endpoint, and remembered the removal with the newest registration that it knew. When it came to that registration in the log, it turned it down as older (endpoint-outdated 8 times at the reader at 19.7 s), and told the others of the removal.

Change: a removal in the log counts from the registration that this router has read before it. If the one in force is later, the endpoint stays, and only registrations up to the one that was read are turned down.

--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -194,8 +194,8 @@
    */
   apply (changes: readonly TopicChange<EndpointEntry>[], gracePeriodEnd: number | undefined): void {
     for (const change of changes) {
-      if (change.value !== undefined) this._put(change.value)
-      else this._remove(change.key, gracePeriodEnd)
+      if (change.value !== undefined) this._putRead(change.value)
+      else if (!this._order.isLaterThanRemoval(change.key, this._entries.get(change.key))) this._remove(change.key, gracePeriodEnd)
     }
   }
 
@@ -206,6 +206,8 @@
    * delete them immediately
    */
   replace (entries: readonly EndpointEntry[], gracePeriodEnd: number | undefined): void {
+    this._order.forgetRead()
+    for (const entry of entries) this._order.recordRead(entry)
     this._replace(entries, (id) => this._remove(id, gracePeriodEnd))
   }
 
@@ -242,6 +244,11 @@
     for (const entry of entries) this._put(entry)
   }
 
+  private _putRead (registered: EndpointEntry): void {
+    this._order.recordRead(registered)
+    this._put(registered)
+  }
+
   private _put (registered: EndpointEntry): void {
     const current = this._entries.get(registered.id)
     if (this._order.isOutdated(registered, current)) return
--- a/packages/gateway/src/membership/registration-order.ts
+++ b/packages/gateway/src/membership/registration-order.ts
@@ -27,6 +27,8 @@
   /** Registrations from before a removal, by endpoint id. */
   private readonly _withheld = new Map<string, EndpointEntry>()
   private _withholdingEnd = -Infinity
+  /** Last registrations that this router has read from the store itself, by endpoint id. */
+  private readonly _read = new Map<string, EndpointRemoval>()
   /** Times of the last registrations of present endpoints, by endpoint id. */
   private readonly _registeredAt = new Map<string, number>()
 
@@ -77,6 +79,35 @@
     this._registeredAt.set(id, this._clock.now())
   }
 
+  /**
+   * Records a registration that this router has read from the store.
+   * @param entry the registration
+   */
+  recordRead ({ id, startedAt, revision }: EndpointEntry): void {
+    this._read.set(id, { id, startedAt, revision })
+  }
+
+  /** Prepares for registrations that are read anew. */
+  forgetRead (): void {
+    this._read.clear()
+  }
+
+  /**
+   * Records a removal that this router has read from the store, after the registration that it has read last. Another router may have told a later one, which
+   * the store lists after the removal.
+   * @param id id of the endpoint
+   * @param current the registration that is in force; undefined if the endpoint is not present
+   * @returns whether that registration is later than the removal
+   */
+  isLaterThanRemoval (id: string, current: EndpointEntry | undefined): boolean {
+    const read = this._read.get(id)
+    this._read.delete(id)
+    if (read === undefined || current === undefined || !isEarlierRegistration(read, current)) return false
+    this._removed.add(read)
+    this._log.info('endpoint-removal-outdated', { endpoint: id, service: current.service, revision: read.revision, newer: current.revision })
+    return true
+  }
+
   /**
    * Records that the store has removed an endpoint.
    * @param registration its last registration, as far as it is known
--- a/packages/gateway/src/test/endpoint-table_test.ts
+++ b/packages/gateway/src/test/endpoint-table_test.ts
@@ -215,3 +215,18 @@
     expect(table.find('1')?.startedAt).toBe(revision < 10 ? 9_000 : 1)
   }
 })
+
+// Guards against LIMIT after an outage: a router that had heard of the new registrations of lapsed endpoints from others read their earlier removals from
+// the store, took these for later, and turned the registrations down.
+test('a removal that the store lists before a registration which another router has told neither removes the endpoint nor turns that registration down', () => {
+  const { table } = createTable()
+  table.apply([{ key: '1', value: createEntry('1', { revision: 1 }) }], NO_OUTAGE)
+  const renewed = createEntry('1', { revision: 3 })
+  table.adopt([renewed, createEntry('2')], { source: 'r1', asOf: undefined })
+  table.apply([{ key: '1', value: undefined }], NO_OUTAGE)
+  expect(readyIds(table).sort()).toEqual(['1', '2'])
+  table.apply([{ key: '1', value: createEntry('1', { revision: 1 }) }, { key: '1', value: renewed }], NO_OUTAGE)
+  expect(table.find('1')?.revision).toBe(3)
+  table.apply([{ key: '1', value: undefined }, { key: '1', value: renewed }], NO_OUTAGE)
+  expect(readyIds(table)).toEqual(['2'])
+})
