Routers tell each other of the end of an outage of the store, so that lapsed entries are kept everywhere or nowhere

Cause: a router judged by the time of its last knowledge whether the store had been away. One that had heard of the endpoints from another router a moment before its own first reading took what that reading lacked for endpoints that had left.

Change: sync answers state when the last outage ended; a router that had not heard of the store either for as long keeps lapsed entries until the same moment. One that had heard of it all the time does not.

--- a/packages/gateway/src/membership/outage-detector.ts
+++ b/packages/gateway/src/membership/outage-detector.ts
@@ -1,10 +1,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
+import type { Freshness } from './freshness.js'
+import { OUTAGE_THRESHOLD_MS } from './outage-threshold-ms.js'
 
-/**
- * Time since the endpoints were last verified above which the whole fleet must have lost the store. A change of the
- * reader takes less time.
- */
-const OUTAGE_THRESHOLD_MS = 2_200
 /** Time after an outage in which live endpoints register again. */
 const REREGISTRATION_MS = 2_100
 
@@ -17,16 +14,18 @@
 export class OutageDetector {
   private readonly _clock: ElapsedClock
   private readonly _hasHeardOthersSince: (time: number) => boolean
-  private _outageEndedAt = -Infinity
+  private readonly _freshness: Pick<Freshness, 'outageEndedAt'>
   private _failedAt = -Infinity
 
   /**
    * @param clock clock that includes suspensions, during which this router could not read the store either
    * @param hasHeardOthersSince returns whether another router has answered this one since a time of the clock, or there is no other
+   * @param freshness end of the last outage, which is updated and which other routers may have told
    */
-  constructor (clock: ElapsedClock, hasHeardOthersSince: (time: number) => boolean) {
+  constructor (clock: ElapsedClock, hasHeardOthersSince: (time: number) => boolean, freshness: Pick<Freshness, 'outageEndedAt'> = { outageEndedAt: -Infinity }) {
     this._clock = clock
     this._hasHeardOthersSince = hasHeardOthersSince
+    this._freshness = freshness
   }
 
   /** Records that this router tried to read the endpoints and failed. */
@@ -41,12 +40,12 @@
   recordRead (previouslyVerifiedAt: number): void {
     if (previouslyVerifiedAt === -Infinity) return
     if (this._failedAt < previouslyVerifiedAt || !this._hasHeardOthersSince(previouslyVerifiedAt)) return
-    if (this._clock.now() - previouslyVerifiedAt > OUTAGE_THRESHOLD_MS) this._outageEndedAt = this._clock.now()
+    if (this._clock.now() - previouslyVerifiedAt > OUTAGE_THRESHOLD_MS) this._freshness.outageEndedAt = this._clock.now()
   }
 
   /** End of the grace period for entries that are removed now; undefined while the store is available. */
   get gracePeriodEnd (): number | undefined {
-    const end = this._outageEndedAt + REREGISTRATION_MS
+    const end = this._freshness.outageEndedAt + REREGISTRATION_MS
     return this._clock.now() < end ? end : undefined
   }
 }
--- a/packages/gateway/src/membership/sync-client.ts
+++ b/packages/gateway/src/membership/sync-client.ts
@@ -7,6 +7,7 @@
 import { EndpointMirrors } from './endpoint-mirrors.js'
 import type { FleetState } from './fleet-state.js'
 import { LimitExchange } from './limit-exchange.js'
+import { OUTAGE_THRESHOLD_MS } from './outage-threshold-ms.js'
 import { OutlierExchange } from './outlier-exchange.js'
 import type { PeerCalls } from './peer-calls.js'
 import { QuarantineExchange } from './quarantine-exchange.js'
@@ -199,6 +200,7 @@
     const origin = { source: answer.name, asOf: verifiedAt }
     for (const removal of answer.removedEndpoints ?? []) endpoints.recordRemoval(removal, origin)
     for (const { removal } of answer.endpointChanges ?? []) if (removal !== undefined) endpoints.recordRemoval(removal, origin)
+    this._learnOutage(answer, sentAt)
     if (!isApplied) return
     // The endpoints of this router may be more recent.
     if (verifiedAt < endpointsFreshness.verifiedAt && !this._followsLastApplied(answer)) return
@@ -211,6 +213,14 @@
     this._localRevisionAfterApply = endpoints.revision
   }
 
+  /** Learns of an outage in which this router has not heard of the store either: what it reads then may lack endpoints that run. */
+  private _learnOutage ({ outageEndedAgoMs }: SyncAnswer, sentAt: number): void {
+    const { endpointsFreshness } = this._state
+    if (outageEndedAgoMs === undefined) return
+    const endedAt = sentAt - outageEndedAgoMs
+    if (endedAt - endpointsFreshness.verifiedAt > OUTAGE_THRESHOLD_MS) endpointsFreshness.outageEndedAt = Math.max(endedAt, endpointsFreshness.outageEndedAt)
+  }
+
   /**
    * Whether an answer follows the one that was applied last, of the same process, and nothing newer became known since. Such an answer is at least as recent, also
    * if it seems to be verified some milliseconds earlier because its request took longer.
--- a/packages/gateway/src/membership/sync-server.ts
+++ b/packages/gateway/src/membership/sync-server.ts
@@ -76,6 +76,7 @@
       ...this._endpointUpdate(request.endpointsRevision),
       endpointsRevision: `${this._instance}:${endpoints.revision}`,
       endpointsAgeMs: this._ageMs(this._state.endpointsFreshness.verifiedAt),
+      outageEndedAgoMs: this._outageEndedAgoMs,
       ...this._loadOfOthers(request),
       notes: holderChanges.changes,
       notesCursor: `${this._instance}:${holderChanges.cursor}`,
@@ -148,6 +149,11 @@
     return { configurationVersion, configurationPatches: undefined, configurationSource: source?.address }
   }
 
+  private get _outageEndedAgoMs (): number | undefined {
+    const { outageEndedAt } = this._state.endpointsFreshness
+    return outageEndedAt === -Infinity ? undefined : this._ageMs(outageEndedAt)
+  }
+
   private _awaitedConfiguration (): AwaitedVersion | undefined {
     const { version, statedAt, elapsedMs, lackingSince } = this._state.configuration.awaited
     return version === undefined ? undefined : { version, statedAgoMs: this._ageMs(statedAt), elapsedMs, knownMs: this._ageMs(lackingSince) }
--- a/packages/gateway/src/test/sync_test.ts
+++ b/packages/gateway/src/test/sync_test.ts
@@ -3,6 +3,7 @@
 import { expect, test, vi } from 'vitest'
 import { ConfigurationTransfer } from '@mimosarock/gateway/transfers/configuration-transfer.js'
 import type { FleetState } from '@mimosarock/gateway/membership/fleet-state.js'
+import { OutageDetector } from '@mimosarock/gateway/membership/outage-detector.js'
 import type { SyncAnswer } from '@mimosarock/gateway/membership/sync-answer.js'
 import { SyncClient } from '@mimosarock/gateway/membership/sync-client.js'
 import { SyncServer } from '@mimosarock/gateway/membership/sync-server.js'
@@ -317,6 +318,22 @@
   expect(follower.endpoints.removals).toEqual([])
 })
 
+// Guards against LIMIT after an outage: a router that had just heard of the endpoints from another one did not know that the entries had lapsed in an outage.
+test.each([
+  { what: 'has not heard of the store in an outage', verifiedAgoMs: 5_000, keeps: true },
+  { what: 'has heard of it all the time', verifiedAgoMs: 200, keeps: false }
+])('a router that $what keeps lapsed entries as those do that tell it of the outage: $keeps', async ({ verifiedAgoMs, keeps }) => {
+  const sources = new DelayedSources(1)
+  const source = sources.states.get('s0') as FleetState
+  const follower = createFleetState('follower', sources.clock)
+  follower.endpointsFreshness.verifiedAt = sources.clock.now() - verifiedAgoMs
+  source.endpointsFreshness.outageEndedAt = sources.clock.now()
+  await sources.createClient(follower).sync('s0', FOLLOWER_OPTIONS)
+  const detector = new OutageDetector(sources.clock, () => true, follower.endpointsFreshness)
+  detector.recordRead(follower.endpointsFreshness.verifiedAt)
+  expect(detector.gracePeriodEnd !== undefined).toBe(keeps)
+})
+
 test('a router that missed more changes than are retained receives all endpoints', async () => {
   const { clock, reader, routers, clients } = createFleet()
   reader.endpointsFreshness.verifiedAt = clock.now()
--- a/packages/gateway/src/wiring/create-fleet-state.ts
+++ b/packages/gateway/src/wiring/create-fleet-state.ts
@@ -47,7 +47,7 @@
     configuration,
     evacuations,
     endpoints,
-    endpointsFreshness: { verifiedAt: -Infinity },
+    endpointsFreshness: { verifiedAt: -Infinity, outageEndedAt: -Infinity },
     routers,
     holders: new HolderTable(),
     limits,
--- a/packages/gateway/src/wiring/fleet-tasks.ts
+++ b/packages/gateway/src/wiring/fleet-tasks.ts
@@ -143,7 +143,7 @@
 
   private _createEndpointFeed (): StoreFeed<EndpointEntry> {
     const { state: { endpoints, endpointsFreshness }, store, clock, log, onProgress } = this._options
-    const outageDetector = new OutageDetector(clock, (time) => this._sync.hasHeardOthersSince(time))
+    const outageDetector = new OutageDetector(clock, (time) => this._sync.hasHeardOthersSince(time), endpointsFreshness)
     const readings = new EndpointReadings(endpoints, endpointsFreshness, outageDetector, store.era)
     return new StoreFeed({
       topic: 'endpoints',
