--- a/packages/schema/src/result-code-details.ts
+++ b/packages/schema/src/result-code-details.ts
@@ -454,7 +454,7 @@
     action: 'Correct the list. Without a valid one, requests are refused with 3023.'
   },
   CONFIGURATION_OUTDATED: {
-    meaning: 'The configuration in force at the router does not allow the request, and the router knows that there is a newer version, which may allow it.',
+    meaning: 'The router knows, or cannot rule out, that there is a newer version of the configuration: the one in force does not allow the request, or has been out of date for too long to decide.',
     httpStatus: 503,
     ran: 'no',
     action: 'Retry after the stated time; the newer version arrives within seconds, and other routers may have it.'
