--- a/packages/gateway/src/membership/endpoint-table.ts
+++ b/packages/gateway/src/membership/endpoint-table.ts
@@ -195,7 +195,7 @@
   apply (changes: readonly TopicChange<EndpointEntry>[], gracePeriodEnd: number | undefined): void {
     for (const change of changes) {
       if (change.value !== undefined) this._putRead(change.value)
-      else if (!this._order.isLaterThanRemoval(change.key, this._entries.get(change.key))) this._remove(change.key, gracePeriodEnd)
+      else this._removeRead(change.key, gracePeriodEnd)
     }
   }
 
@@ -249,6 +249,11 @@
     this._put(registered)
   }
 
+  private _removeRead (id: string, gracePeriodEnd: number | undefined): void {
+    const isRegisteredSince = this._order.learnReadRemoval(id, this._entries.get(id))
+    if (!isRegisteredSince) this._remove(id, gracePeriodEnd)
+  }
+
   private _put (registered: EndpointEntry): void {
     const current = this._entries.get(registered.id)
     if (this._order.isOutdated(registered, current)) return
--- a/packages/gateway/src/membership/registration-order.ts
+++ b/packages/gateway/src/membership/registration-order.ts
@@ -93,13 +93,13 @@
   }
 
   /**
-   * Records a removal that this router has read from the store, after the registration that it has read last. Another router may have told a later one, which
-   * the store lists after the removal.
+   * Records a removal that this router has read from the store: that of the registration which it has read last. Another router may have told a later registration, which the
+   * store lists after the removal.
    * @param id id of the endpoint
    * @param current the registration that is in force; undefined if the endpoint is not present
-   * @returns whether that registration is later than the removal
+   * @returns whether the registration in force is later than the removal
    */
-  isLaterThanRemoval (id: string, current: EndpointEntry | undefined): boolean {
+  learnReadRemoval (id: string, current: EndpointEntry | undefined): boolean {
     const read = this._read.get(id)
     this._read.delete(id)
     if (read === undefined || current === undefined || !isEarlierRegistration(read, current)) return false
