--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -9,7 +9,6 @@
 import type { RequestContent } from '../model/request-content.js'
 import { RouteKind } from '../model/route-kind.js'
 import type { AdmissionPath } from './admission-path.js'
-import { authorizeRequest } from './authorize-request.js'
 import type { AuthorizedRequest } from './authorized-request.js'
 import { createNoEndpointError } from './create-no-endpoint-error.js'
 import { EndpointAttempts } from './endpoint-attempts.js'
@@ -19,6 +18,7 @@
 import { readRequestBody } from './read-request-body.js'
 import { reportRequest } from './report-request.js'
 import type { RequestDependencies } from './request-dependencies.js'
+import { RequestAuthorization } from './request-authorization.js'
 import { requestFingerprint } from './request-fingerprint.js'
 import { requireNotEvacuated } from './require-not-evacuated.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
@@ -26,13 +26,8 @@
 
 /** Maximum body length if the configuration sets none. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 4_194_304
-/** Time after the head of a request arrived, from which it is authorized again before it is sent. */
-const AUTHORIZATION_LIFETIME_MS = 1_000
 /** Fraction of the latency objective of a route for which a request is worth keeping until an endpoint takes it. */
 const MAXIMUM_WAIT_FRACTION = 0.5
-/** Maximum time for which a request waits for a version of the configuration that may allow it, in milliseconds and as a part of the time until its deadline. */
-const MAXIMUM_VERSION_WAIT_MS = 1_000
-const MAXIMUM_VERSION_WAIT_FRACTION = 0.3
 const MS_PER_SECOND = 1_000
 
 /**
@@ -46,8 +41,7 @@
   private readonly _time: RequestTimeLimit
   private readonly _held: HeldConnection
   private _isTooSlow = false
-  private _requestId: string | undefined
-  private _callerDeadlineMs: number | undefined
+  private readonly _authorization: RequestAuthorization
   private _fingerprint: string | undefined
   private _isCallerDisconnected = false
   private _relay: ResponseRelay | undefined
@@ -70,6 +64,7 @@
     this._request = request
     this._response = response
     this._time = new RequestTimeLimit(dependencies.clock, dependencies.state, () => response.headersSent)
+    this._authorization = new RequestAuthorization(dependencies, request, this._time)
     this._held = dependencies.heldBytes.add({
       unsentBytes: () => response.writableLength,
       closeSlow: (unsentBytes) => this._closeSlow(unsentBytes)
@@ -88,7 +83,7 @@
     let code: ResultCode = ResultCode.OK
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
-      authorized = await this._authorizeByNewestVersion()
+      authorized = await this._authorization.authorizeByNewestVersion(() => this._isCallerDisconnected)
       const body = await readRequestBody(this._request, this._maximumBodyBytes(), this._held)
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
@@ -122,44 +117,6 @@
     admission.release(elapsedMs)
   }
 
-  /** Authorizes the request. If only a version that this router lacks may allow it, it waits for that version. */
-  private async _authorizeByNewestVersion (): Promise<AuthorizedRequest> {
-    for (;;) {
-      try {
-        return this._authorize()
-      } catch (error) {
-        const { configuration, configurationArrivals } = this._dependencies
-        const isOutdated = error instanceof MimosarockError && error.code === ResultCode.CONFIGURATION_OUTDATED
-        const mayWait = configuration.awaited.version !== undefined && this._versionWaitLeftMs > 0 && !configurationArrivals.isFull
-        if (!isOutdated || !mayWait) throw error
-        await configurationArrivals.wait(this._versionWaitLeftMs)
-      }
-      if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
-    }
-  }
-
-  private get _versionWaitLeftMs (): number {
-    const maximumMs = Math.min(MAXIMUM_VERSION_WAIT_MS, (this._callerDeadlineMs ?? Infinity) * MAXIMUM_VERSION_WAIT_FRACTION)
-    return this._time.startedAt + maximumMs - this._dependencies.clock.now()
-  }
-
-  private _authorize (): AuthorizedRequest {
-    const { codec, configuration, configurationAgeLimits } = this._dependencies
-    const { rawHeaders, headers, url } = this._request
-    const caller = codec.readCallerRequest(rawHeaders)
-    if (caller === undefined) throw new MimosarockError(ResultCode.INVALID_REQUEST, 'the request has no request id')
-    this._requestId = caller.id
-    this._callerDeadlineMs = caller.deadlineMs
-    const limits = configuration.inForce?.configuration.limits
-    if (limits !== undefined && headBytes(rawHeaders) > limits.headerBytes) {
-      throw new MimosarockError(ResultCode.HEADERS_TOO_LARGE, `the request headers exceed ${limits.headerBytes} bytes`)
-    }
-    const authorized = authorizeRequest(caller, headers.host ?? '', url ?? '', configuration, configurationAgeLimits())
-    this._time.setLimits(authorized)
-    this._requireTimeBeforeStop()
-    return authorized
-  }
-
   private _contentOf ({ caller, workspace }: AuthorizedRequest, body: Buffer): RequestContent {
     const { method, headers, url } = this._request
     const fingerprint = requestFingerprint({ method: method ?? '', host: headers.host ?? '', target: url ?? '', workspace, body })
@@ -167,18 +124,6 @@
     return { prompt: caller.prompt, fingerprint }
   }
 
-  /**
-   * Authorizes a request again that was delayed: a long body, a queue, or a pause of the process may have outlasted what the API
-   * keys were known by.
-   */
-  private _authorizeAgainAfterDelay (): void {
-    if (this._dependencies.clock.now() - this._time.startedAt >= AUTHORIZATION_LIFETIME_MS) this._authorize()
-  }
-
-  private _requireTimeBeforeStop (): void {
-    if (!this._time.endsBeforeStop) throw createStoppingError()
-  }
-
   /**
    * Rejects the request if it has home regions and there is no endpoint in them, or if all endpoints where it may run want no
    * requests for longer than it may wait.
@@ -237,8 +182,8 @@
 
   private async _serve (authorized: AuthorizedRequest, admission: AdmissionPath, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
-    this._authorizeAgainAfterDelay()
-    this._requireTimeBeforeStop()
+    this._authorization.authorizeAgainAfterDelay()
+    this._time.requireEndBeforeStop()
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
     const relay = new ResponseRelay({
@@ -278,7 +223,7 @@
     const { log, metrics } = this._dependencies
     this._isTooSlow = true
     metrics.slowCallersClosed.inc()
-    log.warn('caller-too-slow', { code: ResultCode.CALLER_TOO_SLOW, request: this._requestId, unsent_bytes: unsentBytes })
+    log.warn('caller-too-slow', { code: ResultCode.CALLER_TOO_SLOW, request: this._authorization.requestId, unsent_bytes: unsentBytes })
     this._response.destroy()
   }
 
@@ -318,7 +263,7 @@
 
   private _report (authorized: AuthorizedRequest | undefined, code: ResultCode): void {
     reportRequest(this._dependencies, {
-      requestId: this._requestId,
+      requestId: this._authorization.requestId,
       fingerprint: this._fingerprint,
       authorized,
       chosen: this._attempts?.chosen,
@@ -334,8 +279,3 @@
     })
   }
 }
-
-function headBytes (rawHeaders: readonly string[]): number {
-  // Each header has a colon, a space and CRLF in addition to its name and value: 2 bytes for each of the two strings.
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
-}
--- a/packages/gateway/src/caller/request-time-limit.ts
+++ b/packages/gateway/src/caller/request-time-limit.ts
@@ -1,6 +1,7 @@
 import type { ElapsedClock } from '../model/elapsed-clock.js'
 import type { GatewayState } from '../model/gateway-state.js'
 import type { AuthorizedRequest } from './authorized-request.js'
+import { createStoppingError } from './create-stopping-error.js'
 
 /** Subtracted from the time limit of a request, which leaves time for the router's own response to reach the caller. */
 const RESPONSE_MARGIN_MS = 15
@@ -48,6 +49,14 @@
     return stopDeadline === undefined || performance.now() + this._ownLeftMs <= stopDeadline
   }
 
+  /**
+   * Requires that the request ends before a stopping router exits.
+   * @throws MimosarockError if it may not
+   */
+  requireEndBeforeStop (): void {
+    if (!this.endsBeforeStop) throw createStoppingError()
+  }
+
   /**
    * Sets the limits of a request that has been authorized.
    * @param request the request
