A router with a short bound for changes serves while it lacks no version

With configuration_within_ms of 400 or less, the time from which a lacked version stops requests was 0 or below, and a router that lacked none refused all of them.

authorize-request_test ('with a bound of ... ms'): the cases of 0, 300 and 400 ms fail with the formula as it was, and pass now.

--- a/packages/gateway/src/test/authorize-request_test.ts
+++ b/packages/gateway/src/test/authorize-request_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import { SilentEventLog } from '@mimosarock/coordination/silent-event-log.js'
 import { authorizeRequest } from '@mimosarock/gateway/caller/authorize-request.js'
+import { createConfigurationAgeLimits } from '@mimosarock/gateway/caller/create-configuration-age-limits.js'
 import { ConfigurationState } from '@mimosarock/gateway/configuration/configuration-state.js'
 import type { CallerRequest } from '@mimosarock/gateway/model/caller-request.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
@@ -9,7 +10,7 @@
 import { plainCodec } from './plain-codec.js'
 
 const BOUND_MS = 2_000
-const LIMITS = { keysMs: 0, refusalMs: BOUND_MS, lackingMs: 1_200 }
+const LIMITS = createConfigurationAgeLimits({ keyAgeLimitMs: 0, propagationBounds: { endpointsMs: BOUND_MS, configurationMs: BOUND_MS } })
 const caller = plainCodec.readCallerRequest(['request-id', 'r1']) as CallerRequest
 
 /** Result code of a request, by default on a route that the version in force does not have. */
@@ -63,3 +64,14 @@
   clock.ms += 60_000
   expect(refusalOf(state, '/read/x')).toBe(ResultCode.OK)
 })
+
+// Guards against a router that serves nothing at all since its settings ask for less time than a change takes.
+test.each([0, 300, 400])('with a bound of %i ms, a router that lacks no version serves, and one that has just heard of one too', (boundMs) => {
+  const clock = { ms: 10_000, now (): number { return this.ms } }
+  const state = new ConfigurationState(clock, new SilentEventLog())
+  state.adopt(createConfiguration(1), 'store')
+  const limits = createConfigurationAgeLimits({ keyAgeLimitMs: 0, propagationBounds: { endpointsMs: boundMs, configurationMs: boundMs } })
+  expect(authorizeRequest(caller, 'h', '/read/x', state, limits).configurationVersion).toBe(1)
+  state.hearOf(2, clock.now(), 'r1')
+  expect(authorizeRequest(caller, 'h', '/read/x', state, limits).configurationVersion).toBe(1)
+})
--- a/packages/gateway/src/test/final-refusals.ts
+++ b/packages/gateway/src/test/final-refusals.ts
@@ -1,4 +1,5 @@
 import { authorizeRequest } from '@mimosarock/gateway/caller/authorize-request.js'
+import { createConfigurationAgeLimits } from '@mimosarock/gateway/caller/create-configuration-age-limits.js'
 import type { CallerRequest } from '@mimosarock/gateway/model/caller-request.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
 import type { Route } from '@mimosarock/gateway/model/route.js'
@@ -18,7 +19,7 @@
   const caller = plainCodec.readCallerRequest(['request-id', 'r1']) as CallerRequest
   return fleet.order.filter((name) => {
     try {
-      authorizeRequest(caller, host, pathPrefix, fleet.stateOf(name).configuration, { keysMs: 0, refusalMs: boundMs, lackingMs: Infinity })
+      authorizeRequest(caller, host, pathPrefix, fleet.stateOf(name).configuration, { ...createConfigurationAgeLimits({ keyAgeLimitMs: 0, propagationBounds: { endpointsMs: boundMs, configurationMs: boundMs } }), lackingMs: Infinity })
       return false
     } catch (error) {
       return (error as MimosarockError).code !== ResultCode.CONFIGURATION_OUTDATED
--- a/packages/gateway/src/test/served-by-older.ts
+++ b/packages/gateway/src/test/served-by-older.ts
@@ -1,8 +1,8 @@
 import { authorizeRequest } from '@mimosarock/gateway/caller/authorize-request.js'
+import { createConfigurationAgeLimits } from '@mimosarock/gateway/caller/create-configuration-age-limits.js'
 import type { CallerRequest } from '@mimosarock/gateway/model/caller-request.js'
 import type { GatewayConfiguration } from '@mimosarock/gateway/model/gateway-configuration.js'
 import type { Route } from '@mimosarock/gateway/model/route.js'
-import { ACKNOWLEDGEMENT_ALLOWANCE_MS } from '@mimosarock/gateway/caller/acknowledgement-allowance-ms.js'
 import type { KnowledgeFleet } from './knowledge-fleet.js'
 import { plainCodec } from './plain-codec.js'
 
@@ -16,7 +16,7 @@
 export function servedByOlder (fleet: KnowledgeFleet, older: GatewayConfiguration, version: number, boundMs: number): readonly string[] {
   const { host, pathPrefix } = older.routes[0] as Route
   const caller = plainCodec.readCallerRequest(['request-id', 'r1']) as CallerRequest
-  const limits = { keysMs: 0, refusalMs: boundMs, lackingMs: boundMs - ACKNOWLEDGEMENT_ALLOWANCE_MS }
+  const limits = createConfigurationAgeLimits({ keyAgeLimitMs: 0, propagationBounds: { endpointsMs: boundMs, configurationMs: boundMs } })
   return fleet.order.filter((name) => {
     try {
       return authorizeRequest(caller, host, pathPrefix, fleet.stateOf(name).configuration, limits).configurationVersion < version
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -2,8 +2,8 @@
 import type { Server } from 'node:http'
 import { ProcessPressure } from '../admission/process-pressure.js'
 import { RouteTimes } from '../admission/route-times.js'
-import { ACKNOWLEDGEMENT_ALLOWANCE_MS } from '../caller/acknowledgement-allowance-ms.js'
 import { AdmissionPaths } from '../caller/admission-paths.js'
+import { createConfigurationAgeLimits } from '../caller/create-configuration-age-limits.js'
 import { createCallerServer } from '../caller/create-caller-server.js'
 import { createReadinessServer } from '../caller/create-readiness-server.js'
 import { UnknownZoneWarning } from '../evacuation/unknown-zone-warning.js'
@@ -43,8 +43,6 @@
 import { listenAt } from './listen-at.js'
 import { SlotGranting } from './slot-granting.js'
 
-/** Subtracted from the staleness limit of API keys, to allow for errors of clocks and timers. */
-const KEY_AGE_MARGIN_MS = 250
 /** File descriptors reserved for uses other than connections to endpoints. */
 const RESERVED_DESCRIPTORS = 1_000
 /** Maximum connections to an endpoint if the configuration has no entry for its service. */
@@ -236,14 +234,7 @@
       metrics: this._metrics,
       state: this._state,
       isFleetLarge: () => this._fleetState.routers.isLarge,
-      configurationAgeLimits: () => {
-        const { keyAgeLimitMs, propagationBounds } = this._settings.current
-        return {
-          keysMs: Math.max(0, keyAgeLimitMs - KEY_AGE_MARGIN_MS),
-          refusalMs: propagationBounds.configurationMs,
-          lackingMs: propagationBounds.configurationMs - ACKNOWLEDGEMENT_ALLOWANCE_MS
-        }
-      },
+      configurationAgeLimits: () => createConfigurationAgeLimits(this._settings.current),
       retryBudgetOf: (service) => this._retryBudgets.get(service),
       maximumConnectionsOf: (service) => this._connectionsOf(service)
     }
