--- a/packages/router/src/operations/http-status-call.ts
+++ b/packages/router/src/operations/http-status-call.ts
@@ -1,5 +1,6 @@
 import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { request } from 'undici'
+import { SMALL_RESPONSE_AGENT } from '../http/small-response-agent.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import type { StatusCall } from './status-call.js'
@@ -22,7 +23,7 @@
    */
   async readRunCount (address: string, path: string, timeoutMs: number): Promise<number> {
     try {
-      const response = await request(`http://${address}${path}`, { reset: true, signal: AbortSignal.timeout(timeoutMs) })
+      const response = await request(`http://${address}${path}`, { dispatcher: SMALL_RESPONSE_AGENT, reset: true, signal: AbortSignal.timeout(timeoutMs) })
       const parsed: unknown = JSON.parse((await readBoundedBody(response.body, MAXIMUM_RESPONSE_BYTES)).toString())
       const runs = (parsed as { runs?: unknown } | null)?.runs
       if (response.statusCode === 200 && typeof runs === 'number' && Number.isSafeInteger(runs) && runs >= 0) return runs
--- a/packages/router/src/orders/http-engine-order-client.ts
+++ b/packages/router/src/orders/http-engine-order-client.ts
@@ -2,6 +2,7 @@
 import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { request } from 'undici'
 import { z } from 'zod'
+import { SMALL_RESPONSE_AGENT } from '../http/small-response-agent.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
@@ -31,7 +32,7 @@
    */
   async read (address: string, timeoutMs: number): Promise<EngineState> {
     try {
-      const response = await request(`http://${address}/v1/orders`, { reset: true, signal: AbortSignal.timeout(timeoutMs) })
+      const response = await request(`http://${address}/v1/orders`, { dispatcher: SMALL_RESPONSE_AGENT, reset: true, signal: AbortSignal.timeout(timeoutMs) })
       const { models, adapters, role } = OrdersResponse.parse(JSON.parse((await readBoundedBody(response.body, MAXIMUM_RESPONSE_BYTES)).toString()))
       const inState = (state: string): string[] => models.filter((entry) => entry.state === state).map((entry) => entry.model)
       return { loaded: inState('loaded'), loading: inState('loading'), adapters, role }
@@ -57,7 +58,7 @@
 
   private async _put (address: string, body: string, headers: Record<string, string>, timeoutMs: number): Promise<number> {
     try {
-      const response = await request(`http://${address}/v1/orders`, { method: 'PUT', body, headers, reset: true, signal: AbortSignal.timeout(timeoutMs) })
+      const response = await request(`http://${address}/v1/orders`, { method: 'PUT', body, headers, dispatcher: SMALL_RESPONSE_AGENT, reset: true, signal: AbortSignal.timeout(timeoutMs) })
       await discardBody(response.body)
       return response.statusCode
     } catch (error) {
