--- a/packages/gateway/src/configuration/awaited-configuration.ts
+++ b/packages/gateway/src/configuration/awaited-configuration.ts
@@ -28,10 +28,8 @@
   private _versionInForce = 0
   private _verifiedAt = -Infinity
   private _since: number | undefined
-  /** Time from which the first of the versions that this router lacks was known, to this router or another one. */
-  private _lackingSince = -Infinity
   private _inForceKnownSince = -Infinity
-  /** Times from which the lacked versions were known, by number. */
+  /** Times from which the lacked versions were known, to this router or another one, by number; 0 stands for one whose number is not known, while no other is. */
   private readonly _knownSince = new Map<number, number>()
 
   /**
@@ -74,12 +72,12 @@
   get lackedMs (): number {
     const now = this._clock.now()
     if (this.version === undefined || now - this.statedAt >= OBTAINABLE_LIFETIME_MS) return 0
-    return now - this._lackingSince
+    return now - this.lackingSince
   }
 
-  /** Clock time from which the first of the versions that this router lacks was known to some router. */
+  /** Clock time from which the first of the versions that this router lacks was known to some router; now if it lacks none. */
   get lackingSince (): number {
-    return this._lackingSince
+    return Math.min(this._clock.now(), ...this._knownSince.values())
   }
 
   /** Clock time from which the version in force was known to some router, as far as this one has heard; -Infinity if there is none. */
@@ -99,7 +97,7 @@
     else if (version > this._newest.version) this._newest = { version, statedAt }
     else if (version === this._newest.version && statedAt > this._newest.statedAt) this._newest = { version, statedAt }
     this._startAfter(before)
-    if (this.version !== undefined && (version === UNNUMBERED || version > this._versionInForce)) this._recordKnown(version, knownSince, before)
+    if (this.version !== undefined && (version === UNNUMBERED || version > this._versionInForce)) this._recordKnown(version, knownSince)
   }
 
   /** Records that this router has begun to receive a version from the store. */
@@ -107,6 +105,7 @@
     const before = this.version
     this._isReading = true
     this._startAfter(before)
+    this._recordKnown(UNNUMBERED, this._clock.now())
   }
 
   /** Records that reading a version has ended, whatever it was or whether it failed. */
@@ -120,12 +119,11 @@
    */
   putInForce (version: number): void {
     const now = this._clock.now()
-    this._inForceKnownSince = this._knownSince.get(version) ?? (this.version === UNNUMBERED ? this._lackingSince : now)
+    this._inForceKnownSince = this._knownSince.get(version) ?? this._knownSince.get(UNNUMBERED) ?? now
     this._versionInForce = version
     this._unnumberedStatedAt = -Infinity
     this._since = now
     for (const known of [...this._knownSince.keys()]) if (known <= version) this._knownSince.delete(known)
-    this._lackingSince = Math.min(now, ...this._knownSince.values())
   }
 
   /**
@@ -138,18 +136,21 @@
 
   private _startAfter (before: number | undefined): void {
     if (this.version === before) return
-    const now = this._clock.now()
     const isNew = before === undefined || before === UNNUMBERED
-    if (isNew) this._since = now
-    if (before !== undefined) return
-    this._lackingSince = now
-    this._knownSince.clear()
+    if (isNew) this._since = this._clock.now()
+    if (before === undefined) this._knownSince.clear()
+  }
+
+  /** Records since when a version is known. What is known without a number counts for the first lacked version whose number is known, or becomes known. */
+  private _recordKnown (version: number, since: number): void {
+    const unnumberedSince = this._knownSince.get(UNNUMBERED) ?? Infinity
+    this._knownSince.delete(UNNUMBERED)
+    const key = version === UNNUMBERED ? this._firstKnown : version
+    if (this._knownSince.size >= MAXIMUM_KNOWN_VERSIONS && !this._knownSince.has(key)) return
+    this._knownSince.set(key, Math.min(this._knownSince.get(key) ?? Infinity, unnumberedSince, since))
   }
 
-  private _recordKnown (version: number, since: number, before: number | undefined): void {
-    this._lackingSince = Math.min(this._lackingSince, since)
-    if (version === UNNUMBERED || this._knownSince.size >= MAXIMUM_KNOWN_VERSIONS) return
-    const firstSince = before === UNNUMBERED ? this._lackingSince : since
-    this._knownSince.set(version, Math.min(this._knownSince.get(version) ?? Infinity, firstSince))
+  private get _firstKnown (): number {
+    return this._knownSince.size === 0 ? UNNUMBERED : Math.min(...this._knownSince.keys())
   }
 }
