--- a/review/lib-2/trial.mjs
+++ b/review/lib-2/trial.mjs
@@ -38,12 +38,22 @@
       return new Router({ name: `edge-${index + 1}`, ip: `${this.subnet}.${11 + index}`, zone: 'abc'[index % 3], directory: this.directory })
     })
     for (const router of this.routers) await router.reservePorts()
-    const seeds = this.routers.map(({ peers }) => peers).slice(0, 3)
-    await Promise.all(this.routers.map((router) => router.start(this.store.address, seeds)))
+    await Promise.all(this.routers.map((router) => router.start(this.store.address, this.#seeds)))
     await sleep(SETTLING_MS)
     this.note('all routers are ready')
   }
 
+  /** Starts a router again whose process has ended, as the platform does. */
+  async restart (router) {
+    await router.start(this.store.address, this.#seeds)
+    await sleep(SETTLING_MS)
+    this.note(`${router.name} is ready again`)
+  }
+
+  get #seeds () {
+    return this.routers.map(({ peers }) => peers).slice(0, 3)
+  }
+
   /** Writes a line to the record. */
   note (text) {
     appendFileSync(this.#recordPath, `${((performance.now() - this.#startedAt) / 1_000).toFixed(3)} ${text}\n`)
