--- a/review/lib-2/backend.mjs
+++ b/review/lib-2/backend.mjs
@@ -2,6 +2,8 @@
 import { once } from 'node:events'
 
 const HEARTBEAT_MS = 1_200
+/** Intervals of silence after which the store removes the entry of a server. */
+const SILENT_INTERVALS = 3
 const MISDIRECTED = 421
 
 /** Stand-in of a server of the platform: registers in the store, checks for whom a request is, and counts what it runs. */
@@ -39,6 +41,12 @@
     this.server.close()
   }
 
+  /** Ends the server without notice; the store removes its entry after three heartbeat intervals. */
+  crash () {
+    this.stop()
+    setTimeout(() => this.store.putServer(this.id, undefined), SILENT_INTERVALS * HEARTBEAT_MS).unref()
+  }
+
   #register () {
     this.#sequence += 1
     this.store.putServer(this.id, {
--- a/review/lib-2/router.mjs
+++ b/review/lib-2/router.mjs
@@ -40,6 +40,12 @@
 
   /** Starts the process. Resolves when it says that it is ready. */
   async start (store, seeds) {
+    this.launch(store, seeds)
+    await this.untilReady()
+  }
+
+  /** Starts the process. */
+  launch (store, seeds) {
     const { command, template } = readDeployFile()
     const settingsPath = `${this.directory}/${this.name}.ini`
     writeFileSync(settingsPath, render(readFileSync(`${REPOSITORY}/${template}`, 'utf8'), this.#settings(store, seeds)))
@@ -50,7 +56,6 @@
     const log = createWriteStream(`${this.directory}/${this.name}.log`, { flags: 'a' })
     this.process.stdout.pipe(log, { end: false })
     this.process.stderr.pipe(log, { end: false })
-    await this.#untilReady()
   }
 
   /** Sends a signal to the process. */
@@ -82,7 +87,8 @@
     }
   }
 
-  async #untilReady () {
+  /** Resolves when the process says that it is ready. */
+  async untilReady () {
     const end = performance.now() + READY_TIMEOUT_MS
     while (performance.now() < end && this.isRunning) {
       if (await this.#isReady()) return
