--- a/review/stand-ins-3/client.mjs
+++ b/review/stand-ins-3/client.mjs
@@ -22,9 +22,9 @@
       const parts = []
       response.on('data', (part) => parts.push(part))
       response.on('error', () => undefined)
-      response.on('close', () => resolve({ id, sentAt, status: response.statusCode, headers: response.headers, body: Buffer.concat(parts), isWhole: response.complete }))
+      response.on('close', () => resolve({ id, sentAt, status: response.statusCode, headers: response.headers, body: Buffer.concat(parts), isWhole: response.complete, isKept: request.reusedSocket }))
     })
-    request.on('error', (error) => resolve({ id, sentAt, status: 0, headers: {}, body: Buffer.alloc(0), isWhole: false, problem: error.message }))
+    request.on('error', (error) => resolve({ id, sentAt, status: 0, headers: {}, body: Buffer.alloc(0), isWhole: false, isKept: request.reusedSocket, problem: error.message }))
     request.end(body)
   })
 }
