--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -10,7 +10,7 @@
 import { Store } from '../stand-ins-3/store.mjs'
 
 const BOUNDS = {
-  graceS: 8, failClosed: true, revokeMs: 5000, retryRatio: 0.2, budgetSlack: 56, retryWindowS: 10, capFactor: 2, drainMs: 2000, configApplyMs: 2000
+  graceS: 8, failClosed: true, revokeMs: 5000, retryRatio: 0.2, budgetSlack: 192, retryWindowS: 10, capFactor: 2, drainMs: 3000, configApplyMs: 3000
 }
 const MEGABYTE = 1_000_000
 /** `give_up` of the site file: share 0.3 of the clients at most, which leave within half the objective of their route. */
@@ -53,6 +53,7 @@
   })
   await server.start()
   const [machine] = await createMachines(1, store, BOUNDS)
+  Object.assign(machine.limits, { memoryMb: 602, maxFds: 8192 })
   const router = new Router(machine, frame.directory)
   frame.routers.push(router)
   store.answerMs = frame.hasTrouble ? SLOW_STORE_MS : 0
