--- a/packages/coordination/src/catch-up/stream-catch-up.ts
+++ b/packages/coordination/src/catch-up/stream-catch-up.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer } from '../http/byte-buffer.js'
 import type { StreamReplica } from '../stream-replica.js'
 import type { FetchResponse } from './fetch-response.js'
 import type { StateResponse } from './state-response.js'
@@ -94,19 +95,21 @@
   }
 
   private async _fetchState (peer: AheadPeer, signal: AbortSignal): Promise<boolean> {
-    const parts: Buffer[] = []
+    const state = new ByteBuffer()
+    let partIndex = 0
     let covers = 0
     let partCount = 1
-    while (parts.length < partCount) {
-      const response = await this._call<StateResponse>(peer, 'log.state', [parts.length, covers], signal)
+    while (partIndex < partCount) {
+      const response = await this._call<StateResponse>(peer, 'log.state', [partIndex, covers], signal)
       if (response?.data === undefined) return false
       // The peer has encoded a newer state meanwhile; its parts must be fetched from the start.
-      if (parts.length > 0 && response.covers !== covers) return true
+      if (partIndex > 0 && response.covers !== covers) return true
       covers = response.covers ?? 0
       partCount = response.parts ?? 1
-      parts.push(Buffer.from(response.data, 'base64'))
+      state.append(Buffer.from(response.data, 'base64'))
+      partIndex += 1
     }
-    return this._replica.adopt({ coversOffset: covers, state: Buffer.concat(parts) })
+    return this._replica.adopt({ coversOffset: covers, state: state.take() })
   }
 
   /** Calls a method of a peer and retries while the peer is busy; returns undefined after `MAXIMUM_BUSY_RESPONSES`. */
--- a/packages/coordination/src/http-log-service.ts
+++ b/packages/coordination/src/http-log-service.ts
@@ -4,6 +4,7 @@
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { RunState } from '@mimosarock/schema/run-state.js'
 import { countedConnector } from './counted-connector.js'
+import { readBoundedBody } from './http/read-bounded-body.js'
 import type { TrafficCounter } from './membership/traffic-counter.js'
 import { isConnectFailure } from './is-connect-failure.js'
 import type { LogService } from './log-service.js'
@@ -14,6 +15,8 @@
 /** Response timeout in addition to the wait of a read; callers can set a shorter one with their signal. */
 const RESPONSE_TIMEOUT_MS = 10_000
 const DEFAULT_READ_LIMIT = 500
+/** Maximum length of a response to one call, in bytes. */
+const MAXIMUM_RESPONSE_BYTES = 67_108_864
 /** Retry delay suggested to the caller after a failure. */
 const RETRY_AFTER_MS = 1_000
 
@@ -99,7 +102,7 @@
     const agent = this._agent
     try {
       const response = await request(url, { ...options, dispatcher: agent })
-      const text = await response.body.text()
+      const text = (await readBoundedBody(response.body, MAXIMUM_RESPONSE_BYTES)).toString()
       if (response.statusCode < 200 || response.statusCode > 299) throw new Error(`status ${response.statusCode}`)
       return JSON.parse(text)
     } catch (error) {
--- a/packages/coordination/src/http-vm-list.ts
+++ b/packages/coordination/src/http-vm-list.ts
@@ -2,6 +2,7 @@
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 import { countedConnector } from './counted-connector.js'
+import { readBoundedBody } from './http/read-bounded-body.js'
 import type { TrafficCounter } from './membership/traffic-counter.js'
 import type { VmEntry } from './vm-entry.js'
 import type { VmList } from './vm-list.js'
@@ -9,6 +10,8 @@
 const CONNECT_TIMEOUT_MS = 1_000
 /** Timeout of the whole request; callers can set a shorter one with their signal. */
 const RESPONSE_TIMEOUT_MS = 5_000
+/** Maximum length of the list, in bytes. */
+const MAXIMUM_LIST_BYTES = 67_108_864
 
 /** One VM in the JSON body of the response. */
 interface WireVm {
@@ -49,7 +52,7 @@
         headers: this._routerName === '' ? {} : { 'mimosarock-router': this._routerName },
         signal: signal === undefined ? timeout : AbortSignal.any([signal, timeout])
       })
-      const text = await response.body.text()
+      const text = (await readBoundedBody(response.body, MAXIMUM_LIST_BYTES)).toString()
       if (response.statusCode !== 200) throw new Error(`status ${response.statusCode}`)
       return (JSON.parse(text) as { vms: WireVm[] }).vms.map(toVmEntry)
     } catch (error) {
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -281,6 +281,12 @@
     this._call?.resume()
   }
 
+  /** Gives up the attempt in progress, since there is no memory for the rest of an event of its response. */
+  giveUpForMemory (): void {
+    this._options.relay.prepareResumption()
+    this._call?.giveUp('there is no memory for the rest of an event')
+  }
+
   /** Ends the attempt in progress because the time of the request is over. */
   endAtDeadline (): void {
     this._choosing.abort()
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -15,10 +15,10 @@
 import { createStoppingError } from './create-stopping-error.js'
 import type { LiveRequest } from './live-request.js'
 import { nextEventLoopIteration } from './next-event-loop-iteration.js'
-import { readRequestBody } from './read-request-body.js'
 import { reportRequest } from './report-request.js'
 import type { RequestDependencies } from './request-dependencies.js'
 import { RequestAuthorization } from './request-authorization.js'
+import { RequestBody } from './request-body.js'
 import { requestFingerprint } from './request-fingerprint.js'
 import { requireNotEvacuated } from './require-not-evacuated.js'
 import { requireNotQuarantined } from './require-not-quarantined.js'
@@ -41,6 +41,7 @@
   private readonly _time: RequestTimeLimit
   private readonly _held: HeldConnection
   private _isTooSlow = false
+  private readonly _body: RequestBody
   private readonly _authorization: RequestAuthorization
   private _fingerprint: string | undefined
   private _isCallerDisconnected = false
@@ -66,9 +67,10 @@
     this._time = new RequestTimeLimit(dependencies.clock, dependencies.state, () => response.headersSent)
     this._authorization = new RequestAuthorization(dependencies, request, this._time)
     this._held = dependencies.heldBytes.add({
-      unsentBytes: () => response.writableLength,
+      unsentBytes: () => this._relay?.unsentBytes ?? response.writableLength,
       closeSlow: (unsentBytes) => this._closeSlow(unsentBytes)
     })
+    this._body = new RequestBody(request, () => this._maximumBodyBytes(), this._held)
   }
 
   /** Serves the request. Failures are reported to the caller and logged; they do not reject the promise. */
@@ -84,7 +86,7 @@
     try {
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = await this._authorization.authorizeByNewestVersion(() => this._isCallerDisconnected)
-      const body = await readRequestBody(this._request, this._maximumBodyBytes(), this._held)
+      const body = await this._body.read()
       const content = this._contentOf(authorized, body)
       requireNotQuarantined(this._dependencies.quarantine, content, 0)
       requireNotEvacuated(this._dependencies.endpoints, authorized.service)
@@ -96,7 +98,8 @@
     } catch (error) {
       code = this._handleError(error as Error)
     } finally {
-      this._held.releaseBody()
+      this._body.discard()
+      this._held.releaseReceived()
     }
     if (authorized !== undefined && admission !== undefined) this._release(authorized, admission, code)
     this._dependencies.state.requestsInFlight -= 1
@@ -202,6 +205,7 @@
       authorized, content, request: this._request, body, relay, admission, timeLeftMs: () => this._time.leftMs
     })
     this._attempts = attempts
+    this._held.onRefused(() => attempts.giveUpForMemory())
     this._time.start(() => attempts.endAtDeadline())
     try {
       await attempts.run()
--- a/packages/gateway/src/grants/slot-connections.ts
+++ b/packages/gateway/src/grants/slot-connections.ts
@@ -2,9 +2,9 @@
 import { request as httpRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { EventLog } from '@mimosarock/coordination/event-log.js'
+import { LineSplitter } from '@mimosarock/coordination/http/line-splitter.js'
 import { pause } from '../membership/pause.js'
 import type { RouterEntry } from '../model/router-entry.js'
-import { LineReader } from './line-reader.js'
 import { LineWriter } from './line-writer.js'
 import { SlotClientConnection } from './slot-client-connection.js'
 import type { SlotLink } from './slot-link.js'
@@ -135,7 +135,7 @@
   }
 
   private async _serve (router: RouterEntry, peer: PeerConnection, socket: Socket): Promise<void> {
-    const reader = new LineReader()
+    const reader = new LineSplitter(SlotProtocol.MAXIMUM_LINE_BYTES)
     const writer = new LineWriter((text) => { socket.write(text) }, setImmediate)
     const connection = new SlotClientConnection(writer)
     const stop = (): void => { socket.destroy() }
--- a/packages/gateway/src/grants/slot-server.ts
+++ b/packages/gateway/src/grants/slot-server.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, Server } from 'node:http'
 import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { LineSplitter } from '@mimosarock/coordination/http/line-splitter.js'
 import { pause } from '../membership/pause.js'
-import { LineReader } from './line-reader.js'
 import { LineWriter } from './line-writer.js'
 import type { SlotOwners } from './slot-owners.js'
 import { SlotProtocol } from './slot-protocol.js'
@@ -57,7 +57,7 @@
       // A router whose VM is gone does not close its connection.
       socket.setKeepAlive(true, KEEP_ALIVE_MS)
     }
-    const reader = new LineReader()
+    const reader = new LineSplitter(SlotProtocol.MAXIMUM_LINE_BYTES)
     const writer = new LineWriter((text) => {
       socket.write(text)
       if (socket.writableLength > MAXIMUM_UNREAD_BYTES) socket.destroy()
--- a/packages/gateway/src/membership/peer-rpc-client.ts
+++ b/packages/gateway/src/membership/peer-rpc-client.ts
@@ -2,6 +2,7 @@
 import { gunzip } from 'node:zlib'
 import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
 import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { createJSONRPCRequest, type JSONRPCParams, type JSONRPCResponse } from 'json-rpc-2.0'
 import { Agent, request } from 'undici'
 import type { ConfigurationNews } from '../transfers/configuration-news.js'
@@ -94,7 +95,6 @@
   private async _post (address: string, message: string, dispatcher: Agent, limits: TimeLimits, attempt?: Attempt): Promise<JSONRPCResponse> {
     const startedAt = performance.now()
     const timeout = new ProgressTimeout(limits)
-    const chunks: Buffer[] = []
     let receivedBytes = 0
     let expectedBytes: number | undefined
     try {
@@ -107,14 +107,13 @@
       })
       timeout.recordProgress()
       expectedBytes = Number(response.headers['content-length'])
-      for await (const chunk of response.body) {
+      const fullBytes = expectedBytes
+      const body = await readBoundedBody(response.body, RESPONSE_LIMITS.responseBytes, (partBytes, bytes) => {
         timeout.recordProgress()
-        chunks.push(chunk as Buffer)
-        receivedBytes += (chunk as Buffer).length
-        this._onBytes((chunk as Buffer).length)
-        attempt?.recordProgress(receivedBytes / expectedBytes)
-      }
-      const body = Buffer.concat(chunks)
+        receivedBytes = bytes
+        this._onBytes(partBytes)
+        attempt?.recordProgress(bytes / fullBytes)
+      })
       const isCompressed = response.headers['content-encoding'] === 'gzip'
       const text = isCompressed ? await decompress(body, { maxOutputLength: MAXIMUM_DECOMPRESSED_BYTES }) : body
       return JSON.parse(text.toString()) as JSONRPCResponse
--- a/packages/gateway/src/memory/held-bytes.ts
+++ b/packages/gateway/src/memory/held-bytes.ts
@@ -15,19 +15,19 @@
 const MINIMUM_UNSENT_BYTES = 16_384
 
 /**
- * Bounds what the process holds for callers over all connections: request bodies, and responses that callers read more slowly
- * than endpoints send. Above the bound, the responses with the most unsent bytes are paused; the threshold is the
+ * Bounds what the process holds for callers over all connections: what has been received of request bodies and of unfinished events, and responses that
+ * callers read more slowly than endpoints send. Above the bound, the responses with the most unsent bytes are paused; the threshold is the
  * highest one at which all connections together are within the bound. Above twice the bound, connections with the most unsent
  * bytes are closed; only bytes count that were unsent at the last count too, since a caller that keeps up has some for a moment.
  *
- * Bodies alone are compared with the bound, so that callers that do not read their responses cause no refusal of requests of others.
- * A body that would exceed it is refused, or a larger one in its place that has not arrived completely either.
+ * Bodies and events alone are compared with the bound, so that callers that do not read their responses cause no refusal of requests of others.
+ * One that would exceed it is refused, or a larger one in its place that has not arrived completely either.
  */
 export class HeldBytes {
   private readonly _bound: number
   private readonly _connections = new Set<HeldConnection>()
   private _maximumUnsentBytes = Infinity
-  private _bodyBytes = 0
+  private _receivedBytes = 0
   /** Unsent bytes when they were counted last, and those written since. */
   private _unsentEstimate = 0
   private _nextCountAt: number
@@ -52,7 +52,7 @@
 
   /** Number of bytes held for all connections. */
   get total (): number {
-    return this._bodyBytes + this._unsentBytes()
+    return this._receivedBytes + this._unsentBytes()
   }
 
   /**
@@ -74,11 +74,11 @@
   }
 
   /**
-   * Counts bytes of request bodies that are held from now on, or no longer.
+   * Counts bytes of request bodies and events that are held from now on, or no longer.
    * @param bytes number of bytes; negative if they are no longer held
    */
-  changeBodyBytes (bytes: number): void {
-    this._bodyBytes += bytes
+  changeReceivedBytes (bytes: number): void {
+    this._receivedBytes += bytes
   }
 
   /**
@@ -92,24 +92,24 @@
   }
 
   /**
-   * Makes room for bytes of a request body. If there is none, refuses the request with the largest body that has not arrived
-   * completely: the one that asks, or another one, which has sent more.
+   * Makes room for bytes of a request body or an event. If there is none, refuses the largest body or event that has not arrived
+   * completely: the one that asks, or another one, of which more is held.
    * @param connection connection of the request
-   * @param bytes number of bytes that have arrived
+   * @param bytes number of bytes that are to be held in addition
    * @returns whether there is room
    */
-  makeRoomForBody (connection: HeldConnection, bytes: number): boolean {
-    while (this._bodyBytes + bytes > this._bound) {
-      const largest = this._largestPartialBody(connection)
-      if (largest === undefined || largest.bodyBytes <= connection.bodyBytes + bytes) return false
-      largest.refuseBody()
+  makeRoom (connection: HeldConnection, bytes: number): boolean {
+    while (this._receivedBytes + bytes > this._bound) {
+      const largest = this._largestUnfinished(connection)
+      if (largest === undefined || largest.unfinishedBytes <= connection.unfinishedBytes + bytes) return false
+      largest.refuse()
     }
     return true
   }
 
   private _count (): void {
     let unsent = this._unsentBytes()
-    while (unsent + this._bodyBytes > this._bound * CLOSING_MULTIPLE) {
+    while (unsent + this._receivedBytes > this._bound * CLOSING_MULTIPLE) {
       const slowest = this._slowest()
       if (slowest === undefined) break
       slowest.closeSlow()
@@ -117,7 +117,7 @@
     }
     for (const connection of this._connections) connection.markCounted()
     this._unsentEstimate = unsent
-    const room = this._bound - this._bodyBytes
+    const room = this._bound - this._receivedBytes
     this._maximumUnsentBytes = unsent > room ? this._threshold(room) : Infinity
     this._nextCountAt = Math.max(room, unsent + this._bound * COUNTING_FRACTION)
   }
@@ -147,11 +147,11 @@
     return slowest
   }
 
-  private _largestPartialBody (asking: HeldConnection): HeldConnection | undefined {
+  private _largestUnfinished (asking: HeldConnection): HeldConnection | undefined {
     let largest: HeldConnection | undefined
     for (const connection of this._connections) {
-      if (connection === asking || !connection.hasPartialBody) continue
-      if (largest === undefined || connection.bodyBytes > largest.bodyBytes) largest = connection
+      if (connection === asking || connection.unfinishedBytes === 0) continue
+      if (largest === undefined || connection.unfinishedBytes > largest.unfinishedBytes) largest = connection
     }
     return largest
   }
--- a/packages/gateway/src/memory/held-connection.ts
+++ b/packages/gateway/src/memory/held-connection.ts
@@ -1,12 +1,13 @@
 import type { ConnectionHooks } from './connection-hooks.js'
 import type { HeldBytes } from './held-bytes.js'
 
-/** What the router holds for one request: its body, and the part of its response that the caller has not taken yet. */
+/** What the router holds for one request: its body, an unfinished event of its response, and the part of the response that the caller has not taken yet. */
 export class HeldConnection {
   private readonly _heldBytes: HeldBytes
   private readonly _hooks: ConnectionHooks
   private _bodyBytes = 0
   private _isBodyComplete = false
+  private _eventBytes = 0
   private _isClosed = false
   private _countedBytes = 0
   private _refusalListener: () => void = () => undefined
@@ -40,9 +41,9 @@
     return this._bodyBytes
   }
 
-  /** Whether a part of the request body is held and the rest has not arrived. */
-  get hasPartialBody (): boolean {
-    return this._bodyBytes > 0 && !this._isBodyComplete
+  /** Number of bytes that are held of what has not arrived completely: the request body, or an event of the response. */
+  get unfinishedBytes (): number {
+    return this._eventBytes + (this._isBodyComplete ? 0 : this._bodyBytes)
   }
 
   /** Number of unsent bytes from which on the response has to be paused. */
@@ -64,17 +65,30 @@
    * @returns false if the request has to be refused
    */
   holdBody (bytes: number): boolean {
-    if (!this._heldBytes.makeRoomForBody(this, bytes)) return false
+    if (!this._heldBytes.makeRoom(this, bytes)) return false
     this._bodyBytes += bytes
-    this._heldBytes.changeBodyBytes(bytes)
+    this._heldBytes.changeReceivedBytes(bytes)
     return true
   }
 
   /**
-   * Sets the listener that is called if the request is refused for the memory that its unfinished body takes.
+   * Sets how much memory an unfinished event of the response takes, if there is room for it.
+   * @param bytes number of bytes; 0 if nothing is held of an event
+   * @returns false if the response has to be given up
+   */
+  holdEvent (bytes: number): boolean {
+    const addedBytes = bytes - this._eventBytes
+    if (addedBytes > 0 && !this._heldBytes.makeRoom(this, addedBytes)) return false
+    this._eventBytes = bytes
+    this._heldBytes.changeReceivedBytes(addedBytes)
+    return true
+  }
+
+  /**
+   * Sets the listener that is called if the request is refused, or its response given up, for the memory that the part of it takes that has arrived.
    * @param listener listener; it is called without arguments
    */
-  onBodyRefused (listener: () => void): void {
+  onRefused (listener: () => void): void {
     this._refusalListener = listener
   }
 
@@ -83,15 +97,17 @@
     this._isBodyComplete = true
   }
 
-  /** Records that the request body is no longer held. */
-  releaseBody (): void {
-    this._heldBytes.changeBodyBytes(-this._bodyBytes)
+  /** Records that neither the request body nor an unfinished event is held any longer. */
+  releaseReceived (): void {
+    this._heldBytes.changeReceivedBytes(-this._bodyBytes - this._eventBytes)
     this._bodyBytes = 0
+    this._eventBytes = 0
   }
 
-  /** Refuses the request, whose body has not arrived completely. */
-  refuseBody (): void {
-    this.releaseBody()
+  /** Refuses the request, whose body has not arrived completely, or gives up its response, of which an event has not. */
+  refuse (): void {
+    if (this._eventBytes > 0) this.holdEvent(0)
+    else this.releaseReceived()
     this._refusalListener()
   }
 
--- a/packages/gateway/src/responses/event-splitter.ts
+++ b/packages/gateway/src/responses/event-splitter.ts
@@ -1,3 +1,5 @@
+import { ByteBuffer } from '@mimosarock/coordination/http/byte-buffer.js'
+
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
 const ID_FIELD = 'id:'
@@ -8,17 +10,18 @@
 const BLANK_LINE = /\r?\n\r?\n/
 const LINE_END = /\r?\n/
 const EMPTY = Buffer.alloc(0)
-/** Maximum number of bytes of the end of an event, which is a blank line, that may arrive before its last one. */
-const END_OF_EVENT_BYTES = 3
+/** Stands for the byte before the first one of an event. */
+const NO_BYTE = -1
 
 /**
  * Splits a byte stream at the boundaries of server-sent events and tracks the id of the last complete event. A stream
  * that breaks inside an event can then be resumed at another endpoint without sending any byte twice.
  */
 export class EventSplitter {
-  /** Parts of the incomplete event, which are joined when it is complete: joining them with each part takes time by the square of their number. */
-  private _parts: Buffer[] = []
-  private _partialBytes = 0
+  private readonly _partialEvent = new ByteBuffer()
+  /** The last two bytes of the incomplete event, which may be the beginning of its end. */
+  private _lastByte = NO_BYTE
+  private _byteBeforeLast = NO_BYTE
   /** The last complete events of which one has an id; it is read when it is asked for, which few streams need. */
   private _eventsWithId: Buffer = EMPTY
   /** Whether events without an id were complete after those. */
@@ -39,13 +42,19 @@
 
   /** Discards the bytes of an incomplete event. */
   discardPartialEvent (): void {
-    this._parts = []
-    this._partialBytes = 0
+    this._partialEvent.clear()
+    this._lastByte = NO_BYTE
+    this._byteBeforeLast = NO_BYTE
   }
 
   /** Number of bytes received after the last complete event. */
   get partialBytes (): number {
-    return this._partialBytes
+    return this._partialEvent.length
+  }
+
+  /** Number of bytes of memory that the incomplete event takes. */
+  get heldBytes (): number {
+    return this._partialEvent.capacity
   }
 
   /**
@@ -56,12 +65,11 @@
   push (chunk: Buffer): Buffer {
     const end = this._endOfLastEvent(chunk)
     if (end === 0) {
-      this._addPart(chunk)
+      this._keep(chunk)
       return EMPTY
     }
-    const events = this._parts.length === 0 ? chunk.subarray(0, end) : Buffer.concat([...this._parts, chunk.subarray(0, end)])
-    this.discardPartialEvent()
-    this._addPart(chunk.subarray(end))
+    const events = this._completeEvents(chunk.subarray(0, end))
+    this._keep(chunk.subarray(end))
     if (hasId(events)) {
       this._eventsWithId = events
       this._hasLaterEvents = false
@@ -69,27 +77,40 @@
     return events
   }
 
-  private _addPart (part: Buffer): void {
-    if (part.length === 0) return
-    this._parts.push(part)
-    this._partialBytes += part.length
+  private _completeEvents (end: Buffer): Buffer {
+    if (this._partialEvent.length === 0) return end
+    this._partialEvent.append(end)
+    const events = this._partialEvent.take()
+    this.discardPartialEvent()
+    return events
   }
 
-  /** Returns the position in a chunk after the last event that ends in it; 0 if none does. */
-  private _endOfLastEvent (chunk: Buffer): number {
-    const before = this._lastBytes()
-    const bytes = before.length === 0 ? chunk : Buffer.concat([before, chunk])
-    return Math.max(0, endOfLastEvent(bytes, before.length) - before.length)
+  private _keep (part: Buffer): void {
+    const { length } = part
+    if (length === 0) return
+    this._partialEvent.append(part)
+    this._byteBeforeLast = length > 1 ? part[length - 2] as number : this._lastByte
+    this._lastByte = part[length - 1] as number
   }
 
-  /** Returns the last bytes of the incomplete event, which may be part of its end. */
-  private _lastBytes (): Buffer {
-    const bytes: number[] = []
-    for (let index = this._parts.length - 1; index >= 0 && bytes.length < END_OF_EVENT_BYTES; index -= 1) {
-      const part = this._parts[index] as Buffer
-      bytes.unshift(...part.subarray(Math.max(0, part.length - END_OF_EVENT_BYTES + bytes.length)))
+  /** Returns the position in a chunk after the last event that ends in it; 0 if none does. Only the chunk is searched, since an event that ended before was returned. */
+  private _endOfLastEvent (chunk: Buffer): number {
+    for (let index = chunk.length - 1; index >= 0; index -= 1) {
+      if (chunk[index] === LINE_FEED && this._isBlankLineEnd(chunk, index)) return index + 1
     }
-    return Buffer.from(bytes)
+    return 0
+  }
+
+  /** Whether a line feed ends an empty line. */
+  private _isBlankLineEnd (chunk: Buffer, lineFeed: number): boolean {
+    const before = this._byteAt(chunk, lineFeed - 1)
+    return before === LINE_FEED || (before === CARRIAGE_RETURN && this._byteAt(chunk, lineFeed - 2) === LINE_FEED)
+  }
+
+  /** Returns a byte of a chunk, or of the incomplete event at a negative position. */
+  private _byteAt (chunk: Buffer, position: number): number {
+    if (position >= 0) return chunk[position] as number
+    return position === -1 ? this._lastByte : this._byteBeforeLast
   }
 }
 
@@ -100,13 +121,3 @@
 function hasLine (event: string, field: string): boolean {
   return event.split(LINE_END).some((line) => line.startsWith(field))
 }
-
-// Looks at new bytes alone, since an event that ended before them was returned before.
-function endOfLastEvent (bytes: Buffer, newBytes: number): number {
-  const first = Math.max(1, newBytes)
-  for (let index = bytes.lastIndexOf(LINE_FEED); index >= first; index = bytes.lastIndexOf(LINE_FEED, index - 1)) {
-    if (bytes[index - 1] === LINE_FEED) return index + 1
-    if (bytes[index - 1] === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED) return index + 1
-  }
-  return 0
-}
--- a/packages/gateway/src/responses/response-relay-options.ts
+++ b/packages/gateway/src/responses/response-relay-options.ts
@@ -7,8 +7,8 @@
   readonly response: ServerResponse
   /** Whether a successful response is a stream, which is forwarded as it arrives instead of being buffered. */
   readonly isStream: boolean
-  /** Bounds the unsent bytes of the responses of all connections. */
-  readonly memory: Pick<HeldConnection, 'recordWritten' | 'maximumUnsentBytes'>
+  /** Bounds what is held of the responses of all connections: unsent bytes and unfinished events. */
+  readonly memory: Pick<HeldConnection, 'recordWritten' | 'maximumUnsentBytes' | 'holdEvent'>
   /** Returns the time of a monotonic clock, in milliseconds. */
   readonly now: () => number
   /** Returns whether to send `Connection: close` to the caller. */
--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -1,9 +1,14 @@
+import { ByteBuffer } from '@mimosarock/coordination/http/byte-buffer.js'
 import type { ResponseHead } from '../model/response-head.js'
 import type { ResponseReceiver } from '../sending/response-receiver.js'
 import type { ResponseRelayOptions } from './response-relay-options.js'
+import { CallerOutput } from './caller-output.js'
 import { EventSplitter } from './event-splitter.js'
 
-/** Responses up to this length are buffered and sent in one write when complete; until then a retry can replace them. */
+/**
+ * Responses up to this length are buffered and sent in one write when complete; until then a retry can replace them. An unfinished event of this length is
+ * kept without regard to the memory of other requests.
+ */
 const MAXIMUM_BUFFERED_BYTES = 65_536
 /** Unsent bytes for a slow caller above which reading from the endpoint is paused. */
 const MAXIMUM_UNSENT_BYTES = 262_144
@@ -26,14 +31,16 @@
   /** Splits the stream; undefined unless the response is an event stream. */
   private _splitter: EventSplitter | undefined
   private _head: ResponseHead | undefined
-  private _buffered: Buffer[] = []
-  private _bufferedBytes = 0
+  private readonly _output: CallerOutput
+  private readonly _buffered = new ByteBuffer()
   private _isStarted = false
   private _isComplete = false
   private _usableBytes = 0
   /** Whether the end of the response of the present call is marked, and whether any of it could be forwarded. */
   private _isDelimited = false
   private _hasUsableBytes = false
+  /** Whether there is no memory for the rest of the event that is arriving. */
+  private _isEventRefused = false
   /** Time since which nothing is read from the endpoint; undefined while it is read. */
   private _pausedAt: number | undefined
   /** Whether the response of the present call was not read for so long that the endpoint may have cut it off. */
@@ -44,6 +51,7 @@
    */
   constructor (options: ResponseRelayOptions) {
     this._options = options
+    this._output = new CallerOutput(options.response)
   }
 
   /** Whether the response head was written to the caller; the response can no longer be replaced. */
@@ -51,6 +59,11 @@
     return this._isStarted
   }
 
+  /** Number of bytes of the response that the caller has not taken yet. */
+  get unsentBytes (): number {
+    return this._output.unsentBytes
+  }
+
   /** Number of bytes received so far that can be forwarded: whole events of an event stream, else all bytes. */
   get usableBytes (): number {
     return this._usableBytes
@@ -95,11 +108,11 @@
     this._hasUsableBytes = false
     this._pausedAt = undefined
     this._wasUnread = false
+    this._isEventRefused = false
     if (this._isStarted) return head.status === this._head?.status && isEventStream(head)
     this._head = head
     this._isComplete = false
-    this._buffered = []
-    this._bufferedBytes = 0
+    this._buffered.clear()
     this._splitter = this._options.isStream && isEventStream(head) ? new EventSplitter() : undefined
     return true
   }
@@ -116,8 +129,9 @@
     return hasCapacity
   }
 
-  /** Records that reading from the endpoint has been resumed after the caller has caught up. */
+  /** Writes what was collected for the caller, who has caught up, and records that reading from the endpoint is resumed. */
   resumed (): void {
+    this._output.flush()
     this._checkPause()
     this._pausedAt = undefined
   }
@@ -128,24 +142,29 @@
 
   private _forward (chunk: Buffer): boolean {
     if (this._isPassedThrough()) {
-      const ready = this._splitter === undefined ? chunk : this._splitter.push(chunk)
+      const ready = this._splitter === undefined ? chunk : this._splitEvents(this._splitter, chunk)
       this._usableBytes += ready.length
       this._hasUsableBytes ||= ready.length > 0
       return ready.length === 0 || this._write(ready)
     }
     this._usableBytes += chunk.length
-    this._buffered.push(chunk)
-    this._bufferedBytes += chunk.length
-    if (this._bufferedBytes <= MAXIMUM_BUFFERED_BYTES) return true
-    const bytes = Buffer.concat(this._buffered)
-    this._buffered = []
-    return this._write(bytes)
+    this._buffered.append(chunk)
+    return this._buffered.length <= MAXIMUM_BUFFERED_BYTES || this._write(this._buffered.take())
+  }
+
+  /** Returns the events that a chunk completes, and keeps the beginning of the next one; a long one only if there is memory for it. */
+  private _splitEvents (splitter: EventSplitter, chunk: Buffer): Buffer {
+    const events = splitter.push(chunk)
+    const heldBytes = splitter.partialBytes > MAXIMUM_BUFFERED_BYTES ? splitter.heldBytes : 0
+    if (!this._options.memory.holdEvent(heldBytes)) this._isEventRefused = true
+    return events
   }
 
   findProblem (isEnded: boolean): string | undefined {
     if (isEnded && !this._isDelimited && this.wasUnread) return 'the connection ended after the response was not read for some time'
     if (this._splitter === undefined) return undefined
     if (this._splitter.partialBytes > MAXIMUM_EVENT_BYTES) return 'an event does not end'
+    if (this._isEventRefused) return 'there is no memory for the rest of an event'
     if (!isEnded) return undefined
     if (this._splitter.partialBytes > 0) return 'the stream ended inside an event'
     // A connection that was closed is no sign that the stream had ended before its first event.
@@ -154,14 +173,14 @@
 
   /** Ends the response after its last byte. */
   finish (): void {
-    const { response } = this._options
     if (this._isStarted) {
-      response.end()
+      this._output.end()
       return
     }
-    this._writeHead(this._bufferedBytes)
-    response.end(Buffer.concat(this._buffered))
-    this._options.memory.recordWritten(this._bufferedBytes)
+    const body = this._buffered.take()
+    this._writeHead(body.length)
+    this._options.response.end(body)
+    this._options.memory.recordWritten(body.length)
   }
 
   /** Marks the buffered error response as complete; it is sent if no retry gets a response. */
@@ -172,10 +191,12 @@
   /** Discards a partial event, which another endpoint will send again in full. */
   prepareResumption (): void {
     this._splitter?.discardPartialEvent()
+    this._options.memory.holdEvent(0)
   }
 
   /** Closes the connection in the middle of the response; the caller can then detect that it is incomplete. */
   abortResponse (): void {
+    this._output.flush()
     this._options.response.destroy()
   }
 
@@ -185,11 +206,11 @@
   }
 
   private _write (bytes: Buffer): boolean {
-    const { response, memory } = this._options
+    const { memory } = this._options
     if (!this._isStarted) this._writeHead(undefined)
-    response.write(bytes)
+    this._output.write(bytes)
     memory.recordWritten(bytes.length)
-    return response.writableLength < Math.min(MAXIMUM_UNSENT_BYTES, memory.maximumUnsentBytes)
+    return this._output.backlogBytes < Math.min(MAXIMUM_UNSENT_BYTES, memory.maximumUnsentBytes)
   }
 
   private _writeHead (length: number | undefined): void {
--- a/packages/gateway/src/status/gateway-metrics.ts
+++ b/packages/gateway/src/status/gateway-metrics.ts
@@ -101,10 +101,10 @@
     registers: [this.registry]
   })
 
-  /** Bytes of request bodies and unsent responses. */
+  /** Bytes of request bodies, unfinished events and unsent responses. */
   readonly heldBytes = new Gauge({
     name: 'mimosarock_held_bytes',
-    help: 'Bytes of request bodies, and of responses that callers have not taken yet.',
+    help: 'Bytes that request bodies, long unfinished events and responses that callers have not taken yet take in memory.',
     registers: [this.registry]
   })
 
--- a/packages/gateway/src/test/held-bytes_test.ts
+++ b/packages/gateway/src/test/held-bytes_test.ts
@@ -107,7 +107,7 @@
   const refused: string[] = []
   const [finished, large, medium, small] = ['finished', 'large', 'medium', 'small'].map((name) => {
     const held = heldBytes.add({ unsentBytes: () => 0, closeSlow: () => undefined })
-    held.onBodyRefused(() => refused.push(name))
+    held.onRefused(() => refused.push(name))
     return held
   }) as [HeldConnection, HeldConnection, HeldConnection, HeldConnection]
   expect(finished.holdBody(BOUND * 0.5)).toBe(true)
@@ -116,7 +116,7 @@
   expect(large.holdBody(1)).toBe(false)
   expect([small.holdBody(BOUND * 0.1), refused]).toEqual([true, ['large']])
   expect([medium.holdBody(BOUND * 0.3), refused]).toEqual([false, ['large']])
-  finished.releaseBody()
+  finished.releaseReceived()
   expect([medium.holdBody(BOUND * 0.3), heldBytes.total]).toEqual([true, BOUND * 0.6])
 })
 
@@ -126,5 +126,5 @@
   relay(heldBytes, times(200, 0))
   expect(heldBytes.total).toBeGreaterThan(BOUND)
   const asking = heldBytes.add({ unsentBytes: () => 0, closeSlow: () => undefined })
-  expect(heldBytes.makeRoomForBody(asking, 100)).toBe(true)
+  expect(heldBytes.makeRoom(asking, 100)).toBe(true)
 })
--- a/packages/gateway/src/test/response-relay_test.ts
+++ b/packages/gateway/src/test/response-relay_test.ts
@@ -13,7 +13,7 @@
   const relay = new ResponseRelay({
     response: response as unknown as ServerResponse,
     isStream: true,
-    memory: { recordWritten: () => undefined, maximumUnsentBytes },
+    memory: { recordWritten: () => undefined, holdEvent: () => true, maximumUnsentBytes },
     now: () => clock.ms,
     closesConnection: () => false,
     onStart: () => undefined
--- a/packages/router/src/http/read-body.ts
+++ b/packages/router/src/http/read-body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http'
+import { ByteBuffer } from '@mimosarock/coordination/http/byte-buffer.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
 import { ResultCode } from '@mimosarock/schema/result-code.js'
 
@@ -11,19 +12,17 @@
 export async function readBody (request: IncomingMessage, maximumBytes: number): Promise<Buffer> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0)
   if (declaredBytes > maximumBytes) throw bodyTooLargeError(maximumBytes)
-  const chunks: Buffer[] = []
-  let bytes = 0
+  const received = new ByteBuffer()
   try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      bytes += chunk.length
-      if (bytes > maximumBytes) throw bodyTooLargeError(maximumBytes)
-      chunks.push(chunk)
+    for await (const part of request as AsyncIterable<Buffer>) {
+      if (received.length + part.length > maximumBytes) throw bodyTooLargeError(maximumBytes)
+      received.append(part)
     }
   } catch (error) {
     if (error instanceof MimosarockError) throw error
     throw new MimosarockError(ResultCode.CALLER_GONE, 'the connection was lost before the end of the request body', { cause: error })
   }
-  return chunks.length === 1 ? chunks[0] ?? Buffer.alloc(0) : Buffer.concat(chunks, bytes)
+  return received.take()
 }
 
 function bodyTooLargeError (maximumBytes: number): MimosarockError {
--- a/packages/router/src/watch/endpoint-probe-client.ts
+++ b/packages/router/src/watch/endpoint-probe-client.ts
@@ -1,5 +1,6 @@
 import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
 import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
+import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { Client } from 'undici'
 import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
@@ -49,7 +50,7 @@
     const timeout = AbortSignal.timeout(timeoutMs)
     try {
       const response = await this._client.request({ method: 'GET', path, signal: AbortSignal.any([signal, timeout]) })
-      const text = await response.body.text()
+      const text = (await readBoundedBody(response.body, RESPONSE_LIMITS.responseBytes)).toString()
       if (response.statusCode !== SUCCESS_STATUS) throw new Error(`status ${response.statusCode}`)
       return text === '' ? undefined : parse(text)
     } catch (cause) {
