--- a/packages/coordination/src/counted-connector.ts
+++ b/packages/coordination/src/counted-connector.ts
@@ -1,6 +1,6 @@
 import type { buildConnector } from 'undici'
 import { DEFAULT_HEAD_LIMITS } from './http/default-head-limits.js'
-import { limitedConnector } from './http/limited-connector.js'
+import { guardedConnector } from './http/guarded-connector.js'
 import type { TrafficCounter } from './membership/traffic-counter.js'
 
 /** Maximum length of a response of the platform's services, with its head. */
@@ -12,5 +12,5 @@
  * @param traffic counts the bytes written to the sockets; if omitted, nothing is counted
  */
 export function countedConnector (timeoutMs: number, traffic?: TrafficCounter): buildConnector.connector {
-  return limitedConnector(timeoutMs, { ...DEFAULT_HEAD_LIMITS, responseBytes: MAXIMUM_RESPONSE_BYTES }, (socket) => traffic?.watch(socket))
+  return guardedConnector(timeoutMs, { ...DEFAULT_HEAD_LIMITS, responseBytes: MAXIMUM_RESPONSE_BYTES }, (socket) => traffic?.watch(socket))
 }
--- a/packages/coordination/src/http/response-limit.ts
+++ b/packages/coordination/src/http/response-limit.ts
@@ -1,10 +1,13 @@
+import { RESPONSE_NOT_HTTP } from './response-not-http.js'
+import { RESPONSE_TOO_LONG } from './response-too-long.js'
 import type { ResponseLimits } from './response-limits.js'
 
 const LINE_FEED = 10
 /** Length of the part of a line that is looked at; no line that matters is longer. */
 const MAXIMUM_LINE_TEXT = 256
 const EMPTY_LINE = /^\r?\n$/
-const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})/
+/** HTTP has the statuses 100 to 599; the HTTP client accepts any three digits, and the names of other protocols. */
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d{2})(?: |\r?\n)/
 const CHUNKED_HEADER = /^transfer-encoding:.*\bchunked\s*$/i
 const CHUNK_SIZE = /^([0-9a-f]{1,8})\s*(?:;|\r?\n)/i
 const FIRST_FINAL_STATUS = 200
@@ -24,7 +27,7 @@
 
 /**
  * Limits what a connection may receive in response to one request, before the HTTP client sees it: that one bounds neither every part of a head nor a
- * body, and takes milliseconds to parse some thousand headers.
+ * body, takes milliseconds to parse some thousand headers, and accepts status lines that are not HTTP.
  */
 export class ResponseLimit {
   private readonly _limits: ResponseLimits
@@ -37,6 +40,7 @@
   /** Status of the head that is being received; undefined before its first line. */
   private _status: number | undefined
   private _chunkBytesLeft = 0
+  private _isHttp = true
 
   /**
    * @param limits what may be received
@@ -45,9 +49,16 @@
     this._limits = limits
   }
 
+  /** Error code that tells which limit is exceeded; undefined if none is. */
+  get violation (): string | undefined {
+    if (!this._isHttp) return RESPONSE_NOT_HTTP
+    return this._isHeadExceeded || this._bytes > this._limits.responseBytes ? RESPONSE_TOO_LONG : undefined
+  }
+
   /** Starts counting anew, since a request is written. */
   reset (): void {
     this._bytes = 0
+    this._isHttp = true
     this._beginHead()
     this._headBytes = 0
     this._headLines = 0
@@ -62,13 +73,16 @@
     this._bytes += chunk.length
     let position = 0
     let sectionStart = 0
-    while (position < chunk.length && this._section !== Section.REST && !this._isHeadExceeded) {
+    while (position < chunk.length && this._section !== Section.REST && this._isHeadAccepted) {
       const section = this._section
       position = section === Section.CHUNK_DATA ? this._skipData(chunk, position) : this._readLine(chunk, position)
-      if (this._section !== section && !this._isHeadExceeded) sectionStart = position
+      if (this._section !== section && this._isHeadAccepted) sectionStart = position
     }
-    const isExceeded = this._isHeadExceeded || this._bytes > this._limits.responseBytes
-    return isExceeded ? sectionStart : chunk.length
+    return this.violation === undefined ? chunk.length : sectionStart
+  }
+
+  private get _isHeadAccepted (): boolean {
+    return this._isHttp && !this._isHeadExceeded
   }
 
   private get _isHeadExceeded (): boolean {
@@ -99,11 +113,19 @@
   }
 
   private _endHeadLine (line: string): void {
-    if (this._status === undefined) this._status = Number(STATUS_LINE.exec(line)?.[1])
+    if (this._status === undefined) this._readStatusLine(line)
     else if (CHUNKED_HEADER.test(line)) this._isChunked = true
     else if (EMPTY_LINE.test(line)) this._endHead(this._status)
   }
 
+  private _readStatusLine (line: string): void {
+    // Empty lines before it are skipped, as the HTTP client does.
+    if (EMPTY_LINE.test(line)) return
+    const status = STATUS_LINE.exec(line)?.[1]
+    this._isHttp = status !== undefined
+    this._status = Number(status)
+  }
+
   private _endHead (status: number): void {
     if (status < FIRST_FINAL_STATUS) this._beginHead()
     else if (this._isChunked) this._beginChunkSize()
--- a/packages/gateway/src/membership/peer-rpc-client.ts
+++ b/packages/gateway/src/membership/peer-rpc-client.ts
@@ -1,7 +1,7 @@
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
 import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
-import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
+import { guardedConnector } from '@mimosarock/coordination/http/guarded-connector.js'
 import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { createJSONRPCRequest, type JSONRPCParams, type JSONRPCResponse } from 'json-rpc-2.0'
 import { Agent, request } from 'undici'
@@ -126,5 +126,5 @@
 }
 
 function createAgent (): Agent {
-  return new Agent({ connections: 1, pipelining: 1, connect: limitedConnector(CONNECT_TIMEOUT_MS, RESPONSE_LIMITS), keepAliveTimeout: KEEP_ALIVE_MS })
+  return new Agent({ connections: 1, pipelining: 1, connect: guardedConnector(CONNECT_TIMEOUT_MS, RESPONSE_LIMITS), keepAliveTimeout: KEEP_ALIVE_MS })
 }
--- a/packages/gateway/src/sending/endpoint-connections.ts
+++ b/packages/gateway/src/sending/endpoint-connections.ts
@@ -1,7 +1,7 @@
 import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
+import { guardedConnector } from '@mimosarock/coordination/http/guarded-connector.js'
 import { Pool } from 'undici'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
-import { createEndpointConnector } from './create-endpoint-connector.js'
 
 /** Timeout for establishing a connection; an endpoint accepts within milliseconds or not at all. */
 const CONNECT_TIMEOUT_MS = 600
@@ -79,7 +79,7 @@
     return new Pool(`http://${address}`, {
       connections: maximumConnections,
       pipelining: 1,
-      connect: createEndpointConnector(CONNECT_TIMEOUT_MS, { ...DEFAULT_HEAD_LIMITS, responseBytes: this._maximumResponseBytes() }),
+      connect: guardedConnector(CONNECT_TIMEOUT_MS, { ...DEFAULT_HEAD_LIMITS, responseBytes: this._maximumResponseBytes() }),
       keepAliveTimeout: idleTimeoutMs,
       keepAliveMaxTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
--- a/packages/router/src/http/bounded-http-client.ts
+++ b/packages/router/src/http/bounded-http-client.ts
@@ -1,5 +1,5 @@
 import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
-import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
+import { guardedConnector } from '@mimosarock/coordination/http/guarded-connector.js'
 import { Agent, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { MimosarockError } from '@mimosarock/schema/mimosarock-error.js'
@@ -142,7 +142,7 @@
 
   private _connectionOptions (): Client.Options {
     return {
-      connect: limitedConnector(this._options.connectTimeoutMs, RESPONSE_LIMITS),
+      connect: guardedConnector(this._options.connectTimeoutMs, RESPONSE_LIMITS),
       keepAliveTimeout: IDLE_CONNECTION_MS,
       pipelining: 1,
       // Disabled: this class enforces the timeouts with its own timers, which are exact to the millisecond.
--- a/packages/router/src/watch/endpoint-probe-client.ts
+++ b/packages/router/src/watch/endpoint-probe-client.ts
@@ -1,5 +1,5 @@
 import { DEFAULT_HEAD_LIMITS } from '@mimosarock/coordination/http/default-head-limits.js'
-import { limitedConnector } from '@mimosarock/coordination/http/limited-connector.js'
+import { guardedConnector } from '@mimosarock/coordination/http/guarded-connector.js'
 import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
 import { Client } from 'undici'
 import type { TrafficCounter } from '@mimosarock/coordination/membership/traffic-counter.js'
@@ -66,7 +66,7 @@
 
   private _open (): Client {
     return new Client(`http://${this._address}`, {
-      connect: limitedConnector(this._connectTimeoutMs, RESPONSE_LIMITS, (socket) => {
+      connect: guardedConnector(this._connectTimeoutMs, RESPONSE_LIMITS, (socket) => {
         this._connections += 1
         this._traffic.watch(socket)
       }),
