Answers in very small parts leave time for other requests

Cause: a part takes time of its own, however short it is, and one read of a connection can have ten thousand. Profile of the router: the lengths of chunks as text and by regular expression took the most after the collector. The loop was never idle, so the limit of the process refused.

Change: ReadPacer measures reads with 256 parts or more and pauses such connections for four times as long, one after the other. The length of a chunk is read by byte (ChunkSizeReader).

--- a/packages/coordination/src/http/response-limit.ts
+++ b/packages/coordination/src/http/response-limit.ts
@@ -1,3 +1,4 @@
+import { ChunkSizeReader } from './chunk-size-reader.js'
 import { RESPONSE_NOT_HTTP } from './response-not-http.js'
 import { RESPONSE_TOO_LONG } from './response-too-long.js'
 import type { ResponseLimits } from './response-limits.js'
@@ -9,7 +10,6 @@
 /** HTTP has the statuses 100 to 599; the HTTP client accepts any three digits, and the names of other protocols. */
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d{2})(?: |\r?\n)/
 const CHUNKED_HEADER = /^transfer-encoding:.*\bchunked\s*$/i
-const CHUNK_SIZE = /^([0-9a-f]{1,8})\s*(?:;|\r?\n)/i
 const FIRST_FINAL_STATUS = 200
 /** Length of the line end after the data of a chunk. */
 const CHUNK_END_BYTES = 2
@@ -39,6 +39,7 @@
   private _isChunked = false
   /** Status of the head that is being received; undefined before its first line. */
   private _status: number | undefined
+  private readonly _chunkSize = new ChunkSizeReader()
   private _chunkBytesLeft = 0
   private _isHttp = true
 
@@ -75,7 +76,7 @@
     let sectionStart = 0
     while (position < chunk.length && this._section !== Section.REST && this._isHeadAccepted) {
       const section = this._section
-      position = section === Section.CHUNK_DATA ? this._skipData(chunk, position) : this._readLine(chunk, position)
+      position = this._readSection(chunk, position)
       if (this._section !== section && this._isHeadAccepted) sectionStart = position
     }
     return this.violation === undefined ? chunk.length : sectionStart
@@ -89,6 +90,11 @@
     return this._headBytes > this._limits.headBytes || this._headLines > this._limits.headLines
   }
 
+  private _readSection (chunk: Buffer, position: number): number {
+    if (this._section === Section.CHUNK_DATA) return this._skipData(chunk, position)
+    return this._section === Section.CHUNK_SIZE ? this._readChunkSize(chunk, position) : this._readLine(chunk, position)
+  }
+
   private _skipData (chunk: Buffer, position: number): number {
     const skipped = Math.min(this._chunkBytesLeft, chunk.length - position)
     this._chunkBytesLeft -= skipped
@@ -107,7 +113,6 @@
     this._line = ''
     this._headLines += 1
     if (this._section === Section.HEAD) this._endHeadLine(line)
-    else if (this._section === Section.CHUNK_SIZE) this._endChunkSize(line)
     else if (EMPTY_LINE.test(line)) this._section = Section.REST
     return end
   }
@@ -132,14 +137,19 @@
     else this._section = Section.REST
   }
 
-  private _endChunkSize (line: string): void {
-    const size = CHUNK_SIZE.exec(line)?.[1]
+  private _readChunkSize (chunk: Buffer, position: number): number {
+    const end = this._chunkSize.read(chunk, position)
+    this._headBytes += end - position
+    if (!this._chunkSize.isComplete) return end
+    this._headLines += 1
+    const { size } = this._chunkSize
     if (size === undefined) this._section = Section.REST
-    else if (Number.parseInt(size, 16) === 0) this._section = Section.TRAILERS
+    else if (size === 0) this._section = Section.TRAILERS
     else {
-      this._chunkBytesLeft = Number.parseInt(size, 16) + CHUNK_END_BYTES
+      this._chunkBytesLeft = size + CHUNK_END_BYTES
       this._section = Section.CHUNK_DATA
     }
+    return end
   }
 
   private _beginHead (): void {
@@ -151,6 +161,7 @@
 
   private _beginChunkSize (): void {
     this._section = Section.CHUNK_SIZE
+    this._chunkSize.reset()
     this._headBytes = 0
     this._headLines = 0
   }
--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -168,7 +168,7 @@
 
   private _createCall ({ endpoint, contextHolder }: ChosenEndpoint): EndpointCall {
     const { authorized, request, body, relay } = this._options
-    const { codec, currentHomes, endpoints, endpointSelector, warmUps } = this._dependencies
+    const { codec, currentHomes, endpoints, endpointSelector, readPacer, warmUps } = this._dependencies
     const hadPermit = this._hasPermit
     const headers = codec.writeDispatchHeaders(request.rawHeaders, {
       endpointId: endpoint.id,
@@ -180,6 +180,7 @@
     })
     const { id } = authorized.caller
     return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
+      readPacer,
       mayStart: () => {
         const isHeldBack = endpoints.isEvacuated(endpoint) || currentHomes.of(authorized)?.mayRunAt(endpoint) === false
         if (isHeldBack) this._records.callHeldBack()
@@ -194,7 +195,7 @@
     const { relay } = this._options
     return {
       endpointId,
-      get isPaused () { return call.isPaused },
+      get isPaused () { return call.isPaused || call.isDelayed },
       get receivedParts () { return call.receivedParts },
       get usableBytes () { return relay.usableBytes },
       onStalled: (isEndpointSilent) => this._giveUpIfRetriable(call, isEndpointSilent)
--- a/packages/gateway/src/sending/endpoint-call-hooks.ts
+++ b/packages/gateway/src/sending/endpoint-call-hooks.ts
@@ -1,7 +1,10 @@
 import type { ResponseHead } from '../model/response-head.js'
+import type { ReadPacer } from './read-pacer.js'
 
 /** What a caller of an endpoint is asked and told while the call goes on. */
 export interface EndpointCallHooks {
+  /** Limits the time that reads of very short parts take, over all calls; undefined for no limit. */
+  readonly readPacer?: ReadPacer
   /** Returns whether the call may still be sent; asked when a connection is free for it. */
   readonly mayStart: () => boolean
   /**
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -8,6 +8,7 @@
 import type { CallResult } from './call-result.js'
 import type { EndpointCallHooks } from './endpoint-call-hooks.js'
 import type { EndpointCallRequest } from './endpoint-call-request.js'
+import type { ReadPacer } from './read-pacer.js'
 
 /** Maximum size of a body that is written in one piece; equals the buffer size at which a socket applies back pressure. */
 const MAXIMUM_UNCHUNKED_BODY_BYTES = 16_384
@@ -36,6 +37,10 @@
   private _informationalResponses = 0
   private _discardedBytes = 0
   private _isPaused = false
+  private _isDelayed = false
+  /** Parts of the read that is being processed, and when it began. */
+  private _partsOfRead = 0
+  private _readStartedAt = 0
   private _isConnectionLost = false
   private _isEndless = false
   private _discardTimer: NodeJS.Timeout | undefined
@@ -69,6 +74,11 @@
     return this._isPaused
   }
 
+  /** Whether reading is delayed, since the last read took much time. */
+  get isDelayed (): boolean {
+    return this._isDelayed
+  }
+
   /** Number of parts of the response received so far; the head is one. */
   get receivedParts (): number {
     return this._receivedParts
@@ -107,7 +117,7 @@
   /** Resumes the response after the receiver applied back pressure. */
   resume (): void {
     this._isPaused = false
-    if (!this._isEnded) this._controller?.resume()
+    this._readOn()
   }
 
   /**
@@ -145,6 +155,7 @@
    * @param chunk bytes of the body
    */
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._countPart(controller)
     if (this._isEnded) return this._discard(controller, chunk)
     this._receivedParts += 1
     const hasCapacity = this._receiver.data(chunk)
@@ -208,6 +219,33 @@
     if (this._discardedBytes > MAXIMUM_REJECTION_BYTES) controller.abort(new Error('the body of the rejection is too long'))
   }
 
+  private _countPart (controller: Dispatcher.DispatchController): void {
+    const pacer = this._hooks?.readPacer
+    this._partsOfRead += 1
+    if (pacer === undefined || this._partsOfRead > 1) return
+    this._readStartedAt = pacer.beginRead()
+    // All parts of one read are delivered before this.
+    process.nextTick(() => this._endRead(pacer, controller))
+  }
+
+  private _endRead (pacer: ReadPacer, controller: Dispatcher.DispatchController): void {
+    const delayMs = pacer.endRead(this._readStartedAt, this._partsOfRead)
+    this._partsOfRead = 0
+    if (delayMs === 0 || this._isDelayed) return
+    this._isDelayed = true
+    controller.pause()
+    setTimeout(() => {
+      this._isDelayed = false
+      this._readOn()
+    }, delayMs)
+  }
+
+  /** Lets the HTTP client read on unless there is a reason to wait. What follows a response that has ended is discarded, for which no caller has to be waited. */
+  private _readOn (): void {
+    if (this._isDelayed || (this._isPaused && !this._isEnded)) return
+    this._controller?.resume()
+  }
+
   /** Ends a call whose response would not end; its connection was not lost, the router closes it. */
   private _endEndless (outcome: CallOutcome, problem: string): void {
     this._isEndless = true
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -30,6 +30,7 @@
 import { CrashDetector } from '../quarantine/crash-detector.js'
 import { FleetRetryBudgets } from '../retries/fleet-retry-budgets.js'
 import { EndpointConnections } from '../sending/endpoint-connections.js'
+import { ReadPacer } from '../sending/read-pacer.js'
 import { refusesConnections } from '../sending/refuses-connections.js'
 import { StallWatch } from '../sending/stall-watch.js'
 import type { GatewaySettings } from '../settings/gateway-settings.js'
@@ -229,6 +230,7 @@
       }),
       endpointSelector,
       connections: this._connections,
+      readPacer: new ReadPacer(() => performance.now()),
       heldBytes: this._heldBytes,
       liveRequests: this._liveRequests,
       metrics: this._metrics,
