--- a/packages/gateway/src/caller/request-authorization.ts
+++ b/packages/gateway/src/caller/request-authorization.ts
@@ -60,10 +60,14 @@
   /**
    * Authorizes a request again that was delayed: a long body, a queue, or a pause of the process may have outlasted what the API
    * keys were known by.
+   * @param authorized what the request was authorized for
+   * @returns what it is authorized for now; the same object if that has not changed
    * @throws MimosarockError if the request is no longer allowed
    */
-  authorizeAgainAfterDelay (): void {
-    if (this._dependencies.clock.now() - this._time.startedAt >= AUTHORIZATION_LIFETIME_MS) this._authorize()
+  authorizeAgainAfterDelay (authorized: AuthorizedRequest): AuthorizedRequest {
+    if (this._dependencies.clock.now() - this._time.startedAt < AUTHORIZATION_LIFETIME_MS) return authorized
+    const newest = this._authorize()
+    return isAuthorizedAlike(newest, authorized) ? authorized : newest
   }
 
   private _mayWait (error: Error): boolean {
@@ -90,6 +94,11 @@
   }
 }
 
+function isAuthorizedAlike (left: AuthorizedRequest, right: AuthorizedRequest): boolean {
+  return left.workspace === right.workspace && left.service === right.service && left.priority === right.priority && left.route.name === right.route.name &&
+    left.route.kind === right.route.kind
+}
+
 function headBytes (rawHeaders: readonly string[]): number {
   // Each header has a colon, a space and CRLF in addition to its name and value: 2 bytes for each of the two strings.
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -87,11 +87,17 @@
       if (!this._dependencies.startupGate.isOpen) await this._dependencies.startupGate.waitUntilOpen()
       authorized = await this._authorization.authorizeByNewestVersion(() => this._isCallerDisconnected)
       const body = await this._body.read()
-      const content = this._contentOf(authorized, body)
-      requireNotQuarantined(this._dependencies.quarantine, content, 0)
-      requireNotEvacuated(this._dependencies.endpoints, authorized.service)
-      this._requireEndpointWithinWait(authorized, this._dependencies.currentHomes.of(authorized))
-      admission = await this._waitForAdmission(authorized)
+      let content: RequestContent
+      for (;;) {
+        authorized = this._authorization.authorizeAgainAfterDelay(authorized)
+        content = this._contentOf(authorized, body)
+        admission = await this._admitContent(authorized, content)
+        const newest = this._authorization.authorizeAgainAfterDelay(authorized)
+        if (newest === authorized) break
+        // The request was admitted as one of another workspace or service than the one for which it may run now.
+        admission.withdraw()
+        admission = undefined
+      }
       const served = this._serve(authorized, admission, content, body)
       admission.recordDispatch()
       await served
@@ -114,6 +120,13 @@
     this._admissionWait.abort()
   }
 
+  private async _admitContent (authorized: AuthorizedRequest, content: RequestContent): Promise<AdmissionPath> {
+    requireNotQuarantined(this._dependencies.quarantine, content, 0)
+    requireNotEvacuated(this._dependencies.endpoints, authorized.service)
+    this._requireEndpointWithinWait(authorized, this._dependencies.currentHomes.of(authorized))
+    return await this._waitForAdmission(authorized)
+  }
+
   private _release ({ service, route }: AuthorizedRequest, admission: AdmissionPath, code: ResultCode): void {
     const elapsedMs = this._dependencies.clock.now() - this._admittedAt
     if (code === ResultCode.OK) this._dependencies.routeTimes.record(service, route.name, elapsedMs)
@@ -185,7 +198,6 @@
 
   private async _serve (authorized: AuthorizedRequest, admission: AdmissionPath, content: RequestContent, body: Buffer): Promise<void> {
     const { route } = authorized
-    this._authorization.authorizeAgainAfterDelay()
     this._time.requireEndBeforeStop()
     if (this._isCallerDisconnected) throw new MimosarockError(ResultCode.CALLER_GONE, 'the caller disconnected')
     this._dependencies.retryBudgetOf(authorized.service).countRequest()
