--- a/packages/gateway/src/retries/fleet-retry-budgets.ts
+++ b/packages/gateway/src/retries/fleet-retry-budgets.ts
@@ -10,7 +10,7 @@
   private readonly _budgets = new Map<string, FleetRetryBudget>()
 
   /**
-   * @param options returns the upper bound for the whole fleet, of each service
+   * @param options returns the upper bound for the whole fleet, of each service; it may change at any time
    * @param clock assigns requests and retries to slices of the window
    * @param routerCount returns the number of routers that share the allowance
    */
@@ -27,14 +27,9 @@
   get (service: string): FleetRetryBudget {
     let budget = this._budgets.get(service)
     if (budget === undefined) {
-      budget = new FleetRetryBudget(this._options(), this._clock, this._routerCount)
+      budget = new FleetRetryBudget(this._options, this._clock, this._routerCount)
       this._budgets.set(service, budget)
     }
     return budget
   }
-
-  /** Replaces all budgets by new ones, whose bound may be another one. */
-  reset (): void {
-    this._budgets.clear()
-  }
 }
--- a/packages/gateway/src/test/fleet-retry-budget_test.ts
+++ b/packages/gateway/src/test/fleet-retry-budget_test.ts
@@ -10,7 +10,7 @@
     fc.array(fc.record({ router: fc.nat(11), requests: fc.nat(20), retries: fc.nat(30), passMs: fc.nat(900) }), { maxLength: 200 }),
     (routers, steps) => {
       const clock = { ms: 1_000_000, now (): number { return this.ms } }
-      const budgets = Array.from({ length: routers }, () => new FleetRetryBudget(BOUND, clock, () => routers))
+      const budgets = Array.from({ length: routers }, () => new FleetRetryBudget(() => BOUND, clock, () => routers))
       const taken: number[] = []
       const requestTimes: number[] = []
       for (const step of steps) {
@@ -34,8 +34,28 @@
 
 test('a router without traffic may spend only its share of the allowance', () => {
   const clock = { now: () => 1_000_000 }
-  const budget = new FleetRetryBudget(BOUND, clock, () => 6)
+  const budget = new FleetRetryBudget(() => BOUND, clock, () => 6)
   let taken = 0
   while (budget.take()) taken += 1
   expect(taken).toBe(4)
 })
+
+// Guards against BUDGET as in review/14: each reload of the settings gave a router a new budget, as if it had repeated nothing yet.
+test('a change of the bound applies at once, and what was spent in the window stays spent', () => {
+  const clock = { ms: 1_000_000, now (): number { return this.ms } }
+  let bound = BOUND
+  const budget = new FleetRetryBudget(() => bound, clock, () => 1)
+  const takeAll = (): number => {
+    let taken = 0
+    while (budget.take()) taken += 1
+    return taken
+  }
+  expect(takeAll()).toBe(26)
+  bound = { ...BOUND, windowMs: 5_000 }
+  expect(takeAll()).toBe(0)
+  clock.ms += 4_400
+  bound = { ...BOUND, allowance: 60 }
+  expect(takeAll()).toBe(4)
+  clock.ms += 20_000
+  expect(takeAll()).toBe(30)
+})
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -177,7 +177,6 @@
    */
   reload (settings: GatewaySettings): void {
     const { applied, atNextStart } = this._settings.replace(settings)
-    this._retryBudgets.reset()
     this._options.log.info('reloaded', { applied: applied.join(',') || 'none', at_next_start: atNextStart.join(',') || 'none' })
   }
 
