--- a/packages/gateway/src/caller/request-dependencies.ts
+++ b/packages/gateway/src/caller/request-dependencies.ts
@@ -21,6 +21,7 @@
 import type { WarmUpTable } from '../warm-up/warm-up-table.js'
 import type { FleetPermits } from '../limits/fleet-permits.js'
 import type { EndpointConnections } from '../sending/endpoint-connections.js'
+import type { ProcessStalls } from '../responses/process-stalls.js'
 import type { ReadPacer } from '../sending/read-pacer.js'
 import type { StallWatch } from '../sending/stall-watch.js'
 import type { HeldBytes } from '../memory/held-bytes.js'
@@ -89,6 +90,8 @@
   readonly stallWatch: StallWatch
   /** Connection pools of the endpoints. */
   readonly connections: EndpointConnections
+  /** Notices times in which the process read nothing. */
+  readonly stalls: ProcessStalls
   /** Limits the time that reads of very short parts of responses take. */
   readonly readPacer: ReadPacer
   /** Bounds the memory for bodies and responses of all connections. */
--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -205,6 +205,7 @@
       response: this._response,
       isStream: route.kind === RouteKind.STREAM,
       memory: this._held,
+      stalls: this._dependencies.stalls,
       now: () => this._dependencies.clock.now(),
       closesConnection: () => this._dependencies.state.isStopping,
       onStart: () => {
--- a/packages/gateway/src/responses/response-relay-options.ts
+++ b/packages/gateway/src/responses/response-relay-options.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import type { HeldConnection } from '../memory/held-connection.js'
+import type { ProcessStalls } from './process-stalls.js'
 
 /** Options of a {@link ResponseRelay}. */
 export interface ResponseRelayOptions {
@@ -11,6 +12,8 @@
   readonly memory: Pick<HeldConnection, 'recordWritten' | 'maximumUnsentBytes' | 'holdEvent'>
   /** Returns the time of a monotonic clock, in milliseconds. */
   readonly now: () => number
+  /** Tells whether the process stood still, and read nothing. */
+  readonly stalls: Pick<ProcessStalls, 'hasStalledSince'>
   /** Returns whether to send `Connection: close` to the caller. */
   readonly closesConnection: () => boolean
   /** Called when the response head is written to the caller. */
--- a/packages/gateway/src/responses/response-relay.ts
+++ b/packages/gateway/src/responses/response-relay.ts
@@ -43,6 +43,8 @@
   private _isEventRefused = false
   /** Time since which nothing is read from the endpoint; undefined while it is read. */
   private _pausedAt: number | undefined
+  /** Time at which the present call began, or a moment before. */
+  private _callBegunAt: number
   /** Whether the response of the present call was not read for so long that the endpoint may have cut it off. */
   private _wasUnread = false
 
@@ -52,6 +54,7 @@
   constructor (options: ResponseRelayOptions) {
     this._options = options
     this._output = new CallerOutput(options.response)
+    this._callBegunAt = options.now()
   }
 
   /** Whether the response head was written to the caller; the response can no longer be replaced. */
@@ -79,10 +82,10 @@
     return this._isComplete && !this._isStarted
   }
 
-  /** Whether the response was not read for so long, because of its caller, that the endpoint may have cut it off. */
+  /** Whether the response was not read for so long, because of its caller or since the process stood still, that the endpoint may have cut it off. */
   get wasUnread (): boolean {
     this._checkPause()
-    return this._wasUnread
+    return this._wasUnread || this._options.stalls.hasStalledSince(this._callBegunAt)
   }
 
   /** Id of the last event sent to the caller; undefined if there is none. */
@@ -190,6 +193,7 @@
 
   /** Discards a partial event, which another endpoint will send again in full. */
   prepareResumption (): void {
+    this._callBegunAt = this._options.now()
     this._splitter?.discardPartialEvent()
     this._options.memory.holdEvent(0)
   }
--- a/packages/gateway/src/test/small-parts_test.ts
+++ b/packages/gateway/src/test/small-parts_test.ts
@@ -25,7 +25,7 @@
 
 function createRelay (isStream: boolean, response: Partial<ServerResponse>, memory: HeldConnection): ResponseRelay {
   const relay = new ResponseRelay({
-    response: response as ServerResponse, isStream, memory, now: () => 0, closesConnection: () => false, onStart: () => undefined
+    response: response as ServerResponse, isStream, memory, now: () => 0, stalls: { hasStalledSince: () => false }, closesConnection: () => false, onStart: () => undefined
   })
   relay.start({ status: 200, headers: [], isDelimited: true, contentType: isStream ? 'text/event-stream' : 'text/plain' } as Partial<ResponseHead> as ResponseHead)
   return relay
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -30,6 +30,7 @@
 import { CrashDetector } from '../quarantine/crash-detector.js'
 import { FleetRetryBudgets } from '../retries/fleet-retry-budgets.js'
 import { EndpointConnections } from '../sending/endpoint-connections.js'
+import { ProcessStalls } from '../responses/process-stalls.js'
 import { ReadPacer } from '../sending/read-pacer.js'
 import { refusesConnections } from '../sending/refuses-connections.js'
 import { StallWatch } from '../sending/stall-watch.js'
@@ -64,6 +65,7 @@
   private readonly _fleetState: FleetState
   private readonly _unknownZoneWarning: UnknownZoneWarning
   private readonly _stallWatch = new StallWatch()
+  private readonly _stalls: ProcessStalls
   private readonly _health: EndpointHealth
   private readonly _pauses: EndpointPauses
   private readonly _homeRegions: HomeRegions
@@ -85,6 +87,7 @@
     this._settings = new LiveSettings(settings)
     options.store.onCall(({ topic, operation }) => this._metrics.storeCalls.inc({ topic, operation }))
     this._pauses = new EndpointPauses(clock)
+    this._stalls = new ProcessStalls(clock)
     this._fleetState = createFleetState({ name: settings.name, availabilityZone: settings.availabilityZone, address: settings.peers }, options.store.era, clock, log, Math.random, () => {
       const { warmUpOverage: overage, warmUpTolerance: tolerance } = this._settings.current
       return { overage, tolerance }
@@ -136,7 +139,7 @@
   /** Starts the servers and the background tasks. Resolves when callers can connect. */
   async start (): Promise<void> {
     const { settings, log, clock } = this._options
-    for (const tasks of [this._tasks, this._slotGranting]) {
+    for (const tasks of [this._tasks, this._slotGranting, this._stalls]) {
       tasks.run(this._stopping.signal).catch((error: Error) => log.warn('background-task-failed', { problem: error.stack }))
     }
     const sync = new SyncServer(this._fleetState, randomUUID(), () => clock.now(), () => this._tasks.distance, () => this._tasks.isStoreFailing)
@@ -229,6 +232,7 @@
       }),
       endpointSelector,
       connections: this._connections,
+      stalls: this._stalls,
       readPacer: new ReadPacer(() => performance.now()),
       heldBytes: this._heldBytes,
       liveRequests: this._liveRequests,
