--- a/packages/gateway/src/caller/request-task.ts
+++ b/packages/gateway/src/caller/request-task.ts
@@ -108,6 +108,7 @@
       this._held.releaseReceived()
     }
     if (authorized !== undefined && admission !== undefined) this._release(authorized, admission, code)
+    this._held.requestEnded()
     this._dependencies.state.requestsInFlight -= 1
     this._dependencies.liveRequests.delete(this)
     this._report(authorized, code)
--- a/packages/gateway/src/memory/held-bytes.ts
+++ b/packages/gateway/src/memory/held-bytes.ts
@@ -45,9 +45,11 @@
     return this._maximumUnsentBytes
   }
 
-  /** Number of responses that are not sent completely, those of requests in flight included. */
+  /** Number of responses that are not sent completely, although their requests have ended. */
   get unsentResponses (): number {
-    return this._connections.size
+    let unsent = 0
+    for (const { isRequestEnded } of this._connections) if (isRequestEnded) unsent += 1
+    return unsent
   }
 
   /** Number of bytes held for all connections. */
--- a/packages/gateway/src/memory/held-connection.ts
+++ b/packages/gateway/src/memory/held-connection.ts
@@ -9,6 +9,7 @@
   private _isBodyComplete = false
   private _eventBytes = 0
   private _isClosed = false
+  private _isRequestEnded = false
   private _countedBytes = 0
   private _refusalListener: () => void = () => undefined
 
@@ -21,6 +22,11 @@
     this._hooks = hooks
   }
 
+  /** Whether the request has ended; its response may not be sent completely. */
+  get isRequestEnded (): boolean {
+    return this._isRequestEnded
+  }
+
   /** Number of bytes of the response that the caller has not taken yet. */
   get unsentBytes (): number {
     return this._isClosed ? 0 : this._hooks.unsentBytes()
@@ -118,6 +124,11 @@
     this._hooks.closeSlow(unsentBytes)
   }
 
+  /** Records that the request has ended, and its response was handed over to its connection. */
+  requestEnded (): void {
+    this._isRequestEnded = true
+  }
+
   /** Records that the response is closed, and nothing of it is held any more. The request body is, until it is released. */
   responseClosed (): void {
     this._isClosed = true
--- a/packages/gateway/src/shutdown/graceful-shutdown-options.ts
+++ b/packages/gateway/src/shutdown/graceful-shutdown-options.ts
@@ -11,6 +11,6 @@
   readonly graceMs: number
   /** Called when `stopDeadline` has been set, so that requests that were accepted before adapt to it. */
   readonly onStopDeadline: () => void
-  /** Returns the number of responses that have not been sent completely, those of requests in flight included. */
+  /** Returns the number of responses that have not been sent completely, although their requests have ended. */
   readonly unsentResponses: () => number
 }
--- a/packages/gateway/src/shutdown/graceful-shutdown.ts
+++ b/packages/gateway/src/shutdown/graceful-shutdown.ts
@@ -58,7 +58,7 @@
     const { server, state, unsentResponses } = this._options
     while (performance.now() < end) {
       // Also closes connections whose last response is not sent completely.
-      if (unsentResponses() <= state.requestsInFlight) server.closeIdleConnections()
+      if (unsentResponses() === 0) server.closeIdleConnections()
       if (this._isIdle) {
         // Rejects all requests from here on; one accepted while the process exits would be lost.
         state.stopDeadline = -Infinity
--- a/packages/gateway/src/test/graceful-shutdown_test.ts
+++ b/packages/gateway/src/test/graceful-shutdown_test.ts
@@ -27,3 +27,19 @@
   await stopping
   expect(new Set(responses.closedWhile)).toEqual(new Set([0]))
 })
+
+// Guards against LOST as in review/13: requests whose callers had left stayed in flight, and as many unsent responses counted as theirs.
+test('does not close idle connections while a response is not sent completely, however many requests are in flight', async () => {
+  const state = { isStopping: false, stopDeadline: undefined as number | undefined, requestsInFlight: 3 }
+  const responses = { unsent: 1, closedWhile: [] as number[] }
+  const server = createServer()
+  server.closeIdleConnections = () => { responses.closedWhile.push(responses.unsent) }
+  const options = { server, state, graceMs: 2_000, onStopDeadline: () => undefined, unsentResponses: () => responses.unsent }
+  const stopping = new GracefulShutdown(options, new SilentEventLog()).run()
+  await sleep(1_300)
+  expect(responses.closedWhile).toEqual([])
+  responses.unsent = 0
+  state.requestsInFlight = 0
+  await stopping
+  expect(new Set(responses.closedWhile)).toEqual(new Set([0]))
+})
--- a/packages/gateway/src/test/held-bytes_test.ts
+++ b/packages/gateway/src/test/held-bytes_test.ts
@@ -128,3 +128,14 @@
   const asking = heldBytes.add({ unsentBytes: () => 0, closeSlow: () => undefined })
   expect(heldBytes.makeRoom(asking, 100)).toBe(true)
 })
+
+test('counts the responses that are not sent completely of requests that have ended', () => {
+  const heldBytes = new HeldBytes({ memoryBytes: undefined })
+  const [first, second] = [1, 2].map(() => heldBytes.add({ unsentBytes: () => 0, closeSlow: () => undefined })) as [HeldConnection, HeldConnection]
+  expect(heldBytes.unsentResponses).toBe(0)
+  first.requestEnded()
+  second.requestEnded()
+  expect(heldBytes.unsentResponses).toBe(2)
+  first.responseClosed()
+  expect(heldBytes.unsentResponses).toBe(1)
+})
