--- a/packages/gateway/src/quarantine/recent-answers.ts
+++ b/packages/gateway/src/quarantine/recent-answers.ts
@@ -1,16 +1,17 @@
+import { LRUCache } from 'lru-cache'
+
 /** Age above which an answer no longer tells anything about what was answered. */
 const MAXIMUM_AGE_MS = 600_000
 
 /** When endpoints last answered requests with each suspect, a prompt part or a whole request. */
 export class RecentAnswers {
-  private readonly _answeredAt = new Map<string, number>()
-  private readonly _maximum: number
+  private readonly _answeredAt: LRUCache<string, number>
 
   /**
    * @param maximum maximum number of suspects, the least recently answered of which are forgotten first; each takes about 100 bytes
    */
   constructor (maximum: number) {
-    this._maximum = maximum
+    this._answeredAt = new LRUCache({ max: maximum })
   }
 
   /**
@@ -19,10 +20,7 @@
    * @param at time of the answer
    */
   record (id: string, at: number): void {
-    const known = this._answeredAt.get(id) ?? -Infinity
-    this._answeredAt.delete(id)
-    this._answeredAt.set(id, Math.max(known, at))
-    if (this._answeredAt.size > this._maximum) this._answeredAt.delete(this._answeredAt.keys().next().value as string)
+    this._answeredAt.set(id, Math.max(this._answeredAt.get(id) ?? -Infinity, at))
   }
 
   /**
@@ -31,7 +29,7 @@
    * @param now current time
    */
   lastAnswer (id: string, now: number): number | undefined {
-    const at = this._answeredAt.get(id)
+    const at = this._answeredAt.peek(id)
     return at === undefined || now - at > MAXIMUM_AGE_MS ? undefined : at
   }
 }
--- a/packages/gateway/src/quarantine/request-quarantine.ts
+++ b/packages/gateway/src/quarantine/request-quarantine.ts
@@ -199,6 +199,7 @@
     const at = now - ageMs
     this._expire(now)
     const news = parts.filter((suspect) => this._addCrash(suspect, crashId, at))
+    for (const { id, isQuarantined } of this._suspects.removeExcess()) if (isQuarantined) this._reportRelease(id)
     if (news.length === 0) return
     this._changes.append({ crashId, parts: news, at }, isFromUpstream)
     if (news.some(({ id }) => this._isStored(id))) this._revision += 1
@@ -209,9 +210,7 @@
   /** Adds a crash to the record of a suspect. Returns false if it is known, or the suspect was answered since. */
   private _addCrash (suspect: Suspect, crashId: string, at: number): boolean {
     const lastAnswer = this._answersOf(suspect.id).lastAnswer(suspect.id, this._options.clock.now())
-    if (!this._suspects.addCrash(suspect, crashId, at, lastAnswer)) return false
-    for (const { id, isQuarantined } of this._suspects.removeExcess()) if (isQuarantined) this._reportRelease(id)
-    return true
+    return this._suspects.addCrash(suspect, crashId, at, lastAnswer)
   }
 
   private _isStored (id: string): boolean {
--- a/packages/gateway/src/quarantine/suspect-table.ts
+++ b/packages/gateway/src/quarantine/suspect-table.ts
@@ -1,4 +1,5 @@
 import type { RequestContent } from '../model/request-content.js'
+import { DroppedCrashes } from './dropped-crashes.js'
 import { requestSuspectId } from './request-suspect-id.js'
 import { sharedParts } from './shared-parts.js'
 import type { Suspect } from './suspect.js'
@@ -12,6 +13,7 @@
 /** The records of all suspects, in the order of their last crashes. */
 export class SuspectTable {
   private readonly _records = new Map<string, SuspectRecord>()
+  private readonly _droppedCrashes = new DroppedCrashes()
 
   /** Number of suspects, quarantined or not. */
   get size (): number {
@@ -68,11 +70,11 @@
    * @param crashId id of the crash
    * @param at time of the crash
    * @param lastAnswer time of the last answer to the suspect; undefined if there was none
-   * @returns false if the crash is known, or the suspect was answered since
+   * @returns false if the crash is known, also if the suspect was dropped since, or the suspect was answered since
    */
   addCrash (suspect: Suspect, crashId: string, at: number, lastAnswer: number | undefined): boolean {
     const record = this._records.get(suspect.id) ?? new SuspectRecord(suspect)
-    if (record.has(crashId) || (lastAnswer ?? -Infinity) > at) return false
+    if (record.has(crashId) || this._droppedCrashes.has(suspect.id, crashId) || (lastAnswer ?? -Infinity) > at) return false
     record.wasAnswered ||= lastAnswer !== undefined
     record.add(crashId, at)
     this._records.delete(suspect.id)
@@ -90,13 +92,23 @@
 
   /** Forgets suspects beyond the maximum number and returns their records. */
   removeExcess (): readonly SuspectRecord[] {
-    const removed: SuspectRecord[] = []
-    while (this._records.size > MAXIMUM_SUSPECTS) {
-      const records = [...this._records.values()]
-      const forgotten = records.find(({ isQuarantined }) => !isQuarantined) ?? records[0] as SuspectRecord
-      this._records.delete(forgotten.id)
-      removed.push(forgotten)
+    const excess = this._records.size - MAXIMUM_SUSPECTS
+    if (excess <= 0) return []
+    const removed = this._leastRecent(excess)
+    for (const record of removed) {
+      this._records.delete(record.id)
+      this._droppedCrashes.add(record)
     }
     return removed
   }
+
+  private _leastRecent (count: number): readonly SuspectRecord[] {
+    const found: SuspectRecord[] = []
+    for (const record of this._records.values()) {
+      if (!record.isQuarantined) found.push(record)
+      if (found.length === count) return found
+    }
+    const quarantined = [...this._records.values()].filter(({ isQuarantined }) => isQuarantined)
+    return [...found, ...quarantined.slice(0, count - found.length)]
+  }
 }
--- a/packages/gateway/src/test/request-quarantine_test.ts
+++ b/packages/gateway/src/test/request-quarantine_test.ts
@@ -322,3 +322,23 @@
   crash(3, deadly)
   expect(quarantine.requestCount).toBe(2)
 })
+
+// Guards against CONFIG as in review/7: suspects that did not fit into the table were news again whenever another router told of them, so that two routers
+// sent the same thousands to each other without end and did nothing else.
+test('a crash with more suspects than are kept is told once', () => {
+  const other = createQuarantine(1)
+  crash(Array.from({ length: 42 }, (_, chat) => Array.from({ length: 300 }, (_, part) => `${chat}-${part}`).join(',')))
+  const cursors = { own: 0, other: 0 }
+  const exchange = (): number => {
+    const told = quarantine.notesSince(cursors.own, 100)
+    cursors.own = told.cursor
+    other.apply(told.notes, false)
+    const toldBack = other.notesSince(cursors.other, 100)
+    cursors.other = toldBack.cursor
+    quarantine.apply(toldBack.notes, false)
+    return told.notes.crashes.length
+  }
+  expect(exchange()).toBe(1)
+  expect([exchange(), exchange(), exchange()]).toEqual([0, 0, 0])
+  expect(quarantine.suspectCount).toBe(4_096)
+})
