Stalls are asked without being changed, bytes for a caller that has left are not written, no warning of listeners

ProcessStalls.hasStalledSince looked for stalls itself; commands and queries are apart now. CallerOutput checks in one place whether the response still has a connection.

--- a/packages/gateway/src/responses/caller-output.ts
+++ b/packages/gateway/src/responses/caller-output.ts
@@ -44,7 +44,7 @@
   write (bytes: Buffer): void {
     if (isWorthOneWrite(bytes)) {
       this.flush()
-      this._response.write(bytes)
+      this._writeNow(bytes)
       return
     }
     if (this._response.writableNeedDrain) this._collect(bytes)
@@ -54,7 +54,7 @@
   /** Writes the bytes that were collected. */
   flush (): void {
     const bytes = this._take()
-    if (bytes !== undefined && !this._response.destroyed) this._response.write(bytes)
+    if (bytes !== undefined) this._writeNow(bytes)
   }
 
   /** Ends the response after all bytes. */
@@ -71,6 +71,10 @@
     if (this._collected.length >= MINIMUM_WRITE_BYTES) this.flush()
   }
 
+  private _writeNow (bytes: Buffer): void {
+    if (!this._response.destroyed) this._response.write(bytes)
+  }
+
   private _take (): Buffer | undefined {
     const part = this._onlyPart
     this._onlyPart = undefined
--- a/packages/gateway/src/responses/process-stalls.ts
+++ b/packages/gateway/src/responses/process-stalls.ts
@@ -26,23 +26,28 @@
    */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this._check()
+      this.check()
       await pause(CHECK_INTERVAL_MS, signal)
     }
   }
 
+  /** Looks whether the process has stood still since the previous look. */
+  check (): void {
+    const now = this._clock.now()
+    if (this._isStalledUntil(now)) this._lastStallEndedAt = now
+    this._checkedAt = now
+  }
+
   /**
-   * Whether the process has stood still since a time.
+   * Whether the process has stood still since a time; a stall that has just ended may not have been noticed by the task yet.
    * @param timeMs time of the clock
    */
   hasStalledSince (timeMs: number): boolean {
-    this._check()
-    return this._lastStallEndedAt > timeMs
+    const now = this._clock.now()
+    return this._lastStallEndedAt > timeMs || (this._isStalledUntil(now) && now > timeMs)
   }
 
-  private _check (): void {
-    const now = this._clock.now()
-    if (now - this._checkedAt >= MINIMUM_STALL_MS) this._lastStallEndedAt = now
-    this._checkedAt = now
+  private _isStalledUntil (now: number): boolean {
+    return now - this._checkedAt >= MINIMUM_STALL_MS
   }
 }
--- a/packages/gateway/src/test/response-relay_test.ts
+++ b/packages/gateway/src/test/response-relay_test.ts
@@ -41,7 +41,7 @@
 test('an end that nothing but the connection marks is taken for a cut if the process stood still since the call began', () => {
   const clock = { ms: 5_000, now (): number { return this.ms } }
   const stalls = new ProcessStalls(clock)
-  const problemAfter = (stallMs: number, isDelimited = false, isNextCall = false): string | undefined => {
+  const problemAfter = (stallMs: number, { isDelimited = false, isNextCall = false, isNoticed = true } = {}): string | undefined => {
     const relay = new ResponseRelay({
       response: { writeHead: () => undefined, write: () => true, writableLength: 0 } as unknown as ServerResponse,
       isStream: true,
@@ -51,9 +51,9 @@
       closesConnection: () => false,
       onStart: () => undefined
     })
-    stalls.hasStalledSince(clock.ms)
+    stalls.check()
     clock.ms += stallMs
-    stalls.hasStalledSince(clock.ms)
+    if (isNoticed) stalls.check()
     if (isNextCall) relay.prepareResumption()
     relay.start({ status: 200, headers: [], isDelimited, contentType: 'text/event-stream' } as Partial<ResponseHead> as ResponseHead)
     relay.data(EVENT)
@@ -61,6 +61,7 @@
   }
   expect(problemAfter(LONG_PAUSE_MS)).toContain('not read')
   expect(problemAfter(LONG_PAUSE_MS - 1)).toBe(undefined)
-  expect(problemAfter(LONG_PAUSE_MS, true)).toBe(undefined)
-  expect(problemAfter(LONG_PAUSE_MS, false, true)).toBe(undefined)
+  expect(problemAfter(LONG_PAUSE_MS, { isNoticed: false })).toContain('not read')
+  expect(problemAfter(LONG_PAUSE_MS, { isDelimited: true })).toBe(undefined)
+  expect(problemAfter(LONG_PAUSE_MS, { isNextCall: true })).toBe(undefined)
 })
--- a/packages/gateway/src/wiring/gateway.ts
+++ b/packages/gateway/src/wiring/gateway.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
 import type { Server } from 'node:http'
 import { ProcessPressure } from '../admission/process-pressure.js'
 import { RouteTimes } from '../admission/route-times.js'
@@ -83,6 +84,8 @@
    */
   constructor (options: GatewayOptions) {
     this._options = options
+    // Each background task waits for it; Node.js would warn of a leak.
+    setMaxListeners(0, this._stopping.signal)
     const { clock, log, settings } = options
     this._settings = new LiveSettings(settings)
     options.store.onCall(({ topic, operation }) => this._metrics.storeCalls.inc({ topic, operation }))
