packages/router: what the HTTP client queues of a response is bounded in parts

What an operator would see: a response in parts of one byte, whose caller reads slowly, took 7.5 MB of the router (10 of them 75 MB in the new test of small-parts_test, 40 MB allowed).

Change: reading pauses at 4 KiB.

--- a/packages/router/src/http/bounded-http-client.ts
+++ b/packages/router/src/http/bounded-http-client.ts
@@ -19,6 +19,8 @@
 const IDLE_CONNECTION_MS = 4_000
 /** What a server may send in answer to one request. Bodies are passed on as they arrive, at the rate of their reader. */
 const RESPONSE_LIMITS = { ...DEFAULT_HEAD_LIMITS, responseBytes: Infinity }
+/** Number of bytes of a response that are queued for its reader before reading from the server pauses. Each part takes over a hundred bytes, however short it is. */
+const MAXIMUM_QUEUED_BYTES = 4_096
 
 /**
  * HTTP client of one server with separate timeouts for connecting, the first byte, and silence within the response
@@ -75,6 +77,7 @@
         headers: request.headers,
         body: request.body as Dispatcher.DispatchOptions['body'],
         signal: abortController.signal,
+        highWaterMark: MAXIMUM_QUEUED_BYTES,
         onInfo: () => clearTimeout(acknowledgeTimer)
       })
       clearTimeout(firstByteTimer)
--- a/packages/router/src/test/small-parts_test.ts
+++ b/packages/router/src/test/small-parts_test.ts
@@ -1,12 +1,18 @@
 import * as fc from 'fast-check'
 import type { IncomingMessage } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { expect, test } from 'vitest'
 import { readBoundedBody } from '@mimosarock/coordination/http/read-bounded-body.js'
+import { BoundedHttpClient } from '@mimosarock/router/http/bounded-http-client.js'
 import { readBody } from '@mimosarock/router/http/read-body.js'
 import { StreamEventSplitter } from '@mimosarock/router/responses/stream-event-splitter.js'
+import { EarlyServer } from '@mimosarock/stand-ins/early-server.js'
 import { usedBytes } from '@mimosarock/stand-ins/used-bytes.js'
 
 const PARTS = 300_000
+const STREAMS = 10
+/** Bytes that a stream may take whose reader does not go on: what the client and the socket queue, and what the test's server has not sent. */
+const MAXIMUM_STREAM_BYTES = 4_000_000
 const READ = Buffer.alloc(PARTS, 'a')
 const STREAM = 'id: 0\ndata: a\n\nid: 1\ndata: b\n\n: comment\n\ndata: c\n\n'
 
@@ -49,3 +55,19 @@
     ])
   }), { seed: 3, numRuns: 300 })
 })
+
+// Guards against the same in what the HTTP client queues for a slow reader: its bound counts bytes, however many parts they are.
+test('a response in parts of one byte, which its reader does not take, takes little memory', async () => {
+  const server = await EarlyServer.start({
+    afterBytes: 0, readsOn: true, ending: undefined, delayMs: 0, answer: () => `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${'1\r\na\r\n'.repeat(PARTS)}0\r\n\r\n`
+  })
+  const client = new BoundedHttpClient({ address: server.address, connectTimeoutMs: 5_000, maximumConnections: 20 })
+  const request = { method: 'GET', path: '/', headers: {}, body: undefined, firstByteTimeoutMs: 20_000, silenceTimeoutMs: 20_000 }
+  const before = usedBytes()
+  const readers = await Promise.all(Array.from({ length: STREAMS }, async () => (await client.send(request, new AbortController().signal)).body[Symbol.asyncIterator]()))
+  await Promise.all(readers.map(async (reader) => await reader.next()))
+  await sleep(200)
+  expect(usedBytes() - before).toBeLessThan(STREAMS * MAXIMUM_STREAM_BYTES)
+  await client.destroy()
+  server.close()
+})
