--- a/packages/bench/src/operations/keyed-caller.ts
+++ b/packages/bench/src/operations/keyed-caller.ts
@@ -68,7 +68,6 @@
       else this._recordRefusal(outcome, callId, JSON.parse(text) as Problem)
     } catch {
       // The connection broke or the call timed out, which leaves the outcome unknown; the key is retried.
-      outcome.hasUnknownOutcome = true
     }
   }
 
@@ -83,7 +82,6 @@
     outcome.lastCode = problem.code ?? 0
     if (problem.run === 'ran') outcome.doneAt = performance.now()
     else if (problem.run === 'not-run') outcome.notRunCallIds.push(callId)
-    else outcome.hasUnknownOutcome = true
   }
 
   private async _pause (): Promise<void> {
--- a/packages/bench/src/operations/keyed-outcome.ts
+++ b/packages/bench/src/operations/keyed-outcome.ts
@@ -9,11 +9,6 @@
   readonly callIds: string[]
   /** Ids of the calls that were refused as not run. */
   readonly notRunCallIds: string[]
-  /**
-   * Whether a call failed without a response or was refused because the operation is in doubt, in progress or has an
-   * unknown outcome.
-   */
-  hasUnknownOutcome: boolean
   /** Time at which a response first confirmed that the operation ran, on the same clock; undefined until then. */
   doneAt: number | undefined
   /** Whether a response was incorrect or incomplete. */
--- a/packages/bench/src/operations/operations-trial.ts
+++ b/packages/bench/src/operations/operations-trial.ts
@@ -142,7 +142,6 @@
       startedAt: performance.now(),
       callIds: [],
       notRunCallIds: [],
-      hasUnknownOutcome: false,
       doneAt: undefined,
       hasWrongResponse: false,
       lastCode: 0
--- a/packages/coordination/src/stream-name.ts
+++ b/packages/coordination/src/stream-name.ts
@@ -1,9 +1,6 @@
-/** Names of streams at the log service. */
+/** Names of streams at the log service that are not numbered; the partitions of the ledger use `operations-0`, `operations-1`, ... */
 const StreamName = {
-  CONFIGURATION: 'configuration',
-  /** Not a stream at present: the partitions of the ledger use the streams `operations-0`, `operations-1`, ... */
-  LEDGER: 'ledger',
-  LEASES: 'leases'
+  CONFIGURATION: 'configuration'
 } as const
 
 /** One of the stream names. */
