--- a/packages/gateway/src/caller/endpoint-attempts.ts
+++ b/packages/gateway/src/caller/endpoint-attempts.ts
@@ -4,6 +4,7 @@
 import type { ChosenEndpoint } from '../choice/chosen-endpoint.js'
 import { EndpointSelector } from '../choice/endpoint-selector.js'
 import type { EndpointEntry } from '../model/endpoint-entry.js'
+import { isIdempotent } from '../model/is-idempotent.js'
 import type { PromptPart } from '../model/prompt-part.js'
 import { RouteKind } from '../model/route-kind.js'
 import { SlotOutcome } from '../grants/slot-outcome.js'
@@ -178,8 +179,9 @@
       contextHolder: contextHolder?.address,
       lastEventId: relay.lastEventId
     })
-    const { id } = authorized.caller
-    return new EndpointCall({ id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body }, codec, relay, {
+    const { caller: { id }, route } = authorized
+    const callRequest = { id, method: request.method ?? 'GET', path: request.url ?? '/', headers, body, isIdempotent: isIdempotent(route) }
+    return new EndpointCall(callRequest, codec, relay, {
       readPacer,
       mayStart: () => {
         const isHeldBack = endpoints.isEvacuated(endpoint) || currentHomes.of(authorized)?.mayRunAt(endpoint) === false
--- a/packages/gateway/src/retries/may-retry.ts
+++ b/packages/gateway/src/retries/may-retry.ts
@@ -1,3 +1,4 @@
+import { isIdempotent } from '../model/is-idempotent.js'
 import { RouteKind } from '../model/route-kind.js'
 import type { Route } from '../model/route.js'
 import { CallOutcome } from '../sending/call-outcome.js'
@@ -22,6 +23,6 @@
   // The request has not run, so even one that may run at most once can be sent again.
   if (outcome === CallOutcome.NOT_SENT || outcome === CallOutcome.REJECTED) return true
   if (attempts.runs >= route.maximumAttempts) return false
-  if (route.kind === RouteKind.STREAM) return route.isResumable
-  return route.kind === RouteKind.IDEMPOTENT && !isStarted
+  if (!isIdempotent(route)) return false
+  return route.kind === RouteKind.STREAM || !isStarted
 }
--- a/packages/gateway/src/sending/endpoint-call-request.ts
+++ b/packages/gateway/src/sending/endpoint-call-request.ts
@@ -8,6 +8,8 @@
   readonly path: string
   /** Alternating header names and values. */
   readonly headers: string[]
+  /** Whether the request may run more than once. */
+  readonly isIdempotent: boolean
   /** Complete body. */
   readonly body: Buffer
 }
--- a/packages/gateway/src/sending/endpoint-call.ts
+++ b/packages/gateway/src/sending/endpoint-call.ts
@@ -8,6 +8,7 @@
 import type { CallResult } from './call-result.js'
 import type { EndpointCallHooks } from './endpoint-call-hooks.js'
 import type { EndpointCallRequest } from './endpoint-call-request.js'
+import { findUnusableResponse } from './find-unusable-response.js'
 import type { ReadPacer } from './read-pacer.js'
 
 /** Maximum size of a body that is written in one piece; equals the buffer size at which a socket applies back pressure. */
@@ -21,7 +22,6 @@
 /** Error codes of responses that did not end: of the connection, and of the HTTP client. */
 const ENDLESS_CODES = new Set([RESPONSE_TOO_LONG, 'UND_ERR_HEADERS_OVERFLOW'])
 const FIRST_FINAL_STATUS = 200
-const FIRST_FAILURE_STATUS = 300
 
 /** A single HTTP call to an endpoint, which validates the response and classifies its outcome. */
 export class EndpointCall implements Dispatcher.DispatchHandler {
@@ -143,9 +143,8 @@
     const head = this._codec.readResponseHead(status, textHeaders(controller.rawHeaders))
     this._head = head
     if (head.requestId === this._request.id) this._hooks?.headReceived(head)
-    const problem = this._problemOf(head)
-    if (problem !== undefined) return this._end(CallOutcome.INVALID, problem)
-    if (head.isNotRun) return this._end(CallOutcome.REJECTED, `status ${status}`)
+    const unusable = findUnusableResponse(head, this._request)
+    if (unusable !== undefined) return this._end(unusable.outcome, unusable.problem)
     if (!this._receiver.start(head)) return this._end(CallOutcome.BROKEN, `status ${status} does not resume the stream`)
   }
 
@@ -197,17 +196,6 @@
     return body.length > MAXIMUM_UNCHUNKED_BODY_BYTES ? [...headers, 'Content-Length', String(body.length)] : headers
   }
 
-  /** Returns why a response can't be the endpoint's response to this request; undefined if it is valid. */
-  private _problemOf (head: ResponseHead): string | undefined {
-    if (head.requestId !== undefined && head.requestId !== this._request.id) return 'response to another request'
-    const isSuccess = head.status < FIRST_FAILURE_STATUS
-    if (isSuccess && !head.isSigned) return 'successful response without a signature'
-    // Endpoints state it in each response: these are bytes that follow the response to the previous request on the connection, or a late copy of it.
-    if (head.requestId === undefined) return 'response without a request id'
-    if (head.isEncoded) return 'unexpected content encoding'
-    return undefined
-  }
-
   private _countInformational (): void {
     this._informationalResponses += 1
     if (this._informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) this._endEndless(CallOutcome.NO_ANSWER, 'too many informational responses')
--- a/packages/gateway/src/test/connection-faults_test.ts
+++ b/packages/gateway/src/test/connection-faults_test.ts
@@ -32,7 +32,7 @@
 /** Calls the endpoint and returns the outcome and the response body. */
 async function call (address: string, id: string, body = Buffer.alloc(0)): Promise<[CallOutcome, string]> {
   let text = ''
-  const request = { id, method: body.length > 0 ? 'POST' : 'GET', path: '/', headers: ['request-id', id], body }
+  const request = { id, method: body.length > 0 ? 'POST' : 'GET', path: '/', headers: ['request-id', id], body, isIdempotent: body.length === 0 }
   const endpointCall = new EndpointCall(request, plainCodec, {
     start: () => true,
     data: (chunk) => {
--- a/packages/gateway/src/test/endless-responses_test.ts
+++ b/packages/gateway/src/test/endless-responses_test.ts
@@ -29,7 +29,7 @@
   const server = await EndlessServer.start(start, filler)
   servers.push(server)
   const { address } = server
-  const endpointCall = new EndpointCall({ id: 'r1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }, plainCodec, {
+  const endpointCall = new EndpointCall({ id: 'r1', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), isIdempotent: true }, plainCodec, {
     start: () => true, data: () => true, findProblem: () => undefined
   })
   endpointCall.send(connections.pool({ id: address, service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }, true, 1))
--- a/packages/gateway/src/test/endpoint-call_test.ts
+++ b/packages/gateway/src/test/endpoint-call_test.ts
@@ -27,7 +27,7 @@
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   let body = ''
   const receiver = { start: () => true, data: (chunk: Buffer) => { body += chunk.toString(); return true }, findProblem: () => undefined }
-  const call = new EndpointCall({ id: ID, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }, headerCodec as WireCodec, receiver)
+  const call = new EndpointCall({ id: ID, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), isIdempotent: true }, headerCodec as WireCodec, receiver)
   const endpoint = { id: 'e', service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }
   call.send(connections.pool(endpoint, false, 1))
   const result = await call.result
@@ -96,7 +96,7 @@
 })
 
 test('a refused connection means that the request was not sent', async () => {
-  const call = new EndpointCall({ id: ID, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) }, headerCodec as WireCodec, {
+  const call = new EndpointCall({ id: ID, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), isIdempotent: true }, headerCodec as WireCodec, {
     start: () => true, data: () => true, findProblem: () => undefined
   })
   const endpoint = { id: 'gone', service: 's', address: '127.0.0.1:1', availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }
--- a/packages/gateway/src/test/endpoint-wishes_test.ts
+++ b/packages/gateway/src/test/endpoint-wishes_test.ts
@@ -134,7 +134,7 @@
   await once(server, 'listening')
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const pool = connections.pool({ id: 'e', service: 's', address, availabilityZone: 'z', slots: 1, isDraining: false, startedAt: 0, revision: 0 }, true, 1)
-  const calls = ['r1', 'r2'].map((id) => new EndpointCall({ id, method: 'GET', path: '/', headers: ['request-id', id], body: Buffer.alloc(0) }, plainCodec, {
+  const calls = ['r1', 'r2'].map((id) => new EndpointCall({ id, method: 'GET', path: '/', headers: ['request-id', id], body: Buffer.alloc(0), isIdempotent: true }, plainCodec, {
     start: () => true, data: () => true, findProblem: () => undefined
   }, { mayStart: () => isUsable, headReceived: () => { isUsable = false } }))
   for (const call of calls) call.send(pool)
--- a/packages/gateway/src/test/faulty-answers_test.ts
+++ b/packages/gateway/src/test/faulty-answers_test.ts
@@ -74,6 +74,35 @@
   expect([response.status, JSON.parse(response.body).run, arrivals()]).toEqual([502, 'unknown', ['r1']])
 })
 
+const PROMISES = ['408 Timeout', '421 Misdirected', '429 Too Many', '503 Unavailable']
+const LONG_BODY = 'b'.repeat(100_000)
+
+// Guards against REFUSED: a status that promises that a request has not run was passed on to a call that may run once, although the endpoint did not state it and had run it.
+test.each(PROMISES.flatMap((status) => ['/pay/', '/stream/'].map((path) => ({ status, path }))))(
+  'a $status with the id of the request that does not state that it has not run promises nothing to a call that may run once ($path)',
+  async ({ status, path }) => {
+    for (const signature of ['', 'signature: s\r\n']) {
+      for (const body of ['', LONG_BODY]) {
+        answerInTurn((request, response) => {
+          socketOf(response).write(`HTTP/1.1 ${status}\r\nrequest-id: ${idOf(request)}\r\n${signature}Content-Length: ${body.length}\r\n\r\n${body}`)
+        })
+        const response = await fixture.call('POST', path, { deadline: '1500' })
+        expect([response.status, response.headers.signature, JSON.parse(response.body).run]).toEqual([502, undefined, 'unknown'])
+      }
+    }
+    expect(arrivals()).toEqual(['r1', 'r1', 'r1', 'r1'])
+  }
+)
+
+// Guards against failures of an endpoint that are replaced although they mislead nobody: what may run again is sent again after any failure.
+test.each(['/read/', '/resume/'])('a 503 with a signature that does not state that the request has not run is passed on to a request that may run again (%s)', async (path) => {
+  await fixture.stop()
+  await start(1)
+  answerInTurn((request, response) => TestEndpoint.respond(request, response, 'busy', 503))
+  const response = await fixture.call('GET', path, { deadline: '1500' })
+  expect([response.status, response.headers.signature, response.body]).toEqual([503, 'signed', 'busy'])
+})
+
 // Guards against the same while the connection is idle: the next call has to use another connection.
 test('a refusal that is written again while the connection is idle is not read by the next call', async () => {
   await fixture.stop()
--- a/packages/gateway/src/test/read-pacer_test.ts
+++ b/packages/gateway/src/test/read-pacer_test.ts
@@ -44,7 +44,7 @@
   }
   let bytes = 0
   let partsWhileDelayed = 0
-  const call = new EndpointCall({ id: 'r1', method: 'GET', path: '/', headers: ['request-id', 'r1'], body: Buffer.alloc(0) }, plainCodec, {
+  const call = new EndpointCall({ id: 'r1', method: 'GET', path: '/', headers: ['request-id', 'r1'], body: Buffer.alloc(0), isIdempotent: true }, plainCodec, {
     start: () => true,
     data: (part) => {
       if (call.isDelayed) partsWhileDelayed += 1
