--- a/packages/gateway/src/sending/find-unusable-response.ts
+++ b/packages/gateway/src/sending/find-unusable-response.ts
@@ -23,9 +23,11 @@
   return undefined
 }
 
-function findInvalidity ({ status, requestId, isSigned, isEncoded }: ResponseHead, { id }: Pick<EndpointCallRequest, 'id'>): string | undefined {
+function findInvalidity ({ status, requestId, isSigned, isNotRun, isEncoded }: ResponseHead, { id }: Pick<EndpointCallRequest, 'id'>): string | undefined {
   if (requestId !== undefined && requestId !== id) return 'response to another request'
-  if (status < FIRST_FAILURE_STATUS && !isSigned) return 'successful response without a signature'
+  const isSuccess = status < FIRST_FAILURE_STATUS
+  if (isSuccess && !isSigned) return 'successful response without a signature'
+  if (isSuccess && isNotRun) return 'successful response with the statement that the request did not run'
   // Endpoints state it in each response: these are bytes that follow the response to the previous request on the connection, or a late copy of it.
   if (requestId === undefined) return 'response without a request id'
   if (isEncoded) return 'unexpected content encoding'
--- a/packages/gateway/src/test/faulty-answers_test.ts
+++ b/packages/gateway/src/test/faulty-answers_test.ts
@@ -103,6 +103,14 @@
   expect([response.status, response.headers.signature, response.body]).toEqual([503, 'signed', 'busy'])
 })
 
+// Guards against a second run: a success that also states that the request has not run was believed in that, and the request sent to another endpoint.
+test('a success that states that the request has not run is no answer, and the request is not sent again', async () => {
+  const answer = answerWith(200, { signature: 's', 'not-run': '1' }, 'paid')
+  answerInTurn(answer)
+  const response = await fixture.call('POST', '/pay/', { deadline: '1500' })
+  expect([response.status, JSON.parse(response.body).run, arrivals()]).toEqual([502, 'unknown', ['r1']])
+})
+
 // Guards against the same while the connection is idle: the next call has to use another connection.
 test('a refusal that is written again while the connection is idle is not read by the next call', async () => {
   await fixture.stop()
